--- /dev/null
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -0,0 +1,181 @@
+"""One open connection to a database."""
+
+import select
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from pygwire.messages import DataRow, RowDescription, Terminate
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..frames import kinds
+from ..frames.build import query_frame
+from ..frames.frame import Frame
+from ..frames.frame_splitter import FrameSplitter
+from ..frames.read import read_error_fields, read_text
+from ..settings.address import Address
+from .endpoint_refusal import EndpointRefusal
+from .query_result import QueryResult
+
+RECEIVE_BYTES = 65536  # one read serves a whole answer of usual size
+_NOTHING_READABLE: list = []
+
+
+class EndpointConnection:
+    """A connection that has been authenticated.
+
+    Attributes
+    ----------
+    address : Address
+        Where it leads.
+    parameters : dict of str to str
+        Last ParameterStatus of each name.
+    process_id : int
+        Key for cancellation, with ``secret_key``.
+    secret_key : bytes
+        Key for cancellation.
+    prepared : dict of str to None
+        Names of the statements prepared here, least recently used first.
+    read_only : bool
+        Whether ``default_transaction_read_only`` is on.
+    last_used : timedelta
+        Monotonic reading at the end of its last request.
+    is_broken : bool
+        True once bytes may be missing or left over; it must not be used again.
+    """
+
+    __slots__ = (
+        "_poll",
+        "_splitter",
+        "_stream",
+        "address",
+        "is_broken",
+        "last_used",
+        "parameters",
+        "prepared",
+        "process_id",
+        "read_only",
+        "secret_key",
+    )
+
+    def __init__(self, stream: SocketStream, splitter: FrameSplitter, address: Address):
+        self._stream = stream
+        self._splitter = splitter
+        self.address = address
+        self.parameters: dict[str, str] = {}
+        self.process_id = 0
+        self.secret_key = b""
+        self.prepared: dict[str, None] = {}
+        self.read_only = False
+        self.last_used = timedelta(0)
+        self.is_broken = False
+        self._poll = select.poll()
+        self._poll.register(
+            stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN
+        )
+
+    @property
+    def term(self) -> int:
+        """Term that the endpoint named when the connection was opened."""
+        return int(self.parameters.get("group.term", "0"))
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived since the last answer.
+
+        Bytes or an end of stream on an idle connection mean that the endpoint
+        closed it or that an answer was left over: it must not be used.
+        """
+        return not self.is_broken and self._poll.poll(0) == _NOTHING_READABLE
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes.
+
+        Raises
+        ------
+        CodedError
+            ANSWER_INTERRUPTED if the connection is gone; some of the bytes
+            may have arrived.
+        """
+        try:
+            await self._stream.send(data)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise self._broken("connection lost while sending") from error
+
+    async def receive_frames(self) -> list[Frame]:
+        """Wait for bytes and return the whole frames, at least one.
+
+        Raises
+        ------
+        CodedError
+            ANSWER_INTERRUPTED if the connection ends first, MALFORMED_FRAME
+            or FRAME_TOO_LARGE if the stream cannot be read.
+        """
+        while True:
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except (
+                OSError,
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ) as error:
+                raise self._broken("connection ended") from error
+            try:
+                frames = self._splitter.feed(data)
+            except CodedError:
+                self.is_broken = True
+                raise
+            if frames:
+                return frames
+
+    async def query(self, sql: str) -> QueryResult:
+        """Run one simple statement of the proxy's own.
+
+        Raises
+        ------
+        EndpointRefusal
+            If the endpoint answers with an error.
+        CodedError
+            ANSWER_INTERRUPTED if the answer breaks off.
+        """
+        self.is_broken = True  # until the whole answer has been read
+        await self.send(query_frame(sql))
+        frames: list[Frame] = []
+        while not frames or frames[-1].kind != kinds.READY_FOR_QUERY:
+            frames.extend(await self.receive_frames())
+        self.is_broken = False
+        return _read_result(frames)
+
+    async def aclose(self) -> None:
+        """Say goodbye if the connection is whole, then close it."""
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+            if not self.is_broken:
+                try:
+                    await self._stream.send(Terminate().to_wire())
+                except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    pass
+            self.is_broken = True
+            await anyio.aclose_forcefully(self._stream)
+
+    def _broken(self, detail: str) -> CodedError:
+        self.is_broken = True
+        return CodedError(ResultCode.ANSWER_INTERRUPTED, f"{self.address}: {detail}")
+
+
+def _read_result(frames: list[Frame]) -> QueryResult:
+    columns: list[str] = []
+    rows: list[list[str | None]] = []
+    tag = ""
+    for frame in frames:
+        if frame.kind == kinds.ERROR:
+            fields = read_error_fields(frame)
+            raise EndpointRefusal(fields.get("C", ""), fields.get("M", ""))
+        if frame.kind == kinds.ROW_DESCRIPTION:
+            columns = [field.name for field in RowDescription.decode(frame.body).fields]
+        elif frame.kind == kinds.DATA_ROW:
+            values = DataRow.decode(frame.body).columns
+            rows.append([None if v is None else bytes(v).decode() for v in values])
+        elif frame.kind == kinds.COMMAND_COMPLETE:
+            tag = read_text(frame)
+    return QueryResult(columns, rows, tag)
--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -30,6 +30,8 @@
     NO_FRESH_REPLICA = (205, "57P03", 503, "No replica is fresh enough; not run.")
     ENDPOINT_LEAVING = (206, "57P03", 503, "The endpoint is leaving; not run.")
     RETRY_BUDGET_SPENT = (207, "53000", 503, "The retry budget is spent; not run.")
+    ENDPOINT_REFUSED = (208, "58000", 502, "The endpoint refused a statement.")
+    ENDPOINT_MALFORMED = (209, "58000", 502, "An endpoint's answer cannot be read.")
 
     OUTCOME_UNKNOWN = (301, "08007", 502, "The outcome is unknown.")
     TERM_SUPERSEDED = (302, "08007", 502, "The term ended; the outcome is unknown.")
--- /dev/null
+++ b/goldcrestpond/frames/__init__.py
@@ -0,0 +1,1 @@
+"""Whole frames of the PostgreSQL protocol: cut, read and built."""
--- /dev/null
+++ b/goldcrestpond/frames/build.py
@@ -0,0 +1,66 @@
+"""Builds the frames that the proxy sends of its own."""
+
+from pygwire.constants import TransactionStatus
+from pygwire.messages import (
+    Close,
+    CommandComplete,
+    ErrorResponse,
+    ParameterStatus,
+    Parse,
+    Query,
+    ReadyForQuery,
+)
+
+from ..errors.coded_error import CodedError
+
+READY_IDLE = ReadyForQuery(status=TransactionStatus.IDLE).to_wire()
+READY_FAILED_TRANSACTION = ReadyForQuery(
+    status=TransactionStatus.ERROR_TRANSACTION
+).to_wire()
+
+
+def error_frame(error: CodedError, severity: str = "ERROR") -> bytes:
+    """Build an ErrorResponse from a coded error.
+
+    Parameters
+    ----------
+    error : CodedError
+        Its SQLSTATE, number and detail are sent.
+    severity : {"ERROR", "FATAL"}, default="ERROR"
+        FATAL tells the caller that the connection ends.
+    """
+    fields = {
+        "S": severity,
+        "V": severity,
+        "C": error.code.sqlstate,
+        "M": str(error),
+        "D": error.code.meaning,
+    }
+    if error.retry_after_ms:
+        fields["H"] = f"Ask again in {error.retry_after_ms} ms."
+    return ErrorResponse(fields=fields).to_wire()
+
+
+def parameter_frame(name: str, value: str) -> bytes:
+    """Build a ParameterStatus."""
+    return ParameterStatus(name=name, value=value).to_wire()
+
+
+def complete_frame(tag: str) -> bytes:
+    """Build a CommandComplete."""
+    return CommandComplete(tag=tag).to_wire()
+
+
+def query_frame(sql: str) -> bytes:
+    """Build a simple Query."""
+    return Query(query_string=sql).to_wire()
+
+
+def parse_frame(statement: str, query: str, param_types: list[int]) -> bytes:
+    """Build a Parse."""
+    return Parse(statement=statement, query=query, param_types=param_types).to_wire()
+
+
+def close_statement_frame(statement: str) -> bytes:
+    """Build a Close of a prepared statement."""
+    return Close(kind="S", name=statement).to_wire()
