--- /dev/null
+++ b/goldcrestpond/cli/standin.py
@@ -0,0 +1,39 @@
+"""``goldcrestpond-standin``: small stand-ins as processes of their own."""
+
+import anyio
+import fire
+
+from ..clock.system_clock import SystemClock
+from ..settings.address import parse_address
+from ..settings.load import load_settings
+from ..standin.platform_settings import PlatformStandinSettings
+from ..standin.platform_standin import run_platform as serve_platform
+from .run_program import run_program
+
+
+def platform(settings: str) -> None:
+    """Serve a platform in memory until SIGTERM.
+
+    Prints ``ready IP:PORT`` when it accepts requests.
+
+    Parameters
+    ----------
+    settings : str
+        Settings file, JSON with comments.
+    """
+    loaded = load_settings(settings, PlatformStandinSettings)
+    run_program(lambda: _serve_platform(loaded))
+
+
+async def _serve_platform(settings: PlatformStandinSettings) -> None:
+    address = parse_address(settings.address)
+    instances = settings.instances
+    lag = settings.instances_lag
+    async with serve_platform(address, SystemClock(), instances, lag) as standin:
+        print(f"ready {standin.address}", flush=True)
+        await anyio.sleep_forever()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire({"platform": platform})
--- /dev/null
+++ b/goldcrestpond/platform/instance_entry.py
@@ -0,0 +1,26 @@
+"""One entry of the platform's instance list."""
+
+from typing import Literal
+
+import msgspec
+
+
+class InstanceEntry(msgspec.Struct, frozen=True):
+    """An instance as the platform knows it; the list lags.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    address : str
+        ``IP:PORT`` of the instance.
+    zone : str
+        Availability zone.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    name: str
+    address: str
+    zone: str = ""
+    state: Literal["live", "leaving"] = "live"
--- /dev/null
+++ b/goldcrestpond/platform/row.py
@@ -0,0 +1,21 @@
+"""One row of the table service."""
+
+import msgspec
+
+
+class Row(msgspec.Struct, frozen=True):
+    """State of one key.
+
+    Attributes
+    ----------
+    key : str
+        Key; may hold ``/``.
+    value : bytes or None
+        JSON text; None if the key has no row.
+    revision : int
+        The table's revision of the last write of the key; 0 if never written.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
