--- a/goldcrestpond/cli/standin.py
+++ b/goldcrestpond/cli/standin.py
@@ -6,6 +6,8 @@
 from ..clock.system_clock import SystemClock
 from ..settings.address import parse_address
 from ..settings.load import load_settings
+from ..standin.database_group import run_database_group
+from ..standin.database_group_settings import DatabaseGroupSettings
 from ..standin.platform_settings import PlatformStandinSettings
 from ..standin.platform_standin import run_platform as serve_platform
 from .run_program import run_program
@@ -34,6 +36,27 @@
         await anyio.sleep_forever()
 
 
+def database(settings: str) -> None:
+    """Serve a group of databases in memory until SIGTERM.
+
+    Prints ``ready NAME=IP:PORT ...`` when all accept connections.
+
+    Parameters
+    ----------
+    settings : str
+        Settings file, JSON with comments.
+    """
+    loaded = load_settings(settings, DatabaseGroupSettings)
+    run_program(lambda: _serve_database_group(loaded))
+
+
+async def _serve_database_group(settings: DatabaseGroupSettings) -> None:
+    async with run_database_group(settings, SystemClock()) as group:
+        addresses = [f"{server.name}={server.address}" for server in group.databases]
+        print("ready", *addresses, flush=True)
+        await anyio.sleep_forever()
+
+
 def main() -> None:
     """Run the command line."""
-    fire.Fire({"platform": platform})
+    fire.Fire({"platform": platform, "database": database})
--- /dev/null
+++ b/goldcrestpond/standin/connection.py
@@ -0,0 +1,424 @@
+"""One connection in PostgreSQL's protocol, version 3, on the server's side."""
+
+import math
+import secrets
+import struct
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import SocketStream
+from pygwire import TransactionStatus
+from pygwire.exceptions import PygwireError
+from pygwire.messages import (
+    STARTUP_REGISTRY,
+    AuthenticationOk,
+    BackendKeyData,
+    Bind,
+    BindComplete,
+    CancelRequest,
+    Close,
+    CloseComplete,
+    CommandComplete,
+    DataRow,
+    Describe,
+    EmptyQueryResponse,
+    ErrorResponse,
+    Execute,
+    FieldDescription,
+    Flush,
+    NoData,
+    ParameterDescription,
+    ParameterStatus,
+    Parse,
+    ParseComplete,
+    PGMessage,
+    PortalSuspended,
+    Query,
+    ReadyForQuery,
+    RowDescription,
+    StartupMessage,
+    Sync,
+    Terminate,
+)
+
+from .database_error import DatabaseError
+from .portal import Portal
+from .session import Result, Session
+from .session_settings import REPORTED
+from .statement import Statement, parse_statement, split_statements
+from .values import decode_value, encode_value
+
+if TYPE_CHECKING:
+    from .database_server import DatabaseServer
+
+_LENGTH = struct.Struct("!I")
+_MESSAGES = {
+    message.identifier[0]: message
+    for message in (Bind, Close, Describe, Execute, Flush, Parse, Query, Sync)
+}
+_TERMINATE = Terminate.identifier[0]
+_NO_ENCRYPTION = b"N"
+_RECEIVE_BYTES = 65536
+
+
+class ConnectionLost(Exception):
+    """The connection ends without a further word."""
+
+
+class ServerConnection:
+    """Reads messages, runs their statements and writes the answers.
+
+    Parameters
+    ----------
+    server : DatabaseServer
+        The database with its limits and faults.
+    stream : SocketStream
+        The client.
+    process_id : int
+        Number of this connection.
+    """
+
+    def __init__(self, server: "DatabaseServer", stream: SocketStream, process_id: int):
+        self.process_id = process_id
+        self.secret_key = secrets.token_bytes(4)
+        self.is_frozen = False
+        self._server = server
+        self._stream = stream
+        self._input = bytearray()
+        self._output = bytearray()
+        self._session: Session | None = None
+        self._portals: dict[str, Portal] = {}
+        self._skips_to_sync = False
+        self._holds_answer = False
+        self._running: anyio.CancelScope | None = None
+
+    def cancel(self) -> None:
+        """Cancel the statement that runs now, if one does."""
+        if self._running is not None:
+            self._running.cancel()
+
+    async def serve(self) -> None:
+        """Serve until the client leaves."""
+        startup = await self._read_startup()
+        if startup is None:
+            return
+        if self._server.faults.hang:
+            await anyio.sleep_forever()
+        await anyio.sleep(self._server.settings.connection_delay_ms / 1000)
+        try:
+            await self._open(startup)
+        except DatabaseError as error:
+            self._put(_error(error, "FATAL"))
+            await self._flush()
+            return
+        while True:
+            await self._serve_frames()
+            await self._flush()
+            await self._receive()
+
+    # Bytes
+
+    async def _receive(self) -> None:
+        data = await self._stream.receive(_RECEIVE_BYTES)
+        await self._pass_faults()
+        self._input += data
+
+    async def _flush(self) -> None:
+        if not self._output:
+            return
+        await self._pass_faults()
+        data = bytes(self._output)
+        self._output.clear()
+        faults = self._server.faults
+        if faults.cut > 0 and self._holds_answer:
+            faults.cut -= 1
+            await self._stream.send(data[: max(1, len(data) // 2)])
+            raise ConnectionLost
+        self._holds_answer = False
+        await self._stream.send(data)
+
+    async def _pass_faults(self) -> None:
+        while self.is_frozen or self._server.faults.partition_callers:
+            await self._wait_for_end_or_heal()
+
+    async def _wait_for_end_or_heal(self) -> None:
+        if self.is_frozen:
+            await anyio.sleep_forever()
+        await self._server.changed.wait()
+
+    def _put(self, message: PGMessage) -> None:
+        self._output += message.to_wire()
+
+    async def _read_startup(self) -> StartupMessage | None:
+        while True:
+            while len(self._input) < 4 or len(self._input) < self._startup_length():
+                await self._receive()
+            length = self._startup_length()
+            payload = memoryview(bytes(self._input[4:length]))
+            del self._input[:length]
+            code = _LENGTH.unpack_from(payload)[0] if len(payload) >= 4 else 0
+            kind = STARTUP_REGISTRY.lookup(code)
+            if kind is None:
+                return None
+            message = kind.decode(payload)
+            if isinstance(message, StartupMessage):
+                return message
+            if isinstance(message, CancelRequest):
+                self._server.cancel(message.process_id, message.secret_key)
+                return None
+            await self._stream.send(_NO_ENCRYPTION)
+
+    def _startup_length(self) -> int:
+        return _LENGTH.unpack_from(self._input)[0]
+
+    # Messages
+
+    async def _open(self, startup: StartupMessage) -> None:
+        self._server.admit(self)
+        await authenticate(self)
+        self._session = Session(self._server.database, startup.params)
+        self._put(AuthenticationOk())
+        for name in REPORTED:
+            self._put(ParameterStatus(name, self._session.settings[name]))
+        term = str(self._server.database.term)
+        self._put(ParameterStatus("group.term", term))
+        self._put(BackendKeyData(self.process_id, self.secret_key))
+        self._put(ReadyForQuery())
+
+    async def _serve_frames(self) -> None:
+        while len(self._input) >= 5:
+            length = 1 + _LENGTH.unpack_from(self._input, 1)[0]
+            if len(self._input) < length:
+                return
+            identifier = self._input[0]
+            payload = memoryview(bytes(self._input[5:length]))
+            del self._input[:length]
+            if identifier == _TERMINATE:
+                raise ConnectionLost
+            await self._serve_frame(identifier, payload)
+
+    async def _serve_frame(self, identifier: int, payload: memoryview) -> None:
+        kind = _MESSAGES.get(identifier)
+        if self._skips_to_sync and kind is not Sync:
+            return
+        try:
+            if kind is None:
+                raise DatabaseError("08P01", f"no message {chr(identifier)!r} here")
+            await _SERVE[kind](self, kind.decode(payload))
+        except (PygwireError, struct.error, UnicodeDecodeError) as error:
+            self._fail(DatabaseError("08P01", str(error)), kind)
+        except (ValueError, OverflowError) as error:
+            self._fail(DatabaseError("22P02", str(error)), kind)
+        except DatabaseError as error:
+            self._fail(error, kind)
+
+    def _fail(self, error: DatabaseError, kind: type | None) -> None:
+        if self._session.transaction:
+            self._session.transaction.is_failed = True
+        self._put(_error(error, "ERROR"))
+        if kind in (Query, Sync):
+            self._end_implicit_and_ready()
+        else:
+            self._skips_to_sync = True
+
+    async def _query(self, message: Query) -> None:
+        statements = split_statements(message.query_string)
+        if not statements:
+            self._put(EmptyQueryResponse())
+        for at, statement in enumerate(statements):
+            result = await self._run(statement, ())
+            if at == len(statements) - 1:
+                self._end_implicit()
+            if result.columns:
+                self._put(_row_description(result, []))
+            self._put_rows(result, result.rows, [])
+            self._put(CommandComplete(result.tag))
+        self._ready()
+
+    async def _parse(self, message: Parse) -> None:
+        statement = parse_statement(message.query)
+        prepared = self._session.prepared
+        if message.statement and message.statement in prepared:
+            raise DatabaseError("42P05", f"{message.statement!r} exists already")
+        types = self._session.parameter_types(statement, message.param_types)
+        prepared[message.statement] = (statement, types)
+        self._put(ParseComplete())
+
+    async def _bind(self, message: Bind) -> None:
+        statement, types = self._prepared(message.statement)
+        if len(message.param_values) != len(types):
+            raise DatabaseError("08P01", f"{len(types)} parameters are needed")
+        formats = _spread(message.param_formats, len(types))
+        values = zip(message.param_values, types, formats, strict=True)
+        parameters = tuple(decode_value(*value) for value in values)
+        self._portals[message.portal] = Portal(
+            statement, types, parameters, message.result_formats
+        )
+        self._put(BindComplete())
+
+    def _prepared(self, name: str) -> tuple[Statement, list[int]]:
+        try:
+            return self._session.prepared[name]
+        except KeyError:
+            raise DatabaseError("26000", f"no prepared statement {name!r}") from None
+
+    def _portal(self, name: str) -> Portal:
+        try:
+            return self._portals[name]
+        except KeyError:
+            raise DatabaseError("34000", f"no portal {name!r}") from None
+
+    async def _describe(self, message: Describe) -> None:
+        formats: list[int] = []
+        if message.kind == "S":
+            statement, types = self._prepared(message.name)
+            self._put(ParameterDescription(types))
+        else:
+            portal = self._portal(message.name)
+            statement, types = portal.statement, portal.parameter_types
+            formats = portal.result_formats
+        columns = self._session.describe(statement, types)
+        described = _row_description(Result("", columns), formats)
+        self._put(described if columns else NoData())
+
+    async def _execute(self, message: Execute) -> None:
+        portal = self._portal(message.portal)
+        if not portal.statement.keyword:
+            self._put(EmptyQueryResponse())
+            return
+        if portal.result is None:
+            portal.result = await self._run(portal.statement, portal.parameters)
+        rows, is_suspended = portal.take(message.max_rows)
+        self._put_rows(portal.result, rows, portal.result_formats)
+        if is_suspended:
+            self._put(PortalSuspended())
+            return
+        self._put(CommandComplete(portal.result.tag))
+
+    async def _close(self, message: Close) -> None:
+        names = self._session.prepared if message.kind == "S" else self._portals
+        names.pop(message.name, None)
+        self._put(CloseComplete())
+
+    async def _sync(self, message: Sync) -> None:
+        self._skips_to_sync = False
+        self._end_implicit()
+        self._ready()
+
+    async def _flush_now(self, message: Flush) -> None:
+        await self._flush()
+
+    # Statements
+
+    async def _run(self, statement: Statement, parameters: tuple) -> Result:
+        call = statement.control_call()
+        if call is not None:
+            return self._control(*call, parameters)
+        if statement.sql.lower() == "show group_status":
+            return self._session.run(statement, parameters)
+        self._holds_answer = True
+        await self._serve_time(statement.sleep_s(parameters))
+        return self._session.run(statement, parameters)
+
+    async def _serve_time(self, sleep_s: float) -> None:
+        """Hold a slot for the statement's service time."""
+        service_s = sleep_s + self._server.faults.statement_delay_ms / 1000
+        timeout_ms = float(self._session.settings["statement_timeout"] or 0)
+        limit_s = timeout_ms / 1000 if timeout_ms else math.inf
+        with anyio.move_on_after(limit_s) as self._running:
+            async with self._server.slots:
+                if service_s:
+                    await anyio.sleep(service_s)
+        is_cancelled = self._running.cancelled_caught
+        self._running = None
+        if is_cancelled:
+            raise DatabaseError("57014", "canceling statement")
+
+    def _control(self, name: str, arguments: str, parameters: tuple) -> Result:
+        database = self._server.database
+        values = database.run([], parse_statement(f"SELECT {arguments}"), parameters)
+        self._server.control(self._server, name, values.rows[0])
+        return self._session.status_result("SELECT 1")
+
+    def _end_implicit(self) -> None:
+        self._session.end_implicit()
+        position = self._session.committed_position
+        if position is None or self._session.transaction:
+            return
+        if self._server.faults.lose_answer > 0:
+            self._server.faults.lose_answer -= 1
+            raise ConnectionLost
+
+    def _end_implicit_and_ready(self) -> None:
+        try:
+            self._end_implicit()
+        except DatabaseError as error:
+            self._put(_error(error, "ERROR"))
+        self._ready()
+
+    def _ready(self) -> None:
+        session = self._session
+        for name in session.changed_settings & REPORTED.keys():
+            self._put(ParameterStatus(name, session.settings[name]))
+        session.changed_settings.clear()
+        if session.committed_position and not session.transaction:
+            position = str(session.committed_position)
+            self._put(ParameterStatus("group.position", position))
+            session.committed_position = None
+        if session.transaction is None:
+            self._portals.clear()
+        self._put(ReadyForQuery(TransactionStatus(session.transaction_status)))
+
+    def _put_rows(
+        self, result: Result, rows: list[tuple], result_formats: list[int]
+    ) -> None:
+        formats = _spread(result_formats, len(result.columns))
+        oids = [oid for _, oid in result.columns]
+        for row in rows if result.columns else ():
+            cells = zip(row, oids, formats, strict=True)
+            self._put(DataRow([encode_value(*cell) for cell in cells]))
+
+
+async def authenticate(connection: ServerConnection) -> None:
+    """Let every client in."""
+
+
+def _spread(formats: list[int], count: int) -> list[bool]:
+    """Return for each of ``count`` values whether it is binary."""
+    if len(formats) < 2:
+        return [bool(formats and formats[0])] * count
+    return [bool(code) for code in formats]
+
+
+def _row_description(result: Result, result_formats: list[int]) -> RowDescription:
+    formats = _spread(result_formats, len(result.columns))
+    columns = zip(result.columns, formats, strict=True)
+    return RowDescription(
+        [
+            FieldDescription(
+                name=name,
+                type_oid=oid,
+                type_size=-1,
+                type_modifier=-1,
+                format_code=int(is_binary),
+            )
+            for (name, oid), is_binary in columns
+        ]
+    )
+
+
+def _error(error: DatabaseError, severity: str) -> ErrorResponse:
+    fields = {"S": severity, "V": severity, "C": error.sqlstate, "M": str(error)}
+    return ErrorResponse(fields)
+
+
+_SERVE = {
+    Query: ServerConnection._query,
+    Parse: ServerConnection._parse,
+    Bind: ServerConnection._bind,
+    Describe: ServerConnection._describe,
+    Execute: ServerConnection._execute,
+    Close: ServerConnection._close,
+    Sync: ServerConnection._sync,
+    Flush: ServerConnection._flush_now,
+}
--- /dev/null
+++ b/goldcrestpond/standin/database_group.py
@@ -0,0 +1,218 @@
+"""Runs a group of databases in this process, with asynchronous replication."""
+
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock.clock import Clock
+from ..group.role import Role
+from ..settings.address import parse_address
+from .database import Database, make_first_entry
+from .database_error import DatabaseError
+from .database_group_settings import DatabaseGroupSettings
+from .database_server import DatabaseServer
+from .log_entry import LogEntry
+
+
+class DatabaseGroup:
+    """Handle of a running group.
+
+    Parameters
+    ----------
+    settings : DatabaseGroupSettings
+        Members, limits and delays.
+    clock : Clock
+        Source of time.
+    tasks : TaskGroup
+        Runs the listeners and the followers.
+    """
+
+    def __init__(self, settings: DatabaseGroupSettings, clock: Clock, tasks: TaskGroup):
+        self._clock = clock
+        self._tasks = tasks
+        first_entry = make_first_entry(settings.schema, clock.now())
+        self.databases = [
+            DatabaseServer(
+                Database(entry.name, first_entry, clock.now),
+                parse_address(entry.address),
+                settings,
+                clock,
+                self._control,
+            )
+            for entry in settings.databases
+        ]
+
+    def server(self, name: str) -> DatabaseServer:
+        """Return the database of this name."""
+        for server in self.databases:
+            if server.name == name:
+                return server
+        raise DatabaseError("22023", f"no database is named {name!r}")
+
+    async def start(self) -> None:
+        """Open all listeners; the first database is the primary."""
+        for server in self.databases:
+            await self._tasks.start(server.run)
+        first = self.databases[0]
+        first.database.role = Role.PRIMARY
+        first.database.term_start_position = 1
+        for server in self.databases[1:]:
+            server.database.follow(1, str(first.address), first.database)
+        for server in self.databases:
+            self._tasks.start_soon(self._replicate, server)
+
+    def primary(self) -> DatabaseServer:
+        """Return the database that writes in the highest term."""
+        writers = [s for s in self.databases if s.database.writable]
+        return max(writers, key=lambda server: server.database.term)
+
+    # Faults
+
+    def kill(self, name: str) -> None:
+        """Stop a database at once; its log is kept."""
+        self.server(name).kill()
+
+    async def restart(self, name: str) -> None:
+        """Start a killed database from its log, in its last role and term."""
+        server = self.server(name)
+        if server.is_running:
+            return
+        await server.stopped.wait()
+        server.database.rebuild()
+        await self._tasks.start(server.run)
+
+    def partition(self, name: str, *, peers: bool = True, callers: bool = False):
+        """Cut a database off, or heal it with both False."""
+        server = self.server(name)
+        server.faults.partition_peers = peers
+        server.faults.partition_callers = callers
+        server.announce()
+
+    def freeze(self, name: str) -> None:
+        """Make the open connections of a database silent for good."""
+        self.server(name).freeze()
+
+    def set_fault(self, default: str, name: str, value: str) -> None:
+        """Set a fault from text, as ``SELECT standin_fault('name', 'value')`` does.
+
+        Parameters
+        ----------
+        default : str
+            Database meant by a name without one.
+        name : str
+            ``FAULT`` or ``DATABASE.FAULT``; a field of ``Faults``, ``kill``,
+            ``restart`` or ``freeze``.
+        value : str
+            Its value.
+        """
+        database, _, fault = name.rpartition(".")
+        server = self.server(database or default)
+        if fault == "kill":
+            server.kill()
+        elif fault == "restart":
+            self._tasks.start_soon(self.restart, server.name)
+        elif fault == "freeze":
+            server.freeze()
+        else:
+            server.faults.set(fault, value)
+            server.announce()
+
+    # Terms
+
+    def _control(self, server: DatabaseServer, name: str, values: tuple) -> None:
+        if len(values) != 2:
+            raise DatabaseError("42883", f"{name} takes two arguments")
+        first, second = values
+        if name == "standin_fault":
+            self.set_fault(server.name, str(first), str(second))
+        elif name == "group_fence":
+            server.database.fence(int(first), str(second))
+        elif name == "group_promote":
+            server.database.promote(int(first), str(second))
+        else:
+            source = self._reachable(server, str(second))
+            database = source.database if source else None
+            server.database.follow(int(first), str(second), database)
+
+    def _reachable(self, server: DatabaseServer, address: str) -> DatabaseServer | None:
+        for peer in self.databases:
+            if str(peer.address) == address and peer.is_running:
+                cut = server.faults.partition_peers or peer.faults.partition_peers
+                return None if cut else peer
+        return None
+
+    # Replication
+
+    async def _replicate(self, server: DatabaseServer) -> None:
+        while True:
+            source = self._source(server)
+            changes = [peer.changed for peer in self.databases]
+            wait_s = self._receive(server, source) if source else math.inf
+            wait_s = min(wait_s, self._replay(server))
+            with anyio.move_on_after(max(wait_s, 0.0)):
+                await _wait_any(changes)
+
+    def _source(self, server: DatabaseServer) -> DatabaseServer | None:
+        database = server.database
+        if database.fenced or database.role is Role.PRIMARY or not server.is_running:
+            return None
+        source = self._reachable(server, database.source_address)
+        if source is None or source.database.term != database.term:
+            return None
+        return source if source.database.writable else None
+
+    def _receive(self, server: DatabaseServer, source: DatabaseServer) -> float:
+        """Take the entries that are due; return the seconds until the next."""
+        delay = timedelta(milliseconds=server.faults.receive_delay_ms)
+        now = self._clock.now()
+        missing = source.database.log[len(server.database.log) :]
+        due: list[LogEntry] = []
+        wait_s = math.inf
+        for entry in missing:
+            if entry.committed_at + delay > now:
+                wait_s = (entry.committed_at + delay - now).total_seconds()
+                break
+            due.append(entry)
+        if due:
+            server.database.receive(due)
+        return wait_s
+
+    def _replay(self, server: DatabaseServer) -> float:
+        """Show the entries that are due; return the seconds until the next."""
+        lag = timedelta(milliseconds=server.faults.replay_lag_ms)
+        unreplayed = server.database.unreplayed
+        now = self._clock.now()
+        while unreplayed:
+            position, received_at = unreplayed[0]
+            if received_at + lag > now:
+                return (received_at + lag - now).total_seconds()
+            unreplayed.popleft()
+            server.database.replay_to(position)
+        return math.inf
+
+
+async def _wait_any(events: list[anyio.Event]) -> None:
+    async with anyio.create_task_group() as tasks:
+
+        async def wait(event: anyio.Event) -> None:
+            await event.wait()
+            tasks.cancel_scope.cancel()
+
+        for event in events:
+            tasks.start_soon(wait, event)
+
+
+@asynccontextmanager
+async def run_database_group(
+    settings: DatabaseGroupSettings, clock: Clock
+) -> AsyncIterator[DatabaseGroup]:
+    """Run a group while the context is open."""
+    async with anyio.create_task_group() as tasks:
+        group = DatabaseGroup(settings, clock, tasks)
+        await group.start()
+        yield group
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/goldcrestpond/standin/database_server.py
@@ -0,0 +1,134 @@
+"""Serves one database: its listener, connections, slots and faults."""
+
+import itertools
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+
+from ..clock.clock import Clock
+from ..settings.address import Address
+from .connection import ConnectionLost, ServerConnection
+from .database import Database
+from .database_error import DatabaseError
+from .database_group_settings import DatabaseGroupSettings
+from .faults import Faults
+
+
+class DatabaseServer:
+    """A database with all that stands between it and its callers.
+
+    Parameters
+    ----------
+    database : Database
+        State of the database.
+    address : Address
+        Where to listen; port 0 is replaced by the port that was bound.
+    settings : DatabaseGroupSettings
+        Limits and delays.
+    clock : Clock
+        Source of time.
+    control : callable
+        Runs a control function, given this server, its name and arguments.
+    """
+
+    def __init__(
+        self,
+        database: Database,
+        address: Address,
+        settings: DatabaseGroupSettings,
+        clock: Clock,
+        control: Callable[["DatabaseServer", str, tuple], None],
+    ):
+        self.database = database
+        self.address = address
+        self.settings = settings
+        self.clock = clock
+        self.control = control
+        self.faults = Faults(
+            statement_delay_ms=settings.statement_delay_ms,
+            receive_delay_ms=settings.receive_delay_ms,
+            replay_lag_ms=settings.replay_lag_ms,
+        )
+        self.slots = anyio.Semaphore(settings.slot_limit)
+        self.connections: dict[int, ServerConnection] = {}
+        self.most_connections = 0
+        self.changed = anyio.Event()
+        self.stopped = anyio.Event()
+        database.on_change = self.announce
+        self._process_ids = itertools.count(1)
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the database."""
+        return self.database.name
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it was started and not killed since."""
+        return self._scope is not None
+
+    def announce(self) -> None:
+        """Wake everything that waits for a change of this database."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED):
+        """Listen and serve until killed or cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self.address.host, local_port=self.address.port
+        )
+        port = listener.extra(SocketAttribute.local_port)
+        self.address = Address(self.address.host, port)
+        stopped = self.stopped = anyio.Event()
+        try:
+            with anyio.CancelScope() as self._scope:
+                async with listener:
+                    task_status.started()
+                    await listener.serve(self._serve)
+        finally:
+            stopped.set()
+
+    def kill(self) -> None:
+        """Stop at once; open connections break."""
+        if self._scope is not None:
+            self._scope.cancel()
+            self._scope = None
+
+    def freeze(self) -> None:
+        """Make the connections that are open now silent for good."""
+        for connection in self.connections.values():
+            connection.is_frozen = True
+        self.connections.clear()
+
+    async def _serve(self, stream: SocketStream) -> None:
+        process_id = next(self._process_ids)
+        connection = ServerConnection(self, stream, process_id)
+        try:
+            async with stream:
+                if not self.faults.refuse:
+                    await connection.serve()
+        except (anyio.BrokenResourceError, anyio.EndOfStream, ConnectionLost):
+            pass
+        finally:
+            self.connections.pop(process_id, None)
+
+    def admit(self, connection: "ServerConnection") -> None:
+        """Count a connection.
+
+        Raises
+        ------
+        DatabaseError
+            If the limit of connections is reached.
+        """
+        if len(self.connections) >= self.settings.connection_limit:
+            raise DatabaseError("53300", "sorry, too many clients already")
+        self.connections[connection.process_id] = connection
+        self.most_connections = max(self.most_connections, len(self.connections))
+
+    def cancel(self, process_id: int, secret_key: bytes) -> None:
+        """Cancel the statement that a connection runs."""
+        connection = self.connections.get(process_id)
+        if connection and connection.secret_key == secret_key:
+            connection.cancel()
