Watch a group: primary, confirmations, floors and replica choice

Cause: the proxy's path needs the primary, confirmations of commits and read floors of a group. Change: pure decisions in term, session and routing; a monitor that polls each database over one own connection and settles all waiting commits and sessions from one poll. A commit is confirmed only when a majority, the primary included, holds it in the primary's term with a last entry of that term.

--- /dev/null
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -0,0 +1,364 @@
+"""Watches one database group on behalf of one proxy."""
+
+import random
+from collections.abc import Iterable
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskStatus
+
+from ..clock.clock import Clock
+from ..configuration.database_group_spec import DatabaseGroupSpec
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..events.recorder import EventRecorder
+from ..group.log_position import LogPosition
+from ..platform.platform import Platform
+from ..routing.database_load import DatabaseLoad
+from ..routing.replica_choice import ReplicaChoice
+from ..settings.address import Address, parse_address
+from ..term.confirmation import Confirmation
+from ..term.confirmation_outcome import ConfirmationOutcome
+from ..term.confirmation_queue import ConfirmationQueue
+from ..term.failure_detector import FailureDetector
+from ..term.failure_kind import FailureKind
+from ..term.floor_queue import FloorQueue
+from ..term.floor_request import FloorRequest
+from ..term.group_view import GroupView
+from ..term.primary_view import PrimaryView
+from ..term.status_sample import StatusSample
+from ..term.verdict import Verdict
+from .group_monitor_poller import DatabasePoller, OpenConnection
+from .group_monitor_reads import ReplicaRouter
+from .group_monitor_wakeup import Wakeup
+from .login import Login
+
+_FAILURES = {
+    ResultCode.ENDPOINT_UNREACHABLE: FailureKind.REFUSED,
+    ResultCode.PROGRESS_DEADLINE: FailureKind.SILENT,
+}
+
+
+class GroupMonitor:
+    """Primary, confirmations, floors and replicas of one group.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    spec : DatabaseGroupSpec
+        Its databases and the login.
+    platform : Platform
+        Holds the record of the group's terms.
+    open_connection : callable
+        Opens a connection: ``await open_connection(address, login)``.
+    clock : Clock
+        Monotonic readings; deadlines are readings of the same clock.
+    rng : random.Random
+        Source of randomness.
+    recorder : EventRecorder
+        Takes the events of the time line.
+    instance : str
+        Name of this instance, unique among the live ones.
+    zone : str, default=""
+        Availability zone of this instance.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_changed",
+        "_clock",
+        "_confirmations",
+        "_detector",
+        "_events",
+        "_floors",
+        "_group",
+        "_instance",
+        "_login",
+        "_open_connection",
+        "_platform",
+        "_pollers",
+        "_recorder",
+        "_rng",
+        "_router",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        spec: DatabaseGroupSpec,
+        platform: Platform,
+        open_connection: OpenConnection,
+        clock: Clock,
+        rng: random.Random,
+        recorder: EventRecorder,
+        instance: str,
+        zone: str = "",
+    ):
+        self._group = group
+        self._platform = platform
+        self._open_connection = open_connection
+        self._clock = clock
+        self._rng = rng
+        self._recorder = recorder
+        self._instance = instance
+        self._login = Login(spec.user, group, spec.password)
+        self._addresses = {d.name: parse_address(d.address) for d in spec.databases}
+        self._view = GroupView(self._addresses)
+        self._confirmations = ConfirmationQueue()
+        self._floors = FloorQueue()
+        self._events: dict[Confirmation | FloorRequest, anyio.Event] = {}
+        self._detector: FailureDetector | None = None
+        self._changed = Wakeup()
+        self._router = ReplicaRouter(
+            self._view,
+            {d.name: d.zone in ("", zone) for d in spec.databases},
+            rng,
+        )
+        self._pollers = {
+            name: self._new_poller(name, address)
+            for name, address in self._addresses.items()
+        }
+
+    def _new_poller(self, name: str, address: Address) -> DatabasePoller:
+        return DatabasePoller(
+            name,
+            address,
+            self._login,
+            self._open_connection,
+            self._clock,
+            on_sample=self._take_sample,
+            on_failure=self._take_failure,
+            is_awaited=self._is_awaited,
+            is_suspect=self._is_suspect,
+        )
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Poll statuses and keep the group in order until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for poller in self._pollers.values():
+                tasks.start_soon(poller.run)
+            task_status.started()
+
+    @property
+    def primary(self) -> PrimaryView | None:
+        """The primary as far as known; None while none is taken to work."""
+        sample = self._view.primary()
+        if sample is None or self._verdict() is Verdict.DEAD:
+            return None
+        name = sample.status.database
+        return PrimaryView(name, self._addresses[name], sample.status.term)
+
+    async def wait_primary(self, deadline: timedelta) -> PrimaryView:
+        """Wait until there is a primary.
+
+        Raises
+        ------
+        CodedError
+            NO_PRIMARY once the deadline has passed.
+        """
+        while (primary := self.primary) is None:
+            rest = deadline - self._clock.now()
+            if rest <= timedelta(0):
+                raise CodedError(ResultCode.NO_PRIMARY, self._group)
+            await self._changed.wait(rest)
+        return primary
+
+    async def confirm(self, position: LogPosition, deadline: timedelta) -> None:
+        """Wait until a majority of the group holds a commit in its term.
+
+        Parameters
+        ----------
+        position : LogPosition
+            What the primary reported with the commit.
+        deadline : timedelta
+            Monotonic reading at which the wait ends.
+
+        Raises
+        ------
+        CodedError
+            TERM_SUPERSEDED if a later term shut this one out, OUTCOME_UNKNOWN
+            at the deadline; the transaction may or may not last.
+        """
+        confirmation = self._confirmations.add(position)
+        self._settle()
+        if confirmation.outcome is None:
+            self._demand(replicas_only=True)
+            await self._wait_for(confirmation, deadline)
+        self._confirmations.abandon(confirmation)
+        if confirmation.outcome is ConfirmationOutcome.SUPERSEDED:
+            raise CodedError(ResultCode.TERM_SUPERSEDED, f"term {position.term}")
+        if confirmation.outcome is not ConfirmationOutcome.CONFIRMED:
+            raise CodedError(ResultCode.OUTCOME_UNKNOWN, "not confirmed in time")
+
+    async def sample_floor(self, deadline: timedelta) -> LogPosition:
+        """Return a position of the primary sampled after the call.
+
+        Every transaction acknowledged before the call is at or below it.
+
+        Raises
+        ------
+        CodedError
+            NO_PRIMARY if the deadline passes first.
+        """
+        request = self._floors.add(self._clock.now())
+        self._demand(replicas_only=False)
+        await self._wait_for(request, deadline)
+        if request.floor is None:
+            raise CodedError(ResultCode.NO_PRIMARY, "no position was sampled in time")
+        return request.floor
+
+    def choose_replica(
+        self, floor: LogPosition | None, max_age: timedelta | None
+    ) -> ReplicaChoice | None:
+        """Return a replica that may serve a read now, or None.
+
+        Parameters
+        ----------
+        floor : LogPosition or None
+            Floor of the session; of any term.
+        max_age : timedelta or None
+            Stated age. Without either bound no replica is chosen.
+
+        Raises
+        ------
+        CodedError
+            TOKEN_BEYOND_HISTORY if the group's history does not hold the floor.
+        """
+        now = self._clock.now()
+        self._note_activity()
+        return self._choice(self._router.choose(floor, max_age, now))
+
+    async def wait_replica(
+        self,
+        floor: LogPosition | None,
+        max_age: timedelta | None,
+        deadline: timedelta,
+    ) -> ReplicaChoice | None:
+        """Wait for a replica while that is expected to be quicker.
+
+        Returns
+        -------
+        ReplicaChoice or None
+            None if the primary is expected to be quicker, or at the deadline.
+
+        Raises
+        ------
+        CodedError
+            TOKEN_BEYOND_HISTORY if the group's history does not hold the floor.
+        """
+        while True:
+            choice = self.choose_replica(floor, max_age)
+            now = self._clock.now()
+            if choice is not None or now >= deadline:
+                return choice
+            wait = self._router.worthwhile_wait(floor, max_age, now)
+            if wait is None:
+                return None
+            self._demand(replicas_only=True)
+            await self._changed.wait(min(wait, deadline - now))
+
+    def report_failure(self, database: str, error: CodedError) -> None:
+        """Take in that a connection to a database broke or was refused."""
+        if database not in self._pollers:
+            return
+        self._take_failure(database, _FAILURES.get(error.code, FailureKind.BROKEN))
+        self._pollers[database].demand()
+
+    def report_load(self, database: str, load: DatabaseLoad) -> None:
+        """Take in how busy this instance's pool of a database is."""
+        self._router.report_load(database, load)
+
+    def _take_sample(self, sample: StatusSample) -> None:
+        if not self._view.observe(sample):
+            return
+        self._judge_sample(sample)
+        self._router.observe(sample, self._clock.now())
+        self._settle()
+        self._changed.set()
+
+    def _judge_sample(self, sample: StatusSample) -> None:
+        primary = self._view.primary()
+        if primary is None:
+            return
+        status = primary.status
+        detector = self._detector
+        if detector is None or (detector.database, detector.term) != (
+            status.database,
+            status.term,
+        ):
+            self._detector = FailureDetector(
+                status.database, status.term, primary.sent_at
+            )
+        elif sample is primary:
+            detector.answered(sample.sent_at)
+
+    def _take_failure(self, database: str, kind: FailureKind) -> None:
+        if self._detector is None or self._detector.database != database:
+            return
+        self._detector.failed(kind, self._clock.now())
+        self._changed.set()
+
+    def _verdict(self) -> Verdict:
+        if self._detector is None:
+            return Verdict.SUSPECT
+        return self._detector.verdict(self._clock.now())
+
+    def _settle(self) -> None:
+        now = self._clock.now()
+        settled = self._confirmations.settle(
+            self._view.first_open_term(), self._view.confirmed_position(now)
+        )
+        self._release(settled)
+        self._release(self._floors.settle(self._view.verified_sample()))
+
+    def _release(self, settled: Iterable[Confirmation | FloorRequest]) -> None:
+        for request in settled:
+            event = self._events.pop(request, None)
+            if event is not None:
+                event.set()
+
+    async def _wait_for(
+        self, request: Confirmation | FloorRequest, deadline: timedelta
+    ) -> None:
+        event = anyio.Event()
+        self._events[request] = event
+        rest = deadline - self._clock.now()
+        try:
+            with anyio.move_on_after(max(0.0, rest.total_seconds())):
+                await event.wait()
+        finally:
+            self._events.pop(request, None)
+            if isinstance(request, Confirmation):
+                self._confirmations.abandon(request)
+
+    def _demand(self, *, replicas_only: bool) -> None:
+        primary = self._view.primary()
+        for name, poller in self._pollers.items():
+            is_primary = primary is not None and primary.status.database == name
+            if not (replicas_only and is_primary):
+                poller.demand()
+
+    def _note_activity(self) -> None:
+        for poller in self._pollers.values():
+            poller.note_activity()
+
+    def _is_awaited(self, database: str) -> bool:
+        if len(self._floors):
+            return True
+        if not len(self._confirmations):
+            return False
+        primary = self._view.primary()
+        return primary is None or primary.status.database != database
+
+    def _is_suspect(self) -> bool:
+        return self._verdict() is not Verdict.ALIVE
+
+    def _choice(self, database: str | None) -> ReplicaChoice | None:
+        primary = self._view.primary()
+        if database is None or primary is None:
+            return None
+        return ReplicaChoice(database, self._addresses[database], primary.status.term)
--- /dev/null
+++ b/goldcrestpond/endpoint/group_monitor_reads.py
@@ -0,0 +1,155 @@
+"""Chooses among the replicas of a group from its statuses."""
+
+import random
+from datetime import timedelta
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
+from ..group.role import Role
+from ..routing.age_samples import AgeSamples
+from ..routing.choose_replica import choose_replica
+from ..routing.database_load import DatabaseLoad
+from ..routing.expected_wait import expected_wait
+from ..routing.lag_estimate import LagEstimate
+from ..routing.read_bound import ReadBound
+from ..routing.replica_state import ReplicaState
+from ..routing.replica_wait import expected_replica_wait, should_wait_for_replica
+from ..session.floor_state import FloorState
+from ..session.resolve_floor import resolve_floor
+from ..term.group_view import GroupView
+from ..term.status_sample import StatusSample
+from ..term.term_start import TermStart
+
+_IDLE = DatabaseLoad(idle_connections=1)
+
+
+class ReplicaRouter:
+    """Replicas of one group with their ages, lags and loads.
+
+    Parameters
+    ----------
+    view : GroupView
+        Newest statuses.
+    is_same_zone : dict of str to bool
+        For each database, whether it is in this instance's zone.
+    rng : random.Random
+        Decides between equals.
+    """
+
+    __slots__ = (
+        "_ages",
+        "_is_same_zone",
+        "_lags",
+        "_loads",
+        "_rng",
+        "_starts",
+        "_view",
+    )
+
+    def __init__(
+        self, view: GroupView, is_same_zone: dict[str, bool], rng: random.Random
+    ):
+        self._view = view
+        self._is_same_zone = is_same_zone
+        self._rng = rng
+        self._ages = AgeSamples()
+        self._lags = {name: LagEstimate() for name in view.databases}
+        self._loads: dict[str, DatabaseLoad] = {}
+        self._starts: dict[int, TermStart] = {}
+
+    def report_load(self, database: str, load: DatabaseLoad) -> None:
+        """Take in how busy a database is."""
+        self._loads[database] = load
+
+    def record_start(self, start: TermStart) -> None:
+        """Take in where a term begins."""
+        self._starts[start.term] = start
+
+    def observe(self, sample: StatusSample, now: timedelta) -> None:
+        """Take in a sample that the view has taken in."""
+        verified = self._view.verified_sample()
+        if verified is not None:
+            self._ages.add(verified)
+        status = sample.status
+        if status.role is Role.PRIMARY and not status.fenced:
+            self.record_start(TermStart(status.term, status.term_start_position))
+        fresh_at = self._ages.fresh_at(status.term, status.replayed_position)
+        if status.role is Role.REPLICA and fresh_at is not None:
+            self._lags[status.database].observe(
+                max(sample.sent_at - fresh_at, timedelta(0))
+            )
+
+    def choose(
+        self,
+        floor: LogPosition | None,
+        max_age: timedelta | None,
+        now: timedelta,
+    ) -> str | None:
+        """Return the name of a replica that may serve a read now."""
+        bound = self._bound(floor, max_age)
+        if bound is None:
+            return None
+        state = choose_replica(self._states(), bound, now, self._rng)
+        return None if state is None else state.database
+
+    def worthwhile_wait(
+        self,
+        floor: LogPosition | None,
+        max_age: timedelta | None,
+        now: timedelta,
+    ) -> timedelta | None:
+        """Return how long to wait for a replica; None to use the primary."""
+        bound = self._bound(floor, max_age)
+        primary = self._view.primary()
+        if bound is None or primary is None:
+            return None
+        written_at = now
+        if bound.floor is not None:
+            written_at = self._ages.reached_at(primary.status.term, bound.floor) or now
+        wait = expected_replica_wait(self._states(), bound, written_at, now)
+        if not should_wait_for_replica(wait, self._wait(primary.status.database)):
+            return None
+        return wait
+
+    def _bound(
+        self, floor: LogPosition | None, max_age: timedelta | None
+    ) -> ReadBound | None:
+        primary = self._view.primary()
+        if primary is None:
+            return None
+        if floor is None:
+            return ReadBound(None, max_age)
+        resolved = resolve_floor(floor, primary.status.term, self._starts.values())
+        if resolved.state is FloorState.LOST:
+            raise CodedError(
+                ResultCode.TOKEN_BEYOND_HISTORY, f"{floor} is past its term's end"
+            )
+        if resolved.state is FloorState.AHEAD:
+            return None
+        return ReadBound(resolved.position, max_age)
+
+    def _states(self) -> list[ReplicaState]:
+        primary = self._view.primary()
+        if primary is None:
+            return []
+        term = primary.status.term
+        return [
+            self._state(sample)
+            for sample in self._view.samples()
+            if sample.status.role is Role.REPLICA and sample.status.term == term
+        ]
+
+    def _state(self, sample: StatusSample) -> ReplicaState:
+        status = sample.status
+        return ReplicaState(
+            database=status.database,
+            replayed_position=status.replayed_position,
+            fresh_at=self._ages.fresh_at(status.term, status.replayed_position),
+            wait=self._wait(status.database),
+            lag=self._lags[status.database].mean,
+        )
+
+    def _wait(self, database: str) -> timedelta:
+        load = self._loads.get(database, _IDLE)
+        return expected_wait(load, is_same_zone=self._is_same_zone[database])
--- /dev/null
+++ b/goldcrestpond/routing/lag_estimate.py
@@ -0,0 +1,26 @@
+"""Smoothed lag of one replica."""
+
+from datetime import timedelta
+
+SMOOTHING = 0.2  # about the last five polls weigh most
+
+
+class LagEstimate:
+    """Exponentially weighted mean of the age of a replica's data."""
+
+    __slots__ = ("_mean",)
+
+    def __init__(self):
+        self._mean: timedelta | None = None
+
+    @property
+    def mean(self) -> timedelta:
+        """The present estimate; zero before the first observation."""
+        return self._mean or timedelta(0)
+
+    def observe(self, age: timedelta) -> None:
+        """Take in the age that one poll showed."""
+        if self._mean is None:
+            self._mean = age
+        else:
+            self._mean += (age - self._mean) * SMOOTHING
--- /dev/null
+++ b/goldcrestpond/session/floor_state.py
@@ -0,0 +1,11 @@
+"""How a floor relates to the history of the present term."""
+
+from enum import Enum, auto
+
+
+class FloorState(Enum):
+    """Whether a floor can be compared with positions of the present term."""
+
+    KNOWN = auto()
+    AHEAD = auto()
+    LOST = auto()
--- /dev/null
+++ b/goldcrestpond/session/resolve_floor.py
@@ -0,0 +1,35 @@
+"""Translates a floor of any term into the present term's history."""
+
+from collections.abc import Iterable
+
+from ..group.log_position import LogPosition
+from ..term.term_start import TermStart
+from .floor_state import FloorState
+from .resolved_floor import ResolvedFloor
+
+
+def resolve_floor(
+    floor: LogPosition, present_term: int, starts: Iterable[TermStart]
+) -> ResolvedFloor:
+    """Compare a floor with the recorded starts of the terms after it.
+
+    An entry of a former term is in the present history exactly if no later
+    term started below it. An acknowledged one always is: its majority and the
+    fenced majority of each later term share a database.
+
+    Parameters
+    ----------
+    floor : LogPosition
+        Floor of a session.
+    present_term : int
+        Term of the primary.
+    starts : iterable of TermStart
+        Known starts, in any order.
+    """
+    if floor.term > present_term:
+        return ResolvedFloor(FloorState.AHEAD, floor.position)
+    for start in starts:
+        is_later = floor.term < start.term <= present_term
+        if is_later and floor.position > start.position:
+            return ResolvedFloor(FloorState.LOST, start.position)
+    return ResolvedFloor(FloorState.KNOWN, floor.position)
--- /dev/null
+++ b/goldcrestpond/session/resolved_floor.py
@@ -0,0 +1,23 @@
+"""A floor in terms of the present term's history."""
+
+from dataclasses import dataclass
+
+from .floor_state import FloorState
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedFloor:
+    """A floor that may be compared with positions of the present term.
+
+    Attributes
+    ----------
+    state : FloorState
+        ``KNOWN`` if ``position`` may be compared; ``AHEAD`` if the floor is of
+        a term that this process has not seen yet; ``LOST`` if the present
+        history does not hold the floor's entry.
+    position : int
+        Least position that a read must show.
+    """
+
+    state: FloorState
+    position: int
--- /dev/null
+++ b/goldcrestpond/term/floor_request.py
@@ -0,0 +1,22 @@
+"""A session that waits for a sample of the primary's position."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..group.log_position import LogPosition
+
+
+@dataclass(slots=True, eq=False)
+class FloorRequest:
+    """One waiting session.
+
+    Attributes
+    ----------
+    asked_at : timedelta
+        The sample must not be older.
+    floor : LogPosition or None
+        The sampled position; None while it waits.
+    """
+
+    asked_at: timedelta
+    floor: LogPosition | None = None
--- /dev/null
+++ b/goldcrestpond/term/verdict.py
@@ -0,0 +1,18 @@
+"""Judgement on a primary."""
+
+from enum import Enum, auto
+
+
+class Verdict(Enum):
+    """Whether a primary is taken to work.
+
+    Members
+    -------
+    ALIVE : it answered last.
+    SUSPECT : something failed since; ask again over a fresh connection.
+    DEAD : enough failed; a promotion may start.
+    """
+
+    ALIVE = auto()
+    SUSPECT = auto()
+    DEAD = auto()
