Keep a proxy's configuration up to date from the table

Cause: a proxy needs every accepted change within a second, and its last configuration while the store is down, slow or silent.

Ruled out: applying pages one by one, since a single page is no state that the table has had; one read at a time, since a silent store would hold the first read after the outage back until its timeout.

--- a/goldcrestpond/api/http_server.py
+++ b/goldcrestpond/api/http_server.py
@@ -79,6 +79,7 @@
         application,
         lifespan="off",
         log_config=None,
+        log_level="warning",
         access_log=False,
         ws="none",
         timeout_graceful_shutdown=_GRACEFUL_SHUTDOWN_S,
--- a/goldcrestpond/cli/run_program.py
+++ b/goldcrestpond/cli/run_program.py
@@ -7,22 +7,38 @@
 from typing import Any
 
 import anyio
+import fire
 
 from ..errors.coded_error import CodedError
 from ..errors.exit_status import exit_status
 
 
+def run_commands(commands: Any) -> None:
+    """Run a command line of ``fire``; report a ``CodedError`` by its code.
+
+    The error is printed on standard error, and the process ends with the exit
+    status of its code.
+    """
+    try:
+        fire.Fire(commands)
+    except CodedError as error:
+        print(error, file=sys.stderr)
+        sys.exit(exit_status(error.code))
+
+
 def run_program(main: Callable[[], Awaitable[Any]]) -> None:
     """Run ``main`` until it returns, or cancel it on SIGTERM or SIGINT.
 
-    A ``CodedError`` is printed on standard error and ends the process with
-    the exit status of its code.
+    Raises
+    ------
+    CodedError
+        The first one that ``main`` raised, out of any exception groups.
     """
     logging.basicConfig(level=logging.INFO, stream=sys.stderr)
     try:
         anyio.run(_run_until_signal, main)
-    except* CodedError as group:
-        sys.exit(_report(group))
+    except BaseExceptionGroup as group:
+        raise _first_coded_error(group) from group
 
 
 async def _run_until_signal(main: Callable[[], Awaitable[Any]]) -> None:
@@ -39,9 +55,9 @@
             return
 
 
-def _report(group: BaseExceptionGroup) -> int:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
+def _first_coded_error(group: BaseExceptionGroup) -> BaseException:
+    coded = group.subgroup(CodedError)
+    error: BaseException = group if coded is None else coded
+    while isinstance(error, BaseExceptionGroup) and coded is not None:
         error = error.exceptions[0]
-    print(error, file=sys.stderr)
-    return exit_status(error.code)
+    return error
--- a/goldcrestpond/cli/standin.py
+++ b/goldcrestpond/cli/standin.py
@@ -1,7 +1,6 @@
 """``goldcrestpond-standin``: small stand-ins as processes of their own."""
 
 import anyio
-import fire
 
 from ..clock.system_clock import SystemClock
 from ..settings.address import parse_address
@@ -10,7 +9,7 @@
 from ..standin.database_group_settings import DatabaseGroupSettings
 from ..standin.platform_settings import PlatformStandinSettings
 from ..standin.platform_standin import run_platform as serve_platform
-from .run_program import run_program
+from .run_program import run_commands, run_program
 
 
 def platform(settings: str) -> None:
@@ -59,4 +58,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire({"platform": platform, "database": database})
+    run_commands({"platform": platform, "database": database})
--- /dev/null
+++ b/goldcrestpond/configuration/configuration_state.py
@@ -0,0 +1,153 @@
+"""What one instance knows of the configuration, and whether it may rely on it."""
+
+from datetime import timedelta
+
+from .configuration_change import ConfigurationChange
+from .configuration_delta import ConfigurationDelta
+from .configuration_snapshot import ConfigurationSnapshot
+
+ConfigurationUpdate = ConfigurationDelta | ConfigurationSnapshot
+
+# An instance that did not run for longer than this may have missed changes
+# that its peers already serve.
+PAUSE_LIMIT = timedelta(seconds=2)
+# Changes kept for deltas; a holder that misses more gets a snapshot.
+LOG_LIMIT = 1024
+
+
+class ConfigurationState:
+    """Rows of one revision, moved to higher revisions only.
+
+    An instance is confirmed when the table or a confirmed peer has answered a
+    question that was asked after its start and after its last pause. Until
+    then it neither serves its revision nor gives it to peers.
+
+    Parameters
+    ----------
+    now : timedelta
+        Monotonic reading.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the newest change held; 0 for none.
+    epoch : int
+        Count of starts and pauses; a question carries it, and its answer
+        confirms only if the epoch is still the same.
+    is_confirmed : bool
+        True if the revision may be served and given to peers.
+    """
+
+    __slots__ = (
+        "_last_seen",
+        "_log",
+        "_log_floor",
+        "_rows",
+        "epoch",
+        "is_confirmed",
+        "revision",
+    )
+
+    def __init__(self, now: timedelta):
+        self.revision = 0
+        self.epoch = 1
+        self.is_confirmed = False
+        self._last_seen = now
+        self._rows: dict[str, ConfigurationChange] = {}
+        self._log: dict[str, ConfigurationChange] = {}
+        self._log_floor = 0
+
+    @property
+    def rows(self) -> dict[str, ConfigurationChange]:
+        """Rows that exist, by key."""
+        return self._rows
+
+    def observe_time(self, now: timedelta) -> None:
+        """Note that the instance runs; call it often and before each use.
+
+        A reading far from the one before means that the instance was paused:
+        it is no longer confirmed.
+        """
+        if abs(now - self._last_seen) > PAUSE_LIMIT:
+            self.epoch += 1
+            self.is_confirmed = False
+        self._last_seen = now
+
+    def confirm(self, epoch: int) -> bool:
+        """Take an answer of the table or of a confirmed peer as confirmation.
+
+        Call it after the answer's changes were applied.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch at which the question was asked.
+
+        Returns
+        -------
+        bool
+            True if the state is confirmed now and was not before.
+        """
+        if epoch != self.epoch or self.is_confirmed:
+            return False
+        self.is_confirmed = True
+        return True
+
+    def apply(self, update: ConfigurationUpdate) -> bool:
+        """Move to the update's revision if it is higher and has no gap.
+
+        Returns
+        -------
+        bool
+            True if the revision moved.
+        """
+        if update.revision <= self.revision:
+            return False
+        if isinstance(update, ConfigurationSnapshot):
+            self._replace_rows(update)
+            return True
+        if update.base_revision > self.revision:
+            return False
+        self._apply_changes(update)
+        return True
+
+    def update_after(self, revision: int) -> ConfigurationUpdate | None:
+        """Return what leads a holder of ``revision`` to this one.
+
+        Returns
+        -------
+        ConfigurationDelta or ConfigurationSnapshot or None
+            None if the holder needs nothing or this state is not confirmed.
+        """
+        if not self.is_confirmed or revision >= self.revision:
+            return None
+        if revision < self._log_floor:
+            return ConfigurationSnapshot(self.revision, list(self._rows.values()))
+        changes = [entry for entry in self._log.values() if entry.revision > revision]
+        return ConfigurationDelta(revision, self.revision, changes)
+
+    def _replace_rows(self, snapshot: ConfigurationSnapshot) -> None:
+        self._rows = {change.key: change for change in snapshot.changes}
+        self._log = {}
+        self._log_floor = snapshot.revision
+        self.revision = snapshot.revision
+
+    def _apply_changes(self, delta: ConfigurationDelta) -> None:
+        for change in sorted(delta.changes, key=lambda change: change.revision):
+            if change.revision > self.revision:
+                self._apply_change(change)
+        self.revision = delta.revision
+        while len(self._log) > LOG_LIMIT:
+            self._drop_oldest_logged()
+
+    def _apply_change(self, change: ConfigurationChange) -> None:
+        self._log.pop(change.key, None)
+        self._log[change.key] = change
+        if change.value is None:
+            self._rows.pop(change.key, None)
+        else:
+            self._rows[change.key] = change
+
+    def _drop_oldest_logged(self) -> None:
+        oldest_key = next(iter(self._log))
+        self._log_floor = self._log.pop(oldest_key).revision
--- /dev/null
+++ b/goldcrestpond/configuration/reading.py
@@ -0,0 +1,67 @@
+"""Which instances read the table, and how often."""
+
+from collections.abc import Collection
+from datetime import timedelta
+
+import xxhash
+
+# Instances that read the table at the fast interval, whatever the fleet's size.
+READER_COUNT = 3
+FAST_INTERVAL = timedelta(milliseconds=250)
+# All other instances together read about this often, as a safeguard against
+# gossip that does not reach one of them.
+_SLOW_READS_PER_SECOND = 5
+_SLOW_INTERVAL_MIN = timedelta(seconds=2)
+# Instances that wait for a confirmation together read at most this often.
+_UNCONFIRMED_READS_PER_SECOND = 50
+
+
+def read_interval(
+    instance: str, live_instances: Collection[str], known_count: int
+) -> timedelta:
+    """Return how often an instance reads the table.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    live_instances : collection of str
+        Instances that it believes to be live; itself is always counted.
+    known_count : int
+        Instances that belong to the fleet, unreachable ones included. If only
+        a part of them is live by its view, other parts may have readers of
+        their own, and each reads less often: the sum stays bounded.
+    """
+    live_count = max(1, len(live_instances))
+    part_count = max(1.0, known_count / live_count)
+    if _is_reader(instance, live_instances):
+        return FAST_INTERVAL * part_count
+    slow_interval = timedelta(seconds=max(known_count, 1) / _SLOW_READS_PER_SECOND)
+    return max(slow_interval, _SLOW_INTERVAL_MIN * part_count)
+
+
+def unconfirmed_interval(known_count: int) -> timedelta:
+    """Return how often an instance reads until its state is confirmed.
+
+    Parameters
+    ----------
+    known_count : int
+        Instances that belong to the fleet; all may have restarted at once.
+    """
+    shared = timedelta(seconds=known_count / _UNCONFIRMED_READS_PER_SECOND)
+    return max(FAST_INTERVAL, shared)
+
+
+def _is_reader(instance: str, live_instances: Collection[str]) -> bool:
+    own_rank = _rank(instance)
+    ahead_count = 0
+    for other in live_instances:
+        if other != instance and _rank(other) < own_rank:
+            ahead_count += 1
+            if ahead_count == READER_COUNT:
+                return False
+    return True
+
+
+def _rank(instance: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(instance.encode()), instance
--- /dev/null
+++ b/goldcrestpond/configuration/stored_resource.py
@@ -0,0 +1,32 @@
+"""A resource's row in the table."""
+
+import msgspec
+
+from .configuration_change import ConfigurationChange
+from .keys import parse_resource_key
+from .resource import SPEC_TYPES, Resource, Spec
+
+
+class _StoredResource(msgspec.Struct):
+    spec: msgspec.Raw
+    generation: int
+
+
+def encode_stored(spec: Spec, generation: int) -> bytes:
+    """Return the value of a resource's row."""
+    raw_spec = msgspec.Raw(msgspec.json.encode(spec))
+    return msgspec.json.encode(_StoredResource(raw_spec, generation))
+
+
+def decode_stored(change: ConfigurationChange) -> Resource:
+    """Return the resource of a row that exists.
+
+    Raises
+    ------
+    ValueError
+        If key or value belong to no resource that this version knows.
+    """
+    kind, name = parse_resource_key(change.key)
+    stored = msgspec.json.decode(change.value or b"", type=_StoredResource)
+    spec = msgspec.json.decode(stored.spec, type=SPEC_TYPES[kind])
+    return Resource(kind, name, spec, stored.generation, change.revision)
--- /dev/null
+++ b/goldcrestpond/platform/configuration_source.py
@@ -0,0 +1,252 @@
+"""Keeps a proxy's configuration up to date from the table and from peers."""
+
+import logging
+import random
+from collections.abc import Callable, Collection
+from datetime import timedelta
+
+import anyio
+import anyio.abc
+
+from ..clock.clock import Clock
+from ..configuration.configuration import Configuration
+from ..configuration.configuration_builder import ConfigurationBuilder
+from ..configuration.configuration_change import ConfigurationChange
+from ..configuration.configuration_delta import ConfigurationDelta
+from ..configuration.configuration_state import (
+    ConfigurationState,
+    ConfigurationUpdate,
+)
+from ..configuration.keys import RESOURCE_PREFIX
+from ..configuration.reading import FAST_INTERVAL, read_interval, unconfirmed_interval
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from .platform import Platform
+from .read_all_changes import read_all_changes
+
+_logger = logging.getLogger(__name__)
+
+# Reads that were started and not answered; a new one starts at each interval,
+# so that the end of an outage is seen while old reads still hang.
+_READS_IN_FLIGHT_MAX = 8
+_JITTER_MAX = 1.2
+
+Subscriber = Callable[[Configuration], object]
+
+
+class ConfigurationSource:
+    """The configuration in force in this process.
+
+    A store that is down or slow leaves the last configuration in force.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform's service.
+    clock : Clock
+        Source of monotonic readings.
+    rng : random.Random
+        Spreads the reads of several instances.
+    instance : str, default=""
+        Name of this instance.
+    live_instances : callable, default=an empty list
+        Returns the names of live instances.
+    known_count : callable, default=1
+        Returns how many instances belong to the fleet.
+    """
+
+    __slots__ = (
+        "_builder",
+        "_changed",
+        "_clock",
+        "_configuration",
+        "_cursor",
+        "_instance",
+        "_known_count",
+        "_live_instances",
+        "_next_read",
+        "_platform",
+        "_reads_in_flight",
+        "_rng",
+        "_state",
+        "_store_reachable",
+        "_subscribers",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        instance: str = "",
+        live_instances: Callable[[], Collection[str]] = list,
+        known_count: Callable[[], int] = lambda: 1,
+    ):
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._instance = instance
+        self._live_instances = live_instances
+        self._known_count = known_count
+        self._state = ConfigurationState(clock.now())
+        self._builder = ConfigurationBuilder()
+        self._configuration = Configuration()
+        self._cursor = 0
+        self._reads_in_flight = 0
+        self._next_read = clock.now()
+        self._store_reachable = True
+        self._subscribers: list[Subscriber] = []
+        self._changed = anyio.Event()
+        self._wake = anyio.Event()
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The state that decides, with the time of this call noted in it."""
+        self._state.observe_time(self._clock.now())
+        return self._state
+
+    @property
+    def current(self) -> Configuration:
+        """The newest configuration held; empty before the first one."""
+        return self._configuration
+
+    @property
+    def is_confirmed(self) -> bool:
+        """True if the table or a peer has confirmed it since the last pause."""
+        return self.state.is_confirmed
+
+    @property
+    def store_reachable(self) -> bool:
+        """True if the last answered or failed read of the table succeeded."""
+        return self._store_reachable
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Call ``subscriber`` with each new configuration; it must not block."""
+        self._subscribers.append(subscriber)
+
+    def apply(self, update: ConfigurationUpdate) -> bool:
+        """Apply an update from a peer; return True if the revision moved."""
+        if not self.state.apply(update):
+            return False
+        self._publish()
+        return True
+
+    def confirm(self, epoch: int) -> None:
+        """Note that a question asked at ``epoch`` was answered as a whole."""
+        if self.state.confirm(epoch):
+            self._notify()
+
+    def request_read(self) -> None:
+        """Read the table now, for instance after a write of this process."""
+        self._next_read = self._clock.now()
+        self._wake.set()
+
+    async def wait_confirmed(self, deadline: timedelta) -> Configuration:
+        """Return the configuration as soon as it may be served.
+
+        Parameters
+        ----------
+        deadline : timedelta
+            Monotonic reading after which it is given up.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if neither table nor peers answered in time.
+        """
+        seconds = (deadline - self._clock.now()).total_seconds()
+        with anyio.move_on_after(max(seconds, 0)):
+            while not self.is_confirmed:
+                await self._changed.wait()
+        if not self.is_confirmed:
+            detail = "no configuration was confirmed in time; not run"
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
+        return self._configuration
+
+    async def wait_revision(self, revision: int) -> Configuration:
+        """Return the configuration as soon as it has reached a revision."""
+        while self._configuration.revision < revision:
+            await self._changed.wait()
+        return self._configuration
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Read the table at the interval that is this instance's share."""
+        async with anyio.create_task_group() as tasks:
+            task_status.started()
+            while True:
+                self._start_due_read(tasks)
+                await self._sleep()
+
+    def _start_due_read(self, tasks: anyio.abc.TaskGroup) -> None:
+        now = self._clock.now()
+        interval = self._interval()
+        self._next_read = min(self._next_read, now + interval * _JITTER_MAX)
+        if now < self._next_read or self._reads_in_flight >= _READS_IN_FLIGHT_MAX:
+            return
+        self._next_read = now + interval * self._rng.uniform(1, _JITTER_MAX)
+        self._reads_in_flight += 1
+        tasks.start_soon(self._read)
+
+    def _interval(self) -> timedelta:
+        known_count = self._known_count()
+        if not self.is_confirmed:
+            return unconfirmed_interval(known_count)
+        return read_interval(self._instance, self._live_instances(), known_count)
+
+    async def _sleep(self) -> None:
+        self._wake = anyio.Event()
+        remaining = self._next_read - self._clock.now()
+        pause = min(max(remaining, timedelta(0)), FAST_INTERVAL)
+        with anyio.move_on_after(max(pause.total_seconds(), 0.01)):
+            await self._wake.wait()
+
+    async def _read(self) -> None:
+        epoch = self.state.epoch
+        base_revision = self._state.revision
+        cursor = max(self._cursor, base_revision)
+        try:
+            changes = await read_all_changes(self._platform, RESOURCE_PREFIX, cursor)
+        except CodedError as error:
+            self._note_reachable(False, str(error))
+            return
+        finally:
+            self._reads_in_flight -= 1
+        self._note_reachable(True, "")
+        self._cursor = max(self._cursor, changes.revision)
+        if changes.rows:
+            rows = [
+                ConfigurationChange(row.key, row.revision, row.value)
+                for row in changes.rows
+            ]
+            newest = changes.rows[-1].revision
+            self.apply(ConfigurationDelta(base_revision, newest, rows))
+        self.confirm(epoch)
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self._store_reachable:
+            return
+        self._store_reachable = reachable
+        if reachable:
+            _logger.info("configuration: the store answers again")
+        else:
+            _logger.warning(
+                "configuration: revision %d stays in force: %s",
+                self._configuration.revision,
+                reason,
+            )
+
+    def _publish(self) -> None:
+        rows = self._state.rows.values()
+        self._configuration = self._builder.build(self._state.revision, rows)
+        for key in self._builder.unreadable_keys:
+            _logger.error("configuration: cannot read %s; left out", key)
+        self._notify()
+        for subscriber in self._subscribers:
+            subscriber(self._configuration)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/goldcrestpond/standin/platform_standin.py
+++ b/goldcrestpond/standin/platform_standin.py
@@ -130,7 +130,8 @@
     async def _fault_before(self, request: Request) -> Response | None:
         if self.faults.silent:
             await _wait_until_client_left(request)
-        if self.faults.silent or self.faults.down:
+            return Response(status_code=503)
+        if self.faults.down:
             return Response(status_code=503)
         await anyio.sleep(self.faults.delay_ms / 1000)
         return None
