Summarise which revisions live instances have in force

Cause: the status of a resource counts live instances in force without a write per instance and change. Change: counts per revision that merge on their way; a bounded summary never counts an instance for more than it has.

--- /dev/null
+++ b/goldcrestpond/configuration/revision_count.py
@@ -0,0 +1,63 @@
+"""How many live instances have a revision in force."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+# Parts of a summary that travels between instances; older revisions merge.
+_SUMMARY_LIMIT = 16
+
+
+class RevisionCount(msgspec.Struct, frozen=True, array_like=True):
+    """Live instances whose configuration has one revision.
+
+    Attributes
+    ----------
+    revision : int
+        Revision in force.
+    instance_count : int
+        Live instances that have it in force.
+    """
+
+    revision: int
+    instance_count: int
+
+
+def merge_counts(parts: Iterable[Iterable[RevisionCount]]) -> list[RevisionCount]:
+    """Return the summary of disjoint sets of instances.
+
+    The result is bounded: beyond its limit, instances count for the lowest
+    revision that is left out, so that none counts for more than it has.
+
+    Returns
+    -------
+    list of RevisionCount
+        Highest revision first.
+    """
+    counts: Counter[int] = Counter()
+    for part in parts:
+        for entry in part:
+            counts[entry.revision] += entry.instance_count
+    ordered = [RevisionCount(*item) for item in sorted(counts.items(), reverse=True)]
+    kept, rest = ordered[: _SUMMARY_LIMIT - 1], ordered[_SUMMARY_LIMIT - 1 :]
+    if rest:
+        total = sum(entry.instance_count for entry in rest)
+        kept.append(RevisionCount(rest[-1].revision, total))
+    return kept
+
+
+def count_in_force(summary: Iterable[RevisionCount], revision: int) -> tuple[int, int]:
+    """Return how many live instances have a revision in force, and how many live.
+
+    Returns
+    -------
+    tuple of (int, int)
+        Instances with ``revision`` or a higher one, and all live instances.
+    """
+    entries = list(summary)
+    in_force = [entry for entry in entries if entry.revision >= revision]
+    return (
+        sum(entry.instance_count for entry in in_force),
+        sum(entry.instance_count for entry in entries),
+    )
