--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,3 +22,9 @@
 def clock():
     """Return a clock that moves only when told to."""
     return ManualClock()
+
+
+@pytest.fixture(scope="session")
+def anyio_backend():
+    """Run asynchronous tests on the backend that the programs use."""
+    return "asyncio"
