--- a/goldcrestpond/wire/held_answer.py
+++ b/goldcrestpond/wire/held_answer.py
@@ -35,12 +35,14 @@
         """
         if frame.kind == kinds.COMMAND_COMPLETE:
             self._has_commit = self._has_commit or read_text(frame) == _COMMIT_TAG
-            return self._hold(frame)
+            self._hold(frame)
+            return b""
         if not self._frames:
             return frame.data
-        if self._has_commit:
-            return self._hold(frame)
-        return self.release() + frame.data
+        if frame.kind == kinds.DATA_ROW and not self._has_commit:
+            return self.release() + frame.data
+        self._hold(frame)
+        return b""
 
     def release(self) -> bytes:
         """Return everything that is held."""
@@ -49,14 +51,10 @@
         self._size_bytes = 0
         return data
 
-    def _hold(self, frame: Frame) -> bytes:
-        released = b""
-        if self._frames and not self._has_commit:
-            released = self.release()
+    def _hold(self, frame: Frame) -> None:
         self._frames.append(frame.data)
         self._size_bytes += len(frame.data)
         if self._size_bytes > HELD_LIMIT_BYTES:
             raise CodedError(
                 ResultCode.OUTCOME_UNKNOWN, "too many rows follow a COMMIT"
             )
-        return released
