Replace a primary that died, went silent or is drained

Cause: nobody else orders a promotion; a dead primary stopped all writes. Change: a failure detector that asks over a fresh connection before it judges; terms issued by a conditional write of the group's row, also in advance, so that a promotion needs no write while the platform is down; the fence of a majority before the candidate with the newest log becomes primary; followers, the record of term starts, and the switch of a drained primary. Ruled out: several promoters in one term; each term belongs to the one promoter that the row names, and each database binds it to one promoter besides.

--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -1,7 +1,7 @@
 """Watches one database group on behalf of one proxy."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 import anyio
@@ -12,6 +12,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
+from ..group.database_status import DatabaseStatus
 from ..group.log_position import LogPosition
 from ..platform.platform import Platform
 from ..routing.database_load import DatabaseLoad
@@ -28,8 +29,13 @@
 from ..term.primary_view import PrimaryView
 from ..term.status_sample import StatusSample
 from ..term.verdict import Verdict
+from .group_monitor_control import GroupControl
+from .group_monitor_followers import Followers
+from .group_monitor_keeper import GroupKeeper
 from .group_monitor_poller import DatabasePoller, OpenConnection
+from .group_monitor_promoter import Promoter
 from .group_monitor_reads import ReplicaRouter
+from .group_monitor_record import GroupRecord
 from .group_monitor_wakeup import Wakeup
 from .login import Login
 
@@ -39,6 +45,10 @@
 }
 
 
+# Longer than the polls of an idle group are apart.
+PRIMARY_LIFETIME = timedelta(seconds=5)
+
+
 class GroupMonitor:
     """Primary, confirmations, floors and replicas of one group.
 
@@ -73,13 +83,10 @@
         "_events",
         "_floors",
         "_group",
-        "_instance",
+        "_keeper",
         "_login",
         "_open_connection",
-        "_platform",
         "_pollers",
-        "_recorder",
-        "_rng",
         "_router",
         "_view",
     )
@@ -97,12 +104,8 @@
         zone: str = "",
     ):
         self._group = group
-        self._platform = platform
         self._open_connection = open_connection
         self._clock = clock
-        self._rng = rng
-        self._recorder = recorder
-        self._instance = instance
         self._login = Login(spec.user, group, spec.password)
         self._addresses = {d.name: parse_address(d.address) for d in spec.databases}
         self._view = GroupView(self._addresses)
@@ -120,6 +123,42 @@
             name: self._new_poller(name, address)
             for name, address in self._addresses.items()
         }
+        identity = f"{instance}/{rng.getrandbits(64):016x}"
+        self._keeper = self._new_keeper(identity, platform, rng, recorder)
+
+    def _new_keeper(
+        self,
+        identity: str,
+        platform: Platform,
+        rng: random.Random,
+        recorder: EventRecorder,
+    ) -> GroupKeeper:
+        control = GroupControl(self._addresses, self._login, self._open_connection)
+        record = GroupRecord(self._group, platform, identity)
+        promoter = Promoter(
+            self._group,
+            identity,
+            self._view,
+            control,
+            record,
+            self._clock,
+            recorder,
+            self._take_status,
+        )
+        return GroupKeeper(
+            self._view,
+            promoter,
+            Followers(self._view, control),
+            record,
+            identity,
+            platform,
+            self._clock,
+            rng,
+            self._changed,
+            verdict=self._verdict,
+            demand=self._demand_all,
+            learn_start=self._router.record_start,
+        )
 
     def _new_poller(self, name: str, address: Address) -> DatabasePoller:
         return DatabasePoller(
@@ -141,13 +180,21 @@
         async with anyio.create_task_group() as tasks:
             for poller in self._pollers.values():
                 tasks.start_soon(poller.run)
+            tasks.start_soon(self._keeper.run)
             task_status.started()
 
     @property
     def primary(self) -> PrimaryView | None:
-        """The primary as far as known; None while none is taken to work."""
+        """The primary as far as known; None while none is taken to work.
+
+        A primary that no majority vouched for lately is not used: its commits
+        could not be confirmed, and it may have been replaced.
+        """
         sample = self._view.primary()
-        if sample is None or self._verdict() is Verdict.DEAD:
+        verified = self._view.verified_sample()
+        if sample is None or verified is None or self._verdict() is Verdict.DEAD:
+            return None
+        if self._clock.now() - verified.sampled_after > PRIMARY_LIFETIME:
             return None
         name = sample.status.database
         return PrimaryView(name, self._addresses[name], sample.status.term)
@@ -160,6 +207,9 @@
         CodedError
             NO_PRIMARY once the deadline has passed.
         """
+        self._note_activity()
+        if self.primary is None:
+            self._demand_all()
         while (primary := self.primary) is None:
             rest = deadline - self._clock.now()
             if rest <= timedelta(0):
@@ -278,6 +328,15 @@
         """Take in how busy this instance's pool of a database is."""
         self._router.report_load(database, load)
 
+    def set_draining(self, databases: Collection[str]) -> None:
+        """Take in which databases are to leave; a primary hands over."""
+        self._keeper.draining = frozenset(databases)
+        self._router.draining = frozenset(databases)
+        self._changed.set()
+
+    def _take_status(self, status: DatabaseStatus, sent_at: timedelta) -> None:
+        self._take_sample(StatusSample(status, sent_at, self._clock.now()))
+
     def _take_sample(self, sample: StatusSample) -> None:
         if not self._view.observe(sample):
             return
@@ -348,6 +407,9 @@
             if not (replicas_only and is_primary):
                 poller.demand()
 
+    def _demand_all(self) -> None:
+        self._demand(replicas_only=False)
+
     def _note_activity(self) -> None:
         for poller in self._pollers.values():
             poller.note_activity()
--- a/goldcrestpond/endpoint/group_monitor_reads.py
+++ b/goldcrestpond/endpoint/group_monitor_reads.py
@@ -1,6 +1,7 @@
 """Chooses among the replicas of a group from its statuses."""
 
 import random
+from collections.abc import Collection
 from datetime import timedelta
 
 from ..errors.coded_error import CodedError
@@ -45,6 +46,7 @@
         "_rng",
         "_starts",
         "_view",
+        "draining",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self._lags = {name: LagEstimate() for name in view.databases}
         self._loads: dict[str, DatabaseLoad] = {}
         self._starts: dict[int, TermStart] = {}
+        self.draining: Collection[str] = frozenset()
 
     def report_load(self, database: str, load: DatabaseLoad) -> None:
         """Take in how busy a database is."""
@@ -137,7 +140,9 @@
         return [
             self._state(sample)
             for sample in self._view.samples()
-            if sample.status.role is Role.REPLICA and sample.status.term == term
+            if sample.status.role is Role.REPLICA
+            and sample.status.term == term
+            and sample.status.database not in self.draining
         ]
 
     def _state(self, sample: StatusSample) -> ReplicaState:
--- a/goldcrestpond/term/poll_schedule.py
+++ b/goldcrestpond/term/poll_schedule.py
@@ -8,7 +8,7 @@
 IDLE_INTERVAL = timedelta(seconds=2)
 ACTIVITY_LIFETIME = timedelta(seconds=5)
 # While the primary is in doubt, its recovery and its successor are looked for.
-SUSPECT_INTERVAL = timedelta(milliseconds=40)
+SUSPECT_INTERVAL = timedelta(milliseconds=25)
 # While commits wait, gaps grow from the first to the second.
 CONFIRMATION_GAP = timedelta(milliseconds=1)
 CONFIRMATION_GAP_LIMIT = timedelta(milliseconds=16)
--- /dev/null
+++ b/goldcrestpond/term/succession.py
@@ -0,0 +1,92 @@
+"""Decides when this instance starts a promotion."""
+
+import random
+from datetime import timedelta
+
+from .group_view import GroupView
+from .succession_reason import SuccessionReason
+from .verdict import Verdict
+
+# The holder of the issued term goes first; others follow if nothing comes of it.
+TAKEOVER_DELAY = timedelta(milliseconds=150)
+# A promoter that is at work has this long before others go past it.
+PROMOTION_LIMIT = timedelta(milliseconds=600)
+# A fenced minority does not stop the group: its repair is not urgent.
+REPAIR_DELAY = timedelta(seconds=2)
+# Instances that judge alike spread their starts over this time.
+SPREAD = timedelta(milliseconds=120)
+
+
+class Succession:
+    """When and why a promotion is due, as this instance sees its group.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the starts of several instances.
+    """
+
+    __slots__ = ("_highest_term", "_reason", "_rng", "_since", "_spread")
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._reason: SuccessionReason | None = None
+        self._since = timedelta(0)
+        self._highest_term = 0
+        self._spread = timedelta(0)
+
+    @property
+    def reason(self) -> SuccessionReason | None:
+        """Why a promotion is needed; None if it is not."""
+        return self._reason
+
+    def observe(
+        self, view: GroupView, verdict: Verdict, *, is_drained: bool, now: timedelta
+    ) -> None:
+        """Judge the group anew; a change restarts the wait."""
+        reason = _reason(view, verdict, is_drained=is_drained)
+        highest = view.highest_term()
+        if reason is self._reason and highest == self._highest_term:
+            return
+        self._reason = reason
+        self._highest_term = highest
+        self.restart(now)
+
+    def restart(self, now: timedelta) -> None:
+        """Start the wait anew, for instance after an attempt that failed."""
+        self._since = now
+        self._spread = SPREAD * self._rng.random()
+
+    def due_at(self, *, holds_term: bool, is_other_at_work: bool) -> timedelta | None:
+        """Return the reading at which to start; None if no promotion is needed.
+
+        Parameters
+        ----------
+        holds_term : bool
+            Whether the next term was issued to this instance in advance.
+        is_other_at_work : bool
+            Whether a database has joined a term beyond the primary's.
+        """
+        if self._reason is None:
+            return None
+        if self._reason is SuccessionReason.SPLIT:
+            return self._since + REPAIR_DELAY + self._spread
+        if is_other_at_work or self._reason is SuccessionReason.VACANT:
+            return self._since + PROMOTION_LIMIT + self._spread
+        if holds_term:
+            return self._since
+        return self._since + TAKEOVER_DELAY + self._spread
+
+
+def _reason(
+    view: GroupView, verdict: Verdict, *, is_drained: bool
+) -> SuccessionReason | None:
+    primary = view.primary()
+    if primary is None:
+        is_known = len(view.samples()) >= view.majority
+        return SuccessionReason.VACANT if is_known else None
+    if verdict is Verdict.DEAD:
+        return SuccessionReason.DEAD
+    if view.highest_term() > primary.status.term:
+        return SuccessionReason.SPLIT
+    return SuccessionReason.DRAIN if is_drained else None
--- /dev/null
+++ b/goldcrestpond/term/succession_reason.py
@@ -0,0 +1,20 @@
+"""Why a promotion is due."""
+
+from enum import Enum
+
+
+class SuccessionReason(Enum):
+    """Why a promotion is due.
+
+    Members
+    -------
+    DEAD : the primary is taken to be dead.
+    VACANT : no primary is left, for instance because a promoter died.
+    SPLIT : a promoter died after it fenced a minority.
+    DRAIN : the primary is to leave.
+    """
+
+    DEAD = "dead"
+    VACANT = "vacant"
+    SPLIT = "split"
+    DRAIN = "drain"
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -16,9 +16,11 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.events.recorder import EventRecorder
 from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.group.role import Role
 
 from .fake_connections import FakeEndpoints
-from .fake_group import make_group
+from .fake_group import Refused, make_group
+from .fake_platform import FakePlatform
 
 
 @pytest.fixture
@@ -32,31 +34,42 @@
 
 
 @pytest.fixture
-def monitor(endpoints):
+def platform():
+    return FakePlatform()
+
+
+@pytest.fixture
+def make_monitor(endpoints, platform):
     clock = SystemClock()
     spec = msgspec.convert(
         {"databases": endpoints.specs(), "user": "proxy"}, DatabaseGroupSpec
     )
-    return GroupMonitor(
-        "depot",
-        spec,
-        None,
-        endpoints.open_connection,
-        clock,
-        random.Random(1),
-        EventRecorder("p1", clock, lambda line: None),
-        "p1",
-    )
+
+    def make(instance):
+        recorder = EventRecorder(instance, clock, lambda line: None)
+        rng = random.Random(instance)
+        connect = endpoints.open_connection
+        return GroupMonitor(
+            "depot", spec, platform, connect, clock, rng, recorder, instance
+        )
+
+    return make
+
+
+@pytest.fixture
+def monitor(make_monitor):
+    return make_monitor("p1")
 
 
 def soon(milliseconds=3000):
     return SystemClock().now() + timedelta(milliseconds=milliseconds)
 
 
-def run_with(monitor, act):
+def run_with(monitor, act, *others):
     async def main():
         async with anyio.create_task_group() as tasks:
-            await tasks.start(monitor.run)
+            for each in (monitor, *others):
+                await tasks.start(each.run)
             with anyio.fail_after(20):
                 await act()
             tasks.cancel_scope.cancel()
@@ -133,3 +146,127 @@
         assert_that(monitor.choose_replica(None, timedelta(seconds=5)), Not(Is(None)))
 
     run_with(monitor, act)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.005)
+
+
+async def write_confirmed(monitor, endpoints, entry):
+    """Write through a monitor's primary until one commit is confirmed."""
+    databases = endpoints.databases
+    while True:
+        primary = await monitor.wait_primary(soon())
+        database = databases[primary.database]
+        try:
+            await endpoints.meet_faults(database)
+            position = LogPosition(*database.write(entry))
+            for other in databases.values():
+                other.receive(1)
+            await monitor.confirm(position, soon(100))
+        except (Refused, CodedError):
+            await anyio.sleep(0.01)
+            continue
+        return position
+
+
+def test_killed_primary_is_replaced_once_by_several_monitors(
+    make_monitor, databases, endpoints
+):
+    monitors = [make_monitor(name) for name in ("p1", "p2", "p3")]
+
+    async def act():
+        first = await write_confirmed(monitors[0], endpoints, "x")
+        await anyio.sleep(1.2)
+        endpoints.refusing.add("a")
+        for each in monitors:
+            last = await write_confirmed(each, endpoints, "y")
+            assert_that(last.term > first.term, Is(True))
+        promoted = [d for d in databases.values() if d.role is Role.PRIMARY]
+        assert_that([d.name for d in promoted], Equals(["a", "b"]))
+        endpoints.refusing.clear()
+        await until(lambda: databases["a"].upstream is databases["b"])
+        assert_that(
+            databases["a"].log, Equals(databases["b"].log[: len(databases["a"].log)])
+        )
+
+    run_with(monitors[0], act, *monitors[1:])
+
+
+def test_one_slow_poll_does_not_replace_the_primary(monitor, databases, endpoints):
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.silent.add("a")
+        await anyio.sleep(0.3)
+        endpoints.silent.clear()
+        await anyio.sleep(0.5)
+        assert_that(databases["a"].term, Equals(1))
+
+    run_with(monitor, act)
+
+
+def test_silent_primary_is_replaced(monitor, databases, endpoints):
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.silent.add("a")
+        await until(lambda: databases["b"].role is Role.PRIMARY)
+        await write_confirmed(monitor, endpoints, "y")
+
+    run_with(monitor, act)
+
+
+def test_drained_primary_hands_over(monitor, databases, endpoints):
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        monitor.set_draining(["a", "b"])
+        await until(lambda: databases["c"].role is Role.PRIMARY)
+        last = await write_confirmed(monitor, endpoints, "y")
+        assert_that(last, Equals(LogPosition(databases["c"].term, 2)))
+
+    run_with(monitor, act)
+
+
+def test_platform_outage_with_the_next_term_issued(
+    monitor, databases, endpoints, platform
+):
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        await until(lambda: b'"issued_to":"p1/' in _row(platform))
+        platform.is_down = True
+        endpoints.refusing.add("a")
+        await write_confirmed(monitor, endpoints, "y")
+
+    run_with(monitor, act)
+
+
+def test_platform_outage_without_a_term(monitor, databases, endpoints, platform):
+    platform.is_down = True
+
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.refusing.add("a")
+        with pytest.raises(CodedError) as caught:
+            await anyio.sleep(0.3)
+            await monitor.wait_primary(soon(1500))
+        assert_that(code_of(caught), Is(ResultCode.NO_PRIMARY))
+        assert_that([d.term for d in databases.values()], Equals([1, 1, 1]))
+
+    run_with(monitor, act)
+
+
+def test_lost_answer_to_the_claim_is_recognised(
+    monitor, databases, endpoints, platform
+):
+    async def act():
+        await monitor.wait_primary(soon())
+        platform.answers_to_lose = 3
+        endpoints.refusing.add("a")
+        await write_confirmed(monitor, endpoints, "y")
+
+    run_with(monitor, act)
+
+
+def _row(platform):
+    row = platform.rows.get("terms/depot")
+    return row.value if row else b""
