--- /dev/null
+++ b/goldcrestpond/load/auditor.py
@@ -0,0 +1,113 @@
+"""Keeps what every caller was told and compares it with what survived."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from ..group.log_position import LogPosition
+from .audit import Audit
+from .entry import Entry
+from .told import Told
+
+
+class Auditor:
+    """Record of all writes of a run.
+
+    Attributes
+    ----------
+    entries : dict of tuple to Entry
+        Every write by session and number.
+    acknowledged_count : int
+        Writes acknowledged so far.
+    stale_reads : int
+        Reads that missed a write that they had to show.
+    crossed_reads : int
+        Reads that got the answer to another caller's request.
+    """
+
+    def __init__(self):
+        self.entries: dict[tuple[str, int], Entry] = {}
+        self.acknowledged_count = 0
+        self.stale_reads = 0
+        self.crossed_reads = 0
+        self._last_acknowledged: Counter[str] = Counter()
+
+    def attempt(self, session: str, number: int, part_count: int = 1) -> Entry:
+        """Note a write before it is sent."""
+        entry = Entry(session, number, part_count)
+        self.entries[session, number] = entry
+        return entry
+
+    def settle(
+        self, entry: Entry, told: Told, position: LogPosition | None = None
+    ) -> None:
+        """Note what the caller was told about a write."""
+        entry.told = told
+        entry.position = position
+        if told is Told.ACKNOWLEDGED:
+            self.acknowledged_count += 1
+            last = self._last_acknowledged[entry.session]
+            self._last_acknowledged[entry.session] = max(last, entry.number)
+
+    def last_acknowledged(self, session: str) -> int:
+        """Return the number of the session's last acknowledged write, 0 for none.
+
+        Asked before a read is sent, it is the least that the read must show.
+        """
+        return self._last_acknowledged[session]
+
+    def check_own_read(
+        self, session: str, answered_session: str, least: int, shown: int
+    ) -> None:
+        """Check a session's read of its own last number."""
+        if answered_session != session:
+            self.crossed_reads += 1
+        elif shown < least:
+            self.stale_reads += 1
+
+    def check_count(self, least: int, shown: int) -> None:
+        """Check a read of the count of all entries."""
+        if shown < least:
+            self.stale_reads += 1
+
+    def compare(
+        self, rows: Iterable[tuple[str, int, int]], log_terms: Sequence[int] = ()
+    ) -> Audit:
+        """Compare with the surviving database.
+
+        Parameters
+        ----------
+        rows : iterable of tuple
+            Session, number and part of each row of the surviving database.
+        log_terms : sequence of int, default=()
+            Term of each entry of the surviving log; without them the
+            acknowledgements of replaced primaries are not counted.
+        """
+        found = Counter(tuple(row) for row in rows)
+        parts = Counter((session, number) for session, number, _ in found)
+        doubled = {key[:2] for key, count in found.items() if count > 1}
+        audit = Audit(doubled=len(doubled))
+        audit.unrequested = len(parts.keys() - self.entries.keys())
+        for key, entry in self.entries.items():
+            _count(audit, entry, parts[key])
+            if log_terms and _is_replaced(entry, log_terms):
+                audit.acknowledged_by_replaced += 1
+        return audit
+
+
+def _count(audit: Audit, entry: Entry, present_parts: int) -> None:
+    if entry.told is Told.ACKNOWLEDGED:
+        audit.acknowledged += 1
+        audit.lost += present_parts == 0
+    elif entry.told is Told.NOT_RUN:
+        audit.refused += 1
+        audit.not_run_but_ran += present_parts > 0
+    else:
+        audit.unknown += 1
+    audit.torn += 0 < present_parts < entry.part_count
+
+
+def _is_replaced(entry: Entry, log_terms: Sequence[int]) -> bool:
+    if entry.told is not Told.ACKNOWLEDGED or entry.position is None:
+        return False
+    index = entry.position.position - 1
+    return index >= len(log_terms) or log_terms[index] != entry.position.term
--- /dev/null
+++ b/goldcrestpond/load/latencies.py
@@ -0,0 +1,34 @@
+"""Latencies of one kind of request."""
+
+from datetime import timedelta
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 120_000_000  # two minutes, beyond any deadline of a run
+_DIGITS = 3
+
+
+class Latencies:
+    """Histogram of durations."""
+
+    __slots__ = ("_histogram",)
+
+    def __init__(self):
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+    @property
+    def count(self) -> int:
+        """Number of durations."""
+        return self._histogram.get_total_count()
+
+    def record(self, duration: timedelta) -> None:
+        """Add one duration."""
+        microseconds = max(_LOWEST_US, duration // timedelta(microseconds=1))
+        self._histogram.record_value(min(microseconds, _HIGHEST_US))
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile in milliseconds; 0 without durations."""
+        if not self.count:
+            return 0.0
+        return self._histogram.get_value_at_percentile(percentile) / 1000
--- /dev/null
+++ b/goldcrestpond/load/load_run.py
@@ -0,0 +1,68 @@
+"""What all sessions of a run share."""
+
+from bisect import bisect_right
+from datetime import timedelta
+
+from ..clock.clock import Clock
+from ..group.log_position import LogPosition
+from .auditor import Auditor
+from .entry import Entry
+from .latencies import Latencies
+from .told import Told
+from .write_gap import WriteGap
+
+
+class LoadRun:
+    """Audit, latencies and counts of one run.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic readings.
+
+    Attributes
+    ----------
+    is_over : bool
+        True once sessions must stop.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.auditor = Auditor()
+        self.write_gap = WriteGap()
+        self.write_latencies = Latencies()
+        self.read_latencies = Latencies()
+        self.direct_latencies = Latencies()
+        self.is_over = False
+        self.read_count = 0
+        self.replica_read_count = 0
+        self.refused_reads = 0
+        self.unsent_requests = 0
+        self.refusals_by_number: dict[int, int] = {}
+        self._acknowledged_at: list[timedelta] = []
+
+    def acknowledge(
+        self, entry: Entry, position: LogPosition | None, started: timedelta
+    ) -> None:
+        """Note an acknowledged write."""
+        now = self.clock.now()
+        self.auditor.settle(entry, Told.ACKNOWLEDGED, position)
+        self._acknowledged_at.append(now)
+        self.write_latencies.record(now - started)
+        if position is not None:
+            self.write_gap.acknowledge(position.term, now)
+
+    def read_done(self, from_replica: bool, started: timedelta) -> None:
+        """Note a read that was answered."""
+        self.read_count += 1
+        self.replica_read_count += from_replica
+        self.read_latencies.record(self.clock.now() - started)
+
+    def refuse(self, number: int) -> None:
+        """Count a refusal by the proxy's result number."""
+        count = self.refusals_by_number.get(number, 0)
+        self.refusals_by_number[number] = count + 1
+
+    def acknowledged_by(self, moment: timedelta) -> int:
+        """Return the count of writes acknowledged up to a moment."""
+        return bisect_right(self._acknowledged_at, moment)
--- /dev/null
+++ b/goldcrestpond/load/planner_session.py
@@ -0,0 +1,75 @@
+"""A dispatch planner: reads the count of entries at a stated age."""
+
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+
+import anyio
+import psycopg
+
+from ..settings.address import Address
+from . import fuel_log
+from .caller_link import CallerLink
+from .load_run import LoadRun
+from .told import number_of
+from .workload import Workload
+
+
+class PlannerSession:
+    """A dispatch planner: counts the entries at a stated age.
+
+    Parameters
+    ----------
+    addresses : sequence of Address
+        Proxies.
+    database : str
+        Database name of the route.
+    workload : Workload
+        Mix of requests.
+    run : LoadRun
+        Shared records.
+    rng : random.Random
+        Source of all choices.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        database: str,
+        workload: Workload,
+        run: LoadRun,
+        rng: random.Random,
+    ):
+        self._workload = workload
+        self._run = run
+        self._rng = rng
+        self._max_age = timedelta(milliseconds=workload.max_age_ms)
+        parameters = {
+            "default_transaction_read_only": "on",
+            "goldcrestpond.max_age_ms": str(workload.max_age_ms),
+        }
+        self._reader = CallerLink(addresses, database, rng, parameters)
+
+    async def work(self) -> None:
+        """Send requests until the run is over."""
+        while not self._run.is_over:
+            await anyio.sleep(self._rng.expovariate(1 / self._workload.think_ms) / 1000)
+            if self._rng.random() < self._workload.roam_share:
+                await self._reader.leave()
+            try:
+                with anyio.fail_after(self._workload.request_timeout_ms / 1000):
+                    await self._read()
+            except (psycopg.Error, TimeoutError) as error:
+                self._run.refused_reads += 1
+                self._run.refuse(number_of(error))
+                await self._reader.leave()
+        await self._reader.leave()
+
+    async def _read(self) -> None:
+        connection = await self._reader.ready()
+        started = self._run.clock.now()
+        cursor = await connection.execute(fuel_log.READ_COUNT)
+        from_replica, shown = await cursor.fetchone()
+        least = self._run.acknowledged_by(started - self._max_age)
+        self._run.auditor.check_count(least, shown)
+        self._run.read_done(from_replica, started)
--- /dev/null
+++ b/goldcrestpond/load/run_load.py
@@ -0,0 +1,135 @@
+"""Runs a scenario and audits it."""
+
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+
+import anyio
+import psycopg
+
+from ..clock.clock import Clock
+from ..root.local_site import LocalSite, run_local_site
+from ..settings.address import Address
+from . import fuel_log
+from .audit import Audit
+from .caller_link import CallerLink
+from .fuel_session import FuelSession
+from .load_result import LoadResult
+from .load_run import LoadRun
+from .planner_session import PlannerSession
+from .scenario import Scenario
+from .workload import Workload
+
+_DRAIN_S = 30.0  # beyond every deadline of a request
+_PROBE_PAUSE_S = 0.02
+
+
+async def run_scenario(
+    name: str, scenario: Scenario, seed: int, duration_s: float, clock: Clock
+) -> LoadResult:
+    """Run a scenario for some seconds and return its figures."""
+    rng = random.Random(seed)
+    run = LoadRun(clock)
+    async with run_local_site(scenario.site) as site:
+        addresses = [proxy.address for proxy in site.proxies]
+        started = clock.now()
+        async with anyio.create_task_group() as script:
+            script.start_soon(scenario.script, site, run, rng)
+            script.start_soon(_probe, site, run)
+            async with anyio.create_task_group() as sessions:
+                start_sessions(
+                    sessions, addresses, scenario.site.group, scenario.workload, run, rng
+                )
+                await anyio.sleep(duration_s)
+                run.is_over = True
+                sessions.cancel_scope.deadline = anyio.current_time() + _DRAIN_S
+            duration = clock.now() - started
+            script.cancel_scope.cancel()
+        audit = await audit_site(site, run)
+    return _result(name, seed, duration, run, audit)
+
+
+def start_sessions(
+    tasks: anyio.abc.TaskGroup,
+    addresses: Sequence[Address],
+    database: str,
+    workload: Workload,
+    run: LoadRun,
+    rng: random.Random,
+) -> None:
+    """Start the sessions of a workload; they end when the run is over."""
+    for index in range(workload.writer_count):
+        own_rng = random.Random(rng.random())
+        name = f"pump-{index}"
+        session = FuelSession(name, addresses, database, workload, run, own_rng)
+        tasks.start_soon(session.work)
+    for _ in range(workload.planner_count):
+        own_rng = random.Random(rng.random())
+        planner = PlannerSession(addresses, database, workload, run, own_rng)
+        tasks.start_soon(planner.work)
+
+
+async def audit_site(site: LocalSite, run: LoadRun) -> Audit:
+    """Compare what callers were told with the primary of the highest term."""
+    primary = site.group.primary()
+    link = CallerLink([primary.address], "fuel", random.Random(0), {})
+    site.group.partition(primary.name, peers=False, callers=False)
+    connection = await link.ready()
+    cursor = await connection.execute(fuel_log.READ_ALL)
+    rows = await cursor.fetchall()
+    await link.leave()
+    log_terms = [entry.term for entry in primary.database.log]
+    return run.auditor.compare(rows, log_terms)
+
+
+async def _probe(site: LocalSite, run: LoadRun) -> None:
+    """Measure writes over a direct connection to the primary."""
+    number = 0
+    while True:
+        link = CallerLink([site.group.primary().address], "fuel", random.Random(0), {})
+        try:
+            connection = await link.ready()
+            while not connection.closed:
+                number += 1
+                started = run.clock.now()
+                await connection.execute(fuel_log.PROBE, (number,))
+                run.direct_latencies.record(run.clock.now() - started)
+                await anyio.sleep(_PROBE_PAUSE_S)
+        except (psycopg.Error, ValueError):
+            await anyio.sleep(_PROBE_PAUSE_S)
+        finally:
+            await link.leave()
+
+
+def _result(
+    name: str, seed: int, duration: timedelta, run: LoadRun, audit: Audit
+) -> LoadResult:
+    gap = run.write_gap
+    answered = audit.acknowledged + run.read_count
+    return LoadResult(
+        scenario=name,
+        seed=seed,
+        duration_s=round(duration.total_seconds(), 3),
+        acknowledged=audit.acknowledged,
+        lost=audit.lost,
+        doubled=audit.doubled,
+        stale_reads=run.auditor.stale_reads,
+        not_run_but_ran=audit.not_run_but_ran,
+        unknown=audit.unknown,
+        refused=audit.refused + run.refused_reads + run.unsent_requests,
+        replica_read_share=round(run.replica_read_count / max(run.read_count, 1), 4),
+        failover_gap_ms=-1.0 if gap.is_open else round(gap.longest_ms, 1),
+        p50_ms=run.write_latencies.percentile_ms(50),
+        p99_ms=run.write_latencies.percentile_ms(99),
+        direct_p50_ms=run.direct_latencies.percentile_ms(50),
+        statements_per_s=round(answered / duration.total_seconds(), 1),
+        torn=audit.torn,
+        crossed_reads=run.auditor.crossed_reads,
+        acknowledged_by_replaced=audit.acknowledged_by_replaced,
+        unrequested=audit.unrequested,
+        reads=run.read_count,
+        read_p50_ms=run.read_latencies.percentile_ms(50),
+        read_p99_ms=run.read_latencies.percentile_ms(99),
+        gaps_ms=[round(each / timedelta(milliseconds=1), 1) for each in gap.gaps],
+        refusals={str(key): run.refusals_by_number[key] for key in sorted(run.refusals_by_number)},
+    )
