--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -38,7 +38,12 @@
             script.start_soon(_probe, site, run)
             async with anyio.create_task_group() as sessions:
                 start_sessions(
-                    sessions, addresses, scenario.site.group, scenario.workload, run, rng
+                    sessions,
+                    addresses,
+                    scenario.site.group,
+                    scenario.workload,
+                    run,
+                    rng,
                 )
                 await anyio.sleep(duration_s)
                 run.is_over = True
@@ -131,5 +136,8 @@
         read_p50_ms=run.read_latencies.percentile_ms(50),
         read_p99_ms=run.read_latencies.percentile_ms(99),
         gaps_ms=[round(each / timedelta(milliseconds=1), 1) for each in gap.gaps],
-        refusals={str(key): run.refusals_by_number[key] for key in sorted(run.refusals_by_number)},
+        refusals={
+            str(key): run.refusals_by_number[key]
+            for key in sorted(run.refusals_by_number)
+        },
     )
--- a/goldcrestpond/load/told.py
+++ b/goldcrestpond/load/told.py
@@ -8,9 +8,9 @@
 from ..errors.result_code import ResultCode
 
 _NUMBER = re.compile(r"GP(\d+)")
-_UNKNOWN_NUMBERS = {
-    code.number for code in ResultCode if code.number // 100 == 3
-} | {ResultCode.INTERNAL.number}
+_UNKNOWN_NUMBERS = {code.number for code in ResultCode if code.number // 100 == 3} | {
+    ResultCode.INTERNAL.number
+}
 
 
 class Told(StrEnum):
--- /dev/null
+++ b/tests/test_auditor.py
@@ -0,0 +1,78 @@
+"""The auditor finds each kind of broken promise, and nothing else."""
+
+import msgspec
+import psycopg
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.load.audit import Audit
+from goldcrestpond.load.auditor import Auditor
+from goldcrestpond.load.told import Told, told_by
+
+_WRITE = st.tuples(
+    st.sampled_from(Told),
+    st.integers(1, 2),  # parts of the transaction
+    st.integers(0, 2),  # parts that are there
+    st.booleans(),  # whether the first part is there twice
+)
+
+
+@given(st.lists(_WRITE, max_size=12), st.integers(0, 2))
+def test_every_difference_is_counted_once(writes, stranger_count):
+    auditor = Auditor()
+    rows = [("stranger", number, 0) for number in range(stranger_count)]
+    expected = Audit(unrequested=stranger_count)
+    for number, (told, part_count, present, is_double) in enumerate(writes):
+        present = min(present, part_count)
+        auditor.settle(auditor.attempt("s", number, part_count), told)
+        rows += [("s", number, part) for part in range(present)]
+        rows += [("s", number, 0)] * (is_double and present > 0)
+        expected.acknowledged += told is Told.ACKNOWLEDGED
+        expected.refused += told is Told.NOT_RUN
+        expected.unknown += told is Told.UNKNOWN
+        expected.lost += told is Told.ACKNOWLEDGED and present == 0
+        expected.not_run_but_ran += told is Told.NOT_RUN and present > 0
+        expected.doubled += is_double and present > 0
+        expected.torn += 0 < present < part_count
+    found = auditor.compare(rows)
+    assert_that(msgspec.to_builtins(found), Equals(msgspec.to_builtins(expected)))
+
+
+@given(st.integers(1, 3), st.integers(1, 6))
+def test_an_acknowledgement_of_an_ended_term_is_found(term, position):
+    log_terms = [1, 1, 2, 2]
+    auditor = Auditor()
+    entry = auditor.attempt("s", 1)
+    auditor.settle(entry, Told.ACKNOWLEDGED, LogPosition(term, position))
+    audit = auditor.compare([("s", 1, 0)], log_terms)
+    survives = position <= 4 and log_terms[position - 1] == term
+    assert_that(audit.acknowledged_by_replaced, Equals(int(not survives)))
+
+
+def test_stale_and_crossed_reads():
+    auditor = Auditor()
+    auditor.settle(auditor.attempt("s", 5), Told.ACKNOWLEDGED)
+    auditor.settle(auditor.attempt("s", 6), Told.NOT_RUN)
+    least = auditor.last_acknowledged("s")
+    for session, shown in (("s", 5), ("s", 4), ("t", 9)):
+        auditor.check_own_read("s", session, least, shown)
+    assert_that((auditor.stale_reads, auditor.crossed_reads), Equals((1, 1)))
+
+
+@given(st.sampled_from(ResultCode))
+def test_only_outcome_codes_and_broken_connections_leave_doubt(code):
+    kind = psycopg.errors.lookup
+    try:
+        error_class = kind(code.sqlstate)
+    except KeyError:
+        error_class = psycopg.OperationalError
+    error = error_class(f"GP{code.number} {code.meaning}")
+    error.sqlstate = code.sqlstate
+    is_unknown = code.number // 100 == 3 or code is ResultCode.INTERNAL
+    expected = Told.UNKNOWN if is_unknown else Told.NOT_RUN
+    assert_that(told_by(error), Equals(expected))
+    assert_that(told_by(psycopg.OperationalError("gone")), Equals(Told.UNKNOWN))
