Decide connections, slots, lanes and queues of a database

The pool of one database on one instance as a pure state: connections with the term they were opened under, slots divided into lanes, queues that are fair between callers, early refusals that say when to come back, checks of idle connections and condemnation of silent ones. A state machine drives it as a shell would; eight broken variants are each caught by it.

--- /dev/null
+++ b/goldcrestpond/pool/open_connection.py
@@ -0,0 +1,11 @@
+"""Action: open a connection."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """Open a connection; report ``opened`` or ``open_failed``."""
+
+    connection_id: int
+    term: int
--- /dev/null
+++ b/goldcrestpond/pool/pool_action.py
@@ -0,0 +1,17 @@
+"""The actions that a pool asks of its shell."""
+
+from .check_connection import CheckConnection
+from .close_connection import CloseConnection
+from .grant_connection import GrantConnection
+from .open_connection import OpenConnection
+from .probe_endpoint import ProbeEndpoint
+from .refuse_request import RefuseRequest
+
+PoolAction = (
+    OpenConnection
+    | CloseConnection
+    | GrantConnection
+    | RefuseRequest
+    | CheckConnection
+    | ProbeEndpoint
+)
--- /dev/null
+++ b/goldcrestpond/pool/probe_endpoint.py
@@ -0,0 +1,13 @@
+"""Action: ask the endpoint on a fresh connection about a silent one."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEndpoint:
+    """Open a fresh connection and ask after a silent one's statement.
+
+    Report ``probe_answered`` or ``probe_failed``.
+    """
+
+    connection_id: int
--- /dev/null
+++ b/tests/pool/pool_machine.py
@@ -0,0 +1,250 @@
+"""A model of a shell and an endpoint around the pool's decisions."""
+
+from datetime import timedelta
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from goldcrestpond.pool.check_connection import CheckConnection
+from goldcrestpond.pool.close_connection import CloseConnection
+from goldcrestpond.pool.database_pool import DatabasePool
+from goldcrestpond.pool.grant_connection import GrantConnection
+from goldcrestpond.pool.lane import Lane
+from goldcrestpond.pool.open_connection import OpenConnection
+from goldcrestpond.pool.pool_settings import PoolSettings
+from goldcrestpond.pool.probe_endpoint import ProbeEndpoint
+from goldcrestpond.pool.refuse_request import RefuseRequest
+from goldcrestpond.pool.slot_request import SlotRequest
+
+SETTINGS = PoolSettings(slot_limit=4, report_slot_limit=2, connection_limit=6)
+_INDEX = st.integers(0, 1_000)
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Drives one pool as a shell would and checks what must always hold."""
+
+    pool_type = DatabasePool
+
+    def __init__(self):
+        super().__init__()
+        self.now = timedelta(seconds=100)
+        self.pool = self.pool_type(SETTINGS)
+        self.term = 0
+        self.share = SETTINGS.connection_limit
+        self.next_request = 0
+        self.waiting = {}
+        self.answered = set()
+        self.sockets = {}  # connection_id -> term; open at the endpoint
+        self.opening = {}
+        self.checking = set()
+        self.probes = set()  # silent connections that are asked after
+        self.running = {}  # connection_id -> request
+        self.held = {}
+        self.heard_at = {}  # connection_id -> reading of the last sign of life
+        self.silent = set()
+        self.closing = set()
+
+    def apply(self, actions):
+        for action in actions:
+            match action:
+                case OpenConnection(connection_id, term):
+                    assert term == self.term
+                    self.opening[connection_id] = term
+                    self.check_share()
+                case CloseConnection(connection_id, reason):
+                    assert connection_id not in self.closing
+                    if connection_id in self.running and reason == "silent":
+                        self.check_condemned(connection_id)
+                    self.closing.add(connection_id)
+                    self.checking.discard(connection_id)
+                    self.running.pop(connection_id, None)
+                    self.held.pop(connection_id, None)
+                case GrantConnection(request_id, connection_id):
+                    self.check_grant(request_id, connection_id)
+                case CheckConnection(connection_id):
+                    assert connection_id not in self.running
+                    self.checking.add(connection_id)
+                case ProbeEndpoint(connection_id):
+                    assert connection_id not in self.probes
+                    self.probes.add(connection_id)
+                    self.check_share()
+                case RefuseRequest(request_id, _, retry_after_ms):
+                    assert request_id in self.waiting, "refused what had run"
+                    assert retry_after_ms >= 1
+                    del self.waiting[request_id]
+
+    def check_grant(self, request_id, connection_id):
+        request = self.waiting.pop(request_id)
+        assert connection_id in self.sockets
+        assert connection_id not in self.running
+        assert connection_id not in self.held
+        assert connection_id not in self.closing, "late answers could cross"
+        assert connection_id not in self.silent, "a connection mid-answer"
+        assert self.sockets[connection_id] == self.term, "opened in an old term"
+        assert self.now <= request.deadline
+        self.check_lanes(request.lane)
+        self.running[connection_id] = request
+        self.heard_at[connection_id] = self.now
+
+    def check_lanes(self, lane):
+        lanes = [lane, *(r.lane for r in self.running.values())]
+        others = sum(other is not Lane.SHORT for other in lanes)
+        assert len(lanes) <= SETTINGS.slot_limit
+        if lane is not Lane.SHORT:
+            assert others <= SETTINGS.slot_limit - 1, "short requests are stalled"
+        if lane is Lane.REPORT:
+            assert lanes.count(Lane.REPORT) <= SETTINGS.report_slot_limit
+
+    def check_share(self):
+        held_open = len(set(self.sockets) | set(self.opening)) + len(self.probes)
+        assert held_open <= self.share, "opened beyond the share"
+
+    def check_condemned(self, connection_id):
+        quiet_too_long = (
+            self.now - self.heard_at[connection_id] >= SETTINGS.silence_limit
+        )
+        gone = connection_id in self.silent
+        assert gone or quiet_too_long, "a healthy statement was killed"
+
+    @rule(
+        caller=st.sampled_from("abc"),
+        lane=st.sampled_from(Lane),
+        wait_ms=st.integers(1, 3000),
+    )
+    def ask(self, caller, lane, wait_ms):
+        self.next_request += 1
+        deadline = self.now + timedelta(milliseconds=wait_ms)
+        request = SlotRequest(self.next_request, caller, lane, deadline)
+        self.waiting[request.request_id] = request
+        self.apply(self.pool.request(request, self.now))
+
+    @rule(lane=st.sampled_from(Lane), count=st.integers(2, 6))
+    def ask_often(self, lane, count):
+        for _ in range(count):
+            self.ask("d", lane, 3000)
+
+    @precondition(lambda machine: machine.opening)
+    @rule()
+    def finish_all_opens(self):
+        for _ in range(len(self.opening)):
+            self.finish_open(0, "ok")
+
+    def pick(self, items, index):
+        items = sorted(items)
+        return items[index % len(items)]
+
+    @precondition(lambda machine: machine.opening)
+    @rule(index=_INDEX, outcome=st.sampled_from(["ok", "ok", "ok", "many", "fail"]))
+    def finish_open(self, index, outcome):
+        connection_id = self.pick(self.opening, index)
+        term = self.opening.pop(connection_id)
+        if connection_id in self.closing:
+            self.closing.discard(connection_id)
+            self.apply(self.pool.closed(connection_id, self.now))
+        elif outcome == "ok":
+            self.sockets[connection_id] = term
+            self.apply(self.pool.opened(connection_id, self.now))
+        else:
+            too_many = outcome == "many"
+            self.apply(self.pool.open_failed(connection_id, too_many, self.now))
+
+    @precondition(lambda machine: set(machine.running) - machine.silent)
+    @rule(index=_INDEX, reusable=st.booleans(), hold=st.booleans())
+    def answer(self, index, reusable, hold):
+        connection_id = self.pick(set(self.running) - self.silent, index)
+        request = self.running.pop(connection_id)
+        if hold:
+            self.held[connection_id] = request
+            self.apply(self.pool.held(connection_id, self.now))
+        else:
+            self.apply(self.pool.released(connection_id, reusable, self.now))
+
+    @precondition(lambda machine: machine.held)
+    @rule(index=_INDEX, go_on=st.booleans())
+    def continue_transaction(self, index, go_on):
+        connection_id = self.pick(self.held, index)
+        request = self.held.pop(connection_id)
+        if go_on:
+            self.running[connection_id] = request
+            self.heard_at[connection_id] = self.now
+            self.pool.resumed(connection_id, self.now)
+        else:
+            self.apply(self.pool.released(connection_id, True, self.now))
+
+    @precondition(lambda machine: machine.running)
+    @rule(index=_INDEX)
+    def fall_silent(self, index):
+        connection_id = self.pick(self.running, index)
+        self.silent.add(connection_id)
+
+    @precondition(lambda machine: machine.silent & machine.closing)
+    @rule(index=_INDEX)
+    def late_answer(self, index):
+        connection_id = self.pick(self.silent & self.closing, index)
+        self.apply(self.pool.released(connection_id, True, self.now))
+
+    @precondition(lambda machine: machine.probes)
+    @rule(index=_INDEX, known=st.booleans(), works=st.booleans())
+    def finish_probe(self, index, known, works):
+        connection_id = self.pick(self.probes, index)
+        self.probes.discard(connection_id)
+        if not works:
+            self.apply(self.pool.probe_failed(connection_id, self.now))
+        else:
+            runs = connection_id in self.running and connection_id not in self.silent
+            if runs and known:
+                self.heard_at[connection_id] = self.now
+            answer = runs if known else None
+            self.apply(self.pool.probe_answered(connection_id, answer, self.now))
+
+    @precondition(lambda machine: machine.checking)
+    @rule(index=_INDEX, healthy=st.booleans())
+    def finish_check(self, index, healthy):
+        connection_id = self.pick(self.checking, index)
+        self.checking.discard(connection_id)
+        self.apply(self.pool.checked(connection_id, healthy, self.now))
+
+    @precondition(lambda machine: machine.closing - set(machine.opening))
+    @rule(index=_INDEX)
+    def finish_close(self, index):
+        connection_id = self.pick(self.closing - set(self.opening), index)
+        self.closing.discard(connection_id)
+        self.silent.discard(connection_id)
+        self.sockets.pop(connection_id, None)
+        self.apply(self.pool.closed(connection_id, self.now))
+
+    @rule(share=st.integers(0, 8))
+    def change_share(self, share):
+        self.share = share
+        self.apply(self.pool.set_share(share, self.now))
+
+    @rule()
+    def change_term(self):
+        self.term += 1
+        self.apply(self.pool.set_term(self.term, self.now))
+
+    @rule(step_ms=st.sampled_from([1, 20, 150, 600, 1100, 6000, 31000]))
+    def wait(self, step_ms):
+        self.now += timedelta(milliseconds=step_ms)
+        self.apply(self.pool.tick(self.now))
+        late = [r for r in self.waiting.values() if r.deadline <= self.now]
+        assert not late, "no answer at the deadline"
+
+    @invariant()
+    def every_open_connection_is_counted(self):
+        held_open = len(set(self.sockets) | set(self.opening)) + len(self.probes)
+        assert self.pool.open_count == held_open
+
+    @invariant()
+    def no_free_slot_while_a_request_could_run(self):
+        healthy = set(self.sockets) - self.closing - self.checking
+        idle = healthy - set(self.running) - set(self.held)
+        fresh = [c for c in idle if self.sockets[c] == self.term]
+        short_waits = any(r.lane is Lane.SHORT for r in self.waiting.values())
+        if fresh and short_waits and not self.checking:
+            assert len(self.running) >= SETTINGS.slot_limit
--- /dev/null
+++ b/tests/pool/test_database_pool.py
@@ -0,0 +1,172 @@
+"""The pool under all orders of events, and its broken variants."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, IsInstance
+
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.pool.check_connection import CheckConnection
+from goldcrestpond.pool.connection_table import ConnectionTable
+from goldcrestpond.pool.database_pool import DatabasePool
+from goldcrestpond.pool.lane import Lane
+from goldcrestpond.pool.lane_queues import LaneQueues
+from goldcrestpond.pool.lane_slots import LaneSlots
+from goldcrestpond.pool.refuse_request import RefuseRequest
+from goldcrestpond.pool.slot_request import SlotRequest
+
+from .pool_machine import SETTINGS, PoolMachine
+
+_MACHINE_SETTINGS = settings(max_examples=100, stateful_step_count=40)
+_HUNT_SETTINGS = settings(
+    max_examples=1500,
+    stateful_step_count=40,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
+
+
+def test_pool_keeps_its_rules_in_every_order_of_events():
+    run_state_machine_as_test(PoolMachine, settings=_MACHINE_SETTINGS)
+
+
+def _reports_fill_all_slots(monkeypatch):
+    def admits(slots, lane):
+        return sum(slots.running(each) for each in Lane) < slots.total
+
+    monkeypatch.setattr(LaneSlots, "admits", admits)
+
+
+def _closing_connections_do_not_count(monkeypatch):
+    count = property(lambda pool: pool._connections.remaining_count())
+    monkeypatch.setattr(DatabasePool, "open_count", count)
+
+
+def _probe_answers_are_ignored(monkeypatch):
+    answered = DatabasePool.probe_answered
+
+    def condemn(pool, connection_id, running, now):
+        return answered(pool, connection_id, False, now)
+
+    monkeypatch.setattr(DatabasePool, "probe_answered", condemn)
+
+
+def _connections_outlive_their_term(monkeypatch):
+    def set_term(pool, term, now):
+        pool._term = term
+        return pool._schedule(now)
+
+    monkeypatch.setattr(DatabasePool, "set_term", set_term)
+
+
+def _condemned_connections_are_reused(monkeypatch):
+    def released(pool, connection_id, reusable, now):
+        connection = pool._connections.get(connection_id)
+        if connection is None:
+            return []
+        if connection.state.value == "busy":
+            pool._finish_statement(connection, now)
+        pool._make_idle(connection, now)
+        return pool._schedule(now)
+
+    monkeypatch.setattr(DatabasePool, "released", released)
+
+
+def _queue_deadlines_pass_unanswered(monkeypatch):
+    monkeypatch.setattr(LaneQueues, "refuse_late", lambda queues, now: [])
+
+
+def _granted_requests_stay_queued(monkeypatch):
+    grant = DatabasePool._grant
+
+    def grant_and_keep(pool, now):
+        actions = grant(pool, now)
+        refused = [
+            RefuseRequest(action.request_id, ResultCode.QUEUE_DEADLINE, 1)
+            for action in actions
+            if hasattr(action, "request_id")
+        ]
+        return actions + refused
+
+    monkeypatch.setattr(DatabasePool, "_grant", grant_and_keep)
+
+
+def _busy_connections_are_granted(monkeypatch):
+    def freshest(table):
+        present = [c for c in table if c.state.value in ("idle", "held")]
+        return max(present, key=lambda c: c.last_progress, default=None)
+
+    monkeypatch.setattr(ConnectionTable, "freshest_idle", freshest)
+
+
+@pytest.mark.parametrize(
+    "break_pool",
+    [
+        _reports_fill_all_slots,
+        _closing_connections_do_not_count,
+        _probe_answers_are_ignored,
+        _connections_outlive_their_term,
+        _condemned_connections_are_reused,
+        _queue_deadlines_pass_unanswered,
+        _granted_requests_stay_queued,
+        _busy_connections_are_granted,
+    ],
+    ids=lambda variant: variant.__name__.strip("_"),
+)
+def test_broken_pool_is_caught(monkeypatch, break_pool):
+    break_pool(monkeypatch)
+    with pytest.raises((AssertionError, KeyError)):
+        run_state_machine_as_test(PoolMachine, settings=_HUNT_SETTINGS)
+
+
+def _ms(count):
+    return timedelta(milliseconds=count)
+
+
+def _request(number, caller="a", lane=Lane.SHORT, deadline_ms=10_000):
+    return SlotRequest(number, caller, lane, _ms(deadline_ms))
+
+
+def test_light_caller_is_not_queued_behind_a_heavy_one():
+    queues = LaneQueues(LaneSlots(2, 1))
+    for number in range(50):
+        queues.submit(_request(number, "heavy"), _ms(0))
+    queues.submit(_request(99, "light"), _ms(0))
+    order = [queues.next_request().request_id for _ in range(2)]
+    assert_that(order, Equals([0, 99]))
+
+
+def test_request_that_cannot_start_in_time_is_refused_at_once():
+    queues = LaneQueues(LaneSlots(2, 1))
+    outcomes = [queues.submit(_request(n, deadline_ms=20), _ms(0)) for n in range(50)]
+    refused = [outcome for outcome in outcomes if outcome is not None]
+    assert_that(refused[0].code, Equals(ResultCode.OVERLOADED))
+    # Two slots of 5 ms each: the turn of the last one is far past 20 ms.
+    assert_that(refused[0].retry_after_ms > 20, Equals(True))
+    assert_that(len(queues) < 12, Equals(True))
+
+
+def test_other_lanes_have_their_turn_beside_endless_short_requests():
+    queues = LaneQueues(LaneSlots(2, 1))
+    queues.submit(_request(0, lane=Lane.AGED), _ms(0))
+    for number in range(1, 40):
+        queues.submit(_request(number), _ms(0))
+    started = []
+    for _ in range(20):
+        request = queues.next_request()
+        started.append(request.lane)
+        queues.finish(request.lane, _ms(5))
+    assert_that(Lane.AGED in started, Equals(True))
+
+
+def test_stale_idle_connection_is_checked_before_use():
+    pool = DatabasePool(SETTINGS)
+    opened = pool.request(_request(1), _ms(0))[0]
+    pool.opened(opened.connection_id, _ms(1))
+    pool.released(opened.connection_id, True, _ms(2))
+    later = _ms(2) + SETTINGS.idle_check + _ms(1)
+    actions = pool.request(_request(2), later)
+    assert_that(actions[0], IsInstance(CheckConnection))
