Free a slot once when a connection is not reusable

Cause: released() counted the end of the statement and _close() counted it again. Change: the close alone counts it; a test holds the case, and the machine runs with 200 examples.

--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -175,13 +175,13 @@
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _LEAVING:
             return []
+        if not (reusable and connection.reusable):
+            close = self._close(connection, "not reusable", now)
+            return [close, *self._schedule(now)]
         if connection.state is ConnectionState.BUSY:
             self._finish_statement(connection, now)
-        if reusable and connection.reusable:
-            self._make_idle(connection, now)
-            return self._schedule(now)
-        close = self._close(connection, "not reusable", now)
-        return [close, *self._schedule(now)]
+        self._make_idle(connection, now)
+        return self._schedule(now)
 
     def checked(
         self, connection_id: int, healthy: bool, now: timedelta
--- a/tests/pool/test_database_pool.py
+++ b/tests/pool/test_database_pool.py
@@ -20,7 +20,7 @@
 
 from .pool_machine import SETTINGS, PoolMachine
 
-_MACHINE_SETTINGS = settings(max_examples=100, stateful_step_count=40)
+_MACHINE_SETTINGS = settings(max_examples=200, stateful_step_count=40)
 _HUNT_SETTINGS = settings(
     max_examples=1500,
     stateful_step_count=40,
@@ -170,3 +170,16 @@
     later = _ms(2) + SETTINGS.idle_check + _ms(1)
     actions = pool.request(_request(2), later)
     assert_that(actions[0], IsInstance(CheckConnection))
+
+
+def test_connection_that_is_not_reusable_frees_one_slot():
+    pool = DatabasePool(SETTINGS)
+    for number in range(6):
+        pool.request(_request(number), _ms(0))
+    for connection_id in range(1, 5):
+        pool.opened(connection_id, _ms(1))
+    pool.released(1, False, _ms(2))
+    pool.closed(1, _ms(3))
+    grants = pool.opened(5, _ms(4))
+    assert_that(len(grants), Equals(1))
+    assert_that(pool.running_count, Equals(SETTINGS.slot_limit))
