--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -45,6 +45,8 @@
     CHANGE_REFUSED = (404, "55000", 422, "The change would break a promise.")
     UNAUTHORIZED = (405, "28000", 401, "The bearer token is missing or not valid.")
     IDEMPOTENCY_MISMATCH = (406, "22023", 422, "The key was used for another body.")
+    NOT_IN_FORCE = (407, "57P03", 504, "The change is not in force everywhere yet.")
+    API_UNREACHABLE = (408, "08001", 503, "The resource API does not answer.")
 
     PLATFORM_UNAVAILABLE = (501, "58000", 503, "The platform does not answer.")
     PLATFORM_CONFLICT = (502, "40001", 409, "A conditional write met a newer row.")
