Decide which instances live by probes, suspicion and gossip

Cause: the platform's list lags; liveness must come from the instances. Ruled out: random probes alone (unbounded tail of detection), timers at every member (a lost refutation makes a false death), trust in clocks or in the order of hearsay for a replaced process. Change: ring and random probes, suspicion that only the failed prober turns into a death, incarnations, bounded gossip, digests with buckets for anti-entropy.

--- /dev/null
+++ b/goldcrestpond/membership/member_changed.py
@@ -0,0 +1,18 @@
+"""Action: tell the process that a member's state changed."""
+
+from dataclasses import dataclass
+
+from .member_update import MemberUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A newly learned state of another instance.
+
+    Attributes
+    ----------
+    update : MemberUpdate
+        The state now in force here.
+    """
+
+    update: MemberUpdate
--- /dev/null
+++ b/goldcrestpond/membership/probe_request.py
@@ -0,0 +1,32 @@
+"""Asks a helper to probe an instance that did not answer."""
+
+import msgspec
+
+from .member_state import MemberState
+
+
+class ProbeRequest(msgspec.Struct, frozen=True):
+    """Asks the receiver to probe ``target_address`` and to pass the answer on.
+
+    Attributes
+    ----------
+    sender_id : int
+        Process that asks.
+    number : int
+        Number of the unanswered probe.
+    target_id : int
+        Process that is meant.
+    target_incarnation : int
+        Incarnation of the target that the sender knows.
+    target_state : MemberState
+        What the sender holds of the target.
+    target_address : str
+        Where the target listens.
+    """
+
+    sender_id: int
+    number: int
+    target_id: int
+    target_incarnation: int
+    target_state: MemberState
+    target_address: str
