--- a/goldcrestpond/cli/load.py
+++ b/goldcrestpond/cli/load.py
@@ -32,7 +32,7 @@
         File for the JSON object; empty prints it.
     """
     logging.basicConfig(level=logging.ERROR, stream=sys.stderr)
-    scenarios = make_scenarios(seed)
+    scenarios = make_scenarios(seed, duration_s)
     if scenario not in scenarios:
         sys.exit(f"no scenario {scenario!r}; there are {', '.join(scenarios)}")
     run = functools.partial(
--- a/goldcrestpond/load/failures.py
+++ b/goldcrestpond/load/failures.py
@@ -1,10 +1,10 @@
 """Failures of a primary, caused in a running site."""
 
 import random
+from collections.abc import Callable, Sequence
 
 import anyio
 
-from ..group.role import Role
 from ..root.local_site import LocalSite
 from ..standin.database_server import DatabaseServer
 from .load_run import LoadRun
@@ -14,29 +14,7 @@
 _QUIET_S = 1.5
 _OUTAGE_S = 0.5
 
-
-async def fail_primaries(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
-    """Fail one primary after another until the run is over.
-
-    Each is killed, or cut off from its peers, or from peers and callers; it
-    comes back once writes are accepted again.
-    """
-    await anyio.sleep(_QUIET_S)
-    while not run.is_over:
-        await fail_primary_once(site, run, rng.choice(FAILURES))
-        await anyio.sleep(_QUIET_S)
-
-
-async def fail_primary_once(site: LocalSite, run: LoadRun, failure) -> None:
-    """Cause one failure, wait for the next primary and let the old one return."""
-    primary = site.group.primary()
-    run.write_gap.fail(primary.database.term, run.clock.now())
-    failure(site, primary)
-    with anyio.move_on_after(_GAP_LIMIT_S):
-        while run.write_gap.is_open and not run.is_over:
-            await anyio.sleep(_POLL_S)
-    await anyio.sleep(_OUTAGE_S)
-    await heal(site, primary)
+Failure = Callable[[LocalSite, DatabaseServer], None]
 
 
 def kill(site: LocalSite, primary: DatabaseServer) -> None:
@@ -54,16 +32,54 @@
     site.group.partition(primary.name, peers=True, callers=True)
 
 
-FAILURES = (kill, cut_from_all)
+FAILURES = (kill, cut_from_peers, cut_from_all)
 
 
-async def heal(site: LocalSite, server: DatabaseServer) -> None:
-    """Bring a database back and wait, for a while, until it follows."""
-    site.group.partition(server.name, peers=False, callers=False)
-    if not server.is_running:
-        await site.group.restart(server.name)
+async def fail_primaries(
+    site: LocalSite,
+    run: LoadRun,
+    rng: random.Random,
+    failures: Sequence[Failure] = FAILURES,
+) -> None:
+    """Fail one primary after another until the run is over.
+
+    Each comes back once writes are accepted again.
+    """
+    for turn in range(1_000_000):
+        await anyio.sleep(_QUIET_S)
+        failure = failures[turn % len(failures)]
+        await fail_primary(site, run, failure)
+
+
+async def fail_primary(site: LocalSite, run: LoadRun, failure: Failure) -> None:
+    """Cause one failure, wait for the next primary and let the old one return."""
+    primary = site.group.primary()
+    run.write_gap.fail(primary.database.term, run.clock.now())
+    failure(site, primary)
+    count = len(run.write_gap.gaps)
     with anyio.move_on_after(_GAP_LIMIT_S):
-        while server.database.role is Role.PRIMARY:
-            if site.group.primary() is server:
-                return
+        while run.write_gap.is_open:
             await anyio.sleep(_POLL_S)
+    if len(run.write_gap.gaps) > count:
+        gap_ms = run.write_gap.gaps[-1].total_seconds() * 1000
+        key = f"{failure.__name__}_gap_ms"
+        run.details[key] = max(gap_ms, run.details.get(key, 0.0))
+    await anyio.sleep(_OUTAGE_S)
+    await heal(site, primary)
+
+
+async def heal(site: LocalSite, server: DatabaseServer) -> None:
+    """Bring a database back."""
+    site.group.partition(server.name, peers=False, callers=False)
+    await site.group.restart(server.name)
+
+
+async def end_faults(site: LocalSite) -> None:
+    """Bring everything back, so that the audit meets a whole group."""
+    faults = site.platform.faults
+    faults.down = faults.silent = False
+    faults.delay_ms = faults.lose_next_answers = 0
+    for server in site.group.databases:
+        server.faults.refuse = server.faults.hang = False
+        server.faults.lose_answer = server.faults.cut = 0
+        await heal(site, server)
--- a/goldcrestpond/load/fuel_session.py
+++ b/goldcrestpond/load/fuel_session.py
@@ -65,7 +65,7 @@
             if self._rng.random() < self._workload.roam_share:
                 await self._roam()
             if self._rng.random() < self._workload.write_share:
-                await self._write()
+                await self.write()
             else:
                 await self._read()
         await self._writer.leave()
@@ -94,7 +94,8 @@
 
     # Writes
 
-    async def _write(self) -> None:
+    async def write(self) -> None:
+        """Write one entry and settle it with the auditor."""
         connection = await self._connect(self._writer)
         if connection is None:
             return
--- a/goldcrestpond/load/load_run.py
+++ b/goldcrestpond/load/load_run.py
@@ -39,6 +39,8 @@
         self.refused_reads = 0
         self.unsent_requests = 0
         self.refusals_by_number: dict[int, int] = {}
+        self.details: dict[str, float] = {}
+        self._phase_latencies = Latencies()
         self._acknowledged_at: list[timedelta] = []
 
     def acknowledge(
@@ -49,9 +51,28 @@
         self.auditor.settle(entry, Told.ACKNOWLEDGED, position)
         self._acknowledged_at.append(now)
         self.write_latencies.record(now - started)
+        self._phase_latencies.record(now - started)
         if position is not None:
             self.write_gap.acknowledge(position.term, now)
 
+    def start_phase(self) -> None:
+        """Begin to measure a part of the run on its own."""
+        self._phase_latencies = Latencies()
+
+    def end_phase(self, name: str) -> None:
+        """Put the figures of the part into the details."""
+        latencies = self._phase_latencies
+        self.details[f"{name}_acknowledged"] = latencies.count
+        self.details[f"{name}_p50_ms"] = latencies.percentile_ms(50)
+        self.details[f"{name}_p99_ms"] = latencies.percentile_ms(99)
+
+    def longest_pause_ms(self) -> float:
+        """Return the longest time between two acknowledgements."""
+        moments = self._acknowledged_at
+        pairs = zip(moments, moments[1:], strict=False)
+        longest = max((end - start for start, end in pairs), default=timedelta(0))
+        return longest / timedelta(milliseconds=1)
+
     def read_done(self, from_replica: bool, started: timedelta) -> None:
         """Note a read that was answered."""
         self.read_count += 1
--- /dev/null
+++ b/goldcrestpond/load/overload.py
@@ -0,0 +1,83 @@
+"""More requests than the endpoint can take."""
+
+import random
+
+import anyio
+
+from ..root.local_site import LocalSite
+from .fuel_session import FuelSession
+from .load_run import LoadRun
+from .workload import Workload
+
+_CLOSED_WRITERS = 20
+_OVERLOAD = 2.0
+_SESSION_LIMIT = 600
+_WRITES_ONLY = Workload(write_share=1.0, transaction_share=0.0, roam_share=0.0)
+
+
+def make_overload(duration_s: float):
+    """Return a script: a closed loop for the peak, then twice the peak offered."""
+
+    async def overload(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
+        run.details["peak_per_s"] = await _peak(site, run, rng, duration_s * 0.4)
+        offered_per_s = run.details["peak_per_s"] * _OVERLOAD
+        await anyio.sleep(0.5)
+        await _offer(site, run, rng, duration_s * 0.5, offered_per_s)
+        goodput_per_s = run.details["overload_acknowledged"] / (duration_s * 0.5)
+        run.details["goodput_per_s"] = goodput_per_s
+        run.details["goodput_ratio"] = goodput_per_s / run.details["peak_per_s"]
+
+    return overload
+
+
+def _session(site: LocalSite, run: LoadRun, rng: random.Random, name: str):
+    addresses = [proxy.address for proxy in site.proxies]
+    own = random.Random(rng.random())
+    return FuelSession(name, addresses, "fuel", _WRITES_ONLY, run, own)
+
+
+async def _peak(
+    site: LocalSite, run: LoadRun, rng: random.Random, duration_s: float
+) -> float:
+    async def write_on(session: FuelSession) -> None:
+        while True:
+            await session.write()
+
+    run.start_phase()
+    with anyio.move_on_after(duration_s):
+        async with anyio.create_task_group() as tasks:
+            for index in range(_CLOSED_WRITERS):
+                session = _session(site, run, rng, f"closed-{index}")
+                tasks.start_soon(write_on, session)
+    run.end_phase("peak")
+    return run.details["peak_acknowledged"] / duration_s
+
+
+async def _offer(
+    site: LocalSite,
+    run: LoadRun,
+    rng: random.Random,
+    duration_s: float,
+    rate_per_s: float,
+) -> None:
+    idle: list[FuelSession] = []
+    run.details["offered"] = 0
+    run.details["sessions"] = 0
+
+    async def write_once(session: FuelSession) -> None:
+        await session.write()
+        idle.append(session)
+
+    run.start_phase()
+    end = anyio.current_time() + duration_s
+    async with anyio.create_task_group() as tasks:
+        while anyio.current_time() < end:
+            await anyio.sleep(rng.expovariate(rate_per_s))
+            run.details["offered"] += 1
+            if not idle and run.details["sessions"] < _SESSION_LIMIT:
+                run.details["sessions"] += 1
+                name = f"open-{run.details['sessions']}"
+                idle.append(_session(site, run, rng, name))
+            if idle:
+                tasks.start_soon(write_once, idle.pop())
+        run.end_phase("overload")
--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -1,5 +1,6 @@
 """Runs a scenario and audits it."""
 
+import math
 import random
 from collections.abc import Sequence
 from datetime import timedelta
@@ -13,6 +14,7 @@
 from . import fuel_log
 from .audit import Audit
 from .caller_link import CallerLink
+from .failures import end_faults
 from .fuel_session import FuelSession
 from .load_result import LoadResult
 from .load_run import LoadRun
@@ -33,9 +35,9 @@
     async with run_local_site(scenario.site) as site:
         addresses = [proxy.address for proxy in site.proxies]
         started = clock.now()
-        async with anyio.create_task_group() as script:
-            script.start_soon(scenario.script, site, run, rng)
-            script.start_soon(_probe, site, run)
+        async with anyio.create_task_group() as background:
+            if scenario.has_probe:
+                background.start_soon(_probe, site, run)
             async with anyio.create_task_group() as sessions:
                 start_sessions(
                     sessions,
@@ -45,11 +47,14 @@
                     run,
                     rng,
                 )
-                await anyio.sleep(duration_s)
+                limit_s = math.inf if scenario.ends_itself else duration_s
+                with anyio.move_on_after(limit_s):
+                    await scenario.script(site, run, rng)
+                await end_faults(site)
                 run.is_over = True
                 sessions.cancel_scope.deadline = anyio.current_time() + _DRAIN_S
             duration = clock.now() - started
-            script.cancel_scope.cancel()
+            background.cancel_scope.cancel()
         audit = await audit_site(site, run)
     return _result(name, seed, duration, run, audit)
 
@@ -78,7 +83,6 @@
     """Compare what callers were told with the primary of the highest term."""
     primary = site.group.primary()
     link = CallerLink([primary.address], "fuel", random.Random(0), {})
-    site.group.partition(primary.name, peers=False, callers=False)
     connection = await link.ready()
     cursor = await connection.execute(fuel_log.READ_ALL)
     rows = await cursor.fetchall()
@@ -110,6 +114,8 @@
     name: str, seed: int, duration: timedelta, run: LoadRun, audit: Audit
 ) -> LoadResult:
     gap = run.write_gap
+    refusals = run.refusals_by_number
+    run.details["longest_pause_ms"] = run.longest_pause_ms()
     answered = audit.acknowledged + run.read_count
     return LoadResult(
         scenario=name,
@@ -136,8 +142,6 @@
         read_p50_ms=run.read_latencies.percentile_ms(50),
         read_p99_ms=run.read_latencies.percentile_ms(99),
         gaps_ms=[round(each / timedelta(milliseconds=1), 1) for each in gap.gaps],
-        refusals={
-            str(key): run.refusals_by_number[key]
-            for key in sorted(run.refusals_by_number)
-        },
+        refusals={str(key): refusals[key] for key in sorted(refusals)},
+        details={key: round(value, 3) for key, value in run.details.items()},
     )
--- a/goldcrestpond/load/scenario.py
+++ b/goldcrestpond/load/scenario.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+import anyio
+
 from ..root.local_site import LocalSite
 from ..root.local_site_settings import LocalSiteSettings
 from .load_run import LoadRun
@@ -12,6 +14,7 @@
 
 async def nothing_happens(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
     """Script without faults."""
+    await anyio.sleep_forever()
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +29,10 @@
         Its callers.
     script : callable
         Causes faults while the run goes on, given site, run and randomness.
+    ends_itself : bool
+        Whether the run is over when the script returns.
+    has_probe : bool
+        Whether direct writes are measured besides.
     """
 
     site: LocalSiteSettings
@@ -33,3 +40,5 @@
     script: Callable[[LocalSite, LoadRun, random.Random], Awaitable[None]] = (
         nothing_happens
     )
+    ends_itself: bool = False
+    has_probe: bool = True
--- a/goldcrestpond/load/workload.py
+++ b/goldcrestpond/load/workload.py
@@ -31,7 +31,7 @@
 
     writer_count: int = 16
     planner_count: int = 4
-    think_ms: float = 20.0
+    think_ms: float = 60.0
     write_share: float = 0.5
     transaction_share: float = 0.2
     roam_share: float = 0.05
