--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -39,12 +39,6 @@
 from .group_monitor_wakeup import Wakeup
 from .login import Login
 
-_FAILURES = {
-    ResultCode.ENDPOINT_UNREACHABLE: FailureKind.REFUSED,
-    ResultCode.PROGRESS_DEADLINE: FailureKind.SILENT,
-}
-
-
 # Longer than the polls of an idle group are apart.
 PRIMARY_LIFETIME = timedelta(seconds=5)
 
@@ -267,6 +261,16 @@
             raise CodedError(ResultCode.NO_PRIMARY, "no position was sampled in time")
         return request.floor
 
+    def check_token(self, position: LogPosition) -> None:
+        """Refuse a caller's token whose write the present history lacks.
+
+        Raises
+        ------
+        CodedError
+            TOKEN_BEYOND_HISTORY: the write was not acknowledged or is lost.
+        """
+        self._router.check_token(position)
+
     def choose_replica(
         self, floor: LogPosition | None, max_age: timedelta | None
     ) -> ReplicaChoice | None:
@@ -278,11 +282,6 @@
             Floor of the session; of any term.
         max_age : timedelta or None
             Stated age. Without either bound no replica is chosen.
-
-        Raises
-        ------
-        CodedError
-            TOKEN_BEYOND_HISTORY if the group's history does not hold the floor.
         """
         now = self._clock.now()
         self._note_activity()
@@ -300,11 +299,6 @@
         -------
         ReplicaChoice or None
             None if the primary is expected to be quicker, or at the deadline.
-
-        Raises
-        ------
-        CodedError
-            TOKEN_BEYOND_HISTORY if the group's history does not hold the floor.
         """
         while True:
             choice = self.choose_replica(floor, max_age)
@@ -318,10 +312,14 @@
             await self._changed.wait(min(wait, deadline - now))
 
     def report_failure(self, database: str, error: CodedError) -> None:
-        """Take in that a connection to a database broke or was refused."""
+        """Take in that a connection to a database broke or was refused.
+
+        It only makes the database be asked at once: a pool may meet a limit of
+        connections or a silent path, which is no evidence of death.
+        """
         if database not in self._pollers:
             return
-        self._take_failure(database, _FAILURES.get(error.code, FailureKind.BROKEN))
+        self._take_failure(database, FailureKind.BROKEN)
         self._pollers[database].demand()
 
     def report_load(self, database: str, load: DatabaseLoad) -> None:
--- a/goldcrestpond/endpoint/group_monitor_reads.py
+++ b/goldcrestpond/endpoint/group_monitor_reads.py
@@ -115,6 +115,23 @@
             return None
         return wait
 
+    def check_token(self, position: LogPosition) -> None:
+        """Refuse a position that the present history does not hold.
+
+        Raises
+        ------
+        CodedError
+            TOKEN_BEYOND_HISTORY.
+        """
+        primary = self._view.primary()
+        if primary is None:
+            return
+        resolved = resolve_floor(position, primary.status.term, self._starts.values())
+        if resolved.state is FloorState.LOST:
+            raise CodedError(
+                ResultCode.TOKEN_BEYOND_HISTORY, f"{position} is past its term's end"
+            )
+
     def _bound(
         self, floor: LogPosition | None, max_age: timedelta | None
     ) -> ReadBound | None:
@@ -124,10 +141,6 @@
         if floor is None:
             return ReadBound(None, max_age)
         resolved = resolve_floor(floor, primary.status.term, self._starts.values())
-        if resolved.state is FloorState.LOST:
-            raise CodedError(
-                ResultCode.TOKEN_BEYOND_HISTORY, f"{floor} is past its term's end"
-            )
         if resolved.state is FloorState.AHEAD:
             return None
         return ReadBound(resolved.position, max_age)
--- a/goldcrestpond/session/resolve_floor.py
+++ b/goldcrestpond/session/resolve_floor.py
@@ -28,8 +28,8 @@
     """
     if floor.term > present_term:
         return ResolvedFloor(FloorState.AHEAD, floor.position)
-    for start in starts:
-        is_later = floor.term < start.term <= present_term
-        if is_later and floor.position > start.position:
-            return ResolvedFloor(FloorState.LOST, start.position)
+    ends = [s.position for s in starts if floor.term < s.term <= present_term]
+    end = min(ends, default=floor.position)
+    if floor.position > end:
+        return ResolvedFloor(FloorState.LOST, end)
     return ResolvedFloor(FloorState.KNOWN, floor.position)
--- a/goldcrestpond/session/resolved_floor.py
+++ b/goldcrestpond/session/resolved_floor.py
@@ -16,7 +16,9 @@
         a term that this process has not seen yet; ``LOST`` if the present
         history does not hold the floor's entry.
     position : int
-        Least position that a read must show.
+        Least position that a read must show; under ``LOST`` the last one that
+        both histories share, which covers all that was acknowledged below the
+        floor.
     """
 
     state: FloorState
--- a/goldcrestpond/term/floor_queue.py
+++ b/goldcrestpond/term/floor_queue.py
@@ -25,11 +25,14 @@
         return request
 
     def settle(self, sample: VerifiedSample | None) -> list[FloorRequest]:
-        """Give the sample to all that asked before it was taken."""
+        """Give the sample to all that asked before it was taken.
+
+        A poll sent within the same tick of the clock may have been sent first.
+        """
         settled: list[FloorRequest] = []
         if sample is None:
             return settled
-        while self._requests and self._requests[0].asked_at <= sample.sampled_after:
+        while self._requests and self._requests[0].asked_at < sample.sampled_after:
             request = self._requests.popleft()
             request.floor = sample.position
             settled.append(request)
