Spread the configuration by gossip and count what is in force along a tree

Cause: a change must be in force everywhere within seconds while the table sees a bounded rate. Ruled out: a row per instance and change; min-gossip, which cannot tell that a live instance is missing; a heap-shaped tree, which a single newcomer rebuilds.

--- a/bench/fleet_loop.py
+++ b/bench/fleet_loop.py
@@ -8,6 +8,17 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from bench.state_holder import StateHolder
+from goldcrestpond.configuration.configuration_change import ConfigurationChange
+from goldcrestpond.configuration.configuration_delta import ConfigurationDelta
+from goldcrestpond.distribution.distribution import Distribution
+from goldcrestpond.distribution.distribution_settings import DistributionSettings
+from goldcrestpond.distribution.fetch_update import FetchUpdate
+from goldcrestpond.distribution.force_claim import ForceClaim
+from goldcrestpond.distribution.message_received import (
+    MessageReceived as DistributionReceived,
+)
+from goldcrestpond.distribution.send import Send as DistributionSend
 from goldcrestpond.membership.leave import Leave
 from goldcrestpond.membership.member_changed import MemberChanged
 from goldcrestpond.membership.member_state import MemberState
@@ -19,6 +30,8 @@
 from goldcrestpond.membership.tick import TICK_MS, Tick
 
 _SEED_COUNT = 3
+_READER_COUNT = 3
+_READ_PERIOD = timedelta(milliseconds=250)
 _LIST_PERIOD = timedelta(seconds=5)
 
 
@@ -47,6 +60,7 @@
         duplication: float = 0.0,
         delay_ms: tuple[float, float] = (0.5, 2.0),
         member_class: type = Membership,
+        distribution_class: type = Distribution,
         settings: MembershipSettings | None = None,
     ):
         self.rng = random.Random(seed)
@@ -61,12 +75,20 @@
         self.deaths: list[tuple[timedelta, str, int]] = []
         self.size_of: Callable[[object], int] = lambda message: 0
         self.busy_s = 0.0
+        self.distributions: dict[str, Distribution] = {}
+        self.holders: dict[str, StateHolder] = {}
+        self.table: dict[str, ConfigurationChange] = {}
+        self.revision = 0
+        self.table_answers = True
+        self.on_claim: Callable[[str, ForceClaim], None] = lambda address, claim: None
         self.lists_instances = True
         self._listed: tuple[str, ...] = ()
         self._list_at = _LIST_PERIOD
+        self._read_at = timedelta(0)
         self.clock_offset: dict[str, timedelta] = {}
         self._asleep_until: dict[str, timedelta] = {}
         self._member_class = member_class
+        self._distribution_class = distribution_class
         self._settings = settings or MembershipSettings()
         self._order = itertools.count()
         self._events: list[tuple[timedelta, int, str, Membership | None, object]] = []
@@ -82,7 +104,16 @@
             f"zone-{number % 3}",
             self._settings,
             random.Random(self.rng.getrandbits(64)),
-            self.now + self.clock_offset.get(address, timedelta(0)),
+            self._time_at(address),
+        )
+        holder = StateHolder(self._time_at(address))
+        self.holders[address] = holder
+        self.distributions[address] = self._distribution_class(
+            member,
+            holder,
+            DistributionSettings(),
+            random.Random(self.rng.getrandbits(64)),
+            self._time_at(address),
         )
         seeds = [seed for seed in self.members if seed != address][:_SEED_COUNT]
         self.members[address] = member
@@ -94,6 +125,7 @@
     def kill(self, address: str) -> int:
         """Stop a process without a word; return its instance id."""
         self._asleep_until.pop(address, None)
+        del self.distributions[address], self.holders[address]
         return self.members.pop(address).identity.instance_id
 
     def leave(self, address: str) -> int:
@@ -106,6 +138,16 @@
         running = {m.identity.instance_id for m in self.members.values()}
         return sum(instance_id in running for _, _, instance_id in self.deaths)
 
+    def write(self, key: str, value: bytes) -> int:
+        """Write a row to the table, where a few members read it."""
+        self.revision += 1
+        self.table[key] = ConfigurationChange(key, self.revision, value)
+        return self.revision
+
+    def lowest_revision(self) -> int:
+        """Return the lowest revision that a running process holds."""
+        return min(holder.state.revision for holder in self.holders.values())
+
     def pause(self, address: str, duration_s: float) -> None:
         """Let a process sleep: its timers and datagrams wait until it wakes."""
         self._asleep_until[address] = self.now + timedelta(seconds=duration_s)
@@ -120,12 +162,14 @@
         while self._events and self._events[0][0] <= end:
             self.now, _, address, member, event = heapq.heappop(self._events)
             self._list_instances()
+            self._read_table()
             present = self.members.get(address)
             if present is None or (member is not None and member is not present):
                 continue
             if self.now < (until := self._asleep_until.get(address, self.now)):
                 self._push(until - self.now, address, member, event)
                 continue
+            self._asleep_until.pop(address, None)
             self._run(address, present, event)
             if member is not None:
                 self._push(timedelta(milliseconds=TICK_MS), address, member, event)
@@ -172,22 +216,64 @@
                 self._run(address, member, SeedsListed(self._listed))
         self._listed = tuple(self.members)
 
+    def _read_table(self) -> None:
+        """Let the readers among the members read the table."""
+        if self.now < self._read_at or not self.table_answers:
+            return
+        self._read_at = self.now + _READ_PERIOD
+        for address in list(self.members)[:_READER_COUNT]:
+            if address in self._asleep_until:
+                continue
+            holder = self.holders[address]
+            holder.now = self._time_at(address)
+            state = holder.state
+            rows = [r for r in self.table.values() if r.revision > state.revision]
+            holder.apply(ConfigurationDelta(state.revision, self.revision, rows))
+            holder.confirm(state.epoch)
+
+    def _time_at(self, address: str) -> timedelta:
+        return self.now + self.clock_offset.get(address, timedelta(0))
+
     def _run(self, address: str, member: Membership, event: object) -> None:
+        now = self._time_at(address)
+        self.holders[address].now = now
         begun = time.process_time_ns()
-        offset = self.clock_offset.get(address, timedelta(0))
-        actions = member.handle(event, self.now + offset)
+        actions: list[object] = []
+        if not isinstance(event, DistributionReceived):
+            actions += member.handle(event, now)
+        if isinstance(event, Tick | DistributionReceived):
+            actions += self.distributions[address].handle(event, now)
         self.busy_s += (time.process_time_ns() - begun) / 1e9
         for action in actions:
-            if isinstance(action, Send):
+            self._perform(address, action)
+
+    def _perform(self, address: str, action: object) -> None:
+        match action:
+            case Send() | DistributionSend():
                 self._transmit(address, action)
-            elif isinstance(action, MemberChanged):
+            case MemberChanged():
                 self._note_death(address, action)
+            case FetchUpdate():
+                self._fetch(address, action)
+
+    def _fetch(self, address: str, action: FetchUpdate) -> None:
+        server = self.distributions.get(action.address)
+        if server is None or self.cut(address, action.address):
+            return
+        self.holders[action.address].now = self._time_at(action.address)
+        answer = server.answer(action.request)
+        if answer is not None:
+            event = DistributionReceived(answer, action.address)
+            self._push(timedelta(milliseconds=5), address, None, event)
 
     def _note_death(self, address: str, action: MemberChanged) -> None:
         if action.update.state == MemberState.DEAD:
             self.deaths.append((self.now, address, action.update.instance_id))
 
-    def _transmit(self, source: str, action: Send) -> None:
+    def _transmit(self, source: str, action: Send | DistributionSend) -> None:
+        claim = action.message
+        if isinstance(claim, ForceClaim) and claim.sender_id == claim.root_id:
+            self.on_claim(source, claim)
         self.messages[source] += 1
         self.bytes[source] += self.size_of(action.message)
         if self.cut(source, action.address):
@@ -196,7 +282,7 @@
         for _ in range(copies):
             if self.rng.random() >= self.loss:
                 delay = timedelta(milliseconds=self.rng.uniform(*self.delay_ms))
-                event = MessageReceived(action.message, source)
+                event = _received(action, source)
                 self._push(delay, action.address, None, event)
 
     def _push(
@@ -208,3 +294,9 @@
     ) -> None:
         item = (self.now + delay, next(self._order), address, member, event)
         heapq.heappush(self._events, item)
+
+
+def _received(action: Send | DistributionSend, source: str) -> object:
+    if isinstance(action, DistributionSend):
+        return DistributionReceived(action.message, source)
+    return MessageReceived(action.message, source)
--- /dev/null
+++ b/goldcrestpond/distribution/distribution.py
@@ -0,0 +1,103 @@
+"""One member's part in the spread of the configuration."""
+
+import random
+from datetime import timedelta
+
+from ..configuration.revision_count import RevisionCount
+from ..membership.membership import Membership
+from ..membership.tick import Tick
+from .configuration_holder import ConfigurationHolder
+from .distribution_settings import DistributionSettings
+from .fetch_update import FetchUpdate
+from .force_claim import ForceClaim
+from .force_report import ForceReport
+from .force_tree import ForceTree
+from .message_received import MessageReceived
+from .revision_notice import RevisionNotice
+from .send import Send
+from .update_answer import UpdateAnswer
+from .update_exchange import UpdateExchange
+from .update_request import UpdateRequest
+
+Event = MessageReceived | Tick
+Action = Send | FetchUpdate
+
+
+class Distribution:
+    """Joins the exchange of updates and the tree that counts revisions.
+
+    Parameters
+    ----------
+    membership : Membership
+        The members that are live.
+    holder : ConfigurationHolder
+        The configuration of this process.
+    settings : DistributionSettings
+        Periods and limits.
+    rng : random.Random
+        Source of randomness.
+    now : timedelta
+        Monotonic reading.
+    """
+
+    __slots__ = ("_exchange", "_tree")
+
+    def __init__(
+        self,
+        membership: Membership,
+        holder: ConfigurationHolder,
+        settings: DistributionSettings,
+        rng: random.Random,
+        now: timedelta,
+    ):
+        self._exchange = UpdateExchange(membership, holder, settings, rng, now)
+        self._tree = ForceTree(membership, holder, settings, now)
+
+    def in_force(self, now: timedelta) -> list[RevisionCount]:
+        """Return the revisions of all live instances; empty if not known now."""
+        return self._tree.in_force(now)
+
+    @property
+    def is_root(self) -> bool:
+        """True if this member works out what is in force."""
+        return self._tree.is_root
+
+    def answer(self, request: UpdateRequest) -> UpdateAnswer | None:
+        """Return the whole answer to a request that came over a stream."""
+        return self._exchange.answer(request)
+
+    def handle(self, event: Event, now: timedelta) -> list[Action]:
+        """Take one event in.
+
+        Parameters
+        ----------
+        event : MessageReceived or Tick
+            What happened.
+        now : timedelta
+            Monotonic reading.
+
+        Returns
+        -------
+        list of Send or FetchUpdate
+            What to do, in order.
+        """
+        match event:
+            case Tick():
+                return self._exchange.tick(now) + self._tree.tick(now)
+            case MessageReceived(message, source):
+                return self._on_message(message, source, now)
+
+    def _on_message(self, message, source: str, now: timedelta) -> list[Action]:
+        match message:
+            case RevisionNotice():
+                return self._exchange.on_notice(message, source, now)
+            case UpdateRequest():
+                return self._exchange.on_request(message, source)
+            case UpdateAnswer():
+                return self._exchange.on_answer(message, source)
+            case ForceReport():
+                self._tree.on_report(message, source, now)
+                return []
+            case ForceClaim():
+                return self._tree.on_claim(message, now)
+        return []
--- /dev/null
+++ b/goldcrestpond/distribution/force_tree.py
@@ -0,0 +1,188 @@
+"""Works out what is in force, along a tree over the live instances."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..configuration.revision_count import RevisionCount, merge_counts
+from ..membership.membership import Membership
+from .configuration_holder import ConfigurationHolder
+from .distribution_settings import DistributionSettings
+from .force_claim import ForceClaim
+from .force_report import ForceReport
+from .send import Send
+
+_ID_MASK = (1 << 64) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class _HeardReport:
+    report: ForceReport
+    address: str
+    heard_at: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldClaim:
+    claim: ForceClaim
+    held_at: timedelta
+
+
+class ForceTree:
+    """One member's part in counting which revisions are in force.
+
+    Each member tells its parent in the ring's tree the revisions of itself and
+    of all below it. The root claims a result only if the instances counted are
+    exactly those that it holds for live, compared by number and by the sum of
+    their ids: whoever is missing, counted twice or no longer live prevents
+    the claim. As a process never lowers its revision, a late report can only
+    understate.
+
+    A claim that all have revision R therefore means: each instance that the
+    root held for live has told of R or a higher one. Instances that are cut
+    off and held for dead are not covered; those that started meanwhile serve
+    nothing before a confirmed member gave them its revision.
+
+    Parameters
+    ----------
+    membership : Membership
+        The members that are live.
+    holder : ConfigurationHolder
+        The configuration of this process.
+    settings : DistributionSettings
+        Periods and limits.
+    now : timedelta
+        Monotonic reading.
+    """
+
+    __slots__ = (
+        "_claim",
+        "_claim_number",
+        "_holder",
+        "_last_report",
+        "_membership",
+        "_parent_address",
+        "_reported_at",
+        "_reports",
+        "_sends_left",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        holder: ConfigurationHolder,
+        settings: DistributionSettings,
+        now: timedelta,
+    ):
+        self._membership = membership
+        self._holder = holder
+        self._settings = settings
+        self._reports: dict[int, _HeardReport] = {}
+        self._parent_address = ""
+        self._last_report: ForceReport | None = None
+        self._reported_at = now - settings.report_period
+        self._claim: _HeldClaim | None = None
+        self._claim_number = 0
+        self._sends_left = 0
+
+    def in_force(self, now: timedelta) -> list[RevisionCount]:
+        """Return the revisions of all live instances; empty if not known now."""
+        if self._claim is None:
+            return []
+        if now - self._claim.held_at > self._settings.claim_lifetime:
+            return []
+        return self._claim.claim.counts
+
+    @property
+    def is_root(self) -> bool:
+        """True if this member holds itself for the root."""
+        return self._parent() is None
+
+    def tick(self, now: timedelta) -> list[Send]:
+        """Report to the parent, or claim as the root, if it is due."""
+        if now - self._reported_at < self._settings.report_interval:
+            return []
+        self._drop_old_reports(now)
+        report = self._sum_up()
+        parent = self._parent()
+        address = "" if parent is None else self._address(parent)
+        moved = self._withdraw(address)
+        is_due = now - self._reported_at >= self._settings.report_period
+        if moved or report != self._last_report:
+            self._sends_left = self._settings.report_sends
+        if not self._sends_left and not is_due:
+            return []
+        self._sends_left = max(0, self._sends_left - 1)
+        self._reported_at = now
+        self._last_report = report
+        if parent is not None:
+            return [*moved, Send(address, report)]
+        return moved + self._claim_total(report, now)
+
+    def on_report(self, report: ForceReport, source: str, now: timedelta) -> None:
+        """Take a child's report in."""
+        if report.counts:
+            self._reports[report.sender_id] = _HeardReport(report, source, now)
+        else:
+            self._reports.pop(report.sender_id, None)
+
+    def on_claim(self, claim: ForceClaim, now: timedelta) -> list[Send]:
+        """Hold a claim of the root and pass it on to the children."""
+        if claim.sender_id != self._parent():
+            return []
+        held = self._claim.claim if self._claim else None
+        if held and held.root_id == claim.root_id and held.number >= claim.number:
+            return []
+        return self._hold(claim, now)
+
+    def _hold(self, claim: ForceClaim, now: timedelta) -> list[Send]:
+        self._claim = _HeldClaim(claim, now)
+        passed_on = ForceClaim(
+            self._own_id(), claim.root_id, claim.number, claim.counts
+        )
+        return [Send(heard.address, passed_on) for heard in self._reports.values()]
+
+    def _claim_total(self, report: ForceReport, now: timedelta) -> list[Send]:
+        table = self._membership.table
+        count = sum(entry.instance_count for entry in report.counts)
+        if count != len(table.ring) or report.id_sum != table.id_sum:
+            return []
+        self._claim_number += 1
+        own_id = self._own_id()
+        claim = ForceClaim(own_id, own_id, self._claim_number, report.counts)
+        return self._hold(claim, now)
+
+    def _sum_up(self) -> ForceReport:
+        reports = [heard.report for heard in self._reports.values()]
+        own = [RevisionCount(self._holder.state.revision, 1)]
+        counts = merge_counts([own, *(report.counts for report in reports)])
+        id_sum = _add((report.id_sum for report in reports), self._own_id())
+        return ForceReport(self._own_id(), id_sum, counts)
+
+    def _withdraw(self, parent_address: str) -> list[Send]:
+        former, self._parent_address = self._parent_address, parent_address
+        if former in ("", parent_address):
+            return []
+        return [Send(former, ForceReport(self._own_id(), 0, []))]
+
+    def _drop_old_reports(self, now: timedelta) -> None:
+        table = self._membership.table
+        for sender_id, heard in list(self._reports.items()):
+            sender = table.get(sender_id)
+            is_gone = sender is not None and not sender.is_live
+            if is_gone or now - heard.heard_at > self._settings.report_lifetime:
+                del self._reports[sender_id]
+
+    def _parent(self) -> int | None:
+        return self._membership.table.ring.parent(self._own_id())
+
+    def _address(self, instance_id: int) -> str:
+        return self._membership.table.get(instance_id).address
+
+    def _own_id(self) -> int:
+        return self._membership.identity.instance_id
+
+
+def _add(id_sums: Iterable[int], own_id: int) -> int:
+    return (sum(id_sums) + own_id) & _ID_MASK
--- /dev/null
+++ b/goldcrestpond/distribution/send.py
@@ -0,0 +1,21 @@
+"""Action: send a datagram."""
+
+from dataclasses import dataclass
+
+from .message import Message
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send ``message`` to ``address``.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:PORT`` of the receiver.
+    message : Message
+        What to send.
+    """
+
+    address: str
+    message: Message
--- a/goldcrestpond/membership/member_table.py
+++ b/goldcrestpond/membership/member_table.py
@@ -24,6 +24,7 @@
         "_by_address",
         "_digest",
         "_digests",
+        "_id_sum",
         "_learned_at",
         "_tombstones",
         "_updates",
@@ -37,6 +38,7 @@
         self._by_address: dict[str, set[int]] = {}
         self._digests = [0] * BUCKET_COUNT
         self._digest = 0
+        self._id_sum = 0
         self.ring = Ring()
 
     @property
@@ -44,6 +46,11 @@
         """Digest of all live instances."""
         return self._digest
 
+    @property
+    def id_sum(self) -> int:
+        """Sum modulo 2^64 of the ids of all live instances."""
+        return self._id_sum
+
     @property
     def bucket_digests(self) -> list[int]:
         """Digest of each bucket of live instances."""
@@ -123,6 +130,7 @@
         self._shift_digests(update, -1)
 
     def _shift_digests(self, update: MemberUpdate, sign: int) -> None:
+        self._id_sum = (self._id_sum + sign * update.instance_id) & _DIGEST_MASK
         value = sign * _hash(update)
         bucket = update.instance_id % BUCKET_COUNT
         self._digests[bucket] = (self._digests[bucket] + value) & _DIGEST_MASK
