--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a command that prints one JSON line."""
--- /dev/null
+++ b/bench/child_process.py
@@ -0,0 +1,84 @@
+"""A program under measurement, run as a process of its own."""
+
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import msgspec
+
+_BIN = Path(sys.executable).parent
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_STOP_TIMEOUT_S = 10
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class ChildProcess:
+    """A running program with the addresses that it announced.
+
+    Attributes
+    ----------
+    ready : list of str
+        Words after ``ready`` on its standard output.
+    """
+
+    __slots__ = ("_process", "ready")
+
+    def __init__(self, process: subprocess.Popen, ready: list[str]):
+        self._process = process
+        self.ready = ready
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far."""
+        text = Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+    def memory_bytes(self) -> int:
+        """Return the resident memory."""
+        text = Path(f"/proc/{self._process.pid}/statm").read_text()
+        return int(text.split()[1]) * _PAGE_BYTES
+
+
+@contextmanager
+def run_program(
+    program: str, arguments: list[str], settings: object, root: str = ""
+) -> Iterator[ChildProcess]:
+    """Run a program of the project until the context ends.
+
+    Parameters
+    ----------
+    program : str
+        Name of the program.
+    arguments : list of str
+        Words before the settings file.
+    settings : object
+        Settings, written to a file for the program.
+    root : str, default=""
+        Source tree to run instead of this one, to compare two states.
+    """
+    with tempfile.NamedTemporaryFile(suffix=".json") as file:
+        file.write(msgspec.json.encode(settings))
+        file.flush()
+        command = [str(_BIN / program), *arguments, "--settings", file.name]
+        environment = {**os.environ, "UV_USE_IO_URING": "0"}
+        if root:
+            environment["PYTHONPATH"] = root
+        process = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            env=environment,
+        )
+        try:
+            words = process.stdout.readline().split()
+            if words[:1] != ["ready"]:
+                raise RuntimeError(f"{program} did not start: {words}")
+            yield ChildProcess(process, words[1:])
+        finally:
+            process.terminate()
+            process.wait(_STOP_TIMEOUT_S)
--- /dev/null
+++ b/bench/hot_path.py
@@ -0,0 +1,104 @@
+"""Compares statements through a proxy with the same over a direct connection.
+
+``python -m bench.hot_path [--callers 1] [--duration_s 2] [--repetitions 5]
+[--base TREE]`` prints one JSON line. Direct and proxied loops alternate within
+the run; each figure is the median of the repetitions with the least and the
+greatest beside it. ``--base`` names a source tree whose proxy is measured too.
+"""
+
+import functools
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import asdict
+from datetime import timedelta
+from statistics import median
+
+import anyio
+import fire
+import msgspec
+
+from goldcrestpond.settings.address import Address
+
+from .bench_site import GROUP, BenchSite, run_bench_site
+from .closed_loop import LoopResult, open_callers, run_closed_loop
+from .raw_caller import query_frame
+
+_WARM_UP = timedelta(seconds=0.5)
+_UVLOOP = {"use_uvloop": True}
+
+Target = tuple[str, Address, BenchSite]
+
+
+def measure(
+    callers: int = 1,
+    duration_s: float = 2.0,
+    repetitions: int = 5,
+    sql: str = "SELECT 1",
+    base: str = "",
+) -> None:
+    """Measure and print one JSON line."""
+    with ExitStack() as stack:
+        site = stack.enter_context(run_bench_site())
+        targets = [("direct", site.direct, site), ("proxy", site.through, site)]
+        if base:
+            other = stack.enter_context(run_bench_site(base))
+            targets.append(("base", other.through, other))
+        run = functools.partial(
+            _measure, targets, callers, timedelta(seconds=duration_s), repetitions, sql
+        )
+        results = anyio.run(run, backend_options=_UVLOOP)
+    figures = {name: _summary(each) for name, each in results.items()}
+    report = {"bench": "hot_path", "callers": callers, "sql": sql, **figures}
+    report["added_p50_ms"] = _added(results, lambda result: result.p50_ms)
+    report["added_p99_ms"] = _added(results, lambda result: result.p99_ms)
+    print(msgspec.json.encode(report).decode())
+
+
+async def _measure(
+    targets: list[Target],
+    callers: int,
+    duration: timedelta,
+    repetitions: int,
+    sql: str,
+) -> dict[str, list[LoopResult]]:
+    frame = query_frame(sql)
+    results: dict[str, list[LoopResult]] = {name: [] for name, _, _ in targets}
+    opened = {
+        name: await open_callers(address, GROUP, callers)
+        for name, address, _ in targets
+    }
+    for repetition in range(repetitions + 1):
+        for name, _, site in targets:
+            processes = {"standin": site.databases, "proxy": site.proxy}
+            length = duration if repetition else _WARM_UP
+            result = await run_closed_loop(opened[name], frame, length, processes)
+            if repetition:
+                results[name].append(result)
+    return results
+
+
+def _summary(results: list[LoopResult]) -> dict[str, object]:
+    figures = [asdict(result) for result in results]
+    summary: dict[str, object] = {}
+    for key in ("statements_per_s", "p50_ms", "p99_ms"):
+        values = [each[key] for each in figures]
+        summary[key] = _spread(values)
+    for process in figures[0]["cpu_us"]:
+        values = [each["cpu_us"][process] for each in figures]
+        summary[f"{process}_cpu_us"] = _spread(values)
+    return summary
+
+
+def _spread(values: list[float]) -> dict[str, float]:
+    return {"median": median(values), "least": min(values), "greatest": max(values)}
+
+
+def _added(
+    results: dict[str, list[LoopResult]], figure: Callable[[LoopResult], float]
+) -> float:
+    pairs = zip(results["proxy"], results["direct"], strict=True)
+    return round(median(figure(one) - figure(other) for one, other in pairs), 4)
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
--- /dev/null
+++ b/bench/raw_caller.py
@@ -0,0 +1,59 @@
+"""A caller that costs little: ready-made frames over a socket."""
+
+import anyio
+from anyio.abc import SocketStream
+from pygwire.messages import Query, StartupMessage
+
+from goldcrestpond.settings.address import Address
+
+_RECEIVE_BYTES = 65536
+_READY = b"Z\x00\x00\x00\x05I"
+_ERROR = b"E"
+
+
+class RawCaller:
+    """One connection that repeats a simple query.
+
+    Parameters
+    ----------
+    stream : SocketStream
+        The connection.
+    """
+
+    __slots__ = ("_stream",)
+
+    def __init__(self, stream: SocketStream):
+        self._stream = stream
+
+    async def request(self, frame: bytes) -> None:
+        """Send a frame and read to the end of its answer.
+
+        Raises
+        ------
+        RuntimeError
+            If the answer is an error.
+        """
+        await self._stream.send(frame)
+        answer = await self._stream.receive(_RECEIVE_BYTES)
+        while not answer.endswith(_READY):
+            answer += await self._stream.receive(_RECEIVE_BYTES)
+        if answer.startswith(_ERROR):
+            raise RuntimeError(answer)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
+async def open_caller(address: Address, database: str) -> RawCaller:
+    """Connect and start a session, retrying while there is no primary yet."""
+    stream = await anyio.connect_tcp(address.host, address.port)
+    caller = RawCaller(stream)
+    startup = StartupMessage({"user": "bench", "database": database}).to_wire()
+    await caller.request(startup)
+    return caller
+
+
+def query_frame(sql: str) -> bytes:
+    """Return the frame of a simple query."""
+    return Query(sql).to_wire()
