Replace a primary that is cut off from its replicas, and follow at once

A primary cut off from its replicas answered every poll, so nobody replaced it. After a promotion the other replica followed more than 1,100 ms later: a poll sent after the promote statement, but answered before it took effect, hid the new primary from the view, so the promoter found nobody to follow. Change: a primary whose entries wait for 400 ms while its replicas receive nothing is replaced by one of them; an unfenced status of a term is newer than a fenced one; the promoter makes the others follow whom it promoted.

--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -27,6 +27,7 @@
 from ..term.floor_request import FloorRequest
 from ..term.group_view import GroupView
 from ..term.primary_view import PrimaryView
+from ..term.replication_stall import ReplicationStall
 from ..term.status_sample import StatusSample
 from ..term.verdict import Verdict
 from .group_monitor_control import GroupControl
@@ -43,6 +44,9 @@
 PRIMARY_LIFETIME = timedelta(seconds=5)
 
 
+_UNUSABLE = (Verdict.DEAD, Verdict.STALLED)
+
+
 class GroupMonitor:
     """Primary, confirmations, floors and replicas of one group.
 
@@ -82,6 +86,7 @@
         "_open_connection",
         "_pollers",
         "_router",
+        "_stall",
         "_view",
     )
 
@@ -105,6 +110,7 @@
         self._view = GroupView(self._addresses)
         self._confirmations = ConfirmationQueue()
         self._floors = FloorQueue()
+        self._stall = ReplicationStall()
         self._events: dict[Confirmation | FloorRequest, anyio.Event] = {}
         self._detector: FailureDetector | None = None
         self._changed = Wakeup()
@@ -142,7 +148,7 @@
         return GroupKeeper(
             self._view,
             promoter,
-            Followers(self._view, control),
+            Followers(self._view, control, self._clock),
             record,
             identity,
             platform,
@@ -186,7 +192,7 @@
         """
         sample = self._view.primary()
         verified = self._view.verified_sample()
-        if sample is None or verified is None or self._verdict() is Verdict.DEAD:
+        if sample is None or verified is None or self._verdict() in _UNUSABLE:
             return None
         if self._clock.now() - verified.sampled_after > PRIMARY_LIFETIME:
             return None
@@ -339,7 +345,9 @@
         if not self._view.observe(sample):
             return
         self._judge_sample(sample)
-        self._router.observe(sample, self._clock.now())
+        now = self._clock.now()
+        self._router.observe(sample, now)
+        self._stall.observe(self._view, now)
         self._settle()
         self._changed.set()
 
@@ -368,7 +376,11 @@
     def _verdict(self) -> Verdict:
         if self._detector is None:
             return Verdict.SUSPECT
-        return self._detector.verdict(self._clock.now())
+        now = self._clock.now()
+        verdict = self._detector.verdict(now)
+        if verdict is not Verdict.DEAD and self._stall.is_stalled(self._view, now):
+            return Verdict.STALLED
+        return verdict
 
     def _settle(self) -> None:
         now = self._clock.now()
--- a/goldcrestpond/endpoint/group_monitor_keeper.py
+++ b/goldcrestpond/endpoint/group_monitor_keeper.py
@@ -26,7 +26,7 @@
 REVIEW_INTERVAL = timedelta(seconds=120)
 RECORD_SPREAD_S = 1.0  # holders that see the same gap do not write at once
 RECORD_RETRY = timedelta(seconds=2)
-FOLLOW_CHECK = timedelta(milliseconds=500)
+FOLLOW_CHECK = timedelta(milliseconds=200)
 
 _logger = logging.getLogger(__name__)
 
@@ -161,17 +161,21 @@
         self._own_term = promotion.term
         self._demand()
         others = [n for n in self._view.databases if n != promotion.candidate]
-        await self._followers.settle(others)
+        await self._followers.settle(others, promotion.term, promotion.candidate)
         self._demand()
 
     # Followers
 
     async def _keep_followers(self) -> None:
         while True:
-            due = self._followers.due(self._clock.now())
-            if due:
-                await self._followers.settle(due)
-                self._demand()
+            primary = self._view.primary()
+            if primary is not None:
+                term, name = primary.status.term, primary.status.database
+                is_own = term == self._own_term
+                due = self._followers.due(self._clock.now(), is_own_term=is_own)
+                if due:
+                    await self._followers.settle(due, term, name)
+                    self._demand()
             await anyio.sleep(FOLLOW_CHECK.total_seconds())
 
     # Record
--- a/goldcrestpond/endpoint/group_monitor_promoter.py
+++ b/goldcrestpond/endpoint/group_monitor_promoter.py
@@ -95,6 +95,9 @@
             return None
         self._note("promotion_started", term=term, reason=reason.value)
         preferred = ""
+        excluded = ""
+        if reason is SuccessionReason.STALLED:
+            excluded = self._primary_name()
         with anyio.move_on_after(_seconds(PROMOTION_LIMIT)):
             if reason is SuccessionReason.DRAIN:
                 preferred = await self._prepare_switch(term, avoided)
@@ -106,6 +109,7 @@
             self._promoter,
             preferred=preferred,
             avoided=avoided,
+            excluded=excluded,
         )
         with anyio.move_on_after(_seconds(PROMOTION_LIMIT)):
             await self._fence(promotion)
--- a/goldcrestpond/term/group_view.py
+++ b/goldcrestpond/term/group_view.py
@@ -113,6 +113,27 @@
             return None
         return LogPosition(term, held[replicas_needed - 1])
 
+    def replicated_position(self) -> int:
+        """Return the position that a majority held when it was last asked.
+
+        It serves to notice progress and, unlike ``confirmed_position``, takes
+        evidence of any age and a replica without an entry of the term.
+        """
+        primary = self.primary()
+        if primary is None:
+            return 0
+        term = primary.status.term
+        held = [
+            sample.status.position
+            for sample in self._samples.values()
+            if sample is not primary and sample.status.term == term
+        ]
+        held.sort(reverse=True)
+        needed = self._majority - 1
+        if needed == 0:
+            return primary.status.position
+        return held[needed - 1] if len(held) >= needed else 0
+
     def verified_sample(self) -> VerifiedSample | None:
         """Return the newest primary position that a majority vouches for.
 
@@ -138,8 +159,13 @@
         return VerifiedSample(LogPosition(term, primary.status.position), sampled_after)
 
 
-def _order(sample: StatusSample) -> tuple[int, timedelta]:
-    return sample.status.term, sample.sent_at
+def _order(sample: StatusSample) -> tuple[int, bool, timedelta]:
+    """Return what orders the samples of one database.
+
+    The fence of a term ends once, so an unfenced status of the same term is
+    newer, whatever the order in which polls and control statements were sent.
+    """
+    return sample.status.term, not sample.status.fenced, sample.sent_at
 
 
 def _writes(status: DatabaseStatus) -> bool:
--- a/goldcrestpond/term/promotion.py
+++ b/goldcrestpond/term/promotion.py
@@ -28,11 +28,15 @@
         Database that becomes the primary if none holds more than it.
     avoided : collection of str, default=()
         Databases that become the primary only if they hold more than others.
+    excluded : str, default=""
+        Database that is left out, as if it could not be reached: a primary
+        that is cut off from its replicas may hold more than they do.
     """
 
     __slots__ = (
         "_avoided",
         "_databases",
+        "_excluded",
         "_fenced",
         "_majority",
         "_preferred",
@@ -51,6 +55,7 @@
         *,
         preferred: str = "",
         avoided: Collection[str] = (),
+        excluded: str = "",
     ):
         self.term = term
         self.promoter = promoter
@@ -61,13 +66,18 @@
         self._majority = majority_of(len(self._databases))
         self._preferred = preferred
         self._avoided = frozenset(avoided)
+        self._excluded = excluded
         self._fenced: dict[str, DatabaseStatus] = {}
 
     def databases_to_fence(self) -> list[str]:
         """Return the databases that have not answered the fence."""
         if self.step is not PromotionStep.FENCING:
             return []
-        return [name for name in self._databases if name not in self._fenced]
+        return [
+            name
+            for name in self._databases
+            if name not in self._fenced and name != self._excluded
+        ]
 
     def fence_answered(self, status: DatabaseStatus) -> None:
         """Take in that a database joined the term."""
@@ -76,6 +86,8 @@
         if (status.term, status.promoter) != (self.term, self.promoter):
             self.step = PromotionStep.SUPERSEDED
             return
+        if status.database == self._excluded:
+            return
         self._fenced[status.database] = status
         is_preferred_awaited = self._preferred and self._preferred not in self._fenced
         if len(self._fenced) >= self._majority and not is_preferred_awaited:
--- a/goldcrestpond/term/succession.py
+++ b/goldcrestpond/term/succession.py
@@ -87,6 +87,8 @@
         return SuccessionReason.VACANT if is_known else None
     if verdict is Verdict.DEAD:
         return SuccessionReason.DEAD
+    if verdict is Verdict.STALLED:
+        return SuccessionReason.STALLED
     if view.highest_term() > primary.status.term:
         return SuccessionReason.SPLIT
     return SuccessionReason.DRAIN if is_drained else None
--- a/goldcrestpond/term/verdict.py
+++ b/goldcrestpond/term/verdict.py
@@ -10,9 +10,11 @@
     -------
     ALIVE : it answered last.
     SUSPECT : something failed since; ask again over a fresh connection.
+    STALLED : it answers, but its commits do not reach its replicas.
     DEAD : enough failed; a promotion may start.
     """
 
     ALIVE = auto()
     SUSPECT = auto()
+    STALLED = auto()
     DEAD = auto()
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -40,6 +40,8 @@
     def fence(self, term, promoter):
         if term < self.term or (term == self.term and promoter != self.promoter):
             raise Refused(f"joined {self.term}")
+        if term == self.term and not self.fenced:
+            return self.status()
         self.term = term
         self.promoter = promoter
         self.fenced = True
