--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -29,7 +29,7 @@
 from .update_queue import UpdateQueue
 
 MESSAGE_BYTES = 64
-UPDATE_BYTES = 72
+UPDATE_BYTES = 76
 SYNC_DATAGRAMS = 4
 _ID_BITS = 64
 _SEEDS_DRAWN = 16
--- /dev/null
+++ b/goldcrestpond/peer/distribution_codec.py
@@ -0,0 +1,108 @@
+"""Messages that spread the configuration to and from Cap'n Proto structs."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from ..configuration.configuration_delta import ConfigurationDelta
+from ..configuration.configuration_snapshot import ConfigurationSnapshot
+from ..configuration.configuration_state import ConfigurationUpdate
+from ..configuration.revision_count import RevisionCount
+from ..distribution.force_claim import ForceClaim
+from ..distribution.force_report import ForceReport
+from ..distribution.revision_notice import RevisionNotice
+from ..distribution.update_answer import UpdateAnswer
+from ..distribution.update_request import UpdateRequest
+
+_COUNT_LIMIT = 64
+
+_encoder = msgspec.msgpack.Encoder()
+_delta_decoder = msgspec.msgpack.Decoder(ConfigurationDelta)
+_snapshot_decoder = msgspec.msgpack.Decoder(ConfigurationSnapshot)
+
+
+def write_revision_notice(envelope: Any, notice: RevisionNotice) -> None:
+    """Fill the envelope with a revision."""
+    envelope.init("revisionNotice").revision = notice.revision
+
+
+def read_revision_notice(sender_id: int, body: Any) -> RevisionNotice:
+    """Return the revision of an envelope."""
+    return RevisionNotice(sender_id, body.revision)
+
+
+def write_update_request(envelope: Any, request: UpdateRequest) -> None:
+    """Fill the envelope with a request for an update."""
+    out = envelope.init("updateRequest")
+    out.afterRevision = request.after_revision
+    out.epoch = request.epoch
+
+
+def read_update_request(sender_id: int, body: Any) -> UpdateRequest:
+    """Return the request for an update of an envelope."""
+    return UpdateRequest(sender_id, body.afterRevision, body.epoch)
+
+
+def write_update_answer(envelope: Any, answer: UpdateAnswer) -> None:
+    """Fill the envelope with an update."""
+    out = envelope.init("updateAnswer")
+    out.epoch = answer.epoch
+    out.revision = answer.revision
+    if isinstance(answer.update, ConfigurationDelta):
+        out.update.delta = _encoder.encode(answer.update)
+    elif isinstance(answer.update, ConfigurationSnapshot):
+        out.update.snapshot = _encoder.encode(answer.update)
+
+
+def read_update_answer(sender_id: int, body: Any) -> UpdateAnswer:
+    """Return the update of an envelope."""
+    update = _read_update(body.update)
+    return UpdateAnswer(sender_id, body.epoch, body.revision, update)
+
+
+def write_force_report(envelope: Any, report: ForceReport) -> None:
+    """Fill the envelope with a report."""
+    out = envelope.init("forceReport")
+    out.idSum = report.id_sum
+    _write_counts(out, report.counts)
+
+
+def read_force_report(sender_id: int, body: Any) -> ForceReport:
+    """Return the report of an envelope."""
+    return ForceReport(sender_id, body.idSum, _read_counts(body.counts))
+
+
+def write_force_claim(envelope: Any, claim: ForceClaim) -> None:
+    """Fill the envelope with a claim."""
+    out = envelope.init("forceClaim")
+    out.rootId = claim.root_id
+    out.number = claim.number
+    _write_counts(out, claim.counts)
+
+
+def read_force_claim(sender_id: int, body: Any) -> ForceClaim:
+    """Return the claim of an envelope."""
+    return ForceClaim(sender_id, body.rootId, body.number, _read_counts(body.counts))
+
+
+def _read_update(union: Any) -> ConfigurationUpdate | None:
+    match str(union.which()):
+        case "delta":
+            return _delta_decoder.decode(union.delta)
+        case "snapshot":
+            return _snapshot_decoder.decode(union.snapshot)
+    return None
+
+
+def _write_counts(out: Any, counts: list[RevisionCount]) -> None:
+    slots = out.init("counts", len(counts))
+    for slot, count in zip(slots, counts, strict=True):
+        slot.revision = count.revision
+        slot.instanceCount = count.instance_count
+
+
+def _read_counts(slots: Sequence[Any]) -> list[RevisionCount]:
+    if len(slots) > _COUNT_LIMIT:
+        raise ValueError("too many counts")
+    return [RevisionCount(slot.revision, slot.instanceCount) for slot in slots]
--- /dev/null
+++ b/goldcrestpond/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto schemas, loaded at run time."""
