--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -1,6 +1,5 @@
 """Carries out changes of resources in the platform's table."""
 
-import hashlib
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -9,12 +8,18 @@
 import msgspec
 
 from ..clock.clock import Clock
+from ..configuration.change_batch import change_batch, request_digest
 from ..configuration.change_plan import ChangePlan
 from ..configuration.change_request import ChangeRequest
 from ..configuration.configuration_change import ConfigurationChange
 from ..configuration.keys import CONFIGURATION_PREFIX
 from ..configuration.plan_change import plan_change
 from ..configuration.resource_table import ResourceTable
+from ..configuration.stored_outcome import (
+    StoredOutcome,
+    outcome_key,
+    outcome_resource,
+)
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..platform.condition import Condition
@@ -25,12 +30,6 @@
 from .change_attempts import ChangeAttempts
 from .change_outcome import ChangeOutcome
 from .outcome_cleaner import OutcomeCleaner
-from .stored_outcome import (
-    StoredOutcome,
-    encode_outcome,
-    outcome_key,
-    outcome_resource,
-)
 
 # An operator waits this long for a change before its outcome counts as unknown.
 DEFAULT_PATIENCE = timedelta(seconds=10)
@@ -172,27 +171,20 @@
         if row is None or row.value is None:
             return None
         stored = msgspec.json.decode(row.value, type=StoredOutcome)
-        if stored.digest != _digest(attempts.request):
+        if stored.digest != request_digest(attempts.request):
             detail = "the idempotency key belongs to another request"
             raise CodedError(ResultCode.IDEMPOTENCY_MISMATCH, detail)
         return ChangeOutcome(stored.action, outcome_resource(stored, row.revision))
 
     async def _write(self, attempts: ChangeAttempts, plan: ChangePlan) -> ChangeOutcome:
-        request = attempts.request
-        resource_write, *guard_writes = plan.writes
-        conditions = [
-            Condition(write.key, write.expected_revision) for write in plan.writes
-        ]
-        conditions.append(Condition(outcome_key(attempts.key), 0))
-        outcome = encode_outcome(_digest(request), request.action, plan.resource)
-        writes = [Write(resource_write.key, resource_write.value)]
-        writes.append(Write(outcome_key(attempts.key), outcome))
-        writes += [Write(write.key, write.value) for write in guard_writes]
+        batch = change_batch(attempts.request, plan, attempts.key)
+        conditions = [Condition(write.key, write.expected_revision) for write in batch]
+        writes = [Write(write.key, write.value) for write in batch]
         attempts.may_have_taken_effect = True
         last_revision = await self._platform.batch(conditions, writes)
-        version = last_revision - len(writes) + 1
+        version = last_revision - len(batch) + 1
         resource = msgspec.structs.replace(plan.resource, resource_version=version)
-        return ChangeOutcome(request.action, resource)
+        return ChangeOutcome(attempts.request.action, resource)
 
     async def _after_write(self) -> None:
         self._on_written()
@@ -212,7 +204,3 @@
     if isinstance(error, PlatformConflict):
         return True
     return error.code is ResultCode.PLATFORM_UNAVAILABLE
-
-
-def _digest(request: ChangeRequest) -> str:
-    return hashlib.sha256(msgspec.json.encode(request, order="sorted")).hexdigest()
--- a/goldcrestpond/api/outcome_cleaner.py
+++ b/goldcrestpond/api/outcome_cleaner.py
@@ -1,11 +1,11 @@
 """Keeps the number of stored outcomes bounded."""
 
+from ..configuration.stored_outcome import OUTCOME_PREFIX
 from ..errors.coded_error import CodedError
 from ..platform.condition import Condition
 from ..platform.platform import Platform
 from ..platform.read_all_changes import read_all_changes
 from ..platform.write import Write
-from .stored_outcome import OUTCOME_PREFIX
 
 # A few hours of changes at 28,000 a day.
 DEFAULT_KEPT_COUNT = 4096
--- /dev/null
+++ b/goldcrestpond/configuration/change_batch.py
@@ -0,0 +1,34 @@
+"""The batch of a planned change, with its outcome under a key."""
+
+import hashlib
+
+import msgspec
+
+from .change_plan import ChangePlan
+from .change_request import ChangeRequest
+from .row_write import RowWrite
+from .stored_outcome import encode_outcome, outcome_key
+
+
+def change_batch(
+    request: ChangeRequest, plan: ChangePlan, idempotency_key: str
+) -> list[RowWrite]:
+    """Return the writes of a change, to be made as one batch.
+
+    The outcome's row must not exist yet: of all attempts with the same key,
+    one takes effect.
+
+    Returns
+    -------
+    list of RowWrite
+        The resource's row, its outcome, and the guards.
+    """
+    resource_write, *guard_writes = plan.writes
+    value = encode_outcome(request_digest(request), request.action, plan.resource)
+    outcome_write = RowWrite(outcome_key(idempotency_key), value, 0)
+    return [resource_write, outcome_write, *guard_writes]
+
+
+def request_digest(request: ChangeRequest) -> str:
+    """Return a digest that tells requests apart."""
+    return hashlib.sha256(msgspec.json.encode(request, order="sorted")).hexdigest()
--- a/goldcrestpond/configuration/configuration_state.py
+++ b/goldcrestpond/configuration/configuration_state.py
@@ -1,5 +1,6 @@
 """What one instance knows of the configuration, and whether it may rely on it."""
 
+import random
 from datetime import timedelta
 
 from .configuration_change import ConfigurationChange
@@ -13,6 +14,7 @@
 PAUSE_LIMIT = timedelta(seconds=2)
 # Changes kept for deltas; a holder that misses more gets a snapshot.
 LOG_LIMIT = 1024
+_EPOCH_BITS = 48
 
 
 class ConfigurationState:
@@ -26,14 +28,17 @@
     ----------
     now : timedelta
         Monotonic reading.
+    rng : random.Random
+        Source of the first epoch, seeded differently in each process: an
+        answer to a former process at the same address does not confirm.
 
     Attributes
     ----------
     revision : int
         Revision of the newest change held; 0 for none.
     epoch : int
-        Count of starts and pauses; a question carries it, and its answer
-        confirms only if the epoch is still the same.
+        Number of the time since the start or the last pause; a question
+        carries it, and its answer confirms only if it is still the same.
     is_confirmed : bool
         True if the revision may be served and given to peers.
     """
@@ -48,9 +53,9 @@
         "revision",
     )
 
-    def __init__(self, now: timedelta):
+    def __init__(self, now: timedelta, rng: random.Random):
         self.revision = 0
-        self.epoch = 1
+        self.epoch = rng.getrandbits(_EPOCH_BITS)
         self.is_confirmed = False
         self._last_seen = now
         self._rows: dict[str, ConfigurationChange] = {}
@@ -73,25 +78,36 @@
             self.is_confirmed = False
         self._last_seen = now
 
-    def confirm(self, epoch: int) -> bool:
-        """Take an answer of the table or of a confirmed peer as confirmation.
-
-        Call it after the answer's changes were applied.
+    def handle_answer(
+        self,
+        epoch: int,
+        revision: int,
+        update: ConfigurationUpdate | None,
+        is_confirmed: bool,
+    ) -> bool:
+        """Take the answer of the table or of a peer to a question.
 
         Parameters
         ----------
         epoch : int
             Epoch at which the question was asked.
+        revision : int
+            Revision of the answerer. It may have chosen the update for a
+            former process at this address, which knew more.
+        update : ConfigurationDelta or ConfigurationSnapshot or None
+            What leads this state to the answerer's; None if it needs nothing.
+        is_confirmed : bool
+            True for the table, or if the peer was confirmed when it answered.
 
         Returns
         -------
         bool
-            True if the state is confirmed now and was not before.
+            True if the revision moved.
         """
-        if epoch != self.epoch or self.is_confirmed:
-            return False
-        self.is_confirmed = True
-        return True
+        has_moved = update is not None and self.apply(update)
+        if is_confirmed and self.revision >= revision:
+            self._confirm(epoch)
+        return has_moved
 
     def apply(self, update: ConfigurationUpdate) -> bool:
         """Move to the update's revision if it is higher and has no gap.
@@ -151,3 +167,7 @@
     def _drop_oldest_logged(self) -> None:
         oldest_key = next(iter(self._log))
         self._log_floor = self._log.pop(oldest_key).revision
+
+    def _confirm(self, epoch: int) -> None:
+        if epoch == self.epoch:
+            self.is_confirmed = True
--- a/goldcrestpond/api/stored_outcome.py
+++ b/goldcrestpond/configuration/stored_outcome.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from ..configuration.change_action import ChangeAction
-from ..configuration.kind import Kind
-from ..configuration.resource import SPEC_TYPES, Resource
+from .change_action import ChangeAction
+from .kind import Kind
+from .resource import SPEC_TYPES, Resource
 
 OUTCOME_PREFIX = "idempotency/"
 
--- a/goldcrestpond/platform/configuration_source.py
+++ b/goldcrestpond/platform/configuration_source.py
@@ -21,6 +21,7 @@
 from ..configuration.reading import FAST_INTERVAL, read_interval, unconfirmed_interval
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from .changes import Changes
 from .platform import Platform
 from .read_all_changes import read_all_changes
 
@@ -89,7 +90,7 @@
         self._instance = instance
         self._live_instances = live_instances
         self._known_count = known_count
-        self._state = ConfigurationState(clock.now())
+        self._state = ConfigurationState(clock.now(), rng)
         self._builder = ConfigurationBuilder()
         self._configuration = Configuration()
         self._cursor = 0
@@ -132,9 +133,30 @@
         self._publish()
         return True
 
-    def confirm(self, epoch: int) -> None:
-        """Note that a question asked at ``epoch`` was answered as a whole."""
-        if self.state.confirm(epoch):
+    def handle_answer(
+        self,
+        epoch: int,
+        revision: int,
+        update: ConfigurationUpdate | None,
+        is_confirmed: bool,
+    ) -> None:
+        """Take the answer of the table or of a peer to a question.
+
+        Parameters
+        ----------
+        epoch : int
+            ``state.epoch`` when the question was asked.
+        revision : int
+            ``state.revision`` of the answerer.
+        update : ConfigurationDelta or ConfigurationSnapshot or None
+            What the answerer's ``state.update_after`` gave.
+        is_confirmed : bool
+            True for the table, or if the peer's state was confirmed.
+        """
+        was_confirmed = self.is_confirmed
+        if self._state.handle_answer(epoch, revision, update, is_confirmed):
+            self._publish()
+        elif self._state.is_confirmed and not was_confirmed:
             self._notify()
 
     def request_read(self) -> None:
@@ -216,14 +238,9 @@
             self._reads_in_flight -= 1
         self._note_reachable(True, "")
         self._cursor = max(self._cursor, changes.revision)
-        if changes.rows:
-            rows = [
-                ConfigurationChange(row.key, row.revision, row.value)
-                for row in changes.rows
-            ]
-            newest = changes.rows[-1].revision
-            self.apply(ConfigurationDelta(base_revision, newest, rows))
-        self.confirm(epoch)
+        delta = _to_delta(base_revision, changes)
+        newest = base_revision if delta is None else delta.revision
+        self.handle_answer(epoch, newest, delta, True)
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
         if reachable == self._store_reachable:
@@ -250,3 +267,12 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
+
+
+def _to_delta(base_revision: int, changes: Changes) -> ConfigurationDelta | None:
+    if not changes.rows:
+        return None
+    rows = [
+        ConfigurationChange(row.key, row.revision, row.value) for row in changes.rows
+    ]
+    return ConfigurationDelta(base_revision, changes.rows[-1].revision, rows)
