Run the programs on uvloop with io_uring off

Cause: the event loop's share of a statement. Ruled out: gains at one caller, where waiting dominates. Change: one place starts the loop; libuv's io_uring is switched off.

--- a/goldcrestpond/cli/run_program.py
+++ b/goldcrestpond/cli/run_program.py
@@ -11,6 +11,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.exit_status import exit_status
+from .event_loop import run_event_loop
 
 
 def run_commands(commands: Any) -> None:
@@ -36,7 +37,7 @@
     """
     logging.basicConfig(level=logging.INFO, stream=sys.stderr)
     try:
-        anyio.run(_run_until_signal, main)
+        run_event_loop(_run_until_signal, main)
     except BaseExceptionGroup as group:
         raise _first_coded_error(group) from group
 
