--- a/goldcrestpond/term/group_view.py
+++ b/goldcrestpond/term/group_view.py
@@ -26,12 +26,23 @@
         reachable or not.
     """
 
-    __slots__ = ("_majority", "_samples", "databases")
+    __slots__ = (
+        "_first_open_term",
+        "_majority",
+        "_primary",
+        "_samples",
+        "_verified",
+        "databases",
+    )
 
     def __init__(self, databases: Iterable[str]):
         self.databases = tuple(databases)
         self._majority = majority_of(len(self.databases))
         self._samples: dict[str, StatusSample] = {}
+        # Requests ask far more often than statuses change.
+        self._first_open_term = 0
+        self._primary: StatusSample | None = None
+        self._verified: VerifiedSample | None = None
 
     @property
     def majority(self) -> int:
@@ -51,6 +62,9 @@
         if known is not None and _order(sample) < _order(known):
             return False
         self._samples[database] = sample
+        self._first_open_term = self._find_first_open_term()
+        self._primary = self._find_primary()
+        self._verified = self._find_verified_sample()
         return True
 
     def sample(self, database: str) -> StatusSample | None:
@@ -71,21 +85,11 @@
         A majority that has joined a term shuts out all lower terms. A primary
         exists only after such a majority, seen from here or not.
         """
-        terms = [s.status.term for s in self._samples.values()]
-        terms.extend([0] * (len(self.databases) - len(terms)))
-        terms.sort(reverse=True)
-        primary_terms = (
-            s.status.term for s in self._samples.values() if _writes(s.status)
-        )
-        return max(terms[self._majority - 1], max(primary_terms, default=0))
+        return self._first_open_term
 
     def primary(self) -> StatusSample | None:
         """Return the sample of the primary that is not known to be replaced."""
-        first = self.first_open_term()
-        for sample in self._samples.values():
-            if _writes(sample.status) and sample.status.term >= first:
-                return sample
-        return None
+        return self._primary
 
     def confirmed_position(self, now: timedelta) -> LogPosition | None:
         """Return the highest position that a majority holds in its term.
@@ -140,6 +144,25 @@
         No later term had taken a write at ``sampled_after``: it would have
         needed a fence of a majority, one of which was still in this term.
         """
+        return self._verified
+
+    def _find_first_open_term(self) -> int:
+        terms = [s.status.term for s in self._samples.values()]
+        terms.extend([0] * (len(self.databases) - len(terms)))
+        terms.sort(reverse=True)
+        primary_terms = (
+            s.status.term for s in self._samples.values() if _writes(s.status)
+        )
+        return max(terms[self._majority - 1], max(primary_terms, default=0))
+
+    def _find_primary(self) -> StatusSample | None:
+        for sample in self._samples.values():
+            is_open = sample.status.term >= self._first_open_term
+            if _writes(sample.status) and is_open:
+                return sample
+        return None
+
+    def _find_verified_sample(self) -> VerifiedSample | None:
         primary = self.primary()
         if primary is None:
             return None
