Drop the work at a replaced primary at once

Change: the monitor tells once that a primary can have nothing confirmed any more; its pool closes every connection and refuses what waits, which then goes to the next primary. In flight means outcome unknown, as before.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -183,6 +183,12 @@
             self._term = term
             self._apply(self._decisions.set_term(term, self._clock.now()))
 
+    def supersede(self, term: int) -> None:
+        """Drop all work: the database is the primary no longer."""
+        self._term = max(self._term, term)
+        self._open_failure = "the primary was replaced"
+        self._apply(self._decisions.supersede(term, self._clock.now()))
+
     def set_limits(self, share: int, slot_limit: int) -> None:
         """Take newly granted limits of connections and slots."""
         now = self._clock.now()
--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -1,7 +1,7 @@
 """Watches one database group on behalf of one proxy."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 
 import anyio
@@ -47,9 +47,19 @@
 _UNUSABLE = (Verdict.DEAD, Verdict.STALLED)
 
 
+def _ignore_replaced(database: str, term: int) -> None:
+    """Do nothing about a replaced primary."""
+
+
 class GroupMonitor:
     """Primary, confirmations, floors and replicas of one group.
 
+    Attributes
+    ----------
+    on_replaced : callable
+        Receives ``(database, term)`` once the former primary ``database`` can
+        have nothing confirmed any more, since a majority has joined ``term``.
+
     Parameters
     ----------
     group : str
@@ -88,6 +98,8 @@
         "_router",
         "_stall",
         "_view",
+        "_watched",
+        "on_replaced",
     )
 
     def __init__(
@@ -111,6 +123,8 @@
         self._confirmations = ConfirmationQueue()
         self._floors = FloorQueue()
         self._stall = ReplicationStall()
+        self._watched: DatabaseStatus | None = None
+        self.on_replaced: Callable[[str, int], None] = _ignore_replaced
         self._events: dict[Confirmation | FloorRequest, anyio.Event] = {}
         self._detector: FailureDetector | None = None
         self._changed = Wakeup()
@@ -345,12 +359,23 @@
         if not self._view.observe(sample):
             return
         self._judge_sample(sample)
+        self._watch_primary()
         now = self._clock.now()
         self._router.observe(sample, now)
         self._stall.observe(self._view, now)
         self._settle()
         self._changed.set()
 
+    def _watch_primary(self) -> None:
+        watched = self._watched
+        first_term = self._view.first_open_term()
+        if watched is not None and watched.term < first_term:
+            self.on_replaced(watched.database, first_term)
+            self._watched = None
+        primary = self._view.primary()
+        if primary is not None:
+            self._watched = primary.status
+
     def _judge_sample(self, sample: StatusSample) -> None:
         primary = self._view.primary()
         if primary is None:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -257,6 +257,17 @@
                 actions += self._retire(connection, "term superseded", now)
         return actions + self._schedule(now)
 
+    def supersede(self, term: int, now: timedelta) -> list[PoolAction]:
+        """Drop all work: the database was the primary of a term before ``term``.
+
+        Nothing that still runs there can be acknowledged, and what waits is to
+        go to the next primary.
+        """
+        actions: list[PoolAction] = self.close_all("primary replaced", now)
+        self._term = max(self._term, term)
+        code = ResultCode.ENDPOINT_UNREACHABLE
+        return actions + self._queues.refuse_all(code, timedelta(0))
+
     def leave(self, now: timedelta) -> list[PoolAction]:
         """Refuse new work; what runs may end, idle connections are closed."""
         self._leaving = True
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -42,6 +42,7 @@
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
         self._term = 0
+        monitor.on_replaced = self._drop_replaced
 
     async def ensure_floor(
         self, declarations: Declarations, deadline: timedelta
@@ -144,6 +145,11 @@
             self._pools[database] = pool
         return pool
 
+    def _drop_replaced(self, database: str, term: int) -> None:
+        pool = self._pools.get(database)
+        if pool is not None:
+            pool.supersede(term)
+
     def _raise_term(self, term: int) -> None:
         if term <= self._term:
             return
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -216,6 +216,19 @@
     run_with(monitor, act)
 
 
+def test_replaced_primary_is_told_once(monitor, databases, endpoints):
+    replaced = []
+    monitor.on_replaced = lambda database, term: replaced.append((database, term))
+
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.refusing.add("a")
+        last = await write_confirmed(monitor, endpoints, "y")
+        assert_that(replaced, Equals([("a", last.term)]))
+
+    run_with(monitor, act)
+
+
 def test_drained_primary_hands_over(monitor, databases, endpoints):
     async def act():
         await write_confirmed(monitor, endpoints, "x")
