--- a/bench/child_process.py
+++ b/bench/child_process.py
@@ -64,7 +64,7 @@
         file.write(msgspec.json.encode(settings))
         file.flush()
         command = [str(_BIN / program), *arguments, "--settings", file.name]
-        environment = {**os.environ, "UV_USE_IO_URING": "0"}
+        environment = dict(os.environ)
         if root:
             environment["PYTHONPATH"] = root
         process = subprocess.Popen(
--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -24,7 +24,6 @@
 from .raw_caller import query_frame
 
 _WARM_UP = timedelta(seconds=0.5)
-_UVLOOP = {"use_uvloop": True}
 
 Target = tuple[str, Address, BenchSite]
 
@@ -46,7 +45,7 @@
         run = functools.partial(
             _measure, targets, callers, timedelta(seconds=duration_s), repetitions, sql
         )
-        results = anyio.run(run, backend_options=_UVLOOP)
+        results = anyio.run(run)
     figures = {name: _summary(each) for name, each in results.items()}
     report = {"bench": "hot_path", "callers": callers, "sql": sql, **figures}
     report["added_p50_ms"] = _added(results, lambda result: result.p50_ms)
--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -17,7 +17,6 @@
 from .closed_loop import open_callers, run_closed_loop
 from .raw_caller import RawCaller, query_frame
 
-_UVLOOP = {"use_uvloop": True}
 _SETTLE_S = 0.5
 
 
@@ -31,7 +30,7 @@
     with run_bench_site() as site:
         duration = timedelta(seconds=duration_s)
         run = functools.partial(_measure, site, counts, busy, duration, sql)
-        steps = anyio.run(run, backend_options=_UVLOOP)
+        steps = anyio.run(run)
     report = {"bench": "scaling", "busy": busy, "sql": sql, "steps": steps}
     print(msgspec.json.encode(report).decode())
 
