Switch a drained primary within few round trips

Each of its steps opened a connection of its own, and instances that did not promote polled each 200 ms. Change: the promoter opens its connections before it fences and uses them for all steps; a draining primary is polled as often as one in doubt; a fenced primary goes on sending what it wrote, so the candidate catches up. A poll refused for want of connections shows that the database lives.

--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -164,6 +164,7 @@
             promoter,
             Followers(self._view, control, self._clock),
             record,
+            control,
             identity,
             platform,
             self._clock,
@@ -458,7 +459,10 @@
         return primary is None or primary.status.database != database
 
     def _is_suspect(self) -> bool:
-        return self._verdict() is not Verdict.ALIVE
+        if self._verdict() is not Verdict.ALIVE:
+            return True
+        primary = self._view.primary()
+        return primary is not None and primary.status.database in self._keeper.draining
 
     def _choice(self, database: str | None) -> ReplicaChoice | None:
         primary = self._view.primary()
--- a/goldcrestpond/endpoint/group_monitor_control.py
+++ b/goldcrestpond/endpoint/group_monitor_control.py
@@ -19,10 +19,11 @@
 
 
 class GroupControl:
-    """Runs control statements, each over a connection of its own.
+    """Runs control statements over connections of one promotion.
 
     An open connection may have gone silent; a fresh one tells at once whether
-    the database can be reached.
+    the database can be reached. So each promotion opens its own, uses them for
+    all its steps, and its keeper closes them at the end.
 
     Parameters
     ----------
@@ -34,7 +35,7 @@
         Opens a connection.
     """
 
-    __slots__ = ("_addresses", "_login", "_open_connection")
+    __slots__ = ("_addresses", "_idle", "_login", "_open_connection")
 
     def __init__(
         self,
@@ -45,6 +46,13 @@
         self._addresses = addresses
         self._login = login
         self._open_connection = open_connection
+        self._idle: dict[str, EndpointConnection] = {}
+
+    async def aclose(self) -> None:
+        """Close the connections; later statements open others."""
+        while self._idle:
+            _, connection = self._idle.popitem()
+            await connection.aclose()
 
     async def status(self, database: str) -> DatabaseStatus:
         """Ask for the status."""
@@ -78,16 +86,30 @@
         """
         try:
             with anyio.fail_after(CONTROL_LIMIT.total_seconds()):
-                connection = await self._open_connection(
-                    self._addresses[database], self._login
-                )
-                try:
-                    return await ask(connection)
-                finally:
-                    await connection.aclose()
+                return await self._ask(database, ask)
         except TimeoutError as error:
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, database) from error
 
+    async def _ask(
+        self,
+        database: str,
+        ask: Callable[[EndpointConnection], Awaitable[DatabaseStatus]],
+    ) -> DatabaseStatus:
+        connection = self._idle.pop(database, None)
+        if connection is None:
+            address = self._addresses[database]
+            connection = await self._open_connection(address, self._login)
+        try:
+            status = await ask(connection)
+        except BaseException:
+            await connection.aclose()
+            raise
+        replaced = self._idle.pop(database, None)
+        self._idle[database] = connection
+        if replaced is not None:
+            await replaced.aclose()
+        return status
+
 
 def is_term_refusal(error: CodedError) -> bool:
     """Return whether a database refused because of the term that it joined."""
--- a/goldcrestpond/endpoint/group_monitor_keeper.py
+++ b/goldcrestpond/endpoint/group_monitor_keeper.py
@@ -11,10 +11,12 @@
 from ..errors.coded_error import CodedError
 from ..platform.platform import Platform
 from ..term.group_view import GroupView
+from ..term.promotion import Promotion
 from ..term.record_duty import RecordDuty, instance_of, record_duty
 from ..term.succession import Succession
 from ..term.term_start import TermStart
 from ..term.verdict import Verdict
+from .group_monitor_control import GroupControl
 from .group_monitor_followers import Followers
 from .group_monitor_promoter import Promoter
 from .group_monitor_record import GroupRecord
@@ -44,6 +46,8 @@
         Makes databases follow.
     record : GroupRecord
         The group's row.
+    control : GroupControl
+        Connections of the promoter, closed after each promotion.
     identity : str
         Identity of this promoter.
     platform : Platform
@@ -65,6 +69,7 @@
     __slots__ = (
         "_changed",
         "_clock",
+        "_control",
         "_demand",
         "_followers",
         "_identity",
@@ -87,6 +92,7 @@
         promoter: Promoter,
         followers: Followers,
         record: GroupRecord,
+        control: GroupControl,
         identity: str,
         platform: Platform,
         clock: Clock,
@@ -101,6 +107,7 @@
         self._promoter = promoter
         self._followers = followers
         self._record = record
+        self._control = control
         self._identity = identity
         self._platform = platform
         self._clock = clock
@@ -154,10 +161,15 @@
 
     async def _promote(self) -> None:
         reason = self._succession.reason
-        promotion = await self._promoter.promote(reason, self.draining)
-        self._succession.restart(self._clock.now())
-        if promotion is None:
-            return
+        try:
+            promotion = await self._promoter.promote(reason, self.draining)
+            self._succession.restart(self._clock.now())
+            if promotion is not None:
+                await self._introduce(promotion)
+        finally:
+            await self._control.aclose()
+
+    async def _introduce(self, promotion: Promotion) -> None:
         self._own_term = promotion.term
         self._demand()
         others = [n for n in self._view.databases if n != promotion.candidate]
@@ -175,6 +187,7 @@
                 due = self._followers.due(self._clock.now(), is_own_term=is_own)
                 if due:
                     await self._followers.settle(due, term, name)
+                    await self._control.aclose()
                     self._demand()
             await anyio.sleep(FOLLOW_CHECK.total_seconds())
 
--- a/goldcrestpond/endpoint/group_monitor_poller.py
+++ b/goldcrestpond/endpoint/group_monitor_poller.py
@@ -14,6 +14,7 @@
 from ..term.poll_schedule import PollSchedule
 from ..term.status_sample import StatusSample
 from .endpoint_connection import EndpointConnection
+from .endpoint_refusal import EndpointRefusal
 from .group_monitor_wakeup import Wakeup
 from .group_statements import read_status
 from .login import Login
@@ -139,6 +140,10 @@
         except TimeoutError:
             kind = FailureKind.SILENT_FRESH if is_fresh else FailureKind.SILENT
             await self._fail(kind)
+        except EndpointRefusal as error:
+            # The database is alive, for instance without room for connections.
+            _logger.info("group monitor: %s refuses a poll: %s", self.database, error)
+            await self._drop_connection()
         except CodedError as error:
             is_refused = error.code is ResultCode.ENDPOINT_UNREACHABLE
             await self._fail(FailureKind.REFUSED if is_refused else FailureKind.BROKEN)
--- a/goldcrestpond/endpoint/group_monitor_promoter.py
+++ b/goldcrestpond/endpoint/group_monitor_promoter.py
@@ -146,12 +146,25 @@
         if not candidate:
             return ""
         try:
+            await self._open_connections()
             last = await self._control.fence(self._primary_name(), term, self._promoter)
             await self._wait_until_caught_up(candidate, last)
         except CodedError as error:
             _logger.info("group monitor: switch of %s: %s", self._group, error)
         return candidate
 
+    async def _open_connections(self) -> None:
+        """Open all connections while the primary still takes writes."""
+        async with anyio.create_task_group() as tasks:
+            for database in self._view.databases:
+                tasks.start_soon(self._open_one, database)
+
+    async def _open_one(self, database: str) -> None:
+        try:
+            await self._control.status(database)
+        except CodedError as error:
+            _logger.info("group monitor: %s is not reached: %s", database, error)
+
     def _switch_candidate(self, avoided: Collection[str]) -> str:
         primary = self._view.primary()
         if primary is None:
--- a/goldcrestpond/standin/database.py
+++ b/goldcrestpond/standin/database.py
@@ -71,6 +71,7 @@
         self.fenced = False
         self.promoter = ""
         self.term_start_position = 0
+        self.sending_term = 0
         self.source_address = ""
         self.log = [first_entry]
         self.unreplayed: deque[tuple[int, timedelta]] = deque()
@@ -219,6 +220,8 @@
     def fence(self, term: int, promoter: str) -> None:
         """Join ``term`` and stop writing and receiving.
 
+        A primary goes on sending what it wrote in its own term.
+
         Raises
         ------
         DatabaseError
@@ -252,6 +255,7 @@
         self.unreplayed.clear()
         self.term_start_position = len(self.log)
         self.role = Role.PRIMARY
+        self.sending_term = term
         self.fenced = False
         self.source_address = ""
         self.on_change()
@@ -273,6 +277,7 @@
         self._discard_tail(source)
         self.term = term
         self.role = Role.REPLICA
+        self.sending_term = 0
         self.fenced = False
         self.promoter = source.promoter
         self.term_start_position = source.term_start_position
--- a/goldcrestpond/standin/database_group.py
+++ b/goldcrestpond/standin/database_group.py
@@ -59,6 +59,7 @@
             await self._tasks.start(server.run)
         first = self.databases[0]
         first.database.role = Role.PRIMARY
+        first.database.sending_term = first.database.term
         first.database.term_start_position = 1
         for server in self.databases[1:]:
             server.database.follow(1, str(first.address), first.database)
@@ -161,9 +162,9 @@
         if database.fenced or database.role is Role.PRIMARY or not server.is_running:
             return None
         source = self._reachable(server, database.source_address)
-        if source is None or source.database.term != database.term:
+        if source is None or source.database.sending_term != database.term:
             return None
-        return source if source.database.writable else None
+        return source
 
     def _receive(self, server: DatabaseServer, source: DatabaseServer) -> float:
         """Take the entries that are due; return the seconds until the next."""
--- a/tests/fake_connections.py
+++ b/tests/fake_connections.py
@@ -25,6 +25,7 @@
         self.by_port = dict(enumerate(databases.values(), start=1))
         self.refusing = set()
         self.silent = set()
+        self.full = set()
         self.opened = 0
         self.statements = []
 
@@ -46,6 +47,8 @@
         await anyio.sleep(0)
         if database.name in self.refusing:
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, database.name)
+        if database.name in self.full:
+            raise EndpointRefusal("53300", "too many clients")
 
 
 class FakeConnection:
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -206,6 +206,16 @@
     run_with(monitor, act)
 
 
+def test_primary_without_room_is_not_replaced(monitor, databases, endpoints):
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.full.add("a")
+        await anyio.sleep(1)
+        assert_that(databases["a"].term, Equals(1))
+
+    run_with(monitor, act)
+
+
 def test_silent_primary_is_replaced(monitor, databases, endpoints):
     async def act():
         await write_confirmed(monitor, endpoints, "x")
