--- a/goldcrestpond/demo/scenario.py
+++ b/goldcrestpond/demo/scenario.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ..load.failures import fail_primary_once, kill
+from ..load.failures import fail_primary, kill
 from ..load.load_run import LoadRun
 from ..load.scenario import Scenario
 from ..load.scenarios import make_scenarios
@@ -18,7 +18,7 @@
 
 def make_demo_scenario(seed: int) -> Scenario:
     """Return a Palermo load on two proxies whose primary is killed once."""
-    palermo = make_scenarios(seed)["palermo"]
+    palermo = make_scenarios(seed, duration_s=0.0)["palermo"]
     return Scenario(
         site=replace(palermo.site, proxy_count=PROXY_COUNT),
         workload=Workload(roam_share=0.1),
@@ -28,4 +28,4 @@
 
 async def _kill_primary_once(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
     await anyio.sleep(_BEFORE_FAILURE_S)
-    await fail_primary_once(site, run, kill)
+    await fail_primary(site, run, kill)
--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -50,6 +50,8 @@
                 limit_s = math.inf if scenario.ends_itself else duration_s
                 with anyio.move_on_after(limit_s):
                     await scenario.script(site, run, rng)
+                    if not scenario.ends_itself:
+                        await anyio.sleep_forever()
                 await end_faults(site)
                 run.is_over = True
                 sessions.cancel_scope.deadline = anyio.current_time() + _DRAIN_S
