Fail a group over real sockets at every step of a promotion

Change: tests over the stand-ins' sockets: a cut-off primary that goes on accepting, a promoter that dies before or after the effect of each step, a claim whose answers are lost, and a platform outage with and without an issued term. Conclusion: 10 tests pass; no fault was found.

--- /dev/null
+++ b/tests/test_failover_sockets.py
@@ -0,0 +1,271 @@
+"""Failures of a database group over real sockets: monitors and their promises."""
+
+import random
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, Is
+
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.configuration.database_group_spec import DatabaseGroupSpec
+from goldcrestpond.configuration.database_spec import DatabaseSpec
+from goldcrestpond.endpoint.group_monitor import GroupMonitor
+from goldcrestpond.endpoint.login import Login
+from goldcrestpond.endpoint.open_connection import open_connection
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.events.recorder import EventRecorder
+from goldcrestpond.frames import kinds
+from goldcrestpond.frames.build import query_frame
+from goldcrestpond.frames.read import read_parameter
+from goldcrestpond.group.log_position import parse_log_position
+from goldcrestpond.group.role import Role
+from goldcrestpond.platform.http_platform import HttpPlatform
+from goldcrestpond.settings.address import Address
+from goldcrestpond.standin.database_group import run_database_group
+from goldcrestpond.standin.database_group_settings import (
+    DatabaseGroupSettings,
+    StandinDatabase,
+)
+from goldcrestpond.standin.platform_standin import run_platform
+
+CLOCK = SystemClock()
+LOGIN = Login("proxy", "depot")
+SETTINGS = DatabaseGroupSettings(
+    databases=[StandinDatabase(name) for name in "abc"],
+    schema=["CREATE TABLE log (entry INTEGER)"],
+)
+
+
+class Site:
+    """A group, a platform and the monitors that watch the group."""
+
+    def __init__(self, group, platform, tasks):
+        self.group = group
+        self.platform = platform
+        self.tasks = tasks
+        self.entries = 0
+
+    async def watch(self, instance, connect=open_connection):
+        spec = DatabaseGroupSpec(
+            databases=[
+                DatabaseSpec(server.name, str(server.address))
+                for server in self.group.databases
+            ],
+            user="proxy",
+        )
+        platform = HttpPlatform(self.platform.address, timedelta(milliseconds=300))
+        recorder = EventRecorder(instance, CLOCK, lambda line: None)
+        rng = random.Random(instance)
+        monitor = GroupMonitor(
+            "depot", spec, platform, connect, CLOCK, rng, recorder, instance
+        )
+        scope = anyio.CancelScope()
+        self.tasks.start_soon(self._run, monitor, platform, scope)
+        return monitor, scope
+
+    async def _run(self, monitor, platform, scope):
+        with scope:
+            async with platform:
+                await monitor.run()
+
+    async def write_at(self, address):
+        """Write one entry at a database; return the entry and its position."""
+        self.entries += 1
+        entry = self.entries
+        connection = await open_connection(address, LOGIN)
+        try:
+            await connection.send(query_frame(f"INSERT INTO log VALUES ({entry})"))
+            return entry, await read_commit(connection)
+        finally:
+            await connection.aclose()
+
+    async def write(self, monitor):
+        """Write through a monitor's primary until one entry is acknowledged."""
+        while True:
+            primary = await monitor.wait_primary(soon(5000))
+            try:
+                with anyio.fail_after(0.3):
+                    entry, position = await self.write_at(primary.address)
+                    await monitor.confirm(position, soon(300))
+            except (CodedError, TimeoutError):
+                await anyio.sleep(0.01)
+                continue
+            return entry
+
+    async def entries_at(self, address):
+        connection = await open_connection(address, LOGIN)
+        try:
+            rows = (await connection.query("SELECT entry FROM log")).rows
+        finally:
+            await connection.aclose()
+        return [int(value) for (value,) in rows]
+
+    async def until_issued(self, instance):
+        """Wait until the next term has been issued to an instance."""
+        platform = HttpPlatform(self.platform.address)
+        async with platform:
+            while True:
+                row = await platform.read("terms/depot")
+                if row is not None and f'"{instance}/'.encode() in row.value:
+                    return
+                await anyio.sleep(0.02)
+
+
+async def read_commit(connection):
+    """Return the position that the answer to a write names."""
+    position = None
+    while True:
+        for frame in await connection.receive_frames():
+            if frame.kind == kinds.ERROR:
+                connection.is_broken = True
+                raise CodedError(ResultCode.ENDPOINT_REFUSED)
+            if frame.kind == kinds.PARAMETER_STATUS:
+                position = parse_log_position(read_parameter(frame).value)
+            if frame.kind == kinds.READY_FOR_QUERY:
+                return position
+
+
+def soon(milliseconds):
+    return CLOCK.now() + timedelta(milliseconds=milliseconds)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running_site():
+    async with run_platform(Address("127.0.0.1", 0), CLOCK) as platform:
+        async with run_database_group(SETTINGS, CLOCK) as group:
+            async with anyio.create_task_group() as tasks:
+                with anyio.fail_after(20):
+                    yield Site(group, platform, tasks)
+                tasks.cancel_scope.cancel()
+
+
+def test_cut_off_primary_goes_on_accepting_and_nothing_of_it_is_served():
+    async def main():
+        async with running_site() as site:
+            monitor, _ = await site.watch("p1")
+            acknowledged = [await site.write(monitor)]
+            old = site.group.primary()
+            site.group.partition(old.name, peers=True)
+            tail, position = await site.write_at(old.address)
+            with pytest.raises(CodedError) as caught:
+                await monitor.confirm(position, soon(5000))
+            assert_that(caught.value.code, Is(ResultCode.TERM_SUPERSEDED))
+            late, late_position = await site.write_at(old.address)
+            acknowledged.append(await site.write(monitor))
+            with pytest.raises(CodedError):
+                await monitor.confirm(late_position, soon(100))
+            choice = monitor.choose_replica(None, timedelta(seconds=5))
+            assert_that(choice is None or choice.database != old.name, Is(True))
+            site.group.partition(old.name, peers=False)
+            await until(lambda: old.database.role is Role.REPLICA)
+            await until(lambda: len(old.database.log) == 3)
+            held = await site.entries_at(old.address)
+            assert_that([e for e in held if e in (tail, late)], Equals([]))
+            assert_that([e for e in acknowledged if e in held], Equals(acknowledged))
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("step", ["group_fence", "group_promote", "group_follow"])
+@pytest.mark.parametrize("is_applied", [False, True])
+def test_promoter_that_dies_at_a_step_is_succeeded(step, is_applied):
+    async def main():
+        async with running_site() as site:
+            died = anyio.Event()
+
+            async def connect_and_die(address, login):
+                connection = await open_connection(address, login)
+                return DyingConnection(connection, step, is_applied, died)
+
+            first, scope = await site.watch("p1", connect_and_die)
+            entry = await site.write(first)
+            await site.until_issued("p1")
+            second, _ = await site.watch("p2")
+            await second.wait_primary(soon(5000))
+            site.group.kill(site.group.primary().name)
+            await died.wait()
+            scope.cancel()
+            last = await site.write(second)
+            primary = second.primary
+            held = await site.entries_at(primary.address)
+            assert_that(primary.term, GreaterThan(1))
+            assert_that(held, Contains(entry))
+            assert_that(held, Contains(last))
+
+    anyio.run(main)
+
+
+class DyingConnection:
+    """A connection whose owner dies at a statement, before or after its effect."""
+
+    def __init__(self, connection, step, is_applied, died):
+        self.connection = connection
+        self.step = step
+        self.is_applied = is_applied
+        self.died = died
+        self.is_broken = False
+
+    async def query(self, sql):
+        if self.died.is_set() or self.step in sql:
+            if self.is_applied and not self.died.is_set():
+                await self.connection.query(sql)
+            self.died.set()
+            await anyio.sleep_forever()
+        return await self.connection.query(sql)
+
+    async def aclose(self):
+        await self.connection.aclose()
+
+
+def test_claim_whose_answers_are_lost():
+    async def main():
+        async with running_site() as site:
+            monitor, _ = await site.watch("p1")
+            await monitor.wait_primary(soon(5000))
+            site.platform.faults.lose_next_answers = 1
+            site.group.kill(site.group.primary().name)
+            await site.write(monitor)
+
+    anyio.run(main)
+
+
+def test_platform_outage_with_the_next_term_issued():
+    async def main():
+        async with running_site() as site:
+            monitor, _ = await site.watch("p1")
+            entry = await site.write(monitor)
+            await site.until_issued("p1")
+            site.platform.faults.down = True
+            await site.write(monitor)
+            site.group.kill(site.group.primary().name)
+            await site.write(monitor)
+            held = await site.entries_at(monitor.primary.address)
+            assert_that(held, Contains(entry))
+
+    anyio.run(main)
+
+
+def test_platform_outage_without_a_term_refuses_to_promote():
+    async def main():
+        async with running_site() as site:
+            site.platform.faults.down = True
+            monitor, _ = await site.watch("p1")
+            await site.write(monitor)
+            site.group.kill(site.group.primary().name)
+            await anyio.sleep(0.3)
+            with pytest.raises(CodedError) as caught:
+                await monitor.wait_primary(soon(700))
+            assert_that(caught.value.code, Is(ResultCode.NO_PRIMARY))
+            site.platform.faults.down = False
+            await site.write(monitor)
+
+    anyio.run(main)
