--- /dev/null
+++ b/goldcrestpond/load/configuration_changes.py
@@ -0,0 +1,88 @@
+"""Operators that change the same resources at once."""
+
+import random
+
+import anyio
+
+from ..configuration.keys import resource_key
+from ..configuration.kind import Kind
+from ..configuration.route_spec import RouteSpec
+from ..configuration.stored_resource import encode_stored
+from ..errors.coded_error import CodedError
+from ..platform.http_platform import HttpPlatform
+from ..platform.platform_conflict import PlatformConflict
+from ..root.local_site import LocalSite
+from .latencies import Latencies
+from .load_run import LoadRun
+
+_OPERATORS = 4
+_ROUTES = 2
+_PAUSE_S = 0.1
+_POLL_S = 0.005
+_IN_FORCE_LIMIT_S = 10.0
+
+
+async def change_configuration(
+    site: LocalSite, run: LoadRun, rng: random.Random
+) -> None:
+    """Let operators race, and watch every proxy apply what was accepted."""
+    latencies = Latencies()
+    details = run.details
+    details.update(changes=0, conflicts=0, reverts=0, late=0)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for proxy in site.proxies:
+                tasks.start_soon(_watch, proxy.configuration, run)
+            for _ in range(_OPERATORS):
+                own = random.Random(rng.random())
+                tasks.start_soon(_operate, site, run, own, latencies)
+    finally:
+        details["in_force_p50_ms"] = latencies.percentile_ms(50)
+        details["in_force_p99_ms"] = latencies.percentile_ms(99)
+
+
+async def _operate(
+    site: LocalSite, run: LoadRun, rng: random.Random, latencies: Latencies
+) -> None:
+    async with HttpPlatform(site.platform.address) as platform:
+        while True:
+            await anyio.sleep(rng.expovariate(1 / _PAUSE_S))
+            name = f"desk-{rng.randrange(_ROUTES)}"
+            spec = RouteSpec(name, "fuel", queue_timeout_ms=rng.randrange(100, 5000))
+            try:
+                revision = await _change(platform, name, spec)
+            except PlatformConflict:
+                run.details["conflicts"] += 1
+                continue
+            except CodedError:
+                continue
+            run.details["changes"] += 1
+            await _wait_in_force(site, run, revision, latencies)
+
+
+async def _change(platform: HttpPlatform, name: str, spec: RouteSpec) -> int:
+    key = resource_key(Kind.ROUTE, name)
+    row = await platform.read(key)
+    present = row.revision if row else 0
+    return await platform.put(key, encode_stored(spec, present + 1), present)
+
+
+async def _wait_in_force(
+    site: LocalSite, run: LoadRun, revision: int, latencies: Latencies
+) -> None:
+    started = run.clock.now()
+    with anyio.move_on_after(_IN_FORCE_LIMIT_S) as limit:
+        for proxy in site.proxies:
+            await proxy.configuration.wait_revision(revision)
+    run.details["late"] += limit.cancelled_caught
+    latencies.record(run.clock.now() - started)
+
+
+async def _watch(configuration: object, run: LoadRun) -> None:
+    """Count every time that a proxy's revision goes back."""
+    highest = 0
+    while True:
+        revision = configuration.current.revision
+        run.details["reverts"] += revision < highest
+        highest = max(highest, revision)
+        await anyio.sleep(_POLL_S)
--- /dev/null
+++ b/goldcrestpond/load/drains.py
@@ -0,0 +1,53 @@
+"""Drain orders for a replica and then for the primary."""
+
+import random
+from datetime import timedelta
+
+import anyio
+
+from ..configuration.drain_order_spec import DrainOrderSpec
+from ..configuration.keys import resource_key
+from ..configuration.kind import Kind
+from ..configuration.stored_resource import encode_stored
+from ..platform.http_platform import HttpPlatform
+from ..root.local_site import LocalSite
+from ..standin.database_server import DatabaseServer
+from .load_run import LoadRun
+
+_QUIET_S = 1.5
+_WATCH_S = 5.0
+_DEADLINE_MS = 4000
+
+
+async def drain_databases(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
+    """Order a replica and then the primary to be drained, and watch their work."""
+    async with HttpPlatform(site.platform.address) as platform:
+        for name in ("replica", "primary"):
+            await anyio.sleep(_QUIET_S)
+            primary = site.group.primary()
+            server = primary
+            if name == "replica":
+                others = [each for each in site.group.databases if each is not primary]
+                server = rng.choice(others)
+            last_work = await _drain(platform, server, name, run)
+            key = f"{name}_last_work_ms"
+            run.details[key] = last_work / timedelta(milliseconds=1)
+            is_primary = site.group.primary() is server
+            run.details[f"{name}_still_primary"] = float(is_primary)
+
+
+async def _drain(
+    platform: HttpPlatform, server: DatabaseServer, name: str, run: LoadRun
+) -> timedelta:
+    """Return the time from the order to the last statement that began.
+
+    It is negative if none began after the order.
+    """
+    key = resource_key(Kind.DRAIN_ORDER, name)
+    group = server.name.rpartition("-")[0]
+    spec = DrainOrderSpec(group, server.name, _DEADLINE_MS)
+    ordered_at = run.clock.now()
+    revision = await platform.put(key, encode_stored(spec, 1), 0)
+    await anyio.sleep(_WATCH_S)
+    await platform.delete(key, revision)
+    return server.last_statement_at - ordered_at
--- a/goldcrestpond/load/scenarios.py
+++ b/goldcrestpond/load/scenarios.py
@@ -2,12 +2,15 @@
 
 from ..configuration.route_spec import RouteSpec
 from ..root.local_site_settings import LocalSiteSettings
+from .configuration_changes import change_configuration
+from .drains import drain_databases
 from .failures import fail_primaries
 from .fuel_log import SCHEMA
 from .overload import make_overload
 from .random_faults import make_random_faults
 from .reports import make_reports
 from .scenario import Scenario
+from .shutdowns import shut_proxies_down
 from .silence import freeze_connections
 from .store_outage import fail_without_store
 from .workload import Workload
@@ -71,6 +74,16 @@
         ),
         "silence": Scenario(_palermo(seed=seed), script=freeze_connections),
         "store": Scenario(_palermo(seed=seed), script=fail_without_store),
+        "drain": Scenario(
+            _palermo(seed=seed),
+            script=drain_databases,
+            ends_itself=True,
+            has_probe=False,
+        ),
+        "shutdown": Scenario(
+            _palermo(seed=seed), script=shut_proxies_down, ends_itself=True
+        ),
+        "configuration": Scenario(_palermo(seed=seed), script=change_configuration),
         "faults": Scenario(_palermo(seed=seed), script=make_random_faults(1)),
         "two_faults": Scenario(_palermo(seed=seed), script=make_random_faults(2)),
     }
--- a/goldcrestpond/standin/connection.py
+++ b/goldcrestpond/standin/connection.py
@@ -59,6 +59,7 @@
 _TERMINATE = Terminate.identifier[0]
 _NO_ENCRYPTION = b"N"
 _RECEIVE_BYTES = 65536
+_SETTINGS_WORDS = {"SET", "SHOW", "RESET", "DISCARD"}
 
 
 class ConnectionLost(Exception):
@@ -321,6 +322,8 @@
         if process_id is not None:
             return self._activity(process_id)
         self._holds_answer = True
+        if statement.keyword not in _SETTINGS_WORDS:
+            self._server.last_statement_at = self._server.clock.now()
         self.is_active = True
         try:
             await self._serve_time(statement.sleep_s(parameters))
--- a/goldcrestpond/standin/database_server.py
+++ b/goldcrestpond/standin/database_server.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable
+from datetime import timedelta
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
@@ -30,6 +31,14 @@
         Source of time.
     control : callable
         Runs a control function, given this server, its name and arguments.
+
+    Attributes
+    ----------
+    most_connections : int
+        Most connections that were open at once.
+    last_statement_at : timedelta or None
+        Monotonic reading when the last statement began; statements about the
+        group and session settings are not counted.
     """
 
     def __init__(
@@ -53,6 +62,7 @@
         self.slots = anyio.Semaphore(settings.slot_limit)
         self.connections: dict[int, ServerConnection] = {}
         self.most_connections = 0
+        self.last_statement_at: timedelta | None = None
         self.changed = anyio.Event()
         self.stopped = anyio.Event()
         database.on_change = self.announce
