--- /dev/null
+++ b/goldcrestpond/placement/candidate.py
@@ -0,0 +1,19 @@
+"""An instance that may hold connections."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A live instance.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    zone : str
+        Availability zone.
+    """
+
+    name: str
+    zone: str
