--- /dev/null
+++ b/goldcrestpond/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""One time line over the event records of many processes."""
--- /dev/null
+++ b/goldcrestpond/timeline/event_filter.py
@@ -0,0 +1,31 @@
+"""Which events of a time line are shown."""
+
+from collections.abc import Callable
+
+from ..events.event import Event
+
+
+def make_filter(
+    request: str = "", group: str = "", instance: str = "", kind: str = ""
+) -> Callable[[Event], bool]:
+    """Return a function that says whether an event is shown.
+
+    Parameters
+    ----------
+    request, group, instance : str, default=""
+        Only events with this value; empty for all.
+    kind : str, default=""
+        Only events of this kind, as ``event``, ``part`` or ``part.event``;
+        empty for all.
+    """
+
+    def matches(event: Event) -> bool:
+        kinds = (event.event, event.part, f"{event.part}.{event.event}")
+        return (
+            request in ("", event.request)
+            and group in ("", event.group)
+            and instance in ("", event.instance)
+            and (not kind or kind in kinds)
+        )
+
+    return matches
