--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -53,8 +53,16 @@
 
 
 @contextmanager
-def run_bench_site(root: str = "") -> Iterator[BenchSite]:
-    """Run a site; ``root`` is the source tree of its proxy."""
+def run_bench_site(root: str = "", profile: str = "") -> Iterator[BenchSite]:
+    """Run a site.
+
+    Parameters
+    ----------
+    root : str, default=""
+        Source tree of its proxy; empty for this one.
+    profile : str, default=""
+        File for a profile of its proxy; empty for none.
+    """
     group_settings = DatabaseGroupSettings(
         [StandinDatabase(f"{GROUP}-{number}") for number in (1, 2, 3)],
         schema=SCHEMA,
@@ -76,7 +84,7 @@
             "proxy-1", "127.0.0.1:0", platform.ready[0], log_level="ERROR"
         )
         proxy = stack.enter_context(
-            run_program("goldcrestpond-proxy", [], settings, root)
+            run_program("goldcrestpond-proxy", [], settings, root, profile)
         )
         direct = parse_address(members[0][1])
         yield BenchSite(databases, direct, proxy, parse_address(proxy.ready[0]))
--- a/bench/child_process.py
+++ b/bench/child_process.py
@@ -45,7 +45,11 @@
 
 @contextmanager
 def run_program(
-    program: str, arguments: list[str], settings: object, root: str = ""
+    program: str,
+    arguments: list[str],
+    settings: object,
+    root: str = "",
+    profile: str = "",
 ) -> Iterator[ChildProcess]:
     """Run a program of the project until the context ends.
 
@@ -59,11 +63,15 @@
         Settings, written to a file for the program.
     root : str, default=""
         Source tree to run instead of this one, to compare two states.
+    profile : str, default=""
+        File for a profile by cProfile; empty for none.
     """
     with tempfile.NamedTemporaryFile(suffix=".json") as file:
         file.write(msgspec.json.encode(settings))
         file.flush()
         command = [str(_BIN / program), *arguments, "--settings", file.name]
+        if profile:
+            command = [sys.executable, "-m", "cProfile", "-o", profile, *command]
         environment = dict(os.environ)
         if root:
             environment["PYTHONPATH"] = root
