Keep the pool's counts instead of counting for each request

Change: counts by state and the idle connections are kept at each move; what is wanted is worked out only while requests wait. A property test compares the counts with a recount.

--- a/goldcrestpond/pool/connection_table.py
+++ b/goldcrestpond/pool/connection_table.py
@@ -12,12 +12,18 @@
 
 
 class ConnectionTable:
-    """Connections by number; each entry counts as open until it is removed."""
+    """Connections by number; each entry counts as open until it is removed.
 
-    __slots__ = ("_connections", "_next_id")
+    Counts and idle connections are kept as they change, so that a request costs
+    the same however many connections there are.
+    """
+
+    __slots__ = ("_connections", "_counts", "_idle", "_next_id")
 
     def __init__(self) -> None:
         self._connections: dict[int, PooledConnection] = {}
+        self._counts = dict.fromkeys(ConnectionState, 0)
+        self._idle: dict[int, PooledConnection] = {}
         self._next_id = 1
 
     def __len__(self) -> int:
@@ -36,17 +42,28 @@
             self._next_id, term, ConnectionState.OPENING, now, now
         )
         self._connections[connection.connection_id] = connection
+        self._counts[connection.state] += 1
         self._next_id += 1
         return connection
 
     def remove(self, connection_id: int) -> PooledConnection | None:
         """Forget a connection that is closed."""
-        return self._connections.pop(connection_id, None)
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            self._counts[connection.state] -= 1
+            self._idle.pop(connection_id, None)
+        return connection
 
     def move(
         self, connection: PooledConnection, state: ConnectionState, now: timedelta
     ) -> None:
         """Move a connection to another state."""
+        self._counts[connection.state] -= 1
+        self._counts[state] += 1
+        if state is ConnectionState.IDLE:
+            self._idle[connection.connection_id] = connection
+        else:
+            self._idle.pop(connection.connection_id, None)
         connection.state = state
         connection.state_since = now
 
@@ -61,7 +78,10 @@
 
     def count(self, *states: ConnectionState) -> int:
         """Count the connections in any of the states."""
-        return sum(c.state in states for c in self._connections.values())
+        total = 0
+        for state in states:
+            total += self._counts[state]
+        return total
 
     def remaining_count(self) -> int:
         """Count the connections that are not on their way out."""
@@ -69,7 +89,7 @@
 
     def freshest_idle(self) -> PooledConnection | None:
         """Return the idle connection that was heard last."""
-        idle = [c for c in self if c.state is ConnectionState.IDLE]
+        idle = self._idle.values()
         return max(idle, key=lambda c: c.last_progress, default=None)
 
     def stalest_unused(self) -> PooledConnection | None:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -435,10 +435,13 @@
     def _open(self, now: timedelta) -> list[PoolAction]:
         if self._leaving or now < self._open_after:
             return []
+        startable = self._queues.startable_count()
+        if not startable:
+            return []
         coming = self._connections.count(
             ConnectionState.OPENING, ConnectionState.CHECKING
         )
-        wanted = self._queues.startable_count() - coming
+        wanted = startable - coming
         limit = self._limit.current(now)
         if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
             limit -= 1
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -62,6 +62,8 @@
 
     def startable_count(self) -> int:
         """Return how many waiting requests could start if connections were free."""
+        if not len(self):
+            return 0
         running = sum(self._slots.running(lane) for lane in Lane)
         free = max(0, self._slots.total - running)
         wanted = 0
--- /dev/null
+++ b/tests/pool/test_connection_table.py
@@ -0,0 +1,37 @@
+"""The kept counts of a connection table are those of its connections."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.pool.connection_state import ConnectionState
+from goldcrestpond.pool.connection_table import ConnectionTable
+
+_STEP = st.tuples(
+    st.integers(1, 6), st.one_of(st.sampled_from(ConnectionState), st.none())
+)
+
+
+@given(st.lists(_STEP, max_size=40))
+def test_counts_follow_every_move(steps):
+    table = ConnectionTable()
+    for _ in range(4):
+        table.add(1, timedelta(0))
+    for at, (number, state) in enumerate(steps):
+        connection = table.get(number)
+        if connection is None:
+            table.add(1, timedelta(at))
+        elif state is None:
+            table.remove(number)
+        else:
+            connection.last_progress = timedelta(at)
+            table.move(connection, state, timedelta(at))
+        states = [each.state for each in table]
+        counts = [table.count(state) for state in ConnectionState]
+        assert_that(counts, Equals([states.count(state) for state in ConnectionState]))
+        idle = [each for each in table if each.state is ConnectionState.IDLE]
+        freshest = max(idle, key=lambda each: each.last_progress, default=None)
+        assert_that(table.freshest_idle(), Equals(freshest))
