Measure austral with varying lags and stated ages

Change: lags of 50 to 500 ms that change twice a second, ages of 1 to 5 s on three quarters of the reads, nine reads to one write, and the share of reads with a stated age that replicas answered.

--- a/goldcrestpond/load/load_run.py
+++ b/goldcrestpond/load/load_run.py
@@ -36,6 +36,8 @@
         self.is_over = False
         self.read_count = 0
         self.replica_read_count = 0
+        self.aged_read_count = 0
+        self.replica_aged_read_count = 0
         self.refused_reads = 0
         self.unsent_requests = 0
         self.refusals_by_number: dict[int, int] = {}
--- a/goldcrestpond/load/planner_session.py
+++ b/goldcrestpond/load/planner_session.py
@@ -43,10 +43,12 @@
         self._workload = workload
         self._run = run
         self._rng = rng
-        self._max_age = timedelta(milliseconds=workload.max_age_ms)
+        limit_ms = max(workload.max_age_ms, workload.max_age_limit_ms)
+        max_age_ms = rng.randint(workload.max_age_ms, limit_ms)
+        self._max_age = timedelta(milliseconds=max_age_ms)
         parameters = {
             "default_transaction_read_only": "on",
-            "goldcrestpond.max_age_ms": str(workload.max_age_ms),
+            "goldcrestpond.max_age_ms": str(max_age_ms),
         }
         self._reader = CallerLink(addresses, database, rng, parameters)
 
@@ -73,3 +75,5 @@
         least = self._run.acknowledged_by(started - self._max_age)
         self._run.auditor.check_count(least, shown)
         self._run.read_done(from_replica, started)
+        self._run.aged_read_count += 1
+        self._run.replica_aged_read_count += from_replica
--- /dev/null
+++ b/goldcrestpond/load/replica_lags.py
@@ -0,0 +1,21 @@
+"""Replicas that fall behind and catch up."""
+
+import random
+
+import anyio
+
+from ..root.local_site import LocalSite
+from .load_run import LoadRun
+
+_LOWEST_LAG_MS = 50
+_HIGHEST_LAG_MS = 500
+_CHANGE_S = 0.5
+
+
+async def vary_replica_lags(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
+    """Give each database a new lag again and again until the run is over."""
+    while True:
+        for server in site.group.databases:
+            lag_ms = rng.uniform(_LOWEST_LAG_MS, _HIGHEST_LAG_MS)
+            server.faults.replay_lag_ms = lag_ms
+        await anyio.sleep(_CHANGE_S)
--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -118,6 +118,9 @@
     gap = run.write_gap
     refusals = run.refusals_by_number
     run.details["longest_pause_ms"] = run.longest_pause_ms()
+    if run.aged_read_count:
+        share = run.replica_aged_read_count / run.aged_read_count
+        run.details["aged_replica_read_share"] = share
     answered = audit.acknowledged + run.read_count
     return LoadResult(
         scenario=name,
--- a/goldcrestpond/load/scenarios.py
+++ b/goldcrestpond/load/scenarios.py
@@ -8,6 +8,7 @@
 from .fuel_log import SCHEMA
 from .overload import make_overload
 from .random_faults import make_random_faults
+from .replica_lags import vary_replica_lags
 from .reports import make_reports
 from .scenario import Scenario
 from .shutdowns import shut_proxies_down
@@ -45,7 +46,15 @@
     return _palermo(**(values | changes))
 
 
-_READ_MOSTLY = Workload(writer_count=10, planner_count=10, write_share=0.1)
+# Two thirds of the sessions state an age and read only, the others write 31% of
+# their requests: nine reads to one write, three quarters of them with an age.
+_READ_MOSTLY = Workload(
+    writer_count=10,
+    planner_count=21,
+    write_share=0.31,
+    max_age_ms=1000,
+    max_age_limit_ms=5000,
+)
 
 
 _NO_SESSIONS = Workload(writer_count=0, planner_count=0)
@@ -61,7 +70,9 @@
             _palermo(seed=seed, replay_lag_ms=100.0), Workload(roam_share=0.5)
         ),
         "palermo": Scenario(_palermo(seed=seed)),
-        "austral": Scenario(_austral(seed=seed), _READ_MOSTLY),
+        "austral": Scenario(
+            _austral(seed=seed), _READ_MOSTLY, script=vary_replica_lags
+        ),
         "reports": Scenario(
             _palermo(seed=seed), script=make_reports(duration_s), ends_itself=True
         ),
--- a/goldcrestpond/load/workload.py
+++ b/goldcrestpond/load/workload.py
@@ -24,7 +24,9 @@
     tokenless_share : float
         Share of its moves that bring no token.
     max_age_ms : int
-        Age that planners accept.
+        Lowest age that a planner accepts.
+    max_age_limit_ms : int
+        Highest age that a planner accepts; 0 if all accept the lowest.
     request_timeout_ms : int
         Longest wait of a caller, after which the outcome is unknown to it.
     """
@@ -37,4 +39,5 @@
     roam_share: float = 0.05
     tokenless_share: float = 0.2
     max_age_ms: int = 1000
+    max_age_limit_ms: int = 0
     request_timeout_ms: int = 15000
