Let a stated age stand in for a sampled floor

A new session without a token got the primary's position as its floor before an aged read too, and no replica had replayed it yet. Change: a read with a stated age takes no sampled floor; a token or a write of the session still counts. Where no replica serves it, the primary does after a majority has vouched for it, since a replaced one may be older than the age. Ruled out: waiting longer for replicas, which only moves the time.

--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -250,7 +250,9 @@
         return error
 
     async def _acquire(self, is_read: bool, deadline: timedelta) -> Checkout:
-        await self._service.ensure_floor(self._declarations, deadline)
+        is_aged = is_read and self._declarations.max_age is not None
+        if not is_aged:
+            await self._service.ensure_floor(self._declarations, deadline)
         if is_read:
             return await self._service.acquire_reader(
                 self._declarations, self._identity.fairness_key, deadline
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -52,7 +52,11 @@
             declarations.raise_floor(await self.monitor.sample_floor(deadline))
 
     async def acquire_primary(
-        self, declarations: Declarations, caller: str, deadline: timedelta
+        self,
+        declarations: Declarations,
+        caller: str,
+        deadline: timedelta,
+        least_term: int = 0,
     ) -> Checkout:
         """Lend a connection to the primary.
 
@@ -64,6 +68,8 @@
             Key of fairness between callers.
         deadline : timedelta
             Monotonic reading at which to give up.
+        least_term : int, default=0
+            A primary of a lower term is not used.
 
         Raises
         ------
@@ -71,10 +77,11 @@
             With a code that says "not run".
         """
         lane = Lane(declarations.lane)
-        floor_term = declarations.floor.term if declarations.floor else 0
+        if declarations.floor is not None:
+            least_term = max(least_term, declarations.floor.term)
         while True:
             primary = await self.monitor.wait_primary(deadline)
-            if primary.term < floor_term:
+            if primary.term < least_term:
                 await self.monitor.wait_change(deadline)
                 continue
             try:
@@ -110,7 +117,7 @@
                 declarations.floor, declarations.max_age, deadline
             )
             if choice is None:
-                return await self.acquire_primary(declarations, caller, deadline)
+                return await self._acquire_verified(declarations, caller, deadline)
             try:
                 pool = self._pool(choice.database, choice.address, choice.term)
                 connection = await pool.acquire(
@@ -122,6 +129,19 @@
             except CodedError as error:
                 await self._after_failure(choice.database, error, deadline)
 
+    async def _acquire_verified(
+        self, declarations: Declarations, caller: str, deadline: timedelta
+    ) -> Checkout:
+        """Lend a connection to the primary for a read.
+
+        A session without a floor states an age, which only a primary that a
+        majority vouches for now is sure to meet.
+        """
+        floor_term = 0
+        if declarations.floor is None:
+            floor_term = (await self.monitor.sample_floor(deadline)).term
+        return await self.acquire_primary(declarations, caller, deadline, floor_term)
+
     async def aclose(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
--- /dev/null
+++ b/tests/test_replica_reads.py
@@ -0,0 +1,37 @@
+"""Reads with and without a stated age over real sockets, on replicas that lag."""
+
+import anyio
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from .site import fuel_site, psycopg_connection
+
+LAG_MS = 400
+READ = "SELECT pg_is_in_recovery(), count(*) FROM fuel_log"
+READ_ONLY = "-c default_transaction_read_only=on"
+
+
+async def read(site, options):
+    connection = await psycopg_connection(site, options=f"{READ_ONLY} {options}")
+    async with connection:
+        cursor = await connection.execute(READ)
+        return await cursor.fetchone()
+
+
+def test_lagging_replica_serves_a_stated_age_and_not_ones_own_write():
+    async def main():
+        async with fuel_site(replay_lag_ms=LAG_MS) as site:
+            await read(site, "-c goldcrestpond.max_age_ms=5000")
+            writer = await psycopg_connection(site)
+            async with writer:
+                await writer.execute("INSERT INTO fuel_log VALUES (1, 'a', 2)")
+                status = writer.pgconn.parameter_status(b"goldcrestpond.token")
+            aged = await read(site, "-c goldcrestpond.max_age_ms=5000")
+            tokenless = await read(site, "")
+            token = f"-c goldcrestpond.token={status.decode()}"
+            roamed = await read(site, f"{token} -c goldcrestpond.max_age_ms=5000")
+            assert_that(bool(aged[0]), Is(True))
+            assert_that(tokenless[1], Equals(1))
+            assert_that(roamed[1], Equals(1))
+
+    anyio.run(main)
