Measure changes of resources, and let changes of one process race

Cause: the targets for changes in force had no command that goes through the API, and a process took its operators' changes one at a time. Change: goldcrestpond-load resources changes resources through the API while the store is healthy, out, slow and raced with lost answers, on 8 proxies, and counts reverts and changes without effect or with two. The lock in the executor is gone: the conditions of the batches decide. Conclusion: one lost answer held every operator of the process for the timeout of a request.

--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -68,7 +68,6 @@
     __slots__ = (
         "_cleaner",
         "_clock",
-        "_lock",
         "_on_written",
         "_patience",
         "_platform",
@@ -93,8 +92,6 @@
         self._patience = patience
         self._cleaner = OutcomeCleaner(platform)
         self._written_count = 0
-        # Changes of one process would only refuse each other's batches.
-        self._lock = anyio.Lock()
 
     async def refresh(self) -> None:
         """Bring the table up to date."""
@@ -144,8 +141,7 @@
         remaining = attempts.deadline - self._clock.now()
         try:
             with anyio.fail_after(max(0.0, remaining.total_seconds())):
-                async with self._lock:
-                    return await self._attempt(attempts)
+                return await self._attempt(attempts)
         except TimeoutError:
             raise attempts.gave_up() from None
         except CodedError as error:
--- a/goldcrestpond/load/load_result.py
+++ b/goldcrestpond/load/load_result.py
@@ -20,6 +20,10 @@
         Requests told to be not run, or that found no connection.
     torn, crossed_reads, acknowledged_by_replaced, unrequested : int
         Further counts of the audit; all must be 0.
+    reverts : int
+        Configurations of a proxy that went back; must be 0.
+    changes_lost_or_doubled : int
+        Accepted changes of resources without an effect, or with two; must be 0.
     reads : int
         Reads answered.
     replica_read_share : float
@@ -63,6 +67,8 @@
     crossed_reads: int = 0
     acknowledged_by_replaced: int = 0
     unrequested: int = 0
+    reverts: int = 0
+    changes_lost_or_doubled: int = 0
     reads: int = 0
     read_p50_ms: float = 0.0
     read_p99_ms: float = 0.0
@@ -82,4 +88,6 @@
             + self.crossed_reads
             + self.acknowledged_by_replaced
             + self.unrequested
+            + self.reverts
+            + self.changes_lost_or_doubled
         )
--- a/goldcrestpond/load/load_run.py
+++ b/goldcrestpond/load/load_run.py
@@ -24,6 +24,10 @@
     ----------
     is_over : bool
         True once sessions must stop.
+    reverts : int
+        Configurations of a proxy that went back.
+    changes_lost_or_doubled : int
+        Accepted changes of resources without an effect, or with two.
     """
 
     def __init__(self, clock: Clock):
@@ -40,6 +44,8 @@
         self.replica_aged_read_count = 0
         self.refused_reads = 0
         self.unsent_requests = 0
+        self.reverts = 0
+        self.changes_lost_or_doubled = 0
         self.refusals_by_number: dict[int, int] = {}
         self.details: dict[str, float] = {}
         self._phase_latencies = Latencies()
--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -143,6 +143,8 @@
         crossed_reads=run.auditor.crossed_reads,
         acknowledged_by_replaced=audit.acknowledged_by_replaced,
         unrequested=audit.unrequested,
+        reverts=run.reverts,
+        changes_lost_or_doubled=run.changes_lost_or_doubled,
         reads=run.read_count,
         read_p50_ms=run.read_latencies.percentile_ms(50),
         read_p99_ms=run.read_latencies.percentile_ms(99),
--- a/goldcrestpond/load/scenarios.py
+++ b/goldcrestpond/load/scenarios.py
@@ -10,6 +10,7 @@
 from .random_faults import make_random_faults
 from .replica_lags import vary_replica_lags
 from .reports import make_reports
+from .resource_changes import make_resource_changes
 from .scenario import Scenario
 from .shutdowns import shut_proxies_down
 from .silence import freeze_connections
@@ -95,6 +96,13 @@
             _palermo(seed=seed), script=shut_proxies_down, ends_itself=True
         ),
         "configuration": Scenario(_palermo(seed=seed), script=change_configuration),
+        "resources": Scenario(
+            _palermo(seed=seed, proxy_count=8, api_port=0),
+            _NO_SESSIONS,
+            make_resource_changes(duration_s),
+            ends_itself=True,
+            has_probe=False,
+        ),
         "faults": Scenario(_palermo(seed=seed), script=make_random_faults(1)),
         "two_faults": Scenario(_palermo(seed=seed), script=make_random_faults(2)),
     }
