Free the connection after a preparation that ends with a Flush

Change: a batch that only prepares is sent with a Sync whose ReadyForQuery the caller does not see; after an error the session skips to the Sync.

--- a/goldcrestpond/wire/batch.py
+++ b/goldcrestpond/wire/batch.py
@@ -15,6 +15,8 @@
     (kinds.PARSE, kinds.BIND, kinds.DESCRIBE, kinds.EXECUTE, kinds.CLOSE)
 )
 _RUNS = frozenset((kinds.QUERY, kinds.EXECUTE))
+_USES = frozenset((kinds.BIND, kinds.EXECUTE))
+SYNC_FRAME = Frame(kinds.SYNC, b"S\x00\x00\x00\x04")
 _COPY = frozenset((kinds.COPY_DATA, kinds.COPY_DONE, kinds.COPY_FAIL))
 
 
@@ -38,6 +40,17 @@
         """Whether it runs something, rather than prepares or describes it."""
         return any(frame.kind in _RUNS for frame in self.frames)
 
+    @property
+    def only_prepares(self) -> bool:
+        """Whether it prepares or describes and awaits the answers by a Flush."""
+        if self.end != kinds.FLUSH:
+            return False
+        return not any(frame.kind in _USES for frame in self.frames)
+
+    def with_sync(self) -> "Batch":
+        """Return the batch with a Sync in place of its last frame."""
+        return Batch([*self.frames[:-1], SYNC_FRAME], kinds.SYNC)
+
     def first_statement(self) -> Statement | None:
         """Return the first statement text of the batch, if it has one."""
         first = self.frames[0]
--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -72,6 +72,7 @@
         "_checkout",
         "_clock",
         "_declarations",
+        "_hides_ready",
         "_identity",
         "_idle_scope",
         "_is_pinned",
@@ -117,6 +118,7 @@
         self._sent_completions = 0
         self._status = STATUS_IDLE
         self._is_pinned = False
+        self._hides_ready = False
         self._idle_scope: anyio.CancelScope | None = None
         self.is_stopping = False
         self.was_answer_due = False
@@ -198,6 +200,8 @@
             await self._run_next(batch)
         elif batch.frames[0].kind == kinds.SYNC:
             await self._stream.send(READY_IDLE)
+        elif batch.only_prepares:
+            await self._run_preparation(batch)
         else:
             await self._run_first(batch)
 
@@ -230,6 +234,18 @@
         except CodedError as error:
             raise self._explain(error) from error
 
+    async def _run_preparation(self, batch: Batch) -> None:
+        """Prepare statements without keeping the connection until a Sync.
+
+        They are prepared again where they are used, so that the request that
+        uses them is free to run elsewhere.
+        """
+        self._hides_ready = True
+        try:
+            await self._run_first(batch.with_sync())
+        finally:
+            self._hides_ready = False
+
     async def _run_first(self, batch: Batch) -> None:
         """Run a batch that no transaction precedes, again if that is safe."""
         statement = batch.first_statement()
@@ -444,7 +460,13 @@
         held = end.held
         if end.committed is not None:
             held = await self._confirm(end.committed) + held
-        await self._stream.send(held + _READY[end.status])
+        if not self._hides_ready:
+            await self._stream.send(held + _READY[end.status])
+            return
+        await self._stream.send(held)
+        if end.is_error:
+            await self._skip_to_sync()
+            await self._stream.send(READY_IDLE)
 
     async def _confirm(self, committed: LogPosition) -> bytes:
         """Wait until the commit cannot be lost; return the new token's frame.
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -108,3 +108,16 @@
         assert_that(answer, Contains(code))
         cursor = await neighbour.execute("SELECT 5")
         assert_that(int((await cursor.fetchone())[0]), Equals(5))
+
+
+@pytest.mark.anyio
+async def test_failed_description_is_skipped_to_its_sync(site):
+    describe_unknown = b"D" + struct.pack("!I", 10) + b"Snope\0"
+    flush = b"H" + struct.pack("!I", 4)
+    sync = b"S" + struct.pack("!I", 4)
+    query = b"Q" + struct.pack("!I", 13) + b"SELECT 5\0"
+    goodbye = b"X" + struct.pack("!I", 4)
+    data = GOOD_STARTUP + describe_unknown + flush + describe_unknown + sync + query
+    answer = await send_raw(site, data + goodbye)
+    assert_that(answer, Contains(b"26000"))
+    assert_that(answer.count(b"Z\0\0\0\5I"), Equals(3))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -92,6 +92,15 @@
         await caller.execute(INSERT, (1, "x", 1))
 
 
+async def test_failed_preparation_leaves_the_session_in_order(site):
+    caller = await asyncpg_connection(site)
+    for _ in range(2):
+        with pytest.raises(asyncpg.PostgresError):
+            await caller.prepare("LISTEN news")
+        assert_that(int(await caller.fetchval("SELECT 1")), Equals(1))
+    await caller.close()
+
+
 async def test_cancel_reaches_the_endpoint(site):
     caller = await asyncpg_connection(site)
     with pytest.raises((TimeoutError, asyncpg.QueryCanceledError)):
