Run the tests in four processes

Cause: the suite took 136 s in one process, most of it waiting. Change: pytest-xdist; the tests use loopback ports that the system chooses and share nothing.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(VENV)/bin/goldcrestpond-demo serve --caller_port 6432 --api_port 6480
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest
+	$(VENV)/bin/python -m pytest -n 4 --dist worksteal
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
