Keep the busiest instance of the tree within its share, and measure members

Change: one in two reaches the next level (17 to 22 children, depth 10 to 12), a pause that grows with the children, reports every 4 s when nothing changes; a parent counts only its present children, as a lost farewell blocked claims for 13 s (found by _each_change_is_told_in_force at 5% loss).

--- /dev/null
+++ b/bench/member_at_size.py
@@ -0,0 +1,155 @@
+"""One member of a fleet of the planned size: its memory and its cost per event.
+
+``python -m bench.member_at_size [--sizes 50,5800]`` prints one JSON line. Only
+one member runs; its table holds as many others as the fleet has.
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import timedelta
+
+import fire
+import msgspec
+
+from goldcrestpond.membership.gossip import Gossip
+from goldcrestpond.membership.member_state import MemberState
+from goldcrestpond.membership.member_update import MemberUpdate
+from goldcrestpond.membership.membership import Membership
+from goldcrestpond.membership.membership_settings import MembershipSettings
+from goldcrestpond.membership.message_received import MessageReceived
+from goldcrestpond.membership.probe import Probe
+from goldcrestpond.membership.probe_answer import ProbeAnswer
+from goldcrestpond.membership.ring import Ring
+from goldcrestpond.membership.send import Send
+from goldcrestpond.membership.tick import TICK_MS, Tick
+
+_ROUNDS = 5
+_EVENTS = 2000
+_SOURCE = "10.1.0.1:7000"
+
+
+def measure(sizes: tuple[int, ...] = (50, 500, 5800), seeds: int = 5) -> None:
+    """Measure and print one JSON line.
+
+    Parameters
+    ----------
+    sizes : tuple of int
+        Members of the fleet.
+    seeds : int
+        Trees to build for the count of children.
+    """
+    steps = [_measure_size(size, seeds) for size in sizes]
+    print(msgspec.json.encode({"bench": "member_at_size", "steps": steps}).decode())
+
+
+def _measure_size(size: int, seeds: int) -> dict:
+    rng = random.Random(size)
+    updates = [_update(rng, number) for number in range(size - 1)]
+    tracemalloc.start()
+    member = _fill(updates, rng)
+    table_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        "size": size,
+        "table_bytes": table_bytes,
+        "tick_us": _time(member, lambda number: Tick()),
+        "probe_us": _time(member, lambda number: _probe(member, number)),
+        "update_us": _time(
+            member,
+            lambda number: _gossip(member, updates[number % len(updates)], number),
+        ),
+        "tree": [_tree(size, seed) for seed in range(seeds)],
+    }
+
+
+def _fill(updates: list[MemberUpdate], rng: random.Random) -> Membership:
+    settings = MembershipSettings(gossip_bytes_per_s=0, gossip_burst_bytes=0)
+    member = Membership("self", "10.0.0.1:7000", "z", settings, rng, timedelta(0))
+    for update in updates:
+        member.table.merge(msgspec.structs.replace(update), timedelta(0))
+    return member
+
+
+def _update(rng: random.Random, number: int) -> MemberUpdate:
+    return MemberUpdate(
+        rng.getrandbits(64) or 1,
+        0,
+        MemberState.ALIVE,
+        f"proxy-{number:05}",
+        f"10.1.{number // 250}.{number % 250 + 1}:7000",
+        f"zone-{number % 22:02}",
+    )
+
+
+def _probe(member: Membership, number: int) -> MessageReceived:
+    probe = Probe(1, member.table.digest, number, member.identity.instance_id)
+    return MessageReceived(probe, _SOURCE)
+
+
+def _gossip(member: Membership, update: MemberUpdate, number: int) -> MessageReceived:
+    newer = msgspec.structs.replace(update, incarnation=number + 1)
+    return MessageReceived(Gossip(1, member.table.digest, [newer]), _SOURCE)
+
+
+def _time(member: Membership, make: Callable[[int], object]) -> dict:
+    """Return the cost of an event at the pace of ticks, in microseconds."""
+    rounds = []
+    now = member._now
+    number = 0
+    for _ in range(_ROUNDS):
+        spent_ns = 0
+        for _ in range(_EVENTS):
+            number += 1
+            now += timedelta(milliseconds=TICK_MS)
+            member._ticked_at = now
+            event = make(number)
+            begun = time.perf_counter_ns()
+            actions = member.handle(event, now)
+            spent_ns += time.perf_counter_ns() - begun
+            _answer_probes(member, actions, now)
+        rounds.append(spent_ns / _EVENTS / 1000)
+    return {
+        "median": round(statistics.median(rounds), 2),
+        "max": round(max(rounds), 2),
+    }
+
+
+def _answer_probes(member: Membership, actions: list, now: timedelta) -> None:
+    """Answer in the place of all others, outside the measured time."""
+    for action in actions:
+        if isinstance(action, Send) and isinstance(action.message, Probe):
+            probe = action.message
+            responder = member.table.get(probe.target_id)
+            digest = member.table.digest
+            answer = ProbeAnswer(probe.target_id, digest, probe.number, responder)
+            member.handle(MessageReceived(answer, action.address), now)
+
+
+def _tree(size: int, seed: int) -> dict:
+    rng = random.Random(seed)
+    ring = Ring()
+    ids = [rng.getrandbits(64) or 1 for _ in range(size)]
+    for instance_id in ids:
+        ring.add(instance_id)
+    parents = {instance_id: ring.parent(instance_id) for instance_id in ids}
+    children = statistics.multimode(parents.values())
+    busiest = sum(parent == children[0] for parent in parents.values())
+    return {
+        "depth": max(_depth(parents, instance_id) for instance_id in ids),
+        "children_max": busiest,
+    }
+
+
+def _depth(parents: dict[int, int | None], instance_id: int) -> int:
+    depth = 0
+    while (parent := parents[instance_id]) is not None:
+        instance_id = parent
+        depth += 1
+    return depth
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
--- /dev/null
+++ b/bench/peer_nodes.py
@@ -0,0 +1,98 @@
+"""Processor time of a real peer node: sockets, codec, timers and decisions.
+
+``python -m bench.peer_nodes [--sizes 10,20,40]`` prints one JSON line. All nodes
+run in one process on loopback, so that its processor time is shared out evenly.
+"""
+
+import random
+import resource
+import statistics
+import time
+
+import anyio
+import fire
+import msgspec
+
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.events.recorder import EventRecorder
+from goldcrestpond.peer.peer_node import PeerNode
+from goldcrestpond.peer.peer_settings import PeerSettings
+from goldcrestpond.settings.address import Address
+
+from .clock_holder import ClockHolder
+
+_LOOPBACK = Address("127.0.0.1", 0)
+_SEED_COUNT = 3
+_MEETING_LIMIT_S = 60
+
+
+def measure(sizes: tuple[int, ...] = (10, 20, 40), duration_s: float = 10.0) -> None:
+    """Measure and print one JSON line.
+
+    Parameters
+    ----------
+    sizes : tuple of int
+        Nodes in the process.
+    duration_s : float
+        Time of each measurement, after all nodes have met.
+    """
+    steps = [anyio.run(_measure_size, size, duration_s) for size in sizes]
+    costs = [step["cpu_us_per_datagram"] for step in steps]
+    report = {
+        "bench": "peer_nodes",
+        "duration_s": duration_s,
+        "steps": steps,
+        "cpu_us_per_datagram_median": round(statistics.median(costs), 1),
+    }
+    print(msgspec.json.encode(report).decode())
+
+
+async def _measure_size(size: int, duration_s: float) -> dict:
+    nodes: list[PeerNode] = []
+    async with anyio.create_task_group() as tasks:
+        for number in range(size):
+            await tasks.start(_make_node(number, nodes).run)
+        with anyio.fail_after(_MEETING_LIMIT_S):
+            while any(
+                node.member_count < size or node.pending_update_count for node in nodes
+            ):
+                await anyio.sleep(0.1)
+        sent = sum(node.sent_count for node in nodes)
+        cpu_s, begun = time.process_time(), time.monotonic()
+        await anyio.sleep(duration_s)
+        passed_s = time.monotonic() - begun
+        cpu_s = time.process_time() - cpu_s
+        sent = sum(node.sent_count for node in nodes) - sent
+        tasks.cancel_scope.cancel()
+    per_node_s = passed_s * size
+    return {
+        "size": size,
+        "datagrams_per_s": round(sent / per_node_s, 2),
+        "cpu_ms_per_s": round(cpu_s / per_node_s * 1000, 3),
+        "cpu_us_per_datagram": round(cpu_s / sent * 1e6, 1),
+        "process_peak_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
+    }
+
+
+def _make_node(number: int, nodes: list[PeerNode]) -> PeerNode:
+    clock = SystemClock()
+    rng = random.Random(number)
+    name = f"proxy-{number}"
+
+    async def list_seeds() -> list[str]:
+        return [str(node.address) for node in nodes[:_SEED_COUNT]]
+
+    node = PeerNode(
+        PeerSettings(name, "zone", _LOOPBACK, "key"),
+        ClockHolder(clock, rng),
+        list_seeds,
+        clock,
+        rng,
+        EventRecorder(name, clock, lambda line: None),
+    )
+    nodes.append(node)
+    return node
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
--- a/goldcrestpond/distribution/distribution_settings.py
+++ b/goldcrestpond/distribution/distribution_settings.py
@@ -23,6 +23,9 @@
         When an unanswered request for an update is sent to another member.
     report_interval : timedelta
         Shortest pause between reports to the parent in the tree.
+    report_interval_per_child : timedelta
+        What each child adds to that pause, so that an instance with many
+        children has no more work than others.
     report_sends : int
         How often a changed report is sent, as datagrams get lost.
     report_period : timedelta
@@ -39,8 +42,9 @@
     notice_period: timedelta = _ms(500)
     request_timeout: timedelta = _ms(300)
     report_interval: timedelta = _ms(150)
+    report_interval_per_child: timedelta = _ms(25)
     report_sends: int = 2
-    report_period: timedelta = _ms(2000)
-    report_lifetime: timedelta = _ms(6500)
-    claim_lifetime: timedelta = _ms(10_000)
+    report_period: timedelta = _ms(4000)
+    report_lifetime: timedelta = _ms(13_000)
+    claim_lifetime: timedelta = _ms(15_000)
     datagram_limit_bytes: int = 1000
--- a/goldcrestpond/distribution/force_report.py
+++ b/goldcrestpond/distribution/force_report.py
@@ -8,9 +8,6 @@
 class ForceReport(msgspec.Struct, frozen=True):
     """Revisions of the sender and of all below it in the tree.
 
-    A report without counts withdraws the sender's former ones: it has another
-    parent now.
-
     Attributes
     ----------
     sender_id : int
--- a/goldcrestpond/distribution/force_tree.py
+++ b/goldcrestpond/distribution/force_tree.py
@@ -107,13 +107,14 @@
 
     def tick(self, now: timedelta) -> list[Send]:
         """Report to the parent, or claim as the root, if it is due."""
-        if now - self._reported_at < self._settings.report_interval:
+        if now - self._reported_at < self._interval():
             return []
         self._drop_old_reports(now)
         report = self._sum_up()
         parent = self._parent()
         address = "" if parent is None else self._address(parent)
-        moved = self._withdraw(address)
+        moved = address != self._parent_address
+        self._parent_address = address
         is_due = now - self._reported_at >= self._settings.report_period
         if moved or report != self._last_report:
             self._sends_left = self._settings.report_sends
@@ -123,15 +124,12 @@
         self._reported_at = now
         self._last_report = report
         if parent is not None:
-            return [*moved, Send(address, report)]
-        return moved + self._claim_total(report, now)
+            return [Send(address, report)]
+        return self._claim_total(report, now)
 
     def on_report(self, report: ForceReport, source: str, now: timedelta) -> None:
         """Take a child's report in."""
-        if report.counts:
-            self._reports[report.sender_id] = _HeardReport(report, source, now)
-        else:
-            self._reports.pop(report.sender_id, None)
+        self._reports[report.sender_id] = _HeardReport(report, source, now)
 
     def on_claim(self, claim: ForceClaim, now: timedelta) -> list[Send]:
         """Hold a claim of the root and pass it on to the children."""
@@ -147,7 +145,7 @@
         passed_on = ForceClaim(
             self._own_id(), claim.root_id, claim.number, claim.counts
         )
-        return [Send(heard.address, passed_on) for heard in self._reports.values()]
+        return [Send(heard.address, passed_on) for heard in self._children()]
 
     def _claim_total(self, report: ForceReport, now: timedelta) -> list[Send]:
         table = self._membership.table
@@ -159,25 +157,34 @@
         claim = ForceClaim(own_id, own_id, self._claim_number, report.counts)
         return self._hold(claim, now)
 
+    def _interval(self) -> timedelta:
+        per_child = self._settings.report_interval_per_child
+        return self._settings.report_interval + per_child * len(self._reports)
+
     def _sum_up(self) -> ForceReport:
-        reports = [heard.report for heard in self._reports.values()]
+        reports = [heard.report for heard in self._children()]
         own = [RevisionCount(self._holder.state.revision, 1)]
         counts = merge_counts([own, *(report.counts for report in reports)])
         id_sum = _add((report.id_sum for report in reports), self._own_id())
         return ForceReport(self._own_id(), id_sum, counts)
 
-    def _withdraw(self, parent_address: str) -> list[Send]:
-        former, self._parent_address = self._parent_address, parent_address
-        if former in ("", parent_address):
-            return []
-        return [Send(former, ForceReport(self._own_id(), 0, []))]
+    def _children(self) -> list[_HeardReport]:
+        """Return the reports of those whose parent this member is by its view.
+
+        Others moved to another parent, or this member has not yet heard of a
+        change that makes it their parent.
+        """
+        ring = self._membership.table.ring
+        own_id = self._own_id()
+        return [
+            heard
+            for sender_id, heard in self._reports.items()
+            if sender_id in ring and ring.parent(sender_id) == own_id
+        ]
 
     def _drop_old_reports(self, now: timedelta) -> None:
-        table = self._membership.table
         for sender_id, heard in list(self._reports.items()):
-            sender = table.get(sender_id)
-            is_gone = sender is not None and not sender.is_live
-            if is_gone or now - heard.heard_at > self._settings.report_lifetime:
+            if now - heard.heard_at > self._settings.report_lifetime:
                 del self._reports[sender_id]
 
     def _parent(self) -> int | None:
--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -105,6 +105,11 @@
         """Own process as it describes itself."""
         return self._self
 
+    @property
+    def pending_update_count(self) -> int:
+        """Count of updates that are still passed on."""
+        return len(self._queue)
+
     def live(self) -> list[MemberUpdate]:
         """Return all live instances, this one included."""
         return self.table.live()
--- a/goldcrestpond/membership/ring.py
+++ b/goldcrestpond/membership/ring.py
@@ -5,8 +5,7 @@
 
 import xxhash
 
-_LEVEL_BITS = 2
-_LEVELS = 16
+_LEVELS = 32
 
 
 def ring_position(instance_id: int) -> int:
@@ -15,11 +14,11 @@
 
 
 def ring_level(instance_id: int) -> int:
-    """Return the level of an instance: one in four reaches the next."""
+    """Return the level of an instance: one in two reaches the next."""
     bits = xxhash.xxh3_64_intdigest(instance_id.to_bytes(8, "big"), seed=1)
     level = 0
-    while level < _LEVELS - 1 and bits & 3 == 0:
-        bits >>= _LEVEL_BITS
+    while level < _LEVELS - 1 and bits & 1 == 0:
+        bits >>= 1
         level += 1
     return level
 
@@ -42,6 +41,9 @@
     def __len__(self) -> int:
         return len(self._ids)
 
+    def __contains__(self, instance_id: int) -> bool:
+        return ring_position(instance_id) in self._ids
+
     def add(self, instance_id: int) -> None:
         """Add an instance."""
         position = ring_position(instance_id)
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -72,6 +72,8 @@
     ----------
     malformed_count : int
         Messages that could not be read and were dropped.
+    sent_count : int
+        Datagrams that were sent.
     dropped_count : int
         Datagrams that were dropped because too many waited to be sent.
     """
@@ -103,6 +105,7 @@
         self.address: Address | None = None
         self.malformed_count = 0
         self.dropped_count = 0
+        self.sent_count = 0
 
     @property
     def name(self) -> str:
@@ -119,6 +122,11 @@
         """Count of live instances, this one included."""
         return 1 if self._membership is None else len(self._membership.table.ring)
 
+    @property
+    def pending_update_count(self) -> int:
+        """Count of updates on members that are still passed on."""
+        return 0 if self._membership is None else self._membership.pending_update_count
+
     @property
     def known_count(self) -> int:
         """Count of instances, live or cut off, this one included."""
@@ -257,6 +265,7 @@
         async for data, (host, port) in self._to_send:
             try:
                 await udp.sendto(data, host, port)
+                self.sent_count += 1
             except OSError as error:
                 _logger.debug("peer: cannot send to %s:%d: %s", host, port, error)
 
