Share a database's connections between instances by leases

A row per database divides the limit; a lease row per instance covers all its shares. A share is used only after its row is known to be written, lowered before the row that lowers it is sent, and reduced to its floor without a lease; shares move by demand, and only when somebody asks.

--- /dev/null
+++ b/goldcrestpond/pool/share_demand.py
@@ -0,0 +1,25 @@
+"""What the work of one instance asks of a database."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ShareDemand:
+    """Present use and demand of one instance.
+
+    Attributes
+    ----------
+    in_use : int
+        Connections that are open or being closed.
+    wanted : int
+        Connections that the present work could use.
+    reports_running : int
+        Reports that run.
+    reports_wanted : int
+        Reports that run or wait.
+    """
+
+    in_use: int
+    wanted: int
+    reports_running: int = 0
+    reports_wanted: int = 0
--- /dev/null
+++ b/tests/pool/share_machine.py
@@ -0,0 +1,156 @@
+"""Instances that share a limit through a table, with all its faults."""
+
+from datetime import timedelta
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from goldcrestpond.pool.instance_lease import InstanceLease
+from goldcrestpond.pool.lease_observer import LeaseObserver
+from goldcrestpond.pool.share_demand import ShareDemand
+from goldcrestpond.pool.share_holder import ShareHolder
+from goldcrestpond.pool.share_limits import ShareLimits
+from goldcrestpond.pool.share_row import ShareRow
+
+LIMITS = ShareLimits(connection_limit=20, report_slot_limit=2)
+_NAMES = ("a", "b", "c")
+
+
+class ShareInstance:
+    """One instance; its clock starts anywhere and runs at its own rate."""
+
+    def __init__(self, name, offset_s, rate, holder_type):
+        self.name = name
+        self.offset = timedelta(seconds=offset_s)
+        self.rate = rate
+        self.holder_type = holder_type
+        self.restart()
+
+    def restart(self):
+        self.lease = InstanceLease()
+        self.others = LeaseObserver()
+        self.holder = self.holder_type(self.name, LIMITS, self.lease, self.others)
+        self.in_use = 0
+
+    def now(self, true_now):
+        return self.offset + true_now * self.rate
+
+
+class ShareMachine(RuleBasedStateMachine):
+    """Checks that the shares in use never exceed the limit."""
+
+    holder_type = ShareHolder
+
+    def __init__(self):
+        super().__init__()
+        self.true_now = timedelta(0)
+        self.revision = 0
+        self.row = (ShareRow(), 0)
+        self.lease_revisions = {}
+        self.in_flight = []  # (writer, proposal): may still take effect
+        rates = (1.0, 1.02, 0.98)
+        self.instances = {
+            name: ShareInstance(name, 1000 * n, rate, self.holder_type)
+            for n, (name, rate) in enumerate(zip(_NAMES, rates, strict=True))
+        }
+
+    @rule(name=st.sampled_from(_NAMES), answer_s=st.sampled_from([0, 0, 1, 15, 40]))
+    def renew(self, name, answer_s):
+        """Renew a lease; the answer may take long."""
+        instance = self.instances[name]
+        sent_at = instance.now(self.true_now)
+        self.revision += 1
+        self.lease_revisions[name] = self.revision
+        self.pass_time(answer_s)
+        instance.lease.renewed(sent_at)
+
+    @rule(name=st.sampled_from(_NAMES), answer_s=st.sampled_from([0, 0, 1, 15]))
+    def read(self, name, answer_s):
+        """Read all rows; the state is the one at the request's arrival."""
+        instance = self.instances[name]
+        sent_at = instance.now(self.true_now)
+        row, revision = self.row
+        leases = dict(self.lease_revisions)
+        self.pass_time(answer_s)
+        answered_at = instance.now(self.true_now)
+        for other, lease_revision in leases.items():
+            instance.others.observe(other, lease_revision, answered_at)
+        instance.others.finish_read(sent_at)
+        instance.holder.observe(row, revision)
+
+    @rule(
+        name=st.sampled_from(_NAMES),
+        wanted=st.integers(0, 30),
+        reports=st.integers(0, 3),
+        fate=st.sampled_from(["ok", "ok", "ok", "lost", "late"]),
+    )
+    def write(self, name, wanted, reports, fate):
+        """Propose a row; its answer may be lost, its effect may come late."""
+        instance = self.instances[name]
+        now = instance.now(self.true_now)
+        instance.in_use = min(wanted, max(instance.holder.usable(now), 0))
+        demand = ShareDemand(instance.in_use, wanted, 0, reports)
+        proposal = instance.holder.propose(demand, frozenset(_NAMES), now)
+        if proposal is None:
+            return
+        if fate == "late":
+            self.in_flight.append(proposal)
+            return
+        revision = self.take_effect(proposal)
+        if fate == "ok" and revision:
+            instance.holder.written(proposal, revision)
+
+    @precondition(lambda machine: machine.in_flight)
+    @rule()
+    def late_effect(self):
+        self.take_effect(self.in_flight.pop(0))
+
+    @rule(name=st.sampled_from(_NAMES))
+    def grow(self, name):
+        """Open connections up to what may be used."""
+        instance = self.instances[name]
+        now = instance.now(self.true_now)
+        instance.in_use = max(instance.in_use, instance.holder.usable(now))
+
+    @rule(name=st.sampled_from(_NAMES))
+    def release(self, name):
+        instance = self.instances[name]
+        proposal = instance.holder.release()
+        if proposal is not None:
+            instance.in_use = 0
+            self.take_effect(proposal)
+
+    @rule(step_s=st.sampled_from([1, 5, 12, 21, 33, 60]))
+    def pass_time(self, step_s):
+        self.true_now += timedelta(seconds=step_s)
+        for instance in self.instances.values():
+            usable = instance.holder.usable(instance.now(self.true_now))
+            instance.in_use = min(instance.in_use, usable)
+
+    def take_effect(self, proposal):
+        if proposal.expected_revision != self.row[1]:
+            return 0
+        self.revision += 1
+        self.row = (proposal.row, self.revision)
+        return self.revision
+
+    @invariant()
+    def row_is_within_the_limits(self):
+        row = self.row[0]
+        assert row.free_connections(LIMITS.connection_limit) >= 0
+        assert row.free_report_slots(LIMITS.report_slot_limit) >= 0
+        assert all(entry.share >= entry.floor for entry in row.entries.values())
+
+    @invariant()
+    def use_is_within_the_limit(self):
+        usable = 0
+        for instance in self.instances.values():
+            bound = instance.holder.usable(instance.now(self.true_now))
+            assert bound >= 0
+            usable += max(bound, instance.in_use if bound else 0)
+        assert usable <= LIMITS.connection_limit
