--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -23,7 +23,7 @@
     BAD_PARAMETER = (110, "22023", 400, "A goldcrestpond parameter is not valid.")
     BAD_TOKEN = (111, "22023", 400, "The session token cannot be read.")
     TOKEN_BEYOND_HISTORY = (112, "22023", 400, "The history lacks the token's write.")
-    ENCRYPTION_REQUIRED = (112, "28000", 403, "The instance requires TLS.")
+    ENCRYPTION_REQUIRED = (113, "28000", 403, "The instance requires TLS.")
 
     NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
     ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint was reached; not run.")
