--- a/goldcrestpond/membership/gossip.py
+++ b/goldcrestpond/membership/gossip.py
@@ -16,6 +16,9 @@
         Digest of the sender's live members.
     updates : list of MemberUpdate
         What the receiver may not know yet.
+    is_answer : bool
+        True for a part of an answer to a `SyncRequest`: others know it, so the
+        receiver does not pass it on.
     more : bool
         True if this ends a part of an answer to a `SyncRequest` and the rest
         waits for another request.
@@ -24,4 +27,5 @@
     sender_id: int
     digest: int
     updates: list[MemberUpdate]
+    is_answer: bool = False
     more: bool = False
--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -318,9 +318,15 @@
                 self._send_gossip(self.table.get(receiver).address, updates)
 
     def _send_gossip(
-        self, address: str, updates: list[MemberUpdate], more: bool = False
+        self,
+        address: str,
+        updates: list[MemberUpdate],
+        *,
+        is_answer: bool = False,
+        more: bool = False,
     ) -> None:
-        gossip = Gossip(self._self.instance_id, self.table.digest, updates, more)
+        own_id = self._self.instance_id
+        gossip = Gossip(own_id, self.table.digest, updates, is_answer, more)
         self._send(address, gossip)
 
     def _piggyback(self) -> list[MemberUpdate]:
@@ -403,7 +409,8 @@
         self._send_probe(request.number, target, origin=source)
 
     def _on_gossip(self, gossip: Gossip, source: str) -> None:
-        changed = self._learn_all(gossip.updates, source)
+        spread = not gossip.is_answer
+        changed = self._learn_all(gossip.updates, source, spread=spread)
         if gossip.more and changed:
             self._request_sync()
         self._after_contact(gossip.sender_id, gossip.digest, source)
@@ -425,7 +432,7 @@
             if not self._budget.spend(MESSAGE_BYTES + len(part) * UPDATE_BYTES):
                 return
             more = number == SYNC_DATAGRAMS and len(parts) > SYNC_DATAGRAMS
-            self._send_gossip(source, part, more)
+            self._send_gossip(source, part, is_answer=True, more=more)
 
     def _request_sync(self) -> None:
         self._sync_at = self._now + self._pause_between_syncs()
@@ -468,11 +475,13 @@
 
     # Knowledge
 
-    def _learn_all(self, updates: Iterable[MemberUpdate], source: str) -> int:
+    def _learn_all(
+        self, updates: Iterable[MemberUpdate], source: str, *, spread: bool = True
+    ) -> int:
         changed = 0
         corrections = []
         for update in updates:
-            if self._learn(self._doubt(update)):
+            if self._learn(self._doubt(update), spread=spread):
                 changed += 1
                 continue
             known = self.table.get(update.instance_id)
@@ -498,13 +507,14 @@
             return msgspec.structs.replace(update, state=MemberState.SUSPECT)
         return update
 
-    def _learn(self, update: MemberUpdate) -> bool:
+    def _learn(self, update: MemberUpdate, *, spread: bool = True) -> bool:
         if update.instance_id == self._self.instance_id:
             self._defend(update.state, update.incarnation)
             return False
         if not self.table.merge(update, self._now):
             return False
-        self._queue.put(update)
+        if spread:
+            self._queue.put(update)
         self._actions.append(MemberChanged(update))
         if update.state == MemberState.SUSPECT:
             self._heard.setdefault(update.instance_id, self._heard_deadline())
--- a/goldcrestpond/peer/membership_codec.py
+++ b/goldcrestpond/peer/membership_codec.py
@@ -90,13 +90,15 @@
     """Fill the envelope with updates."""
     out = envelope.init("gossip")
     out.digest = gossip.digest
+    out.isAnswer = gossip.is_answer
     out.more = gossip.more
     _write_updates(out, gossip.updates)
 
 
 def read_gossip(sender_id: int, body: Any) -> Gossip:
     """Return the updates of an envelope."""
-    return Gossip(sender_id, body.digest, _read_updates(body.updates), body.more)
+    updates = _read_updates(body.updates)
+    return Gossip(sender_id, body.digest, updates, body.isAnswer, body.more)
 
 
 def write_sync_request(envelope: Any, request: SyncRequest) -> None:
--- a/goldcrestpond/schema/peer.capnp
+++ b/goldcrestpond/schema/peer.capnp
@@ -40,6 +40,7 @@
   digest @0 :UInt64;
   updates @1 :List(MemberUpdate);
   more @2 :Bool;
+  isAnswer @3 :Bool;
 }
 
 struct SyncRequest {
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -90,9 +90,10 @@
 def _newcomer_is_counted(distribution_class=Distribution):
     fleet = _fleet(20, distribution_class=distribution_class)
     fleet.run(5)
-    for _ in range(5):
+    for number in range(20):
         fleet.start()
-        fleet.run(0.4)
+        fleet.write(f"row-{number}", _VALUE)
+        fleet.run(0.2 + fleet.rng.random() / 2)
 
 
 _SCENARIOS = [
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -368,3 +368,11 @@
         fleet.run(5)
         rates.append(sum(fleet.messages.values()) / size)
     assert_that(rates[1], LessThan(rates[0] * 1.2))
+
+
+def test_newcomer_does_not_pass_the_whole_table_on():
+    fleet = _fleet(60)
+    fleet.run(60)
+    newcomer = fleet.members[fleet.start()]
+    fleet.run_until(fleet.agreed, HEALING_S)
+    assert_that(newcomer.pending_update_count, LessThan(10))
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -63,7 +63,7 @@
     st.builds(Probe, _U64, _U64, _U64, _U64, _U64, _STATE, _ORIGIN, _UPDATES),
     st.builds(ProbeAnswer, _U64, _U64, _U64, _UPDATE, _ORIGIN, _UPDATES),
     st.builds(ProbeRequest, _U64, _U64, _U64, _U64, _STATE, _ADDRESS),
-    st.builds(Gossip, _U64, _U64, _UPDATES, st.booleans()),
+    st.builds(Gossip, _U64, _U64, _UPDATES, st.booleans(), st.booleans()),
     st.builds(SyncRequest, _U64, st.lists(_U32, max_size=BUCKET_COUNT)),
     st.builds(RevisionNotice, _U64, _U64),
     st.builds(UpdateRequest, _U64, _U64, _U64),
@@ -145,7 +145,7 @@
     seal = Seal(b"key")
     gossip_updates = [_long_update(n) for n in range(limits.updates_per_gossip)]
     probe_updates = gossip_updates[: limits.updates_per_probe]
-    gossip = Gossip(2**64 - 1, 2**64 - 1, gossip_updates, True)
+    gossip = Gossip(2**64 - 1, 2**64 - 1, gossip_updates, True, True)
     answer = ProbeAnswer(1, 2**64 - 1, 2**63, _long_update(1), "", probe_updates)
     digests = SyncRequest(2**64 - 1, [2**32 - 1 - n for n in range(BUCKET_COUNT)])
     for message in (gossip, answer, digests):
