Close a connection that its session is sending on

Change: a replaced primary's connections are marked broken before they are closed, so no goodbye is sent; a goodbye that meets a sender is left out, and one that takes longer than 1 s no longer keeps the socket open.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -188,6 +188,8 @@
         """Drop all work: the database is the primary no longer."""
         self._term = max(self._term, term)
         self._open_failure = "the primary was replaced"
+        for connection in self._connections.values():
+            connection.is_broken = True  # a session may be sending on it
         self._apply(self._decisions.supersede(term, self._clock.now()))
 
     @property
--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -19,6 +19,7 @@
 from .query_result import QueryResult
 
 RECEIVE_BYTES = 65536  # one read serves a whole answer of usual size
+GOODBYE_LIMIT_S = 1  # a peer that reads nothing is not waited for
 _NOTHING_READABLE: list = []
 
 
@@ -176,15 +177,24 @@
 
     async def aclose(self) -> None:
         """Say goodbye if the connection is whole, then close it."""
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+        with anyio.CancelScope(shield=True):
             if not self.is_broken:
-                try:
-                    await self._stream.send(Terminate().to_wire())
-                except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                    pass
+                with anyio.move_on_after(GOODBYE_LIMIT_S):
+                    await self._say_goodbye()
             self.is_broken = True
             await anyio.aclose_forcefully(self._stream)
 
+    async def _say_goodbye(self) -> None:
+        try:
+            await self._stream.send(Terminate().to_wire())
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.BusyResourceError,  # its user is sending: no goodbye
+            anyio.ClosedResourceError,
+        ):
+            pass
+
     def _broken(self, detail: str) -> CodedError:
         self.is_broken = True
         return CodedError(ResultCode.ANSWER_INTERRUPTED, f"{self.address}: {detail}")
