Return a connection that was granted at once without waiting for it

Cause: a request that finds an idle connection opened a cancel scope and yielded to the loop once before it went on.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -156,6 +156,8 @@
         self._waiters[request.request_id] = waiter
         now = self._clock.now()
         self._apply(self._decisions.request(request, now))
+        if waiter.done.is_set():
+            return self._result(waiter)
         try:
             await self._wait(waiter, deadline - now)
         except BaseException:
