Send on a socket at once when it takes the bytes

Cause: each send yields to the event loop once, twice for a statement, with the cancel scopes around it. Ruled out: keeping a descriptor's number, which a later connection may bear; and direct sends after one that was cancelled, whose rest would come later. A test catches both.

--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -11,6 +11,7 @@
 from ..errors.result_code import ResultCode
 from ..frames import kinds
 from ..frames.build import query_frame
+from ..frames.direct_sender import DirectSender
 from ..frames.frame import Frame
 from ..frames.frame_splitter import FrameSplitter
 from ..frames.read import read_error_fields, read_parameter, read_text
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "_poll",
+        "_sender",
         "_splitter",
         "_stream",
         "address",
@@ -74,6 +76,7 @@
 
     def __init__(self, stream: SocketStream, splitter: FrameSplitter, address: Address):
         self._stream = stream
+        self._sender = DirectSender(stream)
         self._splitter = splitter
         self.address = address
         self.parameters: dict[str, str] = {}
@@ -115,7 +118,7 @@
             may have arrived.
         """
         try:
-            await self._stream.send(data)
+            await self._sender.send(data)
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._broken("connection lost while sending") from error
 
--- a/goldcrestpond/wire/caller_stream.py
+++ b/goldcrestpond/wire/caller_stream.py
@@ -9,6 +9,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..frames.direct_sender import DirectSender
 from ..frames.frame import Frame
 from ..frames.frame_splitter import FrameSplitter
 
@@ -31,10 +32,11 @@
         Largest frame that is taken.
     """
 
-    __slots__ = ("_frames", "_splitter", "_stream")
+    __slots__ = ("_frames", "_sender", "_splitter", "_stream")
 
     def __init__(self, stream: ByteStream, frame_limit_bytes: int):
         self._stream = stream
+        self._sender = DirectSender(stream)
         self._splitter = FrameSplitter(frame_limit_bytes)
         self._frames: deque[Frame] = deque()
 
@@ -92,7 +94,7 @@
             If the connection is lost.
         """
         try:
-            await self._stream.send(data)
+            await self._sender.send(data)
         except _LOST as error:
             raise CallerGone from error
 
@@ -111,6 +113,7 @@
                 ssl_context=context,
                 standard_compatible=False,
             )
+            self._sender = DirectSender(self._stream)
         except _LOST as error:
             raise CallerGone from error
 
--- /dev/null
+++ b/tests/test_direct_sender.py
@@ -0,0 +1,93 @@
+"""Direct sends keep the order of bytes and never reach another connection."""
+
+import os
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.frames.direct_sender import DirectSender
+
+_SIZES = st.lists(st.sampled_from([1, 100, 5000, 8_000_000]), min_size=1, max_size=6)
+
+
+@asynccontextmanager
+async def connected():
+    """Open one connection and give both ends."""
+    accepted = []
+
+    async def keep(stream):
+        accepted.append(stream)
+        await anyio.sleep_forever()
+
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, keep)
+            port = listener.extra(SocketAttribute.local_port)
+            async with await anyio.connect_tcp("127.0.0.1", port) as near:
+                while not accepted:
+                    await anyio.sleep(0.001)
+                yield near, accepted[0]
+            tasks.cancel_scope.cancel()
+
+
+async def read(stream, count):
+    data = bytearray()
+    while len(data) < count:
+        data += await stream.receive()
+    return data
+
+
+@settings(max_examples=25)
+@given(_SIZES, st.booleans())
+def test_bytes_arrive_in_order_whatever_fits(sizes, is_broken_off):
+    parts = [bytes([at + 1]) * size for at, size in enumerate(sizes)]
+
+    async def main():
+        async with connected() as (near, far):
+            sender = DirectSender(near)
+            sent = parts
+            if is_broken_off:
+                # The rest of a send that was cancelled still goes out, first.
+                sent = [b"x" * 20_000_000, *parts]
+                with anyio.move_on_after(0.005):
+                    await sender.send(sent[0])
+            expected = b"".join(sent)
+            async with anyio.create_task_group() as tasks:
+
+                async def send_all():
+                    for part in parts:
+                        await sender.send(part)
+
+                tasks.start_soon(send_all)
+                received = await read(far, len(expected))
+            assert_that(received == expected, Equals(True))
+
+    anyio.run(main)
+
+
+def test_a_closed_connection_refuses_though_its_descriptor_serves_another():
+    async def main():
+        async with connected() as (near, _):
+            sender = DirectSender(near)
+            descriptor = near.extra(SocketAttribute.raw_socket).fileno()
+            reader, writer = os.pipe()
+            await near.aclose()
+            await anyio.sleep(0.01)
+            os.dup2(writer, descriptor)
+            try:
+                with pytest.raises((OSError, anyio.ClosedResourceError)):
+                    await sender.send(b"crossed")
+                os.set_blocking(reader, False)
+                with pytest.raises(BlockingIOError):
+                    os.read(reader, 100)
+            finally:
+                for each in {reader, writer, descriptor}:
+                    os.close(each)
+
+    anyio.run(main)
