--- a/goldcrestpond/endpoint/group_monitor_keeper.py
+++ b/goldcrestpond/endpoint/group_monitor_keeper.py
@@ -236,7 +236,7 @@
         if record is None:
             return
         live = {instance.name for instance in await self._platform.instances()}
-        if instance_of(record.issued_to) not in live:
+        if live and instance_of(record.issued_to) not in live:
             await self._record.issue(self._view.highest_term())
 
     async def _attempt(self, act: Callable) -> None:
--- a/tests/term_world.py
+++ b/tests/term_world.py
@@ -199,8 +199,8 @@
 
     # Promotion
 
-    def claim(self):
-        """Ask the table for the next term."""
+    def claim(self, excluded=""):
+        """Ask the table for the next term, to promote without one database."""
         identity = self.identity
         wanted = issue_term(self.row, self.view.highest_term(), identity)
         expected = self.revision
@@ -215,13 +215,14 @@
             own = self.world.rules.has_issued(self.row, wanted.issued_term, identity)
             if own and wanted.issued_term > self.used_term:
                 self.used_term = wanted.issued_term
-                self.start(wanted.issued_term)
+                self.start(wanted.issued_term, excluded)
 
         self.send("table", act, take)
 
-    def start(self, term):
-        self.promotion = self.world.rules.make_promotion(
-            list(self.world.databases), term, self.identity
+    def start(self, term, excluded):
+        make = self.world.rules.make_promotion
+        self.promotion = make(
+            list(self.world.databases), term, self.identity, excluded=excluded
         )
         self.world.note_issued(term, self.identity)
 
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -11,12 +11,17 @@
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.configuration.database_group_spec import DatabaseGroupSpec
+from goldcrestpond.endpoint import group_monitor_keeper as keeper
 from goldcrestpond.endpoint.group_monitor import GroupMonitor
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.events.recorder import EventRecorder
 from goldcrestpond.group.log_position import LogPosition
 from goldcrestpond.group.role import Role
+from goldcrestpond.platform.instance_entry import InstanceEntry
+from goldcrestpond.platform.row import Row
+from goldcrestpond.term.term_record import TermRecord
+from goldcrestpond.term.term_start import TermStart
 
 from .fake_connections import FakeEndpoints
 from .fake_group import Refused, make_group
@@ -293,3 +298,21 @@
 def _row(platform):
     row = platform.rows.get("terms/depot")
     return row.value if row else b""
+
+
+def test_term_of_an_instance_that_is_gone_is_replaced(monitor, platform, monkeypatch):
+    monkeypatch.setattr(keeper, "REVIEW_INTERVAL", timedelta(milliseconds=200))
+    record = TermRecord(2, "gone/1", "a", (TermStart(1, 0),))
+    platform.rows["terms/depot"] = Row("terms/depot", msgspec.json.encode(record), 1)
+    platform.revision = 1
+    platform.live = [InstanceEntry("gone", "127.0.0.1:1")]
+
+    async def act():
+        await monitor.wait_primary(soon())
+        await anyio.sleep(0.5)
+        assert_that(b'"issued_to":"gone/1"' in _row(platform), Is(True))
+        platform.live = [InstanceEntry("p1", "127.0.0.1:1")]
+        await until(lambda: b'"issued_to":"p1/' in _row(platform))
+        assert_that(b'"issued_term":3' in _row(platform), Is(True))
+
+    run_with(monitor, act)
--- a/tests/test_term_model.py
+++ b/tests/test_term_model.py
@@ -112,6 +112,23 @@
             proxy.step()
             self.world.settle_messages(proxy)
 
+    @rule(number=PROXIES, excluded=DATABASES, steps=st.integers(1, 4))
+    def promote_without(self, number, excluded, steps):
+        proxy = self.proxy(number)
+        proxy.claim(excluded)
+        self.world.settle_messages(proxy)
+        for _ in range(steps - 1):
+            proxy.step()
+            self.world.settle_messages(proxy)
+
+    @rule(number=PROXIES, database=DATABASES)
+    def fence_first(self, number, database):
+        """Stop the primary's writes before the others are fenced."""
+        proxy = self.proxy(number)
+        if proxy.promotion is not None:
+            proxy.send_step(database, "fence", proxy.promotion.fence_answered)
+            self.world.settle_messages(proxy)
+
     @rule(number=PROXIES, unreachable=DATABASES)
     def elect(self, number, unreachable):
         if not self.world.killed:
@@ -185,8 +202,8 @@
 class WithoutFence(Promotion):
     """Promotes as soon as the candidate itself has joined."""
 
-    def __init__(self, databases, term, promoter):
-        super().__init__(databases, term, promoter)
+    def __init__(self, databases, term, promoter, excluded=""):
+        super().__init__(databases, term, promoter, excluded=excluded)
         self._majority = 1
 
 
