--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -91,6 +91,7 @@
         "_events",
         "_floors",
         "_group",
+        "_is_keeping",
         "_keeper",
         "_keeping",
         "_login",
@@ -139,7 +140,8 @@
             for name, address in self._addresses.items()
         }
         identity = f"{instance}/{rng.getrandbits(64):016x}"
-        self._keeping = anyio.CancelScope()
+        self._is_keeping = True
+        self._keeping: anyio.CancelScope | None = None
         self._keeper = self._new_keeper(identity, platform, rng, recorder)
 
     def _new_keeper(
@@ -236,11 +238,14 @@
 
     def stop_keeping(self) -> None:
         """Leave the group's order to a successor; requests in flight go on."""
-        self._keeping.cancel()
+        self._is_keeping = False
+        if self._keeping is not None:
+            self._keeping.cancel()
 
     async def _keep(self) -> None:
-        with self._keeping:
-            await self._keeper.run()
+        with anyio.CancelScope() as self._keeping:
+            if self._is_keeping:
+                await self._keeper.run()
 
     async def wait_change(self, deadline: timedelta) -> None:
         """Wait until something about the group changes, or the deadline."""
