Let statements end at a replaced primary that answers

Change: if the replaced primary answered its last poll, only its idle connections are closed and waiting requests sent on; running statements end.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -186,13 +186,15 @@
             self._term = term
             self._apply(self._decisions.set_term(term, self._clock.now()))
 
-    def supersede(self, term: int) -> None:
-        """Drop all work: the database is the primary no longer."""
+    def supersede(self, term: int, is_answering: bool) -> None:
+        """Take no more work: the database is the primary no longer."""
         self._term = max(self._term, term)
         self._open_failure = "the primary was replaced"
-        for connection in self._connections.values():
-            connection.is_broken = True  # a session may be sending on it
-        self._apply(self._decisions.supersede(term, self._clock.now()))
+        if not is_answering:
+            for connection in self._connections.values():
+                connection.is_broken = True  # a session may be sending on it
+        now = self._clock.now()
+        self._apply(self._decisions.supersede(term, is_answering, now))
 
     @property
     def report_demand(self) -> int:
--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -47,7 +47,7 @@
 _UNUSABLE = (Verdict.DEAD, Verdict.STALLED)
 
 
-def _ignore_replaced(database: str, term: int) -> None:
+def _ignore_replaced(database: str, term: int, is_answering: bool) -> None:
     """Do nothing about a replaced primary."""
 
 
@@ -57,8 +57,9 @@
     Attributes
     ----------
     on_replaced : callable
-        Receives ``(database, term)`` once the former primary ``database`` can
-        have nothing confirmed any more, since a majority has joined ``term``.
+        Receives ``(database, term, is_answering)`` once the former primary
+        ``database`` can have nothing confirmed any more, since a majority has
+        joined ``term``; ``is_answering`` tells whether it answered last.
 
     Parameters
     ----------
@@ -126,7 +127,7 @@
         self._floors = FloorQueue()
         self._stall = ReplicationStall()
         self._watched: DatabaseStatus | None = None
-        self.on_replaced: Callable[[str, int], None] = _ignore_replaced
+        self.on_replaced: Callable[[str, int, bool], None] = _ignore_replaced
         self._events: dict[Confirmation | FloorRequest, anyio.Event] = {}
         self._detector: FailureDetector | None = None
         self._changed = Wakeup()
@@ -374,8 +375,8 @@
     def _take_sample(self, sample: StatusSample) -> None:
         if not self._view.observe(sample):
             return
-        self._judge_sample(sample)
         self._watch_primary()
+        self._judge_sample(sample)
         now = self._clock.now()
         self._router.observe(sample, now)
         self._stall.observe(self._view, now)
@@ -386,7 +387,8 @@
         watched = self._watched
         first_term = self._view.first_open_term()
         if watched is not None and watched.term < first_term:
-            self.on_replaced(watched.database, first_term)
+            is_answering = self._verdict() in (Verdict.ALIVE, Verdict.STALLED)
+            self.on_replaced(watched.database, first_term, is_answering)
             self._watched = None
         primary = self._view.primary()
         if primary is not None:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -275,13 +275,21 @@
                 actions += self._retire(connection, "term superseded", now)
         return actions + self._schedule(now)
 
-    def supersede(self, term: int, now: timedelta) -> list[PoolAction]:
-        """Drop all work: the database was the primary of a term before ``term``.
+    def supersede(
+        self, term: int, is_answering: bool, now: timedelta
+    ) -> list[PoolAction]:
+        """Take no more work: the database was the primary before ``term``.
 
-        Nothing that still runs there can be acknowledged, and what waits is to
-        go to the next primary.
+        What waits is to go to the next primary. Statements that run may end if
+        the database still answers: each then has a definite answer.
         """
-        actions: list[PoolAction] = self.close_all("primary replaced", now)
+        reason = "primary replaced"
+        actions: list[PoolAction] = []
+        if is_answering:
+            for connection in list(self._connections):
+                actions += self._retire(connection, reason, now)
+        else:
+            actions += self.close_all(reason, now)
         self._term = max(self._term, term)
         code = ResultCode.ENDPOINT_UNREACHABLE
         return actions + self._queues.refuse_all(code, timedelta(0))
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -225,10 +225,10 @@
             self._pools[database] = pool
         return pool
 
-    def _drop_replaced(self, database: str, term: int) -> None:
+    def _drop_replaced(self, database: str, term: int, is_answering: bool) -> None:
         pool = self._pools.get(database)
         if pool is not None:
-            pool.supersede(term)
+            pool.supersede(term, is_answering)
 
     def _raise_term(self, term: int) -> None:
         if term <= self._term:
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -233,13 +233,13 @@
 
 def test_replaced_primary_is_told_once(monitor, databases, endpoints):
     replaced = []
-    monitor.on_replaced = lambda database, term: replaced.append((database, term))
+    monitor.on_replaced = lambda *news: replaced.append(news)
 
     async def act():
         await write_confirmed(monitor, endpoints, "x")
         endpoints.refusing.add("a")
         last = await write_confirmed(monitor, endpoints, "y")
-        assert_that(replaced, Equals([("a", last.term)]))
+        assert_that(replaced, Equals([("a", last.term, False)]))
 
     run_with(monitor, act)
 
