--- a/bench/child_process.py
+++ b/bench/child_process.py
@@ -1,6 +1,7 @@
 """A program under measurement, run as a process of its own."""
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -31,6 +32,10 @@
         self._process = process
         self.ready = ready
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
     def cpu_s(self) -> float:
         """Return the processor time used so far."""
         text = Path(f"/proc/{self._process.pid}/stat").read_text()
@@ -88,5 +93,6 @@
                 raise RuntimeError(f"{program} did not start: {words}")
             yield ChildProcess(process, words[1:])
         finally:
+            process.send_signal(signal.SIGCONT)
             process.terminate()
             process.wait(_STOP_TIMEOUT_S)
--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -58,7 +58,7 @@
             duration = clock.now() - started
             background.cancel_scope.cancel()
         audit = await audit_site(site, run)
-    return _result(name, seed, duration, run, audit)
+    return make_result(name, seed, duration, run, audit)
 
 
 def start_sessions(
@@ -112,9 +112,10 @@
             await link.leave()
 
 
-def _result(
+def make_result(
     name: str, seed: int, duration: timedelta, run: LoadRun, audit: Audit
 ) -> LoadResult:
+    """Return the figures of a run that is over."""
     gap = run.write_gap
     refusals = run.refusals_by_number
     run.details["longest_pause_ms"] = run.longest_pause_ms()
