Notice silence sooner, and check the siblings of a silent connection

Cause: a frozen path takes all its connections, but each one was found only by a request that then waited 1 s. Change: a statement that is quiet for 100 ms casts doubt on idle connections last heard before: they are checked before use, as are those idle for 0.5 s (5 s before); the progress deadline is 0.5 s, that of a check 0.2 s. Nothing is closed for being quiet alone, as before. Left: writes that were already sent on a frozen connection stay unknown.

--- a/goldcrestpond/pool/connection_table.py
+++ b/goldcrestpond/pool/connection_table.py
@@ -74,6 +74,7 @@
         connection.last_progress = now
         connection.probe_after = now
         connection.missing_count = 0
+        connection.doubted = False
         connection.probing = False
 
     def count(self, *states: ConnectionState) -> int:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "_connections",
+        "_doubted_at",
         "_leaving",
         "_limit",
         "_open_after",
@@ -67,6 +68,7 @@
         self._open_after = timedelta(0)
         self._probes: set[int] = set()
         self._leaving = False
+        self._doubted_at = timedelta.min
 
     @property
     def open_count(self) -> int:
@@ -357,6 +359,11 @@
     ) -> list[PoolAction]:
         if now - connection.last_progress >= self._settings.silence_limit:
             return [self._condemn(connection, "silent", now)]
+        quiet = now - connection.last_progress
+        if quiet >= self._settings.doubt_after and not connection.doubted:
+            # What has lost track of one connection may have lost others too.
+            connection.doubted = True
+            self._doubted_at = now
         if connection.probing or now < connection.probe_after:
             return []
         if not self._is_silent(connection, now):
@@ -439,7 +446,7 @@
             connection = self._connections.freshest_idle()
             if connection is None:
                 return actions
-            if now - connection.last_progress > self._settings.idle_check:
+            if self._needs_check(connection, now):
                 return actions + self._check(now)
             request = self._queues.next_request()
             self._connections.occupy(connection, request.lane, now)
@@ -447,6 +454,11 @@
             actions.append(grant)
         return actions
 
+    def _needs_check(self, connection: PooledConnection, now: timedelta) -> bool:
+        quiet = now - connection.last_progress
+        is_doubted = connection.last_progress <= self._doubted_at
+        return is_doubted or quiet > self._settings.idle_check
+
     def _check(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
         checking = self._connections.count(ConnectionState.CHECKING)
--- a/goldcrestpond/pool/pool_settings.py
+++ b/goldcrestpond/pool/pool_settings.py
@@ -20,6 +20,9 @@
         An idle connection that was quiet for longer is checked before use.
     check_deadline : timedelta
         A checked connection that has not answered by then is condemned.
+    doubt_after : timedelta
+        Once a busy connection was quiet for longer, idle ones that were last
+        heard before are checked before use.
     progress_deadline : timedelta
         A busy connection that was quiet for longer is probed.
     silence_limit : timedelta
@@ -37,9 +40,10 @@
     slot_limit: int = 5
     report_slot_limit: int = 1
     connection_limit: int = 4
-    idle_check: timedelta = timedelta(seconds=5)
-    check_deadline: timedelta = timedelta(milliseconds=500)
-    progress_deadline: timedelta = timedelta(seconds=1)
+    idle_check: timedelta = timedelta(milliseconds=500)
+    check_deadline: timedelta = timedelta(milliseconds=200)
+    doubt_after: timedelta = timedelta(milliseconds=100)
+    progress_deadline: timedelta = timedelta(milliseconds=500)
     silence_limit: timedelta = timedelta(seconds=30)
     idle_close: timedelta = timedelta(seconds=60)
     open_backoff: timedelta = timedelta(milliseconds=100)
--- a/goldcrestpond/pool/pooled_connection.py
+++ b/goldcrestpond/pool/pooled_connection.py
@@ -29,6 +29,8 @@
         True while a probe on its behalf is under way.
     probe_after : timedelta
         No probe on its behalf starts before this reading.
+    doubted : bool
+        True once the quiet of its statement has cast doubt on idle siblings.
     missing_count : int
         Probes in a row that found its statement no longer running.
     reusable : bool
@@ -43,5 +45,6 @@
     lane: Lane = Lane.SHORT
     probing: bool = False
     probe_after: timedelta = timedelta(0)
+    doubted: bool = False
     missing_count: int = 0
     reusable: bool = True
--- a/tests/pool/test_database_pool.py
+++ b/tests/pool/test_database_pool.py
@@ -183,3 +183,17 @@
     grants = pool.opened(5, _ms(4))
     assert_that(len(grants), Equals(1))
     assert_that(pool.running_count, Equals(SETTINGS.slot_limit))
+
+
+def test_quiet_connection_casts_doubt_on_its_idle_siblings():
+    pool = DatabasePool(SETTINGS)
+    pool.request(_request(1), _ms(0))
+    pool.request(_request(2), _ms(0))
+    pool.opened(1, _ms(1))
+    pool.opened(2, _ms(1))
+    pool.released(2, True, _ms(2))
+    quiet = _ms(1) + SETTINGS.doubt_after
+    pool.tick(quiet)
+    assert_that(pool.request(_request(3), quiet)[0], IsInstance(CheckConnection))
+    grant = pool.checked(2, True, quiet + _ms(1))[0]
+    assert_that(grant.request_id, Equals(3))
