Change a group's databases only once the last change is in force

Cause: two steps of one database each, one right after the other, left instances that were two steps behind with majorities that share no database. Change: a change of a group's databases is refused until the group's last change is known to be in force on every live instance; the model of racing operators checks it, and two broken variants are caught.

--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -15,6 +15,7 @@
 from ..configuration.keys import CONFIGURATION_PREFIX
 from ..configuration.plan_change import plan_change
 from ..configuration.resource_table import ResourceTable
+from ..configuration.revision_count import lowest_revision
 from ..configuration.stored_outcome import (
     StoredOutcome,
     outcome_key,
@@ -31,6 +32,7 @@
 from .outcome_cleaner import OutcomeCleaner
 from .pending_change import PendingChange
 from .race_attempts import race_attempts
+from .status_reader import ReadInForce
 
 # An operator waits this long for a change before its outcome counts as unknown.
 DEFAULT_PATIENCE = timedelta(seconds=10)
@@ -53,6 +55,8 @@
         process.
     on_written : callable
         Called after a change took effect.
+    read_in_force : callable
+        Returns the revisions in force on live instances; empty if not known.
     patience : timedelta, default=10 s
         Longest time for one change.
 
@@ -67,6 +71,7 @@
         "_on_written",
         "_patience",
         "_platform",
+        "_read_in_force",
         "_rng",
         "_written_count",
         "table",
@@ -77,12 +82,14 @@
         platform: Platform,
         rng: random.Random,
         on_written: Callable[[], object],
+        read_in_force: ReadInForce,
         patience: timedelta = DEFAULT_PATIENCE,
     ):
         self.table = ResourceTable()
         self._platform = platform
         self._rng = rng
         self._on_written = on_written
+        self._read_in_force = read_in_force
         self._patience = patience
         self._cleaner = OutcomeCleaner(platform)
         self._written_count = 0
@@ -139,7 +146,9 @@
         if earlier is not None:
             return earlier
         try:
-            plan = plan_change(self.table, change.request)
+            plan = plan_change(
+                self.table, change.request, lowest_revision(self._read_in_force())
+            )
         except ChangeError:
             # The refusal may come from an earlier attempt that took effect
             # since; the table shows its effect, so its outcome is there too.
--- a/goldcrestpond/api/resource_api.py
+++ b/goldcrestpond/api/resource_api.py
@@ -78,7 +78,9 @@
         self._source = source
         self._tokens = tokens
         self._read_in_force = read_in_force
-        self._executor = ChangeExecutor(platform, rng, source.request_read)
+        self._executor = ChangeExecutor(
+            platform, rng, source.request_read, read_in_force
+        )
         self._drains = DrainProgressReader(platform)
         self._status_reader = StatusReader(
             self._executor.table, read_in_force, self._drains.read
--- a/goldcrestpond/api/status_reader.py
+++ b/goldcrestpond/api/status_reader.py
@@ -6,7 +6,11 @@
 from ..configuration.kind import Kind
 from ..configuration.resource import Resource
 from ..configuration.resource_table import ResourceTable
-from ..configuration.revision_count import RevisionCount, count_in_force
+from ..configuration.revision_count import (
+    RevisionCount,
+    count_in_force,
+    lowest_revision,
+)
 from ..drain.drain_phase import DrainPhase
 from ..drain.drain_progress import DrainProgress
 from .resource_status import ResourceStatus
@@ -47,7 +51,7 @@
         summary = self._read_in_force()
         version = resource.resource_version
         in_force_count, live_count = count_in_force(summary, version)
-        lowest = min((entry.revision for entry in summary), default=0)
+        lowest = lowest_revision(summary)
         observed = self._table.generation_at(resource.kind, resource.name, lowest)
         if live_count and in_force_count == live_count:
             observed = resource.generation
--- a/goldcrestpond/configuration/check_promises.py
+++ b/goldcrestpond/configuration/check_promises.py
@@ -2,14 +2,16 @@
 
 from ..errors.result_code import ResultCode
 from .change_error import ChangeError
-from .database_group_spec import DatabaseGroupSpec
 from .kind import Kind
 from .resource import Resource
 from .resource_table import ResourceTable
 
 
 def check_write(
-    table: ResourceTable, resource: Resource, current: Resource | None
+    table: ResourceTable,
+    resource: Resource,
+    current: Resource | None,
+    in_force_revision: int,
 ) -> None:
     """Refuse a new spec that does not fit the other resources.
 
@@ -21,6 +23,8 @@
         The resource after the change.
     current : Resource or None
         The resource before the change.
+    in_force_revision : int
+        Revision that every live instance is known to have in force.
 
     Raises
     ------
@@ -32,7 +36,8 @@
     elif resource.kind is Kind.DRAIN_ORDER:
         _check_drain_order(table, resource)
     elif resource.kind is Kind.DATABASE_GROUP and current is not None:
-        _check_group_change(table, resource, current.spec)
+        _check_membership(resource, current, in_force_revision)
+        _check_databases_left(table, resource)
 
 
 def check_delete(table: ResourceTable, resource: Resource) -> None:
@@ -68,7 +73,7 @@
 
 def _check_drain_order(table: ResourceTable, order: Resource) -> None:
     group = _require(table, Kind.DATABASE_GROUP, order.spec.group)
-    names = {database.name for database in group.spec.databases}
+    names = _database_names(group)
     if order.spec.database not in names:
         raise _refuse(f"the group has no database {order.spec.database!r}")
     others = [
@@ -84,20 +89,33 @@
         raise _refuse("the group would have no database left that takes work")
 
 
-def _check_group_change(
-    table: ResourceTable, group: Resource, before: DatabaseGroupSpec
+def _check_membership(
+    group: Resource, current: Resource, in_force_revision: int
 ) -> None:
-    old_names = {database.name for database in before.databases}
-    new_names = {database.name for database in group.spec.databases}
-    if len(old_names ^ new_names) > 1:
-        # Majorities of both memberships then share a database, so that no
-        # acknowledged commit is out of sight of the next promotion.
+    changed_names = _database_names(group) ^ _database_names(current)
+    if not changed_names:
+        return
+    # Majorities of two memberships that differ in one database share one, so
+    # that no acknowledged commit is out of sight of the next promotion. An
+    # instance must not be two such steps behind another.
+    if len(changed_names) > 1:
         raise _refuse("add or remove one database at a time")
+    if in_force_revision < current.resource_version:
+        raise _refuse(
+            "the group's last change is not known to be in force on every live instance"
+        )
+
+
+def _check_databases_left(table: ResourceTable, group: Resource) -> None:
     orders = _drain_orders_of(table, group.name)
-    if new_names <= {order.spec.database for order in orders}:
+    if _database_names(group) <= {order.spec.database for order in orders}:
         raise _refuse("the group would have no database left that takes work")
 
 
+def _database_names(group: Resource) -> set[str]:
+    return {database.name for database in group.spec.databases}
+
+
 def _drain_orders_of(table: ResourceTable, group: str) -> list[Resource]:
     orders = table.list_kind(Kind.DRAIN_ORDER)
     return [order for order in orders if order.spec.group == group]
--- a/goldcrestpond/configuration/plan_change.py
+++ b/goldcrestpond/configuration/plan_change.py
@@ -23,12 +23,23 @@
 from .stored_resource import encode_stored
 
 
-def plan_change(table: ResourceTable, request: ChangeRequest) -> ChangePlan:
+def plan_change(
+    table: ResourceTable, request: ChangeRequest, in_force_revision: int = 0
+) -> ChangePlan:
     """Return the batch for a change, as of the table's revision.
 
     The batch fails in the table if anything that this decision relied on has
     changed since; then decide again on a newer table.
 
+    Parameters
+    ----------
+    table : ResourceTable
+        All resources as of one revision.
+    request : ChangeRequest
+        What the operator asks for.
+    in_force_revision : int, default=0
+        Revision that every live instance is known to have in force.
+
     Raises
     ------
     ChangeError
@@ -41,17 +52,21 @@
     if request.action is ChangeAction.DELETE:
         return _plan_delete(table, _require_present(request, current))
     spec = _new_spec(request, current)
-    return _plan_write(table, request, spec, current)
+    return _plan_write(table, request, spec, current, in_force_revision)
 
 
 def _plan_write(
-    table: ResourceTable, request: ChangeRequest, spec: Spec, current: Resource | None
+    table: ResourceTable,
+    request: ChangeRequest,
+    spec: Spec,
+    current: Resource | None,
+    in_force_revision: int,
 ) -> ChangePlan:
     if current is not None and current.spec == spec:
         return ChangePlan(current, [])
     generation = 1 if current is None else current.generation + 1
     resource = Resource(request.kind, request.name, spec, generation)
-    check_write(table, resource, current)
+    check_write(table, resource, current, in_force_revision)
     writes = [_resource_write(table, resource, encode_stored(spec, generation))]
     writes += _guard_writes(table, resource)
     writes += _released_claim(table, resource, current)
--- a/goldcrestpond/configuration/revision_count.py
+++ b/goldcrestpond/configuration/revision_count.py
@@ -47,6 +47,11 @@
     return kept
 
 
+def lowest_revision(summary: Iterable[RevisionCount]) -> int:
+    """Return the revision that all instances have in force, 0 if not known."""
+    return min((entry.revision for entry in summary), default=0)
+
+
 def count_in_force(summary: Iterable[RevisionCount], revision: int) -> tuple[int, int]:
     """Return how many live instances have a revision in force, and how many live.
 
--- a/tests/test_change_executor.py
+++ b/tests/test_change_executor.py
@@ -76,7 +76,7 @@
 
 
 def make_executor(platform, patience=timedelta(seconds=10)):
-    return ChangeExecutor(platform, random.Random(1), lambda: None, patience)
+    return ChangeExecutor(platform, random.Random(1), lambda: None, list, patience)
 
 
 def generation_count(platform):
--- a/tests/test_resource_changes.py
+++ b/tests/test_resource_changes.py
@@ -19,8 +19,15 @@
     run_state_machine_as_test,
 )
 from testtools.assertions import MismatchError, assert_that
-from testtools.matchers import Equals, HasLength, Not
+from testtools.matchers import (
+    AfterPreprocessing,
+    Equals,
+    GreaterThan,
+    HasLength,
+    Not,
+)
 
+from goldcrestpond.configuration import check_promises
 from goldcrestpond.configuration import plan_change as plan_module
 from goldcrestpond.configuration.change_action import ChangeAction
 from goldcrestpond.configuration.change_batch import change_batch
@@ -101,6 +108,8 @@
         self.flying = deque(maxlen=6)
         self.requests = {}
         self.effects = Counter()
+        self.in_force_revision = 0
+        self.memberships = {}
         self.has_group("g", 0)
 
     @rule(name=_GROUPS, operator=_OPERATORS)
@@ -122,6 +131,23 @@
         ]
         copy.apply(rows, changes.revision)
 
+    @rule()
+    def all_in_force(self):
+        self.in_force_revision = self.table.revision
+        self.memberships = {}
+
+    @rule(group=_GROUPS, order=st.permutations(["abc", "bc", "abc"]))
+    def databases_change_in_turn(self, group, order):
+        for names in order:
+            spec = group_spec(names)
+            request = ChangeRequest(
+                ChangeAction.PATCH, Kind.DATABASE_GROUP, group, spec
+            )
+            self.refresh(0)
+            self.submit_new(0, request)
+            if self.flying:
+                self.arrive(self.flying.pop())
+
     @rule(operator=_OPERATORS, request=requests())
     def submit_new(self, operator, request):
         key = f"key-{len(self.requests)}"
@@ -200,7 +226,9 @@
     def plan(self, operator, key):
         request = self.requests[key]
         try:
-            plan = plan_module.plan_change(self.copies[operator], request)
+            plan = plan_module.plan_change(
+                self.copies[operator], request, self.in_force_revision
+            )
         except ChangeError:
             return
         if plan.writes:
@@ -225,6 +253,22 @@
         assert_that(self.effects[batch.key], Equals(1))
         self.check_generation(batch, before, self.table.read(key))
         self.check_promises()
+        if batch.request.kind is Kind.DATABASE_GROUP:
+            self.check_memberships(batch.request.name, before)
+
+    def check_memberships(self, name, before):
+        """No instance is more than one change of databases behind."""
+        if before.value is None:
+            self.memberships.pop(name, None)
+            return
+        seen = self.memberships.setdefault(name, [names_of(before)])
+        spec = self.read_specs(Kind.DATABASE_GROUP).get(name)
+        if spec is None:
+            return
+        names = {database["name"] for database in spec["databases"]}
+        for earlier in seen:
+            assert_that(earlier ^ names, Not(AfterPreprocessing(len, GreaterThan(1))))
+        seen.append(names)
 
     def check_generation(self, batch, before, after):
         if batch.request.expected_version is not None:
@@ -262,6 +306,11 @@
         }
 
 
+def names_of(row):
+    spec = msgspec.json.decode(row.value)["spec"]
+    return {database["name"] for database in spec["databases"]}
+
+
 def generation(row):
     return msgspec.json.decode(row.value)["generation"]
 
@@ -303,3 +352,22 @@
     monkeypatch.setattr(plan_module, check, lambda *arguments: None)
     with pytest.raises(MismatchError):
         run_machine(400, (Phase.generate,))
+
+
+def _ignore_membership(group, current, in_force_revision):
+    """Let any number of databases change."""
+
+
+def _ignore_what_is_in_force(group, current, in_force_revision):
+    """Let databases change one by one without a wait between."""
+    _CHECK_MEMBERSHIP(group, current, current.resource_version)
+
+
+_CHECK_MEMBERSHIP = check_promises._check_membership
+
+
+@pytest.mark.parametrize("broken", [_ignore_membership, _ignore_what_is_in_force])
+def test_databases_that_change_too_fast_are_caught(monkeypatch, broken):
+    monkeypatch.setattr(check_promises, "_check_membership", broken)
+    with pytest.raises(MismatchError):
+        run_machine(400, (Phase.generate,))
