Make lost claims and requests good, and bound the root's claims

Change: notices say how new the sender's claim is, so that either side sends the newer one, with its age; requests for updates are repeated while behind; a root with many children claims at most every 800 ms; reports are sent three times. Ruled out: a shorter period of reports, which costs all the time.

--- a/bench/fleet_loop.py
+++ b/bench/fleet_loop.py
@@ -81,6 +81,7 @@
         self.revision = 0
         self.table_answers = True
         self.on_claim: Callable[[str, ForceClaim], None] = lambda address, claim: None
+        self._claimed: dict[str, int] = {}
         self.lists_instances = True
         self._listed: tuple[str, ...] = ()
         self._list_at = _LIST_PERIOD
@@ -126,6 +127,7 @@
         """Stop a process without a word; return its instance id."""
         self._asleep_until.pop(address, None)
         del self.distributions[address], self.holders[address]
+        self._claimed.pop(address, None)
         return self.members.pop(address).identity.instance_id
 
     def leave(self, address: str) -> int:
@@ -256,6 +258,12 @@
             case FetchUpdate():
                 self._fetch(address, action)
 
+    def _note_claim(self, source: str, claim: ForceClaim) -> None:
+        """Report a claim when its root makes it, not when it sends it again."""
+        if claim.age_ms == 0 and claim.number > self._claimed.get(source, 0):
+            self._claimed[source] = claim.number
+            self.on_claim(source, claim)
+
     def _fetch(self, address: str, action: FetchUpdate) -> None:
         server = self.distributions.get(action.address)
         if server is None or self.cut(address, action.address):
@@ -273,7 +281,7 @@
     def _transmit(self, source: str, action: Send | DistributionSend) -> None:
         claim = action.message
         if isinstance(claim, ForceClaim) and claim.sender_id == claim.root_id:
-            self.on_claim(source, claim)
+            self._note_claim(source, claim)
         self.messages[source] += 1
         self.bytes[source] += self.size_of(action.message)
         if self.cut(source, action.address):
--- a/bench/peer_nodes.py
+++ b/bench/peer_nodes.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.configuration.revision_count import RevisionCount
+from goldcrestpond.distribution.force_claim import ForceClaim
 from goldcrestpond.events.recorder import EventRecorder
 from goldcrestpond.peer.peer_node import PeerNode
 from goldcrestpond.peer.peer_settings import PeerSettings
@@ -24,6 +26,9 @@
 _LOOPBACK = Address("127.0.0.1", 0)
 _SEED_COUNT = 3
 _MEETING_LIMIT_S = 60
+_FLOOD_RATES_PER_S = (100, 400)
+_FLOOD_STEP_S = 0.02
+_CLAIM = ForceClaim(1, 2, 3, 0, [RevisionCount(100, 5000), RevisionCount(99, 800)])
 
 
 def measure(sizes: tuple[int, ...] = (10, 20, 40), duration_s: float = 10.0) -> None:
@@ -37,11 +42,13 @@
         Time of each measurement, after all nodes have met.
     """
     steps = [anyio.run(_measure_size, size, duration_s) for size in sizes]
+    flood = anyio.run(_measure_flood, duration_s)
     costs = [step["cpu_us_per_datagram"] for step in steps]
     report = {
         "bench": "peer_nodes",
         "duration_s": duration_s,
         "steps": steps,
+        "extra_us_per_datagram": flood,
         "cpu_us_per_datagram_median": round(statistics.median(costs), 1),
     }
     print(msgspec.json.encode(report).decode())
@@ -74,6 +81,31 @@
     }
 
 
+async def _measure_flood(duration_s: float) -> dict:
+    """Return the cost that each further datagram adds, sent and received."""
+    nodes: list[PeerNode] = []
+    async with anyio.create_task_group() as tasks:
+        for number in range(2):
+            await tasks.start(_make_node(number, nodes).run)
+        costs = {}
+        for rate_per_s in (0, *_FLOOD_RATES_PER_S):
+            cpu_s, begun = time.process_time(), time.monotonic()
+            sent = nodes[0].sent_count
+            while (passed_s := time.monotonic() - begun) < duration_s / 2:
+                due = int(passed_s * rate_per_s) - (nodes[0].sent_count - sent)
+                for _ in range(max(0, due)):
+                    nodes[0]._queue_datagram(str(nodes[1].address), _CLAIM)
+                await anyio.sleep(_FLOOD_STEP_S)
+            cpu_s = (time.process_time() - cpu_s) / passed_s
+            costs[rate_per_s] = (cpu_s, (nodes[0].sent_count - sent) / passed_s)
+        tasks.cancel_scope.cancel()
+    idle_s, idle_rate = costs.pop(0)
+    return {
+        rate: round((cpu_s - idle_s) / (sent_rate - idle_rate) * 1e6, 1)
+        for rate, (cpu_s, sent_rate) in costs.items()
+    }
+
+
 def _make_node(number: int, nodes: list[PeerNode]) -> PeerNode:
     clock = SystemClock()
     rng = random.Random(number)
--- a/goldcrestpond/distribution/distribution.py
+++ b/goldcrestpond/distribution/distribution.py
@@ -87,14 +87,15 @@
         """
         match event:
             case Tick():
-                return self._exchange.tick(now) + self._tree.tick(now)
+                return self._mark(self._exchange.tick(now)) + self._tree.tick(now)
             case MessageReceived(message, source):
                 return self._on_message(message, source, now)
 
     def _on_message(self, message, source: str, now: timedelta) -> list[Action]:
         match message:
             case RevisionNotice():
-                return self._exchange.on_notice(message, source, now)
+                answers = self._exchange.on_notice(message, source, now)
+                return answers + self._tree.on_notice(message, source, now)
             case UpdateRequest():
                 return self._exchange.on_request(message, source)
             case UpdateAnswer():
@@ -105,3 +106,12 @@
             case ForceClaim():
                 return self._tree.on_claim(message, now)
         return []
+
+    def _mark(self, actions: list[Action]) -> list[Action]:
+        """Let notices of the revision also say how new the claim is."""
+        return [
+            Send(action.address, self._tree.mark(action.message))
+            if isinstance(action, Send) and isinstance(action.message, RevisionNotice)
+            else action
+            for action in actions
+        ]
--- a/goldcrestpond/distribution/distribution_settings.py
+++ b/goldcrestpond/distribution/distribution_settings.py
@@ -26,6 +26,8 @@
     report_interval_per_child : timedelta
         What each child adds to that pause, so that an instance with many
         children has no more work than others.
+    claim_interval : timedelta
+        Shortest pause between claims of the root.
     report_sends : int
         How often a changed report is sent, as datagrams get lost.
     report_period : timedelta
@@ -43,7 +45,8 @@
     request_timeout: timedelta = _ms(300)
     report_interval: timedelta = _ms(150)
     report_interval_per_child: timedelta = _ms(25)
-    report_sends: int = 2
+    claim_interval: timedelta = _ms(800)
+    report_sends: int = 3
     report_period: timedelta = _ms(4000)
     report_lifetime: timedelta = _ms(13_000)
     claim_lifetime: timedelta = _ms(15_000)
--- a/goldcrestpond/distribution/force_claim.py
+++ b/goldcrestpond/distribution/force_claim.py
@@ -16,6 +16,8 @@
         Process that worked it out.
     number : int
         Count of the root's claims; a higher one is younger.
+    age_ms : int
+        Time since the root worked it out, without the time on the way.
     counts : list of RevisionCount
         How many instances hold which revision; each is at least as far.
     """
@@ -23,4 +25,5 @@
     sender_id: int
     root_id: int
     number: int
+    age_ms: int
     counts: list[RevisionCount]
--- a/goldcrestpond/distribution/force_tree.py
+++ b/goldcrestpond/distribution/force_tree.py
@@ -4,14 +4,19 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..configuration.revision_count import RevisionCount, merge_counts
 from ..membership.membership import Membership
 from .configuration_holder import ConfigurationHolder
 from .distribution_settings import DistributionSettings
 from .force_claim import ForceClaim
 from .force_report import ForceReport
+from .revision_notice import RevisionNotice
 from .send import Send
 
+# A root with fewer children claims as fast as others report.
+_MANY_CHILDREN = 5
 _ID_MASK = (1 << 64) - 1
 
 
@@ -96,9 +101,9 @@
 
     def present_claim(self, now: timedelta) -> ForceClaim:
         """Return what is in force for one that is no member."""
-        held = self._claim.claim if self._claim else None
-        root_id, number = (held.root_id, held.number) if held else (0, 0)
-        return ForceClaim(self._own_id(), root_id, number, self.in_force(now))
+        if not self.in_force(now):
+            return ForceClaim(self._own_id(), 0, 0, 0, [])
+        return self._passed_on(now)
 
     @property
     def is_root(self) -> bool:
@@ -133,20 +138,51 @@
 
     def on_claim(self, claim: ForceClaim, now: timedelta) -> list[Send]:
         """Hold a claim of the root and pass it on to the children."""
-        if claim.sender_id != self._parent():
+        root = self._membership.table.ring.root()
+        if claim.root_id != root or root == self._own_id():
             return []
-        held = self._claim.claim if self._claim else None
-        if held and held.root_id == claim.root_id and held.number >= claim.number:
+        if claim.number <= self._present_number():
             return []
         return self._hold(claim, now)
 
+    def mark(self, notice: RevisionNotice) -> RevisionNotice:
+        """Return a notice that says how new this member's claim is."""
+        root = self._membership.table.ring.root()
+        number = self._present_number()
+        return msgspec.structs.replace(notice, root_id=root, claim_number=number)
+
+    def on_notice(
+        self, notice: RevisionNotice, source: str, now: timedelta
+    ) -> list[Send]:
+        """Make good a claim that got lost: send it, or ask by a notice."""
+        is_same_root = notice.root_id == self._membership.table.ring.root()
+        theirs = notice.claim_number if is_same_root else 0
+        own = self._present_number()
+        if theirs < own and self.in_force(now):
+            return [Send(source, self._passed_on(now))]
+        if theirs > own:
+            revision = self._holder.state.revision
+            return [Send(source, RevisionNotice(self._own_id(), revision))]
+        return []
+
+    def _present_number(self) -> int:
+        """Return the number of the claim that the present root made, or 0."""
+        root = self._membership.table.ring.root()
+        if self._claim is None or self._claim.claim.root_id != root:
+            return 0
+        return self._claim.claim.number
+
     def _hold(self, claim: ForceClaim, now: timedelta) -> list[Send]:
-        self._claim = _HeldClaim(claim, now)
-        passed_on = ForceClaim(
-            self._own_id(), claim.root_id, claim.number, claim.counts
-        )
+        self._claim = _HeldClaim(claim, now - timedelta(milliseconds=claim.age_ms))
+        passed_on = self._passed_on(now)
         return [Send(heard.address, passed_on) for heard in self._children()]
 
+    def _passed_on(self, now: timedelta) -> ForceClaim:
+        age_ms = (now - self._claim.held_at) // timedelta(milliseconds=1)
+        return msgspec.structs.replace(
+            self._claim.claim, sender_id=self._own_id(), age_ms=age_ms
+        )
+
     def _claim_total(self, report: ForceReport, now: timedelta) -> list[Send]:
         table = self._membership.table
         count = sum(entry.instance_count for entry in report.counts)
@@ -154,10 +190,12 @@
             return []
         self._claim_number += 1
         own_id = self._own_id()
-        claim = ForceClaim(own_id, own_id, self._claim_number, report.counts)
+        claim = ForceClaim(own_id, own_id, self._claim_number, 0, report.counts)
         return self._hold(claim, now)
 
     def _interval(self) -> timedelta:
+        if self.is_root and len(self._reports) > _MANY_CHILDREN:
+            return self._settings.claim_interval
         per_child = self._settings.report_interval_per_child
         return self._settings.report_interval + per_child * len(self._reports)
 
--- a/goldcrestpond/distribution/update_exchange.py
+++ b/goldcrestpond/distribution/update_exchange.py
@@ -16,6 +16,8 @@
 Action = Send | FetchUpdate
 
 _CHANGE_BYTES = 24
+# Requests after one notice, as requests and answers get lost.
+_TRIES = 10
 
 
 class UpdateExchange:
@@ -47,6 +49,8 @@
         "_rng",
         "_settings",
         "_told_revision",
+        "_tries_left",
+        "_wanted_revision",
     )
 
     def __init__(
@@ -64,6 +68,8 @@
         self._notice_at = now + settings.notice_period * rng.random()
         self._asked_at: timedelta | None = None
         self._told_revision = 0
+        self._wanted_revision = 0
+        self._tries_left = 0
 
     def tick(self, now: timedelta) -> list[Action]:
         """Let timers run."""
@@ -71,6 +77,8 @@
         if not state.is_confirmed:
             return self._ask_random(now)
         actions: list[Action] = []
+        if state.revision < self._wanted_revision and self._tries_left > 0:
+            actions += self._ask_random(now)
         if state.revision > self._told_revision:
             self._told_revision = state.revision
             actions += self._notify(self._settings.notice_fanout)
@@ -85,6 +93,8 @@
         """Take a member's revision in."""
         state = self._holder.state
         if notice.revision > state.revision:
+            self._wanted_revision = notice.revision
+            self._tries_left = _TRIES
             return self._ask(source, now)
         if notice.revision < state.revision and state.is_confirmed:
             return [Send(source, self._notice())]
@@ -130,6 +140,7 @@
         if self._asked_at is not None and now - self._asked_at < timeout:
             return []
         self._asked_at = now
+        self._tries_left -= 1
         state = self._holder.state
         request = UpdateRequest(self._own_id(), state.revision, state.epoch)
         return [Send(address, request)]
--- a/goldcrestpond/peer/distribution_codec.py
+++ b/goldcrestpond/peer/distribution_codec.py
@@ -25,12 +25,15 @@
 
 def write_revision_notice(envelope: Any, notice: RevisionNotice) -> None:
     """Fill the envelope with a revision."""
-    envelope.init("revisionNotice").revision = notice.revision
+    out = envelope.init("revisionNotice")
+    out.revision = notice.revision
+    out.rootId = notice.root_id
+    out.claimNumber = notice.claim_number
 
 
 def read_revision_notice(sender_id: int, body: Any) -> RevisionNotice:
     """Return the revision of an envelope."""
-    return RevisionNotice(sender_id, body.revision)
+    return RevisionNotice(sender_id, body.revision, body.rootId, body.claimNumber)
 
 
 def write_update_request(envelope: Any, request: UpdateRequest) -> None:
@@ -79,12 +82,14 @@
     out = envelope.init("forceClaim")
     out.rootId = claim.root_id
     out.number = claim.number
+    out.ageMs = claim.age_ms
     _write_counts(out, claim.counts)
 
 
 def read_force_claim(sender_id: int, body: Any) -> ForceClaim:
     """Return the claim of an envelope."""
-    return ForceClaim(sender_id, body.rootId, body.number, _read_counts(body.counts))
+    counts = _read_counts(body.counts)
+    return ForceClaim(sender_id, body.rootId, body.number, body.ageMs, counts)
 
 
 def write_force_query(envelope: Any, query: ForceQuery) -> None:
--- a/goldcrestpond/schema/peer.capnp
+++ b/goldcrestpond/schema/peer.capnp
@@ -49,6 +49,8 @@
 
 struct RevisionNotice {
   revision @0 :UInt64;
+  rootId @1 :UInt64;
+  claimNumber @2 :UInt64;
 }
 
 struct UpdateRequest {
@@ -80,6 +82,7 @@
   rootId @0 :UInt64;
   number @1 :UInt64;
   counts @2 :List(RevisionCount);
+  ageMs @3 :UInt32;
 }
 
 struct PeerMessage {
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -114,7 +114,7 @@
     def _claim_total(self, report, now):
         self._claim_number += 1
         own_id = self._own_id()
-        claim = ForceClaim(own_id, own_id, self._claim_number, report.counts)
+        claim = ForceClaim(own_id, own_id, self._claim_number, 0, report.counts)
         return self._hold(claim, now)
 
 
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -65,7 +65,7 @@
     st.builds(ProbeRequest, _U64, _U64, _U64, _U64, _STATE, _ADDRESS),
     st.builds(Gossip, _U64, _U64, _UPDATES, st.booleans(), st.booleans()),
     st.builds(SyncRequest, _U64, st.lists(_U32, max_size=BUCKET_COUNT)),
-    st.builds(RevisionNotice, _U64, _U64),
+    st.builds(RevisionNotice, _U64, _U64, _U64, _U64),
     st.builds(UpdateRequest, _U64, _U64, _U64),
     st.builds(
         UpdateAnswer,
@@ -78,7 +78,7 @@
     ),
     st.builds(ForceReport, _U64, _U64, _COUNTS),
     st.builds(ForceQuery, _U64),
-    st.builds(ForceClaim, _U64, _U64, _U64, _COUNTS),
+    st.builds(ForceClaim, _U64, _U64, _U64, _U32, _COUNTS),
 )
 
 
