--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -17,7 +17,7 @@
 from goldcrestpond.load.scenarios import make_scenarios
 from goldcrestpond.load.workload import Workload
 from goldcrestpond.retry import request_attempts
-from goldcrestpond.wire.caller_session import CallerSession
+from goldcrestpond.wire import request_runner
 
 _DURATION_S = 1.2
 _FAULTS_DURATION_S = 2.5  # the first faults come after 1 s
@@ -85,9 +85,9 @@
 
 
 def test_calling_an_unknown_outcome_not_run_is_caught(monkeypatch):
-    def explain(self, error):
+    def explain(error):
         return CodedError(ResultCode.QUEUE_DEADLINE)
 
-    monkeypatch.setattr(CallerSession, "_explain", explain)
+    monkeypatch.setattr(request_runner, "_explain", explain)
     result = run(palermo(lose_answers))
     assert_that(result.not_run_but_ran, GreaterThan(0))
