Leave reports of a former drain order out of its status

Cause: an instance that died during a drain leaves its report in the table. A later order of the same name counted it as done in the place of an instance that had not reported yet, and could say Drained too early. Change: reports older than the order's creation do not count. The new test fails without it. Left: within one order, the report of an instance that has died since still counts, since the API knows how many instances live, and not which.

--- a/goldcrestpond/api/drain_progress_reader.py
+++ b/goldcrestpond/api/drain_progress_reader.py
@@ -28,12 +28,22 @@
 
     def __init__(self, platform: Platform):
         self._platform = platform
-        self._progress: dict[str, dict[str, DrainProgress]] = {}
+        self._progress: dict[str, dict[str, tuple[int, DrainProgress]]] = {}
         self._revision = 0
 
-    def read(self, order: str) -> list[DrainProgress]:
-        """Return the progress of each instance that reports on an order."""
-        return list(self._progress.get(order, {}).values())
+    def read(self, order: str, since_revision: int) -> list[DrainProgress]:
+        """Return the progress of each instance that reports on an order.
+
+        Parameters
+        ----------
+        order : str
+            Name of the order.
+        since_revision : int
+            Revision at which the order was created. An older report belongs to
+            a former order of this name; an instance that died left it there.
+        """
+        reports = self._progress.get(order, {}).values()
+        return [progress for revision, progress in reports if revision > since_revision]
 
     async def run(self) -> None:
         """Read on until cancelled."""
@@ -52,5 +62,6 @@
             if row.value is None:
                 reports.pop(instance, None)
             else:
-                reports[instance] = msgspec.json.decode(row.value, type=DrainProgress)
+                progress = msgspec.json.decode(row.value, type=DrainProgress)
+                reports[instance] = (row.revision, progress)
         self._revision = changes.revision
--- a/goldcrestpond/api/status_reader.py
+++ b/goldcrestpond/api/status_reader.py
@@ -16,7 +16,7 @@
 from .resource_status import ResourceStatus
 from .status_condition import StatusCondition
 
-ReadDrain = Callable[[str], list[DrainProgress]]
+ReadDrain = Callable[[str, int], list[DrainProgress]]
 ReadInForce = Callable[[], list[RevisionCount]]
 
 
@@ -30,7 +30,7 @@
     read_in_force : callable
         Returns the revisions in force on live instances.
     read_drain : callable
-        Returns what instances report of a drain order.
+        Returns what instances report of a drain order since a revision.
     """
 
     __slots__ = ("_read_drain", "_read_in_force", "_table", "store_reachable")
@@ -60,7 +60,11 @@
             _store_condition(self.store_reachable),
         ]
         if resource.kind is Kind.DRAIN_ORDER:
-            reports = self._read_drain(resource.name)
+            # After a change of the order the revision of its creation is not
+            # known any more; its reports stay good.
+            is_first = resource.generation == 1
+            since_revision = resource.resource_version if is_first else 0
+            reports = self._read_drain(resource.name, since_revision)
             conditions.append(_drained_condition(reports, live_count))
         return ResourceStatus(observed, live_count, in_force_count, conditions)
 
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -5,6 +5,7 @@
 
 import anyio
 import httpx
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -18,7 +19,12 @@
 )
 
 from goldcrestpond.api.authorization import check_tokens_for_address
+from goldcrestpond.drain.drain_keys import drain_progress_key
+from goldcrestpond.drain.drain_phase import DrainPhase
+from goldcrestpond.drain.drain_progress import DrainProgress
 from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.platform.condition import Condition
+from goldcrestpond.platform.write import Write
 
 from .api_fixture import GROUP_SPEC, run_with_apis
 
@@ -302,3 +308,27 @@
         assert_that(last["spec"], Equals(accepted[-1]["spec"]))
 
     run_with_apis(scenario, count=2)
+
+
+def test_report_of_a_former_drain_order_does_not_count():
+    async def scenario(standin, client):
+        await create_path(client)
+        done = msgspec.json.encode(DrainProgress(DrainPhase.DONE))
+        key = drain_progress_key("x", "dead")
+        standin.table.batch([Condition(key, 0)], [Write(key, done)])
+        drain = {"group": "g", "database": "a", "deadline_ms": 1}
+        await create(client, "DrainOrder", "x", drain)
+
+        async def drained():
+            body = (await client.get("/v1/DrainOrder/x")).json()
+            conditions = body["status"]["conditions"]
+            return {entry["type"]: entry["status"] for entry in conditions}["Drained"]
+
+        await anyio.sleep(0.7)
+        assert_that(await drained(), Equals("Unknown"))
+        key = drain_progress_key("x", "i1")
+        standin.table.batch([Condition(key, 0)], [Write(key, done)])
+        while await drained() != "True":
+            await anyio.sleep(0.05)
+
+    run_with_apis(scenario)
