Name the commands in the help of goldcrestpond-ctl

Cause: the help of a command line with flags of its own lists no commands, and a refusal was printed with its number twice. Change: the overview names each command; the API's detail no longer holds the number that its body carries. Both are tested.

--- a/goldcrestpond/api/resource_api.py
+++ b/goldcrestpond/api/resource_api.py
@@ -188,7 +188,8 @@
     async def _refuse(self, request: Request, error: Exception) -> Response:
         if not isinstance(error, CodedError):
             error = CodedError(ResultCode.INTERNAL)
-        body = ErrorBody(error.code.number, error.code.name, str(error))
+        detail = error.detail or error.code.meaning
+        body = ErrorBody(error.code.number, error.code.name, detail)
         if isinstance(error, ChangeError):
             body.faults = error.faults
             if error.current is not None:
--- a/goldcrestpond/cli/ctl.py
+++ b/goldcrestpond/cli/ctl.py
@@ -28,6 +28,10 @@
 class Ctl:
     """Reads and changes the resources of goldcrestpond.
 
+    Commands: get KIND [NAME]; apply -f FILE; delete KIND NAME; watch KIND;
+    drain GROUP DATABASE; wait KIND NAME --for in-force. Each has its own
+    help, for instance ``goldcrestpond-ctl drain --help``.
+
     Kinds are Route, ReadPolicy, DrainOrder and DatabaseGroup. A change is
     repeated with the same idempotency key until it is answered. A refusal is
     printed on standard error and ends with the exit status of its result code:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -95,7 +95,7 @@
     assert_that(command("drain", "g", "a")[0], Equals(0))
     status, _, err = command("drain", "g", "b")
     assert_that(status, Equals(exit_status(ResultCode.CHANGE_REFUSED)))
-    assert_that(err, Contains("GP404"))
+    assert_that(err.count("GP404"), Equals(1))
     assert_that(command("delete", "DrainOrder", "g-a")[0], Equals(0))
     status, _, err = command("get", "DrainOrder", "g-a")
     assert_that(status, Equals(exit_status(ResultCode.RESOURCE_NOT_FOUND)))
@@ -128,6 +128,9 @@
     status, _, err = command("--server", server, "--timeout_ms", 100, "get", "Route")
     assert_that(status, Equals(exit_status(ResultCode.API_UNREACHABLE)))
     assert_that(err, Contains("GP408"))
+    overview = " ".join("".join(command("--help")[1:]).split())
+    for usage in ("get KIND [NAME]", "apply -f FILE", "drain GROUP DATABASE"):
+        assert_that(overview, Contains(usage))
     status, out, err = command("wait", "--help")
     assert_that(out + err, Contains("--for in-force"))
 
