Work out what each role costs at the planned size

One slope was mended on the way: each proxy read the platform's list every 5 s, 1,160 reads/s at 5,800; now all together 20/s, and a lone proxy backs off.

--- a/bench/member_at_size.py
+++ b/bench/member_at_size.py
@@ -8,12 +8,20 @@
 import statistics
 import time
 import tracemalloc
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
 import fire
 import msgspec
 
+from goldcrestpond.configuration.revision_count import RevisionCount
+from goldcrestpond.distribution.distribution import Distribution
+from goldcrestpond.distribution.distribution_settings import DistributionSettings
+from goldcrestpond.distribution.force_report import ForceReport
+from goldcrestpond.distribution.message_received import (
+    MessageReceived as DistributionReceived,
+)
 from goldcrestpond.membership.gossip import Gossip
 from goldcrestpond.membership.member_state import MemberState
 from goldcrestpond.membership.member_update import MemberUpdate
@@ -26,6 +34,8 @@
 from goldcrestpond.membership.send import Send
 from goldcrestpond.membership.tick import TICK_MS, Tick
 
+from .state_holder import StateHolder
+
 _ROUNDS = 5
 _EVENTS = 2000
 _SOURCE = "10.1.0.1:7000"
@@ -61,6 +71,7 @@
             member,
             lambda number: _gossip(member, updates[number % len(updates)], number),
         ),
+        "distribution": _measure_distribution(member),
         "tree": [_tree(size, seed) for seed in range(seeds)],
     }
 
@@ -117,6 +128,37 @@
     }
 
 
+def _measure_distribution(member: Membership) -> dict:
+    """Return the cost of a tick and of a report at the busiest place."""
+    ring = member.table.ring
+    parents = Counter(ring.parent(update.instance_id) for update in member.live())
+    busiest, children = max(
+        (item for item in parents.items() if item[0]), key=lambda item: item[1]
+    )
+    member._self = member.table.get(busiest)
+    now = timedelta(0)
+    holder = StateHolder(now, random.Random(1))
+    part = Distribution(member, holder, DistributionSettings(), random.Random(1), now)
+    senders = [
+        update.instance_id
+        for update in member.live()
+        if ring.parent(update.instance_id) == busiest
+    ]
+    spent_ns = {"tick_us": 0, "report_us": 0}
+    for number in range(_EVENTS):
+        now += timedelta(milliseconds=TICK_MS)
+        holder.now = now
+        counts = [RevisionCount(number, 3)]
+        report = ForceReport(senders[number % children], number, counts)
+        received = DistributionReceived(report, _SOURCE)
+        for name, event in (("report_us", received), ("tick_us", Tick())):
+            begun = time.perf_counter_ns()
+            part.handle(event, now)
+            spent_ns[name] += time.perf_counter_ns() - begun
+    costs = {name: round(spent / _EVENTS / 1000, 2) for name, spent in spent_ns.items()}
+    return {"children": children, **costs}
+
+
 def _answer_probes(member: Membership, actions: list, now: timedelta) -> None:
     """Answer in the place of all others, outside the measured time."""
     for action in actions:
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -45,6 +45,9 @@
 
 _SEED_PERIOD_S = 5.0
 _SEED_PERIOD_ALONE_S = 0.5
+_SEED_JITTER_MAX = 1.2
+# Readings of the platform's list by all instances of a fleet together.
+_LIST_READS_PER_S = 20
 _OUTGOING_LIMIT = 1000
 _PORT_ATTEMPTS = 20
 _STREAM_TIMEOUT_S = 10.0
@@ -279,13 +282,19 @@
                     continue
 
     async def _refresh_seeds(self) -> None:
+        alone_pause_s = _SEED_PERIOD_ALONE_S
         while True:
             seeds = await self._list_seeds()
             own = str(self.address)
             listed = SeedsListed(tuple(seed for seed in seeds if seed != own))
             self._perform(self._membership.handle(listed, self._clock.now()))
-            alone = self.member_count <= 1
-            await anyio.sleep(_SEED_PERIOD_ALONE_S if alone else _SEED_PERIOD_S)
+            if self.member_count > 1:
+                pause_s = max(_SEED_PERIOD_S, self.member_count / _LIST_READS_PER_S)
+                alone_pause_s = _SEED_PERIOD_ALONE_S
+            else:
+                pause_s = alone_pause_s
+                alone_pause_s = min(2 * alone_pause_s, _SEED_PERIOD_S)
+            await anyio.sleep(pause_s * self._rng.uniform(1, _SEED_JITTER_MAX))
 
     def _note_member(self, update: MemberUpdate) -> None:
         if update.is_live:
