Count what replicas receive as a sign of the primary's life

Cause: reading the monitor again showed that the detector was never told of replicas' progress, so an instance cut off alone replaced a primary that the others used; and that a session which gave up waiting for a floor was polled for until the next sample, each 16 ms. Change: the watch of the primary is a decision of its own, which also notes progress; waits are kept apart and dropped when their session gives up. Tests: one for each fault; both fail on the former state. The older tests of needless promotions looked at the unreachable database's term alone, which a promotion does not change at once; they look at all databases now.

--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -1,7 +1,7 @@
 """Watches one database group on behalf of one proxy."""
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 import anyio
@@ -18,16 +18,11 @@
 from ..routing.database_load import DatabaseLoad
 from ..routing.replica_choice import ReplicaChoice
 from ..settings.address import Address, parse_address
-from ..term.confirmation import Confirmation
-from ..term.confirmation_outcome import ConfirmationOutcome
-from ..term.confirmation_queue import ConfirmationQueue
-from ..term.failure_detector import FailureDetector
 from ..term.failure_kind import FailureKind
-from ..term.floor_queue import FloorQueue
-from ..term.floor_request import FloorRequest
 from ..term.group_view import GroupView
 from ..term.primary_view import PrimaryView
-from ..term.replication_stall import ReplicationStall
+from ..term.primary_watch import PrimaryWatch
+from ..term.replaced_primary import ReplacedPrimary
 from ..term.status_sample import StatusSample
 from ..term.verdict import Verdict
 from .group_monitor_control import GroupControl
@@ -37,6 +32,7 @@
 from .group_monitor_promoter import Promoter
 from .group_monitor_reads import ReplicaRouter
 from .group_monitor_record import GroupRecord
+from .group_monitor_waits import PositionWaits
 from .group_monitor_wakeup import Wakeup
 from .login import Login
 
@@ -47,7 +43,7 @@
 _UNUSABLE = (Verdict.DEAD, Verdict.STALLED)
 
 
-def _ignore_replaced(database: str, term: int, is_answering: bool) -> None:
+def _ignore_replaced(replaced: ReplacedPrimary) -> None:
     """Do nothing about a replaced primary."""
 
 
@@ -57,9 +53,8 @@
     Attributes
     ----------
     on_replaced : callable
-        Receives ``(database, term, is_answering)`` once the former primary
-        ``database`` can have nothing confirmed any more, since a majority has
-        joined ``term``; ``is_answering`` tells whether it answered last.
+        Receives a ``ReplacedPrimary`` once for each primary that can have
+        nothing confirmed any more.
 
     Parameters
     ----------
@@ -87,10 +82,6 @@
         "_addresses",
         "_changed",
         "_clock",
-        "_confirmations",
-        "_detector",
-        "_events",
-        "_floors",
         "_group",
         "_is_keeping",
         "_keeper",
@@ -99,9 +90,9 @@
         "_open_connection",
         "_pollers",
         "_router",
-        "_stall",
         "_view",
-        "_watched",
+        "_waits",
+        "_watch",
         "on_replaced",
     )
 
@@ -123,13 +114,9 @@
         self._login = Login(spec.user, group, spec.password)
         self._addresses = {d.name: parse_address(d.address) for d in spec.databases}
         self._view = GroupView(self._addresses)
-        self._confirmations = ConfirmationQueue()
-        self._floors = FloorQueue()
-        self._stall = ReplicationStall()
-        self._watched: DatabaseStatus | None = None
-        self.on_replaced: Callable[[str, int, bool], None] = _ignore_replaced
-        self._events: dict[Confirmation | FloorRequest, anyio.Event] = {}
-        self._detector: FailureDetector | None = None
+        self._waits = PositionWaits(self._view, clock)
+        self._watch = PrimaryWatch(self._view)
+        self.on_replaced: Callable[[ReplacedPrimary], None] = _ignore_replaced
         self._changed = Wakeup()
         self._router = ReplicaRouter(
             self._view,
@@ -270,16 +257,10 @@
             TERM_SUPERSEDED if a later term shut this one out, OUTCOME_UNKNOWN
             at the deadline; the transaction may or may not last.
         """
-        confirmation = self._confirmations.add(position)
-        self._settle()
+        confirmation = self._waits.begin_confirmation(position)
         if confirmation.outcome is None:
             self._demand(replicas_only=True)
-            await self._wait_for(confirmation, deadline)
-        self._confirmations.abandon(confirmation)
-        if confirmation.outcome is ConfirmationOutcome.SUPERSEDED:
-            raise CodedError(ResultCode.TERM_SUPERSEDED, f"term {position.term}")
-        if confirmation.outcome is not ConfirmationOutcome.CONFIRMED:
-            raise CodedError(ResultCode.OUTCOME_UNKNOWN, "not confirmed in time")
+        await self._waits.end_confirmation(confirmation, deadline)
 
     async def sample_floor(self, deadline: timedelta) -> LogPosition:
         """Return a position of the primary sampled after the call.
@@ -291,12 +272,9 @@
         CodedError
             NO_PRIMARY if the deadline passes first.
         """
-        request = self._floors.add(self._clock.now())
+        request = self._waits.begin_floor()
         self._demand(replicas_only=False)
-        await self._wait_for(request, deadline)
-        if request.floor is None:
-            raise CodedError(ResultCode.NO_PRIMARY, "no position was sampled in time")
-        return request.floor
+        return await self._waits.end_floor(request, deadline)
 
     def check_token(self, position: LogPosition) -> None:
         """Refuse a caller's token whose write the present history lacks.
@@ -375,83 +353,20 @@
     def _take_sample(self, sample: StatusSample) -> None:
         if not self._view.observe(sample):
             return
-        self._watch_primary()
-        self._judge_sample(sample)
         now = self._clock.now()
+        replaced = self._watch.observe(sample, now)
+        if replaced is not None:
+            self.on_replaced(replaced)
         self._router.observe(sample, now)
-        self._stall.observe(self._view, now)
-        self._settle()
+        self._waits.settle()
         self._changed.set()
 
-    def _watch_primary(self) -> None:
-        watched = self._watched
-        first_term = self._view.first_open_term()
-        if watched is not None and watched.term < first_term:
-            is_answering = self._verdict() in (Verdict.ALIVE, Verdict.STALLED)
-            self.on_replaced(watched.database, first_term, is_answering)
-            self._watched = None
-        primary = self._view.primary()
-        if primary is not None:
-            self._watched = primary.status
-
-    def _judge_sample(self, sample: StatusSample) -> None:
-        primary = self._view.primary()
-        if primary is None:
-            return
-        status = primary.status
-        detector = self._detector
-        if detector is None or (detector.database, detector.term) != (
-            status.database,
-            status.term,
-        ):
-            self._detector = FailureDetector(
-                status.database, status.term, primary.sent_at
-            )
-        elif sample is primary:
-            detector.answered(sample.sent_at)
-
     def _take_failure(self, database: str, kind: FailureKind) -> None:
-        if self._detector is None or self._detector.database != database:
-            return
-        self._detector.failed(kind, self._clock.now())
+        self._watch.failed(database, kind, self._clock.now())
         self._changed.set()
 
     def _verdict(self) -> Verdict:
-        if self._detector is None:
-            return Verdict.SUSPECT
-        now = self._clock.now()
-        verdict = self._detector.verdict(now)
-        if verdict is not Verdict.DEAD and self._stall.is_stalled(self._view, now):
-            return Verdict.STALLED
-        return verdict
-
-    def _settle(self) -> None:
-        now = self._clock.now()
-        settled = self._confirmations.settle(
-            self._view.first_open_term(), self._view.confirmed_position(now)
-        )
-        self._release(settled)
-        self._release(self._floors.settle(self._view.verified_sample()))
-
-    def _release(self, settled: Iterable[Confirmation | FloorRequest]) -> None:
-        for request in settled:
-            event = self._events.pop(request, None)
-            if event is not None:
-                event.set()
-
-    async def _wait_for(
-        self, request: Confirmation | FloorRequest, deadline: timedelta
-    ) -> None:
-        event = anyio.Event()
-        self._events[request] = event
-        rest = deadline - self._clock.now()
-        try:
-            with anyio.move_on_after(max(0.0, rest.total_seconds())):
-                await event.wait()
-        finally:
-            self._events.pop(request, None)
-            if isinstance(request, Confirmation):
-                self._confirmations.abandon(request)
+        return self._watch.verdict(self._clock.now())
 
     def _demand(self, *, replicas_only: bool) -> None:
         primary = self._view.primary()
@@ -468,9 +383,9 @@
             poller.note_activity()
 
     def _is_awaited(self, database: str) -> bool:
-        if len(self._floors):
+        if self._waits.has_floors:
             return True
-        if not len(self._confirmations):
+        if not self._waits.has_confirmations:
             return False
         primary = self._view.primary()
         return primary is None or primary.status.database != database
--- a/goldcrestpond/term/floor_queue.py
+++ b/goldcrestpond/term/floor_queue.py
@@ -1,6 +1,6 @@
 """Sessions that wait for a sample of the primary's position."""
 
-from collections import deque
+from collections import OrderedDict
 from datetime import timedelta
 
 from .floor_request import FloorRequest
@@ -13,7 +13,7 @@
     __slots__ = ("_requests",)
 
     def __init__(self):
-        self._requests: deque[FloorRequest] = deque()
+        self._requests: OrderedDict[FloorRequest, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -21,9 +21,13 @@
     def add(self, now: timedelta) -> FloorRequest:
         """Enqueue a session; ``now`` never decreases."""
         request = FloorRequest(now)
-        self._requests.append(request)
+        self._requests[request] = None
         return request
 
+    def abandon(self, request: FloorRequest) -> None:
+        """Drop a session that no longer waits."""
+        self._requests.pop(request, None)
+
     def settle(self, sample: VerifiedSample | None) -> list[FloorRequest]:
         """Give the sample to all that asked before it was taken.
 
@@ -32,8 +36,11 @@
         settled: list[FloorRequest] = []
         if sample is None:
             return settled
-        while self._requests and self._requests[0].asked_at < sample.sampled_after:
-            request = self._requests.popleft()
+        while self._requests:
+            request = next(iter(self._requests))
+            if request.asked_at >= sample.sampled_after:
+                break
+            del self._requests[request]
             request.floor = sample.position
             settled.append(request)
         return settled
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -10,6 +10,7 @@
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
 from ..settings.address import Address
+from ..term.replaced_primary import ReplacedPrimary
 from .checkout import Checkout
 from .declarations import Declarations
 
@@ -229,10 +230,10 @@
             self._pools[database] = pool
         return pool
 
-    def _drop_replaced(self, database: str, term: int, is_answering: bool) -> None:
-        pool = self._pools.get(database)
+    def _drop_replaced(self, replaced: ReplacedPrimary) -> None:
+        pool = self._pools.get(replaced.database)
         if pool is not None:
-            pool.supersede(term, is_answering)
+            pool.supersede(replaced.term, replaced.is_answering)
 
     def _raise_term(self, term: int) -> None:
         if term <= self._term:
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -20,6 +20,7 @@
 from goldcrestpond.group.role import Role
 from goldcrestpond.platform.instance_entry import InstanceEntry
 from goldcrestpond.platform.row import Row
+from goldcrestpond.term.replaced_primary import ReplacedPrimary
 from goldcrestpond.term.term_record import TermRecord
 from goldcrestpond.term.term_start import TermStart
 
@@ -206,7 +207,7 @@
         await anyio.sleep(0.3)
         endpoints.silent.clear()
         await anyio.sleep(0.5)
-        assert_that(databases["a"].term, Equals(1))
+        assert_that([d.term for d in databases.values()], Equals([1, 1, 1]))
 
     run_with(monitor, act)
 
@@ -216,7 +217,37 @@
         await write_confirmed(monitor, endpoints, "x")
         endpoints.full.add("a")
         await anyio.sleep(1)
-        assert_that(databases["a"].term, Equals(1))
+        assert_that([d.term for d in databases.values()], Equals([1, 1, 1]))
+
+    run_with(monitor, act)
+
+
+def test_primary_that_others_reach_is_kept(monitor, databases, endpoints):
+    """Replicas that go on receiving show that only this instance is cut off."""
+
+    async def act():
+        await write_confirmed(monitor, endpoints, "x")
+        endpoints.silent.add("a")
+        for number in range(15):
+            databases["a"].write(number)
+            for name in "bc":
+                databases[name].receive(1)
+            await anyio.sleep(0.1)
+        assert_that([d.term for d in databases.values()], Equals([1, 1, 1]))
+
+    run_with(monitor, act)
+
+
+def test_sessions_that_gave_up_are_not_polled_for(monitor, endpoints):
+    async def act():
+        await monitor.wait_primary(soon())
+        endpoints.silent.update("bc")
+        with pytest.raises(CodedError):
+            await monitor.sample_floor(soon(100))
+        await anyio.sleep(0.4)
+        endpoints.statements.clear()
+        await anyio.sleep(0.5)
+        assert_that(len(endpoints.statements) < 10, Is(True))
 
     run_with(monitor, act)
 
@@ -233,13 +264,13 @@
 
 def test_replaced_primary_is_told_once(monitor, databases, endpoints):
     replaced = []
-    monitor.on_replaced = lambda *news: replaced.append(news)
+    monitor.on_replaced = replaced.append
 
     async def act():
         await write_confirmed(monitor, endpoints, "x")
         endpoints.refusing.add("a")
         last = await write_confirmed(monitor, endpoints, "y")
-        assert_that(replaced, Equals([("a", last.term, False)]))
+        assert_that(replaced, Equals([ReplacedPrimary("a", last.term, False)]))
 
     run_with(monitor, act)
 
