Ask what waits only when a connection could serve it

Cause: under a queue, each request and release worked out which lane is next and how many requests could start, also with no idle connection and no room to open one; the order of lanes was made anew from the enumeration.

--- /dev/null
+++ b/bench/pool_costs.py
@@ -0,0 +1,97 @@
+"""Cost of the pool's decisions as connections and waiting requests grow.
+
+``python -m bench.pool_costs [--repetitions 5] [--turns 5000]`` prints one JSON line:
+microseconds for a turn, which is one request and one release, as the median, the
+least and the greatest of the repetitions.
+"""
+
+import itertools
+import time
+from datetime import timedelta
+from statistics import median
+
+import fire
+import msgspec
+
+from goldcrestpond.pool.database_pool import DatabasePool
+from goldcrestpond.pool.grant_connection import GrantConnection
+from goldcrestpond.pool.lane import Lane
+from goldcrestpond.pool.open_connection import OpenConnection
+from goldcrestpond.pool.pool_action import PoolAction
+from goldcrestpond.pool.pool_settings import PoolSettings
+from goldcrestpond.pool.slot_request import SlotRequest
+
+_SIZES = ((4, 0), (4, 20), (4, 200), (100, 0), (100, 200))
+_STEP = timedelta(microseconds=10)
+_DEADLINE = timedelta(hours=1)
+_WARM_UP_TURNS = 200
+
+
+def measure(repetitions: int = 5, turns: int = 5000) -> None:
+    """Measure and print one JSON line."""
+    steps = []
+    for connections, waiting in _SIZES:
+        costs = [_turn_us(connections, waiting, turns) for _ in range(repetitions)]
+        step = {"connections": connections, "waiting": waiting}
+        step |= {"turn_us": round(median(costs), 2)}
+        step |= {"least_us": round(min(costs), 2), "greatest_us": round(max(costs), 2)}
+        steps.append(step)
+    print(msgspec.json.encode({"bench": "pool_costs", "steps": steps}).decode())
+
+
+class _BusyPool:
+    """A pool whose oldest grant is given back at each turn."""
+
+    def __init__(self, connections: int):
+        settings = PoolSettings(slot_limit=connections, connection_limit=connections)
+        self._pool = DatabasePool(settings)
+        self._now = timedelta(0)
+        self._ids = itertools.count(1)
+        self._granted: list[int] = []
+
+    def request(self) -> None:
+        """Ask for a connection."""
+        self._now += _STEP
+        number = next(self._ids)
+        caller = f"caller-{number % 50}"
+        request = SlotRequest(number, caller, Lane.SHORT, _DEADLINE)
+        self._take(self._pool.request(request, self._now))
+
+    def release(self) -> None:
+        """Give back the connection that was granted first."""
+        self._now += _STEP
+        connection_id = self._granted.pop(0)
+        self._take(self._pool.released(connection_id, True, self._now))
+
+    @property
+    def granted_count(self) -> int:
+        """Connections on loan."""
+        return len(self._granted)
+
+    def _take(self, actions: list[PoolAction]) -> None:
+        for action in actions:
+            if isinstance(action, OpenConnection):
+                self._take(self._pool.opened(action.connection_id, self._now))
+            elif isinstance(action, GrantConnection):
+                self._granted.append(action.connection_id)
+
+
+def _turn_us(connections: int, waiting: int, turns: int) -> float:
+    pool = _BusyPool(connections)
+    for _ in range(connections + waiting):
+        pool.request()
+    for _ in range(_WARM_UP_TURNS):
+        pool.release()
+        pool.request()
+    started = time.perf_counter()
+    for _ in range(turns):
+        pool.release()
+        pool.request()
+    elapsed_s = time.perf_counter() - started
+    if not pool.granted_count:
+        raise RuntimeError("nothing was granted")
+    return elapsed_s / turns * 1e6
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -442,9 +442,9 @@
 
     def _grant(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
-        while self._queues.has_next():
+        while True:
             connection = self._connections.freshest_idle()
-            if connection is None:
+            if connection is None or not self._queues.has_next():
                 return actions
             if self._needs_check(connection, now):
                 return actions + self._check(now)
@@ -452,7 +452,6 @@
             self._connections.occupy(connection, request.lane, now)
             grant = GrantConnection(request.request_id, connection.connection_id)
             actions.append(grant)
-        return actions
 
     def _needs_check(self, connection: PooledConnection, now: timedelta) -> bool:
         quiet = now - connection.last_progress
@@ -473,17 +472,16 @@
     def _open(self, now: timedelta) -> list[PoolAction]:
         if self._leaving or now < self._open_after:
             return []
-        startable = self._queues.startable_count()
-        if not startable:
-            return []
-        coming = self._connections.count(
-            ConnectionState.OPENING, ConnectionState.CHECKING
-        )
-        wanted = startable - coming
         limit = self._limit.current(now)
         if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
             limit -= 1
         room = limit - self.open_count
+        if room <= 0:
+            return []
+        coming = self._connections.count(
+            ConnectionState.OPENING, ConnectionState.CHECKING
+        )
+        wanted = self._queues.startable_count() - coming
         actions: list[PoolAction] = []
         for _ in range(min(wanted, room)):
             connection = self._connections.add(self._term, now)
--- a/goldcrestpond/pool/lane_slots.py
+++ b/goldcrestpond/pool/lane_slots.py
@@ -8,6 +8,8 @@
 # With waiting in another lane, so many short requests in a row may take slots
 # before the other lane has its turn.
 _SHORT_BURST = 8
+_USUAL_ORDER = tuple(Lane)
+_OTHERS_FIRST = (Lane.AGED, Lane.REPORT, Lane.SHORT)
 
 
 class LaneSlots:
@@ -67,8 +69,8 @@
     def offer_order(self, others_wait: bool) -> tuple[Lane, ...]:
         """Return the lanes in the order in which a free slot is offered."""
         if others_wait and self._short_run >= _SHORT_BURST:
-            return (Lane.AGED, Lane.REPORT, Lane.SHORT)
-        return tuple(Lane)
+            return _OTHERS_FIRST
+        return _USUAL_ORDER
 
     def start(self, lane: Lane) -> None:
         """Count a statement that starts."""
