--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,5 +1,6 @@
 """Short runs of the load scenarios keep every promise and catch broken ones."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -20,6 +21,7 @@
 from goldcrestpond.wire import request_runner
 
 _DURATION_S = 1.2
+_LIMIT_S = 10.0
 _FAULTS_DURATION_S = 2.5  # the first faults come after 1 s
 _WRITES = Workload(write_share=1.0, think_ms=20.0, planner_count=0)
 
@@ -40,7 +42,17 @@
 
 async def lose_answers(site, load, rng):
     await anyio.sleep(0.2)
-    site.group.primary().faults.lose_answer = 10
+    faults = site.group.primary().faults
+    faults.lose_answer = 10
+    with anyio.move_on_after(_LIMIT_S):
+        while faults.lose_answer:
+            await anyio.sleep(0.01)
+
+
+async def wait_for_stale_read(site, load, rng):
+    with anyio.move_on_after(_LIMIT_S):
+        while not load.auditor.stale_reads:
+            await anyio.sleep(0.01)
 
 
 @pytest.mark.parametrize("name", ["roam", "two_faults"])
@@ -62,7 +74,7 @@
         """Believe the primary alone."""
 
     monkeypatch.setattr(GroupMonitor, "confirm", confirm)
-    result = run(palermo(cut_the_primary_off))
+    result = run(palermo(cut_the_primary_off, ends_itself=True))
     assert_that(result.lost, GreaterThan(0))
     assert_that(result.acknowledged_by_replaced, GreaterThan(0))
 
@@ -74,13 +86,14 @@
         return choose(self, None, timedelta(hours=1))
 
     monkeypatch.setattr(GroupMonitor, "choose_replica", choose_any)
-    result = run(make_scenarios(5, _DURATION_S)["roam"])
+    roam = make_scenarios(5, _DURATION_S)["roam"]
+    result = run(replace(roam, script=wait_for_stale_read, ends_itself=True))
     assert_that(result.stale_reads, GreaterThan(0))
 
 
 def test_repeating_what_may_have_run_is_caught(monkeypatch):
     monkeypatch.setattr(request_attempts, "may_repeat", lambda *_: True)
-    result = run(palermo(lose_answers))
+    result = run(palermo(lose_answers, ends_itself=True))
     assert_that(result.doubled, GreaterThan(0))
 
 
@@ -89,5 +102,5 @@
         return CodedError(ResultCode.QUEUE_DEADLINE)
 
     monkeypatch.setattr(request_runner, "_explain", explain)
-    result = run(palermo(lose_answers))
+    result = run(palermo(lose_answers, ends_itself=True))
     assert_that(result.not_run_but_ran, GreaterThan(0))
