--- a/bench/fleet_loop.py
+++ b/bench/fleet_loop.py
@@ -71,6 +71,7 @@
         self.members: dict[str, Membership] = {}
         self.cut: Callable[[str, str], bool] = lambda source, target: False
         self.messages: Counter[str] = Counter()
+        self.kinds: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
         self.deaths: list[tuple[timedelta, str, int]] = []
         self.size_of: Callable[[object], int] = lambda message: 0
@@ -283,6 +284,7 @@
         if isinstance(claim, ForceClaim) and claim.sender_id == claim.root_id:
             self._note_claim(source, claim)
         self.messages[source] += 1
+        self.kinds[type(action.message).__name__] += 1
         self.bytes[source] += self.size_of(action.message)
         if self.cut(source, action.address):
             return
--- a/bench/fleet_members.py
+++ b/bench/fleet_members.py
@@ -92,6 +92,7 @@
 ) -> dict:
     """Run with a rate of changes and of replaced instances of the whole fleet."""
     fleet.messages.clear()
+    fleet.kinds.clear()
     fleet.bytes.clear()
     busy_s, size = fleet.busy_s, len(fleet.members)
     changes = stops = 0
@@ -107,6 +108,8 @@
         fleet.run(_STEP_S)
     return {
         "sent_per_s": round(sum(fleet.messages.values()) / passed_s / size, 3),
+        "reports_per_s": round(fleet.kinds["ForceReport"] / passed_s / size, 3),
+        "claims_per_s": round(fleet.kinds["ForceClaim"] / passed_s / size, 3),
         "sent_per_s_max": round(max(fleet.messages.values()) / passed_s, 3),
         "sent_bytes_per_s": round(sum(fleet.bytes.values()) / passed_s / size, 1),
         "sent_bytes_per_s_max": round(max(fleet.bytes.values()) / passed_s, 1),
--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -255,7 +255,7 @@
             self._now + self._settings.suspicion_timeout,
             self._now,
         )
-        self._learn(msgspec.structs.replace(target, state=MemberState.SUSPECT))
+        self._judge(target, MemberState.SUSPECT)
 
     def _advance_suspicions(self) -> None:
         for instance_id, suspicion in list(self._suspicions.items()):
@@ -264,7 +264,7 @@
                 del self._suspicions[instance_id]
             elif self._now >= suspicion.deadline:
                 del self._suspicions[instance_id]
-                self._learn(msgspec.structs.replace(target, state=MemberState.DEAD))
+                self._judge(target, MemberState.DEAD)
             elif self._now >= suspicion.probe_at:
                 suspicion.probe_at = self._now + self._settings.suspect_probe_period
                 self._probe(target, decides=False)
@@ -395,7 +395,7 @@
             # than the other process: that one no longer has the address.
             if self.table.learned_at(other) <= probe.sent_at:
                 gone = self.table.get(other)
-                self._learn(msgspec.structs.replace(gone, state=MemberState.LEFT))
+                self._judge(gone, MemberState.LEFT)
 
     def _on_probe_request(self, request: ProbeRequest, source: str) -> None:
         target = MemberUpdate(
@@ -507,7 +507,18 @@
             return msgspec.structs.replace(update, state=MemberState.SUSPECT)
         return update
 
-    def _learn(self, update: MemberUpdate, *, spread: bool = True) -> bool:
+    def _judge(self, target: MemberUpdate, state: MemberState) -> None:
+        """Take in and pass on what this member found out by its own probes."""
+        update = msgspec.structs.replace(target, state=state)
+        self._learn(update, is_own_verdict=True)
+
+    def _learn(
+        self,
+        update: MemberUpdate,
+        *,
+        spread: bool = True,
+        is_own_verdict: bool = False,
+    ) -> bool:
         if update.instance_id == self._self.instance_id:
             self._defend(update.state, update.incarnation)
             return False
@@ -515,7 +526,7 @@
             return False
         if spread:
             self._queue.put(update)
-        self._actions.append(MemberChanged(update))
+        self._actions.append(MemberChanged(update, is_own_verdict))
         if update.state == MemberState.SUSPECT:
             self._heard.setdefault(update.instance_id, self._heard_deadline())
         if update.is_live and len(self.table.live_at(update.address)) > 1:
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -45,6 +45,8 @@
 
 _SEED_PERIOD_S = 5.0
 _SEED_PERIOD_ALONE_S = 0.5
+# In a larger fleet an instance records only what it found out itself.
+_HEARSAY_LIMIT = 100
 _SEED_JITTER_MAX = 1.2
 # Readings of the platform's list by all instances of a fleet together.
 _LIST_READS_PER_S = 20
@@ -243,7 +245,7 @@
     def _perform(self, actions: list) -> None:
         for action in actions:
             if isinstance(action, MemberChanged):
-                self._note_member(action.update)
+                self._note_member(action)
             elif isinstance(action, FetchUpdate):
                 self._tasks.start_soon(self._fetch, action)
             else:
@@ -296,12 +298,15 @@
                 alone_pause_s = min(2 * alone_pause_s, _SEED_PERIOD_S)
             await anyio.sleep(pause_s * self._rng.uniform(1, _SEED_JITTER_MAX))
 
-    def _note_member(self, update: MemberUpdate) -> None:
+    def _note_member(self, change: MemberChanged) -> None:
+        update = change.update
         if update.is_live:
             self._live_names[update.instance_id] = update.name
         else:
             self._live_names.pop(update.instance_id, None)
             self._addresses.pop(update.address, None)
+        if not change.is_own_verdict and self.member_count > _HEARSAY_LIMIT:
+            return
         kind = f"member_{update.state.name.lower()}"
         self._events.record(
             "membership",
