Count the time that a machine sleeps

Cause: the monotonic clock stands still while an instance is suspended, so that a lease or a stated age would be held for valid after it. Ruled out: the loop's own clock for deadlines, which only differences of readings reach. Change: the system clock reads CLOCK_BOOTTIME. Measured: not under suspension, which cannot be caused here.

--- a/goldcrestpond/clock/system_clock.py
+++ b/goldcrestpond/clock/system_clock.py
@@ -10,8 +10,11 @@
     __slots__ = ()
 
     def now(self) -> timedelta:
-        """Return the monotonic reading of this process."""
-        return timedelta(seconds=time.monotonic())
+        """Return the monotonic reading, which goes on while the machine sleeps.
+
+        A lease or an age must not stand still while an instance is suspended.
+        """
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def wall(self) -> datetime:
         """Return the wall time in UTC."""
