Read and write tokens in one place

Cause: the wire parsed session tokens a second time, without the bounds of session.token (found by the duplicates of the tree). Change: declarations use session.token; an empty token changes nothing.

--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -5,8 +5,9 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..group.log_position import LogPosition, parse_log_position
+from ..group.log_position import LogPosition
 from ..pool.lane import Lane
+from ..session.token import Token, parse_token
 from .route_defaults import RouteDefaults
 
 PREFIX = "goldcrestpond."
@@ -93,7 +94,7 @@
     def show(self, name: str, group: str) -> str:
         """Return the present value of a parameter as text."""
         if name == PREFIX + "token":
-            return write_token(group, self.floor) if self.floor else ""
+            return str(Token(group, self.floor)) if self.floor else ""
         if name == PREFIX + "max_age_ms":
             return (
                 str(round(self.max_age / timedelta(milliseconds=1)))
@@ -114,18 +115,12 @@
             self.floor = position
 
     def _take_token(self, value: str, group: str) -> None:
-        named_group, _, position = value.rpartition(":")
-        if named_group != group:
+        if not value:
+            return  # a reset; what the session has seen still counts
+        token = parse_token(value)
+        if token.group != group:
             raise CodedError(ResultCode.BAD_TOKEN, f"token is not of group {group}")
-        try:
-            self.raise_floor(parse_log_position(position))
-        except ValueError as error:
-            raise CodedError(ResultCode.BAD_TOKEN, f"token {value!r}") from error
-
-
-def write_token(group: str, position: LogPosition) -> str:
-    """Return a session token."""
-    return f"{group}:{position}"
+        self.raise_floor(token.position)
 
 
 def _read_switch(name: str, value: str) -> bool:
--- a/goldcrestpond/wire/session_context.py
+++ b/goldcrestpond/wire/session_context.py
@@ -8,9 +8,10 @@
 from ..frames.build import parameter_frame
 from ..group.log_position import LogPosition
 from ..retry.request_attempts import RequestAttempts
+from ..session.token import Token
 from .caller_stream import CallerStream
 from .checkout import Checkout
-from .declarations import PREFIX, Declarations, write_token
+from .declarations import PREFIX, Declarations
 from .route_binding import RouteBinding
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
@@ -102,5 +103,5 @@
         deadline = self.clock.now() + self.limits.acknowledge_timeout
         await service.monitor.confirm(committed, deadline)
         self.declarations.raise_floor(committed)
-        token = write_token(service.name, self.declarations.floor)
-        return parameter_frame(TOKEN_PARAMETER, token)
+        token = Token(service.name, self.declarations.floor)
+        return parameter_frame(TOKEN_PARAMETER, str(token))
