--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -14,7 +14,6 @@
 from goldcrestpond.configuration.stored_resource import encode_stored
 from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.settings.address import Address, parse_address
-from goldcrestpond.settings.proxy_settings import ProxySettings
 from goldcrestpond.standin.database_group_settings import (
     DatabaseGroupSettings,
     StandinDatabase,
@@ -80,9 +79,13 @@
         )
         members = [word.split("=") for word in databases.ready]
         anyio.run(_write_resources, platform.ready[0], members)
-        settings = ProxySettings(
-            "proxy-1", "127.0.0.1:0", platform.ready[0], log_level="ERROR"
-        )
+        # Only what every version of the proxy knows.
+        settings = {
+            "instance": "proxy-1",
+            "listen": "127.0.0.1:0",
+            "platform": platform.ready[0],
+            "log_level": "ERROR",
+        }
         proxy = stack.enter_context(
             run_program("goldcrestpond-proxy", [], settings, root, profile)
         )
