--- a/tests/test_peer_node.py
+++ b/tests/test_peer_node.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import pytest
 from anyio.abc import SocketAttribute
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength
@@ -15,6 +16,7 @@
 from goldcrestpond.configuration.configuration_delta import ConfigurationDelta
 from goldcrestpond.configuration.revision_count import count_in_force
 from goldcrestpond.events.recorder import EventRecorder
+from goldcrestpond.peer import peer_node
 from goldcrestpond.peer.peer_node import PeerNode
 from goldcrestpond.peer.peer_settings import PeerSettings
 from goldcrestpond.settings.address import Address
@@ -28,6 +30,7 @@
 
     def __init__(self, tasks):
         self.clock = SystemClock()
+        self.lines = []
         self.nodes = {}
         self.holders = {}
         self.scopes = {}
@@ -39,7 +42,7 @@
         name = f"proxy-{next(self._numbers)}"
         holder = ClockHolder(self.clock, random.Random())
         settings = PeerSettings(name, "zone", _LOOPBACK, key)
-        events = EventRecorder(name, self.clock, lambda line: None)
+        events = EventRecorder(name, self.clock, self.lines.append)
         rng = random.Random(name)
         node = PeerNode(settings, holder, self._seeds, self.clock, rng, events)
         self.holders[name] = holder
@@ -147,3 +150,15 @@
             assert_that(fleet.nodes["proxy-0"].members, HasLength(2))
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize(("limit", "records"), [(0, False), (100, True)])
+def test_large_fleet_records_no_hearsay(monkeypatch, limit, records):
+    monkeypatch.setattr(peer_node, "_HEARSAY_LIMIT", limit)
+
+    async def scenario():
+        async with _fleet(3) as fleet:
+            heard = any(b"member_alive" in line for line in fleet.lines)
+            assert_that(heard, Equals(records))
+
+    anyio.run(scenario)
