Offer the overload at its rate, however late the loop is

Cause: each pause began after the last was over, so a busy machine was offered 1.2 times the peak, not twice.

--- a/goldcrestpond/load/overload.py
+++ b/goldcrestpond/load/overload.py
@@ -69,10 +69,12 @@
         idle.append(session)
 
     run.start_phase()
-    end = anyio.current_time() + duration_s
+    next_at = anyio.current_time()
+    end = next_at + duration_s
     async with anyio.create_task_group() as tasks:
         while anyio.current_time() < end:
-            await anyio.sleep(rng.expovariate(rate_per_s))
+            next_at += rng.expovariate(rate_per_s)
+            await anyio.sleep(max(0.0, next_at - anyio.current_time()))
             run.details["offered"] += 1
             if not idle and run.details["sessions"] < _SESSION_LIMIT:
                 run.details["sessions"] += 1
@@ -80,4 +82,5 @@
                 idle.append(_session(site, run, rng, name))
             if idle:
                 tasks.start_soon(write_once, idle.pop())
+        run.details["offered_per_s"] = run.details["offered"] / duration_s
         run.end_phase("overload")
