Do not learn a term's start as its replicas' usual delay

The wait until replicas begin to follow a new term counted as their usual delay, three times of which the stall limit is. Change: a term's first wait is not learned; the probe waits for a writer.

--- a/goldcrestpond/load/run_load.py
+++ b/goldcrestpond/load/run_load.py
@@ -97,6 +97,10 @@
     """Measure writes over a direct connection to the primary."""
     number = 0
     while True:
+        writers = [s.address for s in site.group.databases if s.database.writable]
+        if not writers:
+            await anyio.sleep(_PROBE_PAUSE_S)
+            continue
         link = CallerLink([site.group.primary().address], "fuel", random.Random(0), {})
         try:
             connection = await link.ready()
--- a/goldcrestpond/term/replication_stall.py
+++ b/goldcrestpond/term/replication_stall.py
@@ -21,13 +21,14 @@
     commits can never be confirmed, and only a promotion helps.
     """
 
-    __slots__ = ("_confirmed", "_since", "_term", "_usual")
+    __slots__ = ("_confirmed", "_is_first_wait", "_since", "_term", "_usual")
 
     def __init__(self):
         self._term = 0
         self._confirmed = 0
         self._since: timedelta | None = None
         self._usual = timedelta(0)
+        self._is_first_wait = True
 
     def observe(self, view: GroupView, now: timedelta) -> None:
         """Take in a change of the view."""
@@ -39,8 +40,9 @@
         if primary.status.term != self._term:
             self._term = primary.status.term
             self._since = None
+            self._is_first_wait = True
         elif confirmed > self._confirmed and self._since is not None:
-            self._usual = max(self._usual * DECAY, now - self._since)
+            self._learn(now - self._since)
             self._since = None
         self._confirmed = confirmed
         if primary.status.position <= confirmed:
@@ -48,6 +50,12 @@
         elif self._since is None:
             self._since = now
 
+    def _learn(self, wait: timedelta) -> None:
+        """Remember a wait, but not a term's first: replicas begin to follow."""
+        if not self._is_first_wait:
+            self._usual = max(self._usual * DECAY, wait)
+        self._is_first_wait = False
+
     def is_stalled(self, view: GroupView, now: timedelta) -> bool:
         """Return whether the primary is taken to be cut off from its replicas."""
         if self._since is None:
