Tell a caller without a primary when to come back

Cause: a refusal for want of a primary gave no time after which to ask again, and the primary was derived twice for each request. Change: the refusal says 1,000 ms; the primary is derived once. Tried and reverted: skipping the pool's grant and open when nobody waits, the latest idle connection in place of a search, no copy of a slot request.

--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -38,6 +38,8 @@
 
 # Longer than the polls of an idle group are apart.
 PRIMARY_LIFETIME = timedelta(seconds=5)
+# By then most failovers are over.
+FAILOVER_RETRY_AFTER_MS = 1000
 
 
 _UNUSABLE = (Verdict.DEAD, Verdict.STALLED)
@@ -215,13 +217,17 @@
             NO_PRIMARY once the deadline has passed.
         """
         self._note_activity()
-        if self.primary is None:
+        primary = self.primary
+        if primary is None:
             self._demand_all()
-        while (primary := self.primary) is None:
+        while primary is None:
             rest = deadline - self._clock.now()
             if rest <= timedelta(0):
-                raise CodedError(ResultCode.NO_PRIMARY, self._group)
+                raise CodedError(
+                    ResultCode.NO_PRIMARY, self._group, FAILOVER_RETRY_AFTER_MS
+                )
             await self._changed.wait(rest)
+            primary = self.primary
         return primary
 
     def stop_keeping(self) -> None:
