Refuse bad settings by file, key and number, without a traceback

Cause: a walk on a clean clone showed that goldcrestpond-proxy answered a bad settings file with a Python traceback, and a bad address without its key. Change: the proxy, the demo and the load report errors like the other programs; addresses are checked with file and key before anything starts.

--- a/goldcrestpond/cli/api.py
+++ b/goldcrestpond/cli/api.py
@@ -5,6 +5,7 @@
 from ..api.api_settings import ApiSettings
 from ..root.api import run_api
 from ..root.logs import configure_logs
+from ..settings.check_addresses import check_addresses
 from ..settings.load import load_settings
 from .run_program import run_commands, run_program
 
@@ -20,6 +21,7 @@
         Only check the settings.
     """
     loaded = load_settings(settings, ApiSettings)
+    check_addresses(settings, loaded, "address", "platform")
     if check:
         print(f"{settings}: valid")
         return
--- a/goldcrestpond/cli/demo.py
+++ b/goldcrestpond/cli/demo.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 
 import anyio
-import fire
 import msgspec
 
 from ..clock.system_clock import SystemClock
@@ -15,7 +14,7 @@
 from ..load.run_load import run_scenario
 from ..root.local_site import run_local_site
 from ..root.logs import configure_logs
-from .run_program import run_program
+from .run_program import run_commands, run_program
 
 _FAILED = 1
 
@@ -80,4 +79,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire({"run": run, "serve": serve})
+    run_commands({"run": run, "serve": serve})
--- a/goldcrestpond/cli/load.py
+++ b/goldcrestpond/cli/load.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 
 import anyio
-import fire
 import msgspec
 
 from ..clock.system_clock import SystemClock
 from ..load.report import read_results, render_report
 from ..load.run_load import run_scenario
 from ..load.scenarios import make_scenarios
+from .run_program import run_commands
 
 _FAILED = 1
 
@@ -67,4 +67,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(load)
+    run_commands(load)
--- a/goldcrestpond/cli/proxy.py
+++ b/goldcrestpond/cli/proxy.py
@@ -3,18 +3,26 @@
 import signal
 
 import anyio
-import fire
 
+from ..errors.coded_error import CodedError
 from ..root.caller_entry import make_caller_entry
 from ..root.logs import configure_logs
 from ..root.proxy import run_proxy
-from ..settings.address import parse_address
+from ..settings.check_addresses import check_addresses
 from ..settings.load import load_settings
 from ..settings.proxy_settings import ProxySettings
-from .run_program import run_program
+from .run_program import run_commands, run_program
 
 # A proxy that starts while the platform is out serves what its peers tell it.
 _CONFIGURATION_TIMEOUT_S = 5
+_ADDRESS_KEYS = (
+    "listen",
+    "platform",
+    "peer_listen",
+    "peer_seeds",
+    "api_listen",
+    "statsd",
+)
 
 
 def proxy(settings: str, check: bool = False) -> None:
@@ -30,9 +38,7 @@
     check : bool, default=False
         Only check the settings.
     """
-    loaded = load_settings(settings, ProxySettings)
-    make_caller_entry(loaded)
-    parse_address(loaded.platform)
+    loaded = _load(settings)
     if check:
         print(f"{settings}: valid")
         return
@@ -40,6 +46,16 @@
     run_program(lambda: _serve(loaded), signal.SIGINT)
 
 
+def _load(path: str) -> ProxySettings:
+    settings = load_settings(path, ProxySettings)
+    check_addresses(path, settings, *_ADDRESS_KEYS)
+    try:
+        make_caller_entry(settings)
+    except CodedError as error:
+        raise CodedError(error.code, f"{path}: {error.detail}") from error
+    return settings
+
+
 async def _serve(settings: ProxySettings) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM) as received:
         async with run_proxy(settings) as running:
@@ -52,4 +68,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(proxy)
+    run_commands(proxy)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
+from goldcrestpond.cli.proxy import proxy
+from goldcrestpond.cli.run_program import run_commands
 from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.exit_status import exit_status
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.settings.address import parse_address
 from goldcrestpond.settings.load import load_settings
@@ -53,3 +56,27 @@
         assert_that(error.code, Equals(ResultCode.SETTINGS_INVALID))
     else:
         assert_that(parse_address(str(address)), Equals(address))
+
+
+@pytest.mark.parametrize(
+    "key,value",
+    [
+        ("listen", '"nohost:1"'),
+        ("platform", '"127.0.0.1"'),
+        ("peer_seeds", '["127.0.0.1:1", "x"]'),
+        ("statsd", '"127.0.0.1:99999"'),
+        ("users", '{"pump": "plain"}'),
+        ("lissten", '"127.0.0.1:1"'),
+    ],
+)
+def test_proxy_refuses_settings_by_file_key_and_code(write, capsys, key, value):
+    texts = {"instance": '"a"', "listen": '"127.0.0.1:1"', "platform": '"127.0.0.1:2"'}
+    texts[key] = value
+    body = ", ".join(f'"{name}": {text}' for name, text in texts.items())
+    path = write("{" + body + "}")
+    with pytest.raises(SystemExit) as caught:
+        run_commands(lambda: proxy(path, check=True))
+    assert_that(caught.value.code, Equals(exit_status(ResultCode.SETTINGS_INVALID)))
+    told = capsys.readouterr().err
+    for word in ("GP602", path, key):
+        assert_that(told, Contains(word))
