Lend connections in one place, and drop what nothing calls

Primary and replica were lent by two copies of the same lines; a request with an id that met a replaced primary waited for news without telling the monitor, unlike other requests; eight functions and constants had no caller. Change: one way to lend; requests with an id report the replaced primary too; the unused is gone (next_tick with earliest_deadline, drop_preference, which the time limit of a promotion stands in for, and builders of frames).

--- a/goldcrestpond/frames/build.py
+++ b/goldcrestpond/frames/build.py
@@ -3,7 +3,6 @@
 from pygwire.constants import TransactionStatus
 from pygwire.messages import (
     Close,
-    CommandComplete,
     ErrorResponse,
     ParameterStatus,
     Parse,
@@ -14,9 +13,6 @@
 from ..errors.coded_error import CodedError
 
 READY_IDLE = ReadyForQuery(status=TransactionStatus.IDLE).to_wire()
-READY_FAILED_TRANSACTION = ReadyForQuery(
-    status=TransactionStatus.ERROR_TRANSACTION
-).to_wire()
 
 
 def error_frame(error: CodedError, severity: str = "ERROR") -> bytes:
@@ -46,11 +42,6 @@
     return ParameterStatus(name=name, value=value).to_wire()
 
 
-def complete_frame(tag: str) -> bytes:
-    """Build a CommandComplete."""
-    return CommandComplete(tag=tag).to_wire()
-
-
 def query_frame(sql: str) -> bytes:
     """Build a simple Query."""
     return Query(query_string=sql).to_wire()
--- a/goldcrestpond/load/fuel_log.py
+++ b/goldcrestpond/load/fuel_log.py
@@ -15,7 +15,6 @@
     " FROM fuel_log WHERE session = %s"
 )
 READ_COUNT = "SELECT pg_is_in_recovery(), count(*) FROM fuel_log WHERE part = 0"
-READ_TANKS = "SELECT pg_is_in_recovery(), depot, litres FROM tank"
 READ_ALL = "SELECT session, number, part FROM fuel_log"
 REPORT = "SELECT depot, litres, pg_sleep(%s::float8) FROM tank"
 PROBE = "INSERT INTO probe VALUES (%s)"
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -322,24 +322,6 @@
             actions += self._tick_connection(connection, now)
         return actions + self._schedule(now)
 
-    def next_tick(self, now: timedelta) -> timedelta | None:
-        """Return the reading at which ``tick`` has work, as seen at ``now``."""
-        settings = self._settings
-        readings = []
-        for connection in self._connections:
-            if connection.state is ConnectionState.BUSY and not connection.probing:
-                due = connection.last_progress + settings.progress_deadline
-                readings.append(max(due, connection.probe_after))
-            if connection.state is ConnectionState.CHECKING:
-                readings.append(connection.state_since + settings.check_deadline)
-            if connection.state is ConnectionState.IDLE:
-                readings.append(connection.state_since + settings.idle_close)
-        if len(self._queues):
-            readings.append(self._queues.earliest_deadline())
-        if len(self._queues) and self._open_after > now:
-            readings.append(self._open_after)
-        return min(readings, default=None)
-
     def _tick_connection(
         self, connection: PooledConnection, now: timedelta
     ) -> list[PoolAction]:
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -126,11 +126,6 @@
             self.remove(request.request_id)
         return [self._refusal(r, code, retry_after) for r in waiting]
 
-    def earliest_deadline(self) -> timedelta | None:
-        """Return the deadline that passes first, or None if none waits."""
-        deadlines = [queue.earliest_deadline() for queue in self._queues.values()]
-        return min((d for d in deadlines if d is not None), default=None)
-
     def _next_lane(self) -> Lane | None:
         others_wait = len(self._queues[Lane.AGED]) + len(self._queues[Lane.REPORT])
         for lane in self._slots.offer_order(others_wait > 0):
--- a/goldcrestpond/pool/request_queue.py
+++ b/goldcrestpond/pool/request_queue.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterator
-from datetime import timedelta
 
 from .slot_request import SlotRequest
 
@@ -70,8 +69,3 @@
             for requests in rows:
                 if depth < len(requests):
                     yield requests[depth]
-
-    def earliest_deadline(self) -> timedelta | None:
-        """Return the deadline that passes first, or None if empty."""
-        deadlines = (r.deadline for rs in self._by_caller.values() for r in rs)
-        return min(deadlines, default=None)
--- a/goldcrestpond/term/promotion.py
+++ b/goldcrestpond/term/promotion.py
@@ -93,13 +93,6 @@
         if len(self._fenced) >= self._majority and not is_preferred_awaited:
             self._choose_candidate()
 
-    def drop_preference(self) -> None:
-        """Wait no longer for the preferred database."""
-        self._preferred = ""
-        is_fencing = self.step is PromotionStep.FENCING
-        if is_fencing and len(self._fenced) >= self._majority:
-            self._choose_candidate()
-
     def refused(self) -> None:
         """Take in that a database refused a step: it joined another term."""
         if self.step is not PromotionStep.DONE:
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -9,7 +9,9 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
+from ..routing.replica_choice import ReplicaChoice
 from ..settings.address import Address
+from ..term.primary_view import PrimaryView
 from ..term.replaced_primary import ReplacedPrimary
 from .checkout import Checkout
 from .declarations import Declarations
@@ -104,14 +106,9 @@
             if primary.term < least_term:
                 await self._wait_next_primary(primary.term, deadline)
                 continue
-            try:
-                pool = self._pool(primary.database, primary.address, primary.term)
-                connection = await pool.acquire(primary.term, deadline, caller, lane)
-                return Checkout(
-                    connection, pool, primary.database, primary.term, is_primary=True
-                )
-            except CodedError as error:
-                await self._after_failure(primary.database, error, deadline)
+            checkout = await self._lend(primary, caller, lane, deadline)
+            if checkout is not None:
+                return checkout
 
     async def acquire_reader(
         self, declarations: Declarations, caller: str, deadline: timedelta
@@ -139,16 +136,27 @@
             )
             if choice is None:
                 return await self._acquire_verified(declarations, caller, deadline)
-            try:
-                pool = self._pool(choice.database, choice.address, choice.term)
-                connection = await pool.acquire(
-                    choice.term, deadline, caller, _read_lane(declarations)
-                )
-                return Checkout(
-                    connection, pool, choice.database, choice.term, is_primary=False
-                )
-            except CodedError as error:
-                await self._after_failure(choice.database, error, deadline)
+            lane = _read_lane(declarations)
+            checkout = await self._lend(choice, caller, lane, deadline)
+            if checkout is not None:
+                return checkout
+
+    async def _lend(
+        self,
+        chosen: PrimaryView | ReplicaChoice,
+        caller: str,
+        lane: Lane,
+        deadline: timedelta,
+    ) -> Checkout | None:
+        """Lend a connection to a database; None if another choice may do better."""
+        pool = self._pool(chosen.database, chosen.address, chosen.term)
+        try:
+            connection = await pool.acquire(chosen.term, deadline, caller, lane)
+        except CodedError as error:
+            await self._after_failure(chosen.database, error, deadline)
+            return None
+        is_primary = isinstance(chosen, PrimaryView)
+        return Checkout(connection, pool, chosen.database, chosen.term, is_primary)
 
     async def _acquire_verified(
         self, declarations: Declarations, caller: str, deadline: timedelta
@@ -202,10 +210,6 @@
         self.monitor.report_failure(database, error)
         await self.monitor.wait_change(deadline)
 
-    async def wait_news(self, deadline: timedelta) -> None:
-        """Wait until something about the group changes, or the deadline."""
-        await self.monitor.wait_change(deadline)
-
     async def _wait_next_primary(self, term: int, deadline: timedelta) -> None:
         if self._clock.now() >= deadline:
             raise CodedError(ResultCode.NO_PRIMARY, f"only that of term {term}")
--- a/goldcrestpond/wire/keyed_runner.py
+++ b/goldcrestpond/wire/keyed_runner.py
@@ -40,11 +40,12 @@
         Connection that runs the present attempt.
     """
 
-    __slots__ = ("_context", "_statements", "checkout")
+    __slots__ = ("_context", "_database", "_statements", "checkout")
 
     def __init__(self, context: SessionContext, statements: CallerStatements):
         self._context = context
         self._statements = statements
+        self._database = ""  # where the latest attempt ran
         self.checkout: Checkout | None = None
 
     def takes(self, batch: Batch) -> bool:
@@ -85,13 +86,15 @@
                 _log.info("wire: request with an id repeated: %s", error)
                 await anyio.sleep(pause.total_seconds())
                 if error.code is ResultCode.PRIMARY_REPLACED:
-                    await context.binding.service.wait_news(deadline)
+                    service = context.binding.service
+                    await service.report_replaced(self._database, deadline)
 
     async def _run_once(
         self, request: KeyedRequest, deadline: timedelta
     ) -> RequestAnswer:
         checkout = await self._context.acquire(False, deadline)
         self.checkout = checkout
+        self._database = checkout.database
         is_done = False
         try:
             with anyio.move_on_after(self._context.statement_timeout_s()):
