--- /dev/null
+++ b/goldcrestpond/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency for PostgreSQL endpoints."""
--- /dev/null
+++ b/goldcrestpond/api/__init__.py
@@ -0,0 +1,1 @@
+"""Resource API: HTTP and JSON over Starlette (shell)."""
--- /dev/null
+++ b/goldcrestpond/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on configuration: revisions, resources and what is in force."""
--- /dev/null
+++ b/goldcrestpond/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on endpoints that are leaving and on graceful shutdown."""
--- /dev/null
+++ b/goldcrestpond/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to databases over the PostgreSQL protocol (shell)."""
--- /dev/null
+++ b/goldcrestpond/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered result codes and the exceptions that carry them."""
--- /dev/null
+++ b/goldcrestpond/errors/coded_error.py
@@ -0,0 +1,25 @@
+"""The exception that carries a numbered result code."""
+
+from .result_code import ResultCode
+
+
+class CodedError(Exception):
+    """An error with a numbered result code.
+
+    Parameters
+    ----------
+    code : ResultCode
+        The numbered result.
+    detail : str, default=""
+        What happened, in one short sentence.
+    retry_after_ms : int, default=0
+        When the caller may ask again; 0 means that no time is known.
+    """
+
+    __slots__ = ("code", "detail", "retry_after_ms")
+
+    def __init__(self, code: ResultCode, detail: str = "", retry_after_ms: int = 0):
+        super().__init__(f"GP{code.number} {detail or code.meaning}")
+        self.code = code
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/goldcrestpond/errors/result_code.py
@@ -0,0 +1,76 @@
+"""Numbered result codes, each with its SQLSTATE and HTTP status."""
+
+from enum import Enum
+
+
+class ResultCode(Enum):
+    """A numbered result with the codes that callers and operators see.
+
+    Each value is ``(number, sqlstate, http_status, meaning)``. Numbers are
+    grouped by hundreds: 1xx callers, 2xx endpoints, 3xx outcome, 4xx
+    resources, 5xx platform, 6xx settings, 7xx peers. A number is never reused.
+    """
+
+    MALFORMED_STARTUP = (101, "08P01", 400, "The startup packet cannot be read.")
+    UNKNOWN_DATABASE = (102, "3D000", 404, "No route has this database name.")
+    FRAME_TOO_LARGE = (103, "08P01", 413, "A frame exceeds the size limit.")
+    MALFORMED_FRAME = (104, "08P01", 400, "A frame cannot be read.")
+    AUTHENTICATION_FAILED = (105, "28P01", 401, "The credentials are not valid.")
+    NOT_CARRIED = (106, "0A000", 501, "The proxy does not carry this request.")
+    ROUTE_REFUSED = (107, "28000", 403, "The route does not admit this caller.")
+    TOO_MANY_CALLERS = (108, "53300", 503, "The instance has no room for callers.")
+    SHUTTING_DOWN = (109, "57P01", 503, "The instance is shutting down.")
+    BAD_PARAMETER = (110, "22023", 400, "A goldcrestpond parameter is not valid.")
+    BAD_TOKEN = (111, "22023", 400, "The session token cannot be read.")
+
+    NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
+    ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint was reached; not run.")
+    QUEUE_DEADLINE = (203, "57P05", 503, "The queue deadline passed; not run.")
+    OVERLOADED = (204, "53000", 503, "Shed before a slot was free; not run.")
+    NO_FRESH_REPLICA = (205, "57P03", 503, "No replica is fresh enough; not run.")
+    ENDPOINT_LEAVING = (206, "57P03", 503, "The endpoint is leaving; not run.")
+    RETRY_BUDGET_SPENT = (207, "53000", 503, "The retry budget is spent; not run.")
+
+    OUTCOME_UNKNOWN = (301, "08007", 502, "The outcome is unknown.")
+    TERM_SUPERSEDED = (302, "08007", 502, "The term ended; the outcome is unknown.")
+    ANSWER_INTERRUPTED = (303, "08006", 502, "The answer broke off.")
+    PROGRESS_DEADLINE = (304, "08007", 504, "The endpoint fell silent; unknown.")
+
+    RESOURCE_INVALID = (401, "22023", 422, "The resource does not fit its schema.")
+    RESOURCE_NOT_FOUND = (402, "42704", 404, "No resource has this name.")
+    RESOURCE_CONFLICT = (403, "40001", 409, "The resource changed meanwhile.")
+    CHANGE_REFUSED = (404, "55000", 422, "The change would break a promise.")
+    UNAUTHORIZED = (405, "28000", 401, "The bearer token is missing or not valid.")
+    IDEMPOTENCY_MISMATCH = (406, "22023", 422, "The key was used for another body.")
+
+    PLATFORM_UNAVAILABLE = (501, "58000", 503, "The platform does not answer.")
+    PLATFORM_CONFLICT = (502, "40001", 409, "A conditional write met a newer row.")
+
+    SETTINGS_UNREADABLE = (601, "F0000", 400, "The settings file cannot be read.")
+    SETTINGS_INVALID = (602, "F0000", 422, "The settings do not fit their schema.")
+    ADDRESS_IN_USE = (603, "F0000", 409, "An address cannot be bound.")
+
+    PEER_UNREACHABLE = (701, "08001", 503, "A peer does not answer.")
+    PEER_MALFORMED = (702, "08P01", 400, "A peer's message cannot be read.")
+
+    INTERNAL = (901, "XX000", 500, "An internal error.")
+
+    @property
+    def number(self) -> int:
+        """Number of the code."""
+        return self.value[0]
+
+    @property
+    def sqlstate(self) -> str:
+        """SQLSTATE that callers see."""
+        return self.value[1]
+
+    @property
+    def http_status(self) -> int:
+        """HTTP status that operators see."""
+        return self.value[2]
+
+    @property
+    def meaning(self) -> str:
+        """One sentence for people."""
+        return self.value[3]
--- /dev/null
+++ b/goldcrestpond/group/__init__.py
@@ -0,0 +1,1 @@
+"""Values that describe a database group: roles, terms and log positions."""
--- /dev/null
+++ b/goldcrestpond/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which instances are alive."""
--- /dev/null
+++ b/goldcrestpond/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances: Cap'n Proto over UDP and TCP (shell)."""
--- /dev/null
+++ b/goldcrestpond/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which instances hold connections to a database group."""
--- /dev/null
+++ b/goldcrestpond/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's table service, object store and instance list."""
--- /dev/null
+++ b/goldcrestpond/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on connections, slots, lanes and queues of one database."""
--- /dev/null
+++ b/goldcrestpond/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on repeating a request and on its retry budget."""
--- /dev/null
+++ b/goldcrestpond/root/__init__.py
@@ -0,0 +1,1 @@
+"""Composition root: the one place that wires decisions to shells."""
--- /dev/null
+++ b/goldcrestpond/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which database serves a request."""
--- /dev/null
+++ b/goldcrestpond/session/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on read-your-writes: tokens and read floors."""
--- /dev/null
+++ b/goldcrestpond/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, checked against typed classes."""
--- /dev/null
+++ b/goldcrestpond/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that goldcrestpond talks to."""
--- /dev/null
+++ b/goldcrestpond/term/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on terms: acknowledgement, failure detection and promotion."""
--- /dev/null
+++ b/goldcrestpond/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Caller connections over the PostgreSQL protocol (shell)."""
