--- /dev/null
+++ b/goldcrestpond/root/group_services.py
@@ -0,0 +1,147 @@
+"""Makes the services of groups as configurations name them."""
+
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock.clock import Clock
+from ..configuration.configuration import Configuration
+from ..configuration.database_group_spec import DatabaseGroupSpec
+from ..endpoint.database_pool import DatabasePool
+from ..endpoint.endpoint_connection import EndpointConnection
+from ..endpoint.group_monitor import GroupMonitor
+from ..endpoint.login import Login
+from ..endpoint.open_connection import open_connection
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..events.recorder import EventRecorder
+from ..platform.platform import Platform
+from ..settings.address import Address
+from ..settings.proxy_settings import ProxySettings
+from ..wire.group_service import GroupService
+
+_INSTANCES_EXPECTED = 8  # entry instances that share an endpoint's connections
+_STATUS_CONNECTIONS = 1  # each proxy's connection for statuses
+
+
+class GroupServices:
+    """Services of all groups that the configuration names.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Settings of the process.
+    platform : Platform
+        The platform's service.
+    clock : Clock
+        Source of monotonic readings.
+    rng : random.Random
+        Source of randomness.
+    events : EventRecorder
+        Time line.
+    tasks : TaskGroup
+        Runs the monitors.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_platform",
+        "_rng",
+        "_running",
+        "_services",
+        "_settings",
+        "_specs",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        events: EventRecorder,
+        tasks: TaskGroup,
+    ):
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._events = events
+        self._tasks = tasks
+        self._services: dict[str, GroupService] = {}
+        self._running: dict[str, anyio.CancelScope] = {}
+        self._specs: dict[str, DatabaseGroupSpec] = {}
+
+    def find(self, name: str) -> GroupService:
+        """Return the service of a group.
+
+        Raises
+        ------
+        CodedError
+            UNKNOWN_DATABASE if the configuration has no such group.
+        """
+        service = self._services.get(name)
+        if service is None:
+            raise CodedError(ResultCode.UNKNOWN_DATABASE, f"no group {name!r}")
+        return service
+
+    def apply(self, configuration: Configuration) -> None:
+        """Make, replace and end services so that they fit a configuration."""
+        for name in list(self._services):
+            if configuration.groups.get(name) != self._specs[name]:
+                self._end(name)
+        for name, spec in configuration.groups.items():
+            if name not in self._services:
+                self._begin(name, spec)
+
+    def _begin(self, name: str, spec: DatabaseGroupSpec) -> None:
+        monitor = GroupMonitor(
+            name,
+            spec,
+            self._platform,
+            self._open,
+            self._clock,
+            self._rng,
+            self._events,
+            self._settings.instance,
+            self._settings.zone,
+        )
+        scope = anyio.CancelScope()
+        self._specs[name] = spec
+        self._running[name] = scope
+        self._services[name] = GroupService(
+            name,
+            monitor,
+            lambda _, address: self._make_pool(name, spec, address),
+            self._clock,
+        )
+        self._tasks.start_soon(self._run_monitor, monitor, scope)
+
+    def _end(self, name: str) -> None:
+        self._running.pop(name).cancel()
+        del self._specs[name]
+        service = self._services.pop(name)
+        self._tasks.start_soon(service.aclose)
+
+    async def _run_monitor(
+        self, monitor: GroupMonitor, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            await monitor.run()
+
+    def _make_pool(
+        self, group: str, spec: DatabaseGroupSpec, address: Address
+    ) -> DatabasePool:
+        login = Login(spec.user, group, spec.password)
+        share = spec.connection_limit // _INSTANCES_EXPECTED - _STATUS_CONNECTIONS
+        return DatabasePool(
+            lambda: self._open(address, login), max(1, share), self._clock
+        )
+
+    async def _open(self, address: Address, login: Login) -> EndpointConnection:
+        with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
+            return await open_connection(address, login)
+        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, f"{address}: no answer")
--- /dev/null
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -0,0 +1,59 @@
+"""Settings of a proxy process."""
+
+import msgspec
+
+MEBIBYTE = 1 << 20
+
+
+class ProxySettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What a proxy is told at its start; all else comes from resources.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance, unique among the live ones.
+    zone : str
+        Availability zone of the instance.
+    listen : str
+        ``IP:PORT`` for callers.
+    platform : str
+        ``IP:PORT`` of the platform's service.
+    statsd : str
+        ``IP:PORT`` of the statsd server; empty for no metrics.
+    metrics_sample_rate : float
+        Share of requests that are reported to statsd.
+    events_file : str
+        File that receives the time line; empty for none.
+    log_level : str
+        Level of the log.
+    caller_limit : int
+        Most callers at once.
+    frame_limit_bytes : int
+        Largest frame that a caller may send.
+    batch_limit_bytes : int
+        Largest sum of frames that a caller may send before a Sync.
+    startup_timeout_ms : int
+        Longest time for startup and authentication.
+    acknowledge_timeout_ms : int
+        Longest wait for the confirmation of a commit.
+    connect_timeout_ms : int
+        Longest time to open a connection to an endpoint.
+    shutdown_timeout_ms : int
+        Longest time that a graceful shutdown waits for work in flight.
+    """
+
+    instance: str
+    listen: str
+    platform: str
+    zone: str = ""
+    statsd: str = ""
+    metrics_sample_rate: float = 0.1
+    events_file: str = ""
+    log_level: str = "INFO"
+    caller_limit: int = 12_000
+    frame_limit_bytes: int = 16 * MEBIBYTE
+    batch_limit_bytes: int = 32 * MEBIBYTE
+    startup_timeout_ms: int = 10_000
+    acknowledge_timeout_ms: int = 5_000
+    connect_timeout_ms: int = 2_000
+    shutdown_timeout_ms: int = 30_000
--- /dev/null
+++ b/goldcrestpond/wire/caller_server.py
@@ -0,0 +1,177 @@
+"""Accepts callers and runs their sessions."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+from pygwire.messages import CancelRequest, StartupMessage
+
+from ..clock.clock import Clock
+from ..configuration.configuration import Configuration
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..events.recorder import EventRecorder
+from ..frames.build import error_frame
+from .caller_session import CallerSession
+from .caller_stream import CallerGone, CallerStream
+from .cancel_registry import CancelRegistry
+from .checkout import Checkout
+from .greeting import greeting
+from .group_service import GroupService
+from .session_limits import SessionLimits
+from .session_metrics import SessionMetrics
+from .session_startup import declare_at_startup, identify
+from .startup import read_startup
+
+ReadConfiguration = Callable[[], Configuration]
+FindService = Callable[[str], GroupService]
+CancelAtEndpoint = Callable[[Checkout], None]
+_log = logging.getLogger("goldcrestpond.wire")
+
+
+class CallerServer:
+    """Callers of one process.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    read_configuration : callable
+        Returns the configuration in force.
+    find_service : callable
+        Returns the service of a group by its name.
+    cancel_at_endpoint : callable
+        Starts to cancel what a connection on loan runs.
+    limits : SessionLimits
+        Bounds of a session.
+    caller_limit : int
+        Most callers at once.
+    clock : Clock
+        Source of monotonic readings.
+    metrics : SessionMetrics
+        Counters and timers.
+    events : EventRecorder
+        Time line.
+    """
+
+    __slots__ = (
+        "_caller_limit",
+        "_cancel_at_endpoint",
+        "_cancels",
+        "_clock",
+        "_events",
+        "_find_service",
+        "_instance",
+        "_limits",
+        "_metrics",
+        "_read_configuration",
+        "_sessions",
+        "caller_count",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        read_configuration: ReadConfiguration,
+        find_service: FindService,
+        cancel_at_endpoint: CancelAtEndpoint,
+        limits: SessionLimits,
+        caller_limit: int,
+        clock: Clock,
+        metrics: SessionMetrics,
+        events: EventRecorder,
+    ):
+        self._instance = instance
+        self._read_configuration = read_configuration
+        self._find_service = find_service
+        self._cancel_at_endpoint = cancel_at_endpoint
+        self._limits = limits
+        self._caller_limit = caller_limit
+        self._clock = clock
+        self._metrics = metrics
+        self._events = events
+        self._cancels = CancelRegistry()
+        self._sessions: set[CallerSession] = set()
+        self.caller_count = 0
+
+    async def serve(
+        self, listener: anyio.abc.Listener[SocketStream], tasks: TaskGroup
+    ) -> None:
+        """Accept callers until cancelled; sessions run in ``tasks``."""
+        await listener.serve(self._handle, tasks)
+
+    async def _handle(self, connection: SocketStream) -> None:
+        stream = CallerStream(connection, self._limits.frame_limit_bytes)
+        self.caller_count += 1
+        try:
+            await self._serve_caller(stream)
+        except CallerGone:
+            pass
+        except CodedError as error:
+            await self._say_fatal(stream, error)
+        except Exception:
+            _log.exception("wire: session failed")
+            await self._say_fatal(stream, CodedError(ResultCode.INTERNAL))
+        finally:
+            self.caller_count -= 1
+            await stream.aclose()
+
+    async def _serve_caller(self, stream: CallerStream) -> None:
+        message = await self._read_startup(stream)
+        if isinstance(message, CancelRequest):
+            self._cancels.cancel(message.process_id, bytes(message.secret_key))
+            return
+        if self.caller_count > self._caller_limit:
+            raise CodedError(ResultCode.TOO_MANY_CALLERS)
+        session = self._open_session(stream, message)
+        await self._run_session(stream, session)
+
+    async def _read_startup(
+        self, stream: CallerStream
+    ) -> StartupMessage | CancelRequest:
+        timeout = self._limits.startup_timeout.total_seconds()
+        with anyio.move_on_after(timeout):
+            return await read_startup(stream)
+        raise CodedError(ResultCode.MALFORMED_STARTUP, "no startup packet in time")
+
+    def _open_session(
+        self, stream: CallerStream, message: StartupMessage
+    ) -> CallerSession:
+        configuration = self._read_configuration()
+        identity = identify(message, configuration)
+        declarations = declare_at_startup(message, identity.route, configuration)
+        return CallerSession(
+            stream,
+            identity,
+            declarations,
+            self._find_service(identity.route.group),
+            self._limits,
+            self._clock,
+            self._metrics,
+        )
+
+    async def _run_session(self, stream: CallerStream, session: CallerSession) -> None:
+        key = self._cancels.register(lambda: self._cancel(session))
+        self._sessions.add(session)
+        try:
+            await stream.send(greeting(*key, self._instance))
+            await session.run()
+        finally:
+            self._sessions.discard(session)
+            self._cancels.unregister(key)
+
+    def _cancel(self, session: CallerSession) -> None:
+        checkout = session.running
+        if checkout is not None:
+            self._cancel_at_endpoint(checkout)
+
+    async def _say_fatal(self, stream: CallerStream, error: CodedError) -> None:
+        _log.info("wire: session ended: %s", error)
+        self._metrics.request_refused(error.code)
+        self._events.record("wire", "session_ended", code=error.code.number)
+        with anyio.move_on_after(1):
+            try:
+                await stream.send(error_frame(error, "FATAL"))
+            except CallerGone:
+                pass
--- /dev/null
+++ b/goldcrestpond/wire/caller_stream.py
@@ -0,0 +1,115 @@
+"""A caller's connection as whole frames."""
+
+from collections import deque
+
+import anyio
+from anyio.abc import ByteStream
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..frames.frame import Frame
+from ..frames.frame_splitter import FrameSplitter
+
+RECEIVE_BYTES = 16384  # a usual request fits, and idle callers hold no buffer
+
+
+class CallerGone(Exception):
+    """The caller closed its connection or cannot be reached any more."""
+
+
+class CallerStream:
+    """Reads frames from a caller and sends bytes to it.
+
+    Parameters
+    ----------
+    stream : ByteStream
+        The connection, TLS included.
+    frame_limit_bytes : int
+        Largest frame that is taken.
+    """
+
+    __slots__ = ("_frames", "_splitter", "_stream")
+
+    def __init__(self, stream: ByteStream, frame_limit_bytes: int):
+        self._stream = stream
+        self._splitter = FrameSplitter(frame_limit_bytes)
+        self._frames: deque[Frame] = deque()
+
+    @property
+    def has_frames(self) -> bool:
+        """Whether a frame that has arrived waits to be taken."""
+        return bool(self._frames)
+
+    async def next_frame(self) -> Frame:
+        """Return the next frame.
+
+        Raises
+        ------
+        CallerGone
+            If the connection ends before a frame is whole.
+        CodedError
+            MALFORMED_FRAME or FRAME_TOO_LARGE.
+        """
+        while not self._frames:
+            self._frames.extend(self._splitter.feed(await self._receive()))
+        return self._frames.popleft()
+
+    async def read_exactly(self, count: int) -> bytes:
+        """Return ``count`` bytes that precede all frames, for the startup."""
+        parts = []
+        while count:
+            try:
+                part = await self._stream.receive(count)
+            except _LOST as error:
+                raise CallerGone from error
+            parts.append(part)
+            count -= len(part)
+        return b"".join(parts)
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes; waits while the caller does not read.
+
+        Raises
+        ------
+        CallerGone
+            If the connection is lost.
+        """
+        try:
+            await self._stream.send(data)
+        except _LOST as error:
+            raise CallerGone from error
+
+    def replace_stream(self, stream: ByteStream) -> None:
+        """Go on over another stream, after TLS has been agreed."""
+        self._stream = stream
+
+    @property
+    def raw_stream(self) -> ByteStream:
+        """The stream as it is now."""
+        return self._stream
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+            try:
+                await self._stream.aclose()
+            except _LOST:
+                pass
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(RECEIVE_BYTES)
+        except _LOST as error:
+            if self._splitter.pending_bytes:
+                raise CodedError(
+                    ResultCode.MALFORMED_FRAME, "connection ended in a frame"
+                ) from error
+            raise CallerGone from error
+
+
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
--- /dev/null
+++ b/goldcrestpond/wire/declarations.py
@@ -0,0 +1,127 @@
+"""What a caller declares about its work."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition, parse_log_position
+
+PREFIX = "goldcrestpond."
+READ_ONLY_PARAMETER = "default_transaction_read_only"
+_TRUE = {"on", "true", "yes", "1", "t"}
+_FALSE = {"off", "false", "no", "0", "f"}
+
+
+@dataclass(slots=True)
+class Declarations:
+    """A session's declarations; a route gives the first values.
+
+    Attributes
+    ----------
+    read_only : bool
+        All transactions are read-only, enforced by the endpoint.
+    repeatable : bool
+        Work may be repeated when its outcome is unknown.
+    max_age : timedelta or None
+        Age of data that reads accept.
+    lane : str
+        Lane of the slots.
+    request_id : str
+        Identity of the next request; empty for none.
+    floor : LogPosition or None
+        Least position that the session's reads must show.
+    """
+
+    read_only: bool = False
+    repeatable: bool = False
+    max_age: timedelta | None = None
+    lane: str = "short"
+    request_id: str = ""
+    floor: LogPosition | None = None
+
+    def apply(self, name: str, value: str, group: str) -> None:
+        """Take one parameter.
+
+        Parameters
+        ----------
+        name : str
+            Name with its prefix, in lower case.
+        value : str
+            Value as the caller wrote it, without quotes.
+        group : str
+            Group that the session's tokens must belong to.
+
+        Raises
+        ------
+        CodedError
+            BAD_PARAMETER or BAD_TOKEN.
+        """
+        if name == READ_ONLY_PARAMETER:
+            self.read_only = _read_switch(name, value)
+        elif name == PREFIX + "repeatable":
+            self.repeatable = _read_switch(name, value)
+        elif name == PREFIX + "max_age_ms":
+            self.max_age = _read_age(value)
+        elif name == PREFIX + "lane":
+            self.lane = value
+        elif name == PREFIX + "request_id":
+            self.request_id = value
+        elif name == PREFIX + "token":
+            self._take_token(value, group)
+        else:
+            raise CodedError(ResultCode.BAD_PARAMETER, f"unknown parameter {name}")
+
+    def show(self, name: str, group: str) -> str:
+        """Return the present value of a parameter as text."""
+        if name == PREFIX + "token":
+            return write_token(group, self.floor) if self.floor else ""
+        if name == PREFIX + "max_age_ms":
+            return str(round(self.max_age / timedelta(milliseconds=1))) if (
+                self.max_age is not None
+            ) else ""
+        if name == PREFIX + "repeatable":
+            return "on" if self.repeatable else "off"
+        if name == PREFIX + "lane":
+            return self.lane
+        if name == PREFIX + "request_id":
+            return self.request_id
+        raise CodedError(ResultCode.BAD_PARAMETER, f"unknown parameter {name}")
+
+    def raise_floor(self, position: LogPosition) -> None:
+        """Make later reads show ``position``."""
+        if self.floor is None or position > self.floor:
+            self.floor = position
+
+    def _take_token(self, value: str, group: str) -> None:
+        named_group, _, position = value.rpartition(":")
+        if named_group != group:
+            raise CodedError(ResultCode.BAD_TOKEN, f"token is not of group {group}")
+        try:
+            self.raise_floor(parse_log_position(position))
+        except ValueError as error:
+            raise CodedError(ResultCode.BAD_TOKEN, f"token {value!r}") from error
+
+
+def write_token(group: str, position: LogPosition) -> str:
+    """Return a session token."""
+    return f"{group}:{position}"
+
+
+def _read_switch(name: str, value: str) -> bool:
+    lowered = value.lower()
+    if lowered in _TRUE:
+        return True
+    if lowered in _FALSE:
+        return False
+    raise CodedError(ResultCode.BAD_PARAMETER, f"{name} takes on or off")
+
+
+def _read_age(value: str) -> timedelta | None:
+    if not value:
+        return None
+    if not value.isascii() or not value.isdigit() or len(value) > 10:
+        raise CodedError(
+            ResultCode.BAD_PARAMETER, "max_age_ms takes whole milliseconds"
+        )
+    return timedelta(milliseconds=int(value))
--- /dev/null
+++ b/goldcrestpond/wire/group_service.py
@@ -0,0 +1,129 @@
+"""Finds connections to the databases of one group."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..clock.clock import Clock
+from ..endpoint.database_pool import DatabasePool
+from ..endpoint.group_monitor import GroupMonitor
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..settings.address import Address
+from .checkout import Checkout
+from .declarations import Declarations
+
+PoolFactory = Callable[[str, Address], DatabasePool]
+
+
+class GroupService:
+    """One group as sessions see it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    monitor : GroupMonitor
+        Knows terms, positions and the primary.
+    make_pool : callable
+        Makes the pool of a database from its name and address.
+    clock : Clock
+        Source of monotonic readings.
+    """
+
+    __slots__ = ("_clock", "_make_pool", "_pools", "monitor", "name")
+
+    def __init__(
+        self, name: str, monitor: GroupMonitor, make_pool: PoolFactory, clock: Clock
+    ):
+        self.name = name
+        self.monitor = monitor
+        self._make_pool = make_pool
+        self._clock = clock
+        self._pools: dict[str, DatabasePool] = {}
+
+    async def ensure_floor(
+        self, declarations: Declarations, deadline: timedelta
+    ) -> None:
+        """Give a session without a floor one sampled after its opening."""
+        if declarations.floor is None:
+            declarations.raise_floor(await self.monitor.sample_floor(deadline))
+
+    async def acquire_primary(
+        self, declarations: Declarations, deadline: timedelta
+    ) -> Checkout:
+        """Lend a connection to the primary.
+
+        Raises
+        ------
+        CodedError
+            With a code that says "not run".
+        """
+        floor_term = declarations.floor.term if declarations.floor else 0
+        while True:
+            primary = await self.monitor.wait_primary(deadline)
+            if primary.term < floor_term:
+                await self.monitor.wait_change(deadline)
+                continue
+            try:
+                return await self._acquire(
+                    primary.database, primary.address, primary.term, True, deadline
+                )
+            except CodedError as error:
+                await self._after_failure(primary.database, error, deadline)
+
+    async def acquire_reader(
+        self, declarations: Declarations, deadline: timedelta
+    ) -> Checkout:
+        """Lend a connection for reads, to a replica if one is fresh enough.
+
+        Raises
+        ------
+        CodedError
+            With a code that says "not run".
+        """
+        while True:
+            choice = await self.monitor.wait_replica(
+                declarations.floor, declarations.max_age, deadline
+            )
+            if choice is None:
+                return await self.acquire_primary(declarations, deadline)
+            try:
+                return await self._acquire(
+                    choice.database, choice.address, choice.term, False, deadline
+                )
+            except CodedError as error:
+                await self._after_failure(choice.database, error, deadline)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    async def _acquire(
+        self,
+        database: str,
+        address: Address,
+        term: int,
+        is_primary: bool,
+        deadline: timedelta,
+    ) -> Checkout:
+        pool = self._pool(database, address)
+        connection = await pool.acquire(term, deadline)
+        return Checkout(connection, pool, database, term, is_primary)
+
+    async def _after_failure(
+        self, database: str, error: CodedError, deadline: timedelta
+    ) -> None:
+        if error.code is not ResultCode.ENDPOINT_UNREACHABLE:
+            raise error
+        self.monitor.report_failure(database, error)
+        if self._clock.now() >= deadline:
+            raise error
+        await self.monitor.wait_change(deadline)
+
+    def _pool(self, database: str, address: Address) -> DatabasePool:
+        pool = self._pools.get(database)
+        if pool is None:
+            pool = self._make_pool(database, address)
+            self._pools[database] = pool
+        return pool
--- /dev/null
+++ b/goldcrestpond/wire/session_startup.py
@@ -0,0 +1,113 @@
+"""Turns a startup packet into a session's identity."""
+
+import shlex
+from dataclasses import dataclass
+from datetime import timedelta
+
+from pygwire.messages import StartupMessage
+
+from ..configuration.configuration import Configuration
+from ..configuration.route_spec import RouteSpec
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from .declarations import PREFIX, READ_ONLY_PARAMETER, Declarations
+
+_UTF8_NAMES = {"utf8", "utf-8", "unicode"}
+# Parameters that have no effect on results or that drivers send by habit.
+_WITHOUT_EFFECT = {"application_name", "extra_float_digits", "user", "database"}
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a session is and what its route says.
+
+    Attributes
+    ----------
+    user : str
+        User that the caller gave.
+    database : str
+        Database name that the caller gave.
+    route : RouteSpec
+        Route of that name.
+    """
+
+    user: str
+    database: str
+    route: RouteSpec
+
+
+def identify(message: StartupMessage, configuration: Configuration) -> Identity:
+    """Find the route of a caller.
+
+    Raises
+    ------
+    CodedError
+        UNKNOWN_DATABASE, ROUTE_REFUSED or MALFORMED_STARTUP.
+    """
+    user = message.params.get("user", "")
+    if not user:
+        raise CodedError(ResultCode.MALFORMED_STARTUP, "no user name")
+    database = message.params.get("database") or user
+    route = configuration.routes.get(database)
+    if route is None:
+        raise CodedError(ResultCode.UNKNOWN_DATABASE, f"database {database!r}")
+    if route.users and user not in route.users:
+        raise CodedError(ResultCode.ROUTE_REFUSED, f"user {user!r}")
+    return Identity(user, database, route)
+
+
+def declare_at_startup(
+    message: StartupMessage, route: RouteSpec, configuration: Configuration
+) -> Declarations:
+    """Return what route and startup packet declare.
+
+    Raises
+    ------
+    CodedError
+        BAD_PARAMETER or BAD_TOKEN.
+    """
+    declarations = Declarations(
+        read_only=route.read_only, repeatable=route.repeatable, lane=route.lane
+    )
+    policy = configuration.read_policies.get(route.read_policy)
+    if policy is not None:
+        declarations.max_age = timedelta(milliseconds=policy.max_age_ms)
+    for name, value in _parameters(message):
+        _apply(declarations, name.lower(), value, route.group)
+    return declarations
+
+
+def _parameters(message: StartupMessage) -> list[tuple[str, str]]:
+    pairs = [(k, v) for k, v in message.params.items() if k != "options"]
+    return pairs + _read_options(message.params.get("options", ""))
+
+
+def _read_options(options: str) -> list[tuple[str, str]]:
+    try:
+        words = shlex.split(options)
+    except ValueError as error:
+        raise CodedError(ResultCode.BAD_PARAMETER, "options") from error
+    pairs = []
+    for word in words:
+        name, equals, value = word.removeprefix("-c").removeprefix("--").partition("=")
+        if equals:
+            pairs.append((name, value))
+        elif word != "-c":
+            raise CodedError(ResultCode.BAD_PARAMETER, f"option {word!r}")
+    return pairs
+
+
+def _apply(declarations: Declarations, name: str, value: str, group: str) -> None:
+    if name in _WITHOUT_EFFECT:
+        return
+    if name == "client_encoding":
+        _require_utf8(value)
+    elif name.startswith(PREFIX) or name == READ_ONLY_PARAMETER:
+        declarations.apply(name, value, group)
+    else:
+        raise CodedError(ResultCode.BAD_PARAMETER, f"startup parameter {name}")
+
+
+def _require_utf8(value: str) -> None:
+    if value.strip("'\"").lower() not in _UTF8_NAMES:
+        raise CodedError(ResultCode.BAD_PARAMETER, f"client_encoding {value}")
--- /dev/null
+++ b/goldcrestpond/wire/startup.py
@@ -0,0 +1,75 @@
+"""Reads a caller's startup packet."""
+
+import struct
+from dataclasses import dataclass
+
+from pygwire.constants import StartupRequestCode
+from pygwire.exceptions import PygwireError
+from pygwire.messages import CancelRequest, StartupMessage
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from .caller_stream import CallerStream
+
+STARTUP_LIMIT_BYTES = 10_000  # PostgreSQL's own limit for a startup packet
+_SHORTEST_PACKET_BYTES = 8
+_REFUSE_ENCRYPTION = b"N"
+
+
+@dataclass(frozen=True, slots=True)
+class StartupRequest:
+    """What the first packet asks for.
+
+    Attributes
+    ----------
+    code : int
+        Protocol version or request code.
+    body : bytes
+        Payload, request code included.
+    """
+
+    code: int
+    body: bytes
+
+
+async def read_startup(stream: CallerStream) -> StartupMessage | CancelRequest:
+    """Read packets until one opens a session or cancels a request.
+
+    Requests for encryption are answered with "no"; the caller then decides.
+
+    Raises
+    ------
+    CallerGone
+        If the caller leaves.
+    CodedError
+        MALFORMED_STARTUP if a packet cannot be read.
+    """
+    while True:
+        request = await _read_packet(stream)
+        if request.code in (
+            StartupRequestCode.SSL_REQUEST,
+            StartupRequestCode.GSSENC_REQUEST,
+        ):
+            await stream.send(_REFUSE_ENCRYPTION)
+            continue
+        return _decode(request)
+
+
+async def _read_packet(stream: CallerStream) -> StartupRequest:
+    (length,) = struct.unpack("!I", await stream.read_exactly(4))
+    if not _SHORTEST_PACKET_BYTES <= length <= STARTUP_LIMIT_BYTES:
+        raise CodedError(ResultCode.MALFORMED_STARTUP, f"packet length {length}")
+    body = await stream.read_exactly(length - 4)
+    (code,) = struct.unpack_from("!I", body)
+    return StartupRequest(code, body)
+
+
+def _decode(request: StartupRequest) -> StartupMessage | CancelRequest:
+    try:
+        if request.code == StartupRequestCode.CANCEL_REQUEST:
+            return CancelRequest.decode(memoryview(request.body))
+        if request.code >> 16 == StartupRequestCode.V3_0 >> 16:
+            return StartupMessage.decode(memoryview(request.body))
+    except (PygwireError, ValueError, struct.error) as error:
+        raise CodedError(ResultCode.MALFORMED_STARTUP, str(error)) from error
+    raise CodedError(ResultCode.MALFORMED_STARTUP, f"request code {request.code:#x}")
