--- /dev/null
+++ b/goldcrestpond/root/proxy.py
@@ -0,0 +1,142 @@
+"""Wires a proxy process together."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketAttribute, TaskGroup
+
+from ..clock.clock import Clock
+from ..clock.system_clock import SystemClock
+from ..endpoint.cancel_statement import cancel_statement
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..events.recorder import EventRecorder
+from ..platform.configuration_source import ConfigurationSource
+from ..platform.http_platform import HttpPlatform
+from ..settings.address import Address, parse_address
+from ..settings.proxy_settings import ProxySettings
+from ..wire.caller_server import CallerServer
+from ..wire.checkout import Checkout
+from ..wire.session_limits import SessionLimits
+from ..wire.session_metrics import SessionMetrics
+from .event_sink import open_event_sink
+from .group_services import GroupServices
+from .stats import make_stats
+
+_BACKLOG = 1024  # callers that reconnect all at once after a failure
+
+
+@dataclass(frozen=True, slots=True)
+class Proxy:
+    """A running proxy.
+
+    Attributes
+    ----------
+    address : Address
+        Where it accepts callers.
+    callers : CallerServer
+        Its callers.
+    services : GroupServices
+        Its groups.
+    configuration : ConfigurationSource
+        Its configuration.
+    metrics : SessionMetrics
+        Its counters.
+    """
+
+    address: Address
+    callers: CallerServer
+    services: GroupServices
+    configuration: ConfigurationSource
+    metrics: SessionMetrics
+
+
+@asynccontextmanager
+async def run_proxy(
+    settings: ProxySettings, clock: Clock | None = None, seed: int | None = None
+) -> AsyncIterator[Proxy]:
+    """Run a proxy while the context is open.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Settings of the process.
+    clock : Clock, optional
+        Source of time; the machine's by default.
+    seed : int, optional
+        Seed of all randomness; drawn by default.
+
+    Raises
+    ------
+    CodedError
+        SETTINGS_INVALID or ADDRESS_IN_USE.
+    """
+    clock = clock or SystemClock()
+    rng = random.Random(seed)
+    platform = HttpPlatform(parse_address(settings.platform))
+    with open_event_sink(settings.events_file) as write_line:
+        events = EventRecorder(settings.instance, clock, write_line)
+        async with platform, anyio.create_task_group() as tasks:
+            source = ConfigurationSource(platform, clock, rng, settings.instance)
+            services = GroupServices(settings, platform, clock, rng, events, tasks)
+            source.subscribe(services.apply)
+            proxy = await _listen(settings, clock, events, source, services, tasks)
+            await tasks.start(source.run)
+            events.record("root", "started", address=proxy.address)
+            yield proxy
+            events.record("root", "stopped")
+            tasks.cancel_scope.cancel()
+
+
+async def _listen(
+    settings: ProxySettings,
+    clock: Clock,
+    events: EventRecorder,
+    source: ConfigurationSource,
+    services: GroupServices,
+    tasks: TaskGroup,
+) -> Proxy:
+    metrics = SessionMetrics(
+        make_stats(settings.statsd, settings.instance), settings.metrics_sample_rate
+    )
+    callers = CallerServer(
+        settings.instance,
+        lambda: source.current,
+        services.find,
+        lambda checkout: _start_cancel(tasks, checkout),
+        _limits(settings),
+        settings.caller_limit,
+        clock,
+        metrics,
+        events,
+    )
+    listener = await _open_listener(parse_address(settings.listen))
+    host, port = listener.extra(SocketAttribute.local_address)[:2]
+    tasks.start_soon(callers.serve, listener, tasks)
+    return Proxy(Address(host, port), callers, services, source, metrics)
+
+
+async def _open_listener(address: Address) -> anyio.abc.Listener:
+    try:
+        return await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port, backlog=_BACKLOG
+        )
+    except OSError as error:
+        raise CodedError(ResultCode.ADDRESS_IN_USE, f"{address}: {error}") from error
+
+
+def _start_cancel(tasks: TaskGroup, checkout: Checkout) -> None:
+    tasks.start_soon(cancel_statement, checkout.connection)
+
+
+def _limits(settings: ProxySettings) -> SessionLimits:
+    return SessionLimits(
+        frame_limit_bytes=settings.frame_limit_bytes,
+        batch_limit_bytes=settings.batch_limit_bytes,
+        startup_timeout=timedelta(milliseconds=settings.startup_timeout_ms),
+        acknowledge_timeout=timedelta(milliseconds=settings.acknowledge_timeout_ms),
+    )
--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -77,9 +77,11 @@
         if name == PREFIX + "token":
             return write_token(group, self.floor) if self.floor else ""
         if name == PREFIX + "max_age_ms":
-            return str(round(self.max_age / timedelta(milliseconds=1))) if (
-                self.max_age is not None
-            ) else ""
+            return (
+                str(round(self.max_age / timedelta(milliseconds=1)))
+                if (self.max_age is not None)
+                else ""
+            )
         if name == PREFIX + "repeatable":
             return "on" if self.repeatable else "off"
         if name == PREFIX + "lane":
