--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -167,6 +167,12 @@
             await self._changed.wait(rest)
         return primary
 
+    async def wait_change(self, deadline: timedelta) -> None:
+        """Wait until something about the group changes, or the deadline."""
+        rest = deadline - self._clock.now()
+        if rest > timedelta(0):
+            await self._changed.wait(rest)
+
     async def confirm(self, position: LogPosition, deadline: timedelta) -> None:
         """Wait until a majority of the group holds a commit in its term.
 
--- /dev/null
+++ b/goldcrestpond/root/local_site.py
@@ -0,0 +1,133 @@
+"""Runs a whole site in one process, over real sockets on loopback."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from ..clock.system_clock import SystemClock
+from ..configuration.database_group_spec import DatabaseGroupSpec
+from ..configuration.database_spec import DatabaseSpec
+from ..configuration.keys import resource_key
+from ..configuration.kind import Kind
+from ..configuration.resource import Spec
+from ..configuration.route_spec import RouteSpec
+from ..configuration.stored_resource import encode_stored
+from ..platform.http_platform import HttpPlatform
+from ..settings.address import Address
+from ..settings.proxy_settings import ProxySettings
+from ..standin.database_group import DatabaseGroup, run_database_group
+from ..standin.database_group_settings import DatabaseGroupSettings, StandinDatabase
+from ..standin.platform_standin import PlatformStandin, run_platform
+from .local_site_settings import LocalSiteSettings
+from .proxy import Proxy, run_proxy
+
+LOOPBACK = "127.0.0.1"
+ENDPOINT_USER = "goldcrestpond"
+
+
+@dataclass(frozen=True, slots=True)
+class LocalSite:
+    """A running site.
+
+    Attributes
+    ----------
+    platform : PlatformStandin
+        Stand-in of the platform.
+    group : DatabaseGroup
+        Stand-in of the database group.
+    proxies : list of Proxy
+        The proxies.
+    """
+
+    platform: PlatformStandin
+    group: DatabaseGroup
+    proxies: list[Proxy]
+
+
+@asynccontextmanager
+async def run_local_site(settings: LocalSiteSettings) -> AsyncIterator[LocalSite]:
+    """Run a site while the context is open.
+
+    All proxies have the configuration in force when the context opens.
+    """
+    clock = SystemClock()
+    async with AsyncExitStack() as stack:
+        platform = await stack.enter_async_context(
+            run_platform(Address(LOOPBACK, 0), clock)
+        )
+        group = await stack.enter_async_context(
+            run_database_group(_group_settings(settings), clock)
+        )
+        revision = await _write_resources(settings, platform, group)
+        proxies = [
+            await stack.enter_async_context(
+                run_proxy(
+                    _proxy_settings(settings, platform, i), seed=settings.seed + i
+                )
+            )
+            for i in range(settings.proxy_count)
+        ]
+        for proxy in proxies:
+            await proxy.configuration.wait_revision(revision)
+        yield LocalSite(platform, group, proxies)
+
+
+def _group_settings(settings: LocalSiteSettings) -> DatabaseGroupSettings:
+    return DatabaseGroupSettings(
+        databases=[
+            StandinDatabase(f"{settings.group}-{number}")
+            for number in range(1, settings.database_count + 1)
+        ],
+        schema=settings.schema,
+        slot_limit=settings.slot_limit,
+        connection_limit=settings.connection_limit,
+        connection_delay_ms=settings.connection_delay_ms,
+        statement_delay_ms=settings.statement_delay_ms,
+        receive_delay_ms=settings.receive_delay_ms,
+        replay_lag_ms=settings.replay_lag_ms,
+    )
+
+
+def _proxy_settings(
+    settings: LocalSiteSettings, platform: PlatformStandin, index: int
+) -> ProxySettings:
+    port = settings.caller_port + index if settings.caller_port else 0
+    name = f"proxy-{index + 1}"
+    events_file = ""
+    if settings.event_folder:
+        events_file = f"{settings.event_folder}/{name}.jsonl"
+    return ProxySettings(
+        instance=name,
+        listen=f"{LOOPBACK}:{port}",
+        platform=str(platform.address),
+        events_file=events_file,
+    )
+
+
+async def _write_resources(
+    settings: LocalSiteSettings, platform: PlatformStandin, group: DatabaseGroup
+) -> int:
+    spec = DatabaseGroupSpec(
+        databases=[
+            DatabaseSpec(server.name, str(server.address)) for server in group.databases
+        ],
+        user=ENDPOINT_USER,
+        slot_limit=settings.slot_limit,
+        connection_limit=settings.connection_limit,
+    )
+    routes = settings.routes or {
+        settings.group: RouteSpec(settings.group, settings.group)
+    }
+    async with HttpPlatform(platform.address) as client:
+        await _create(client, Kind.DATABASE_GROUP, settings.group, spec)
+        for name, policy in settings.read_policies.items():
+            await _create(client, Kind.READ_POLICY, name, policy)
+        revision = 0
+        for name, route in routes.items():
+            revision = await _create(client, Kind.ROUTE, name, route)
+        return revision
+
+
+async def _create(client: HttpPlatform, kind: Kind, name: str, spec: Spec) -> int:
+    key = resource_key(kind, name)
+    return await client.put(key, encode_stored(spec, 1), expected_revision=0)
--- /dev/null
+++ b/goldcrestpond/root/local_site_settings.py
@@ -0,0 +1,61 @@
+"""Sizes of a site that runs whole on this machine."""
+
+from dataclasses import dataclass, field
+
+from ..configuration.read_policy_spec import ReadPolicySpec
+from ..configuration.route_spec import RouteSpec
+
+
+@dataclass(frozen=True, slots=True)
+class LocalSiteSettings:
+    """A platform, one database group and proxies, all on loopback.
+
+    Attributes
+    ----------
+    group : str
+        Name of the group.
+    schema : list of str
+        Statements that its databases start with.
+    proxy_count : int
+        Number of proxies.
+    routes : dict of str to RouteSpec
+        Routes by name.
+    read_policies : dict of str to ReadPolicySpec
+        Read policies by name.
+    database_count : int
+        Databases of the group.
+    slot_limit : int
+        Statements that one database runs at once.
+    connection_limit : int
+        Connections that one database takes.
+    connection_delay_ms : float
+        Time to open a connection.
+    statement_delay_ms : float
+        Service time of a statement.
+    receive_delay_ms : float
+        Time until a replica has received a commit.
+    replay_lag_ms : float
+        Further time until its reads show it.
+    caller_port : int
+        Port of the first proxy; 0 lets the operating system choose.
+    event_folder : str
+        Folder for the time lines of the processes; empty for none.
+    seed : int
+        Seed of all randomness.
+    """
+
+    group: str = "fuel"
+    schema: list[str] = field(default_factory=list)
+    proxy_count: int = 2
+    routes: dict[str, RouteSpec] = field(default_factory=dict)
+    read_policies: dict[str, ReadPolicySpec] = field(default_factory=dict)
+    database_count: int = 3
+    slot_limit: int = 5
+    connection_limit: int = 35
+    connection_delay_ms: float = 10.0
+    statement_delay_ms: float = 0.0
+    receive_delay_ms: float = 1.0
+    replay_lag_ms: float = 20.0
+    caller_port: int = 0
+    event_folder: str = ""
+    seed: int = 1
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,46 @@
+"""A site for tests, with a table that its callers write."""
+
+from contextlib import asynccontextmanager
+
+import asyncpg
+import psycopg
+
+from goldcrestpond.root.local_site import run_local_site
+from goldcrestpond.root.local_site_settings import LocalSiteSettings
+
+SCHEMA = ["CREATE TABLE fuel_log (id INTEGER PRIMARY KEY, bus TEXT, litres INTEGER)"]
+
+
+@asynccontextmanager
+async def fuel_site(**changes):
+    """Run a site; ``changes`` are fields of ``LocalSiteSettings``."""
+    values = {"schema": SCHEMA, "connection_delay_ms": 0.0} | changes
+    async with run_local_site(LocalSiteSettings(**values)) as site:
+        yield site
+
+
+async def psycopg_connection(site, proxy=0, *, options="", autocommit=True):
+    """Connect through a proxy with psycopg."""
+    address = site.proxies[proxy].address
+    return await psycopg.AsyncConnection.connect(
+        host=address.host,
+        port=address.port,
+        user="demo",
+        dbname="fuel",
+        options=options,
+        autocommit=autocommit,
+        sslmode="disable",
+    )
+
+
+async def asyncpg_connection(site, proxy=0, **changes):
+    """Connect through a proxy with asyncpg."""
+    address = site.proxies[proxy].address
+    values = {
+        "host": address.host,
+        "port": address.port,
+        "user": "demo",
+        "database": "fuel",
+        "ssl": False,
+    }
+    return await asyncpg.connect(**(values | changes))
