--- /dev/null
+++ b/goldcrestpond/api/change_body.py
@@ -0,0 +1,89 @@
+"""Reads the body of a request that changes a resource."""
+
+from typing import Any
+
+import msgspec
+
+from ..configuration.change_action import ChangeAction
+from ..configuration.change_request import ChangeRequest
+from ..configuration.check_body import find_faults
+from ..configuration.check_spec import find_spec_faults, invalid
+from ..configuration.fault import Fault
+from ..configuration.kind import Kind
+
+
+class ChangeBody(
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    rename={"resource_version": "resourceVersion"},
+):
+    """Envelope of a changed resource; a resource that was read fits too.
+
+    Attributes
+    ----------
+    spec : object
+        The spec, or for a patch the fields to merge.
+    name : str
+        Name; needed to create.
+    kind : str
+        Kind; if given, that of the path.
+    resource_version : int or None
+        Version that the operator has seen; 0 for none; needed to replace.
+    generation : int
+        Ignored.
+    status : object
+        Ignored.
+    """
+
+    spec: Any
+    name: str = ""
+    kind: str = ""
+    resource_version: int | None = None
+    generation: int = 0
+    status: Any = None
+
+
+def read_change(
+    action: ChangeAction, kind: Kind, path_name: str, content: bytes
+) -> ChangeRequest:
+    """Return the change that a request's body asks for.
+
+    Raises
+    ------
+    ChangeError
+        RESOURCE_INVALID with every fault of the body.
+    """
+    raw = _decode(content)
+    faults = find_faults(raw, ChangeBody, "body")
+    if not isinstance(raw, dict):
+        raise invalid(faults)
+    faults += _find_envelope_faults(action, kind, path_name, raw)
+    if action is not ChangeAction.PATCH and "spec" in raw:
+        faults += find_spec_faults(kind, raw["spec"])
+    if faults:
+        raise invalid(faults)
+    body = msgspec.convert(raw, ChangeBody)
+    name = path_name or body.name
+    return ChangeRequest(action, kind, name, body.spec, body.resource_version)
+
+
+def _decode(content: bytes) -> Any:
+    try:
+        return msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise invalid([Fault("body", str(error))]) from error
+
+
+def _find_envelope_faults(
+    action: ChangeAction, kind: Kind, path_name: str, raw: dict[str, Any]
+) -> list[Fault]:
+    faults = []
+    if raw.get("kind", kind) != kind:
+        faults.append(Fault("body.kind", f"the path says {kind}"))
+    if path_name and raw.get("name", path_name) != path_name:
+        faults.append(Fault("body.name", f"the path says {path_name!r}"))
+    if not path_name and "name" not in raw:
+        faults.append(Fault("body.name", "required field is missing"))
+    if action is ChangeAction.REPLACE and raw.get("resourceVersion") is None:
+        faults.append(Fault("body.resourceVersion", "needed to replace; 0 creates"))
+    return faults
--- /dev/null
+++ b/goldcrestpond/api/change_executor.py
@@ -0,0 +1,218 @@
+"""Carries out changes of resources in the platform's table."""
+
+import hashlib
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+import anyio
+import msgspec
+
+from ..clock.clock import Clock
+from ..configuration.change_plan import ChangePlan
+from ..configuration.change_request import ChangeRequest
+from ..configuration.configuration_change import ConfigurationChange
+from ..configuration.keys import CONFIGURATION_PREFIX
+from ..configuration.plan_change import plan_change
+from ..configuration.resource_table import ResourceTable
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..platform.condition import Condition
+from ..platform.platform import Platform
+from ..platform.platform_conflict import PlatformConflict
+from ..platform.read_all_changes import read_all_changes
+from ..platform.write import Write
+from .change_attempts import ChangeAttempts
+from .change_outcome import ChangeOutcome
+from .outcome_cleaner import OutcomeCleaner
+from .stored_outcome import (
+    StoredOutcome,
+    encode_outcome,
+    outcome_key,
+    outcome_resource,
+)
+
+# An operator waits this long for a change before its outcome counts as unknown.
+DEFAULT_PATIENCE = timedelta(seconds=10)
+_PAUSE_MIN_S = 0.01
+_PAUSE_MAX_S = 0.25
+_CLEAN_EVERY = 32
+
+
+class ChangeExecutor:
+    """Decides on each change with a fresh table and writes it as one batch.
+
+    Each attempt of a change writes its outcome under the same idempotency key
+    on the condition that no outcome is there yet: however many attempts are
+    under way, one takes effect, and later ones find its outcome.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform's service.
+    clock : Clock
+        Source of monotonic readings.
+    rng : random.Random
+        Source of idempotency keys and of pauses; seeded differently in each
+        process.
+    on_written : callable
+        Called after a change took effect.
+    patience : timedelta, default=10 s
+        Longest time for one change.
+
+    Attributes
+    ----------
+    table : ResourceTable
+        All resources, as of the last refresh.
+    """
+
+    __slots__ = (
+        "_cleaner",
+        "_clock",
+        "_lock",
+        "_on_written",
+        "_patience",
+        "_platform",
+        "_rng",
+        "_written_count",
+        "table",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        on_written: Callable[[], object],
+        patience: timedelta = DEFAULT_PATIENCE,
+    ):
+        self.table = ResourceTable()
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._on_written = on_written
+        self._patience = patience
+        self._cleaner = OutcomeCleaner(platform)
+        self._written_count = 0
+        # Changes of one process would only refuse each other's batches.
+        self._lock = anyio.Lock()
+
+    async def refresh(self) -> None:
+        """Bring the table up to date."""
+        after = self.table.revision
+        changes = await read_all_changes(self._platform, CONFIGURATION_PREFIX, after)
+        rows = [
+            ConfigurationChange(row.key, row.revision, row.value)
+            for row in changes.rows
+        ]
+        self.table.apply(rows, changes.revision)
+
+    async def execute(
+        self, request: ChangeRequest, idempotency_key: str = ""
+    ) -> ChangeOutcome:
+        """Carry out a change at most once.
+
+        Parameters
+        ----------
+        request : ChangeRequest
+            The change.
+        idempotency_key : str, default=""
+            Key of the operator's request; a key of its own if empty.
+
+        Raises
+        ------
+        ChangeError
+            The change is refused and has no effect.
+        CodedError
+            IDEMPOTENCY_MISMATCH if the key belongs to another request;
+            PLATFORM_UNAVAILABLE if the outcome is unknown: ask again with the
+            same key.
+        """
+        attempts = ChangeAttempts(
+            request=request,
+            key=idempotency_key or f"{self._rng.getrandbits(128):032x}",
+            deadline=self._clock.now() + self._patience,
+            may_have_taken_effect=bool(idempotency_key),
+        )
+        while True:
+            outcome = await self._try_attempt(attempts)
+            if outcome is not None:
+                await self._after_write()
+                return outcome
+            await self._pause(attempts)
+
+    async def _try_attempt(self, attempts: ChangeAttempts) -> ChangeOutcome | None:
+        remaining = attempts.deadline - self._clock.now()
+        try:
+            with anyio.fail_after(max(0.0, remaining.total_seconds())):
+                async with self._lock:
+                    return await self._attempt(attempts)
+        except TimeoutError:
+            raise attempts.gave_up() from None
+        except CodedError as error:
+            if not _is_retried(error):
+                raise
+            return None
+
+    async def _attempt(self, attempts: ChangeAttempts) -> ChangeOutcome:
+        await self.refresh()
+        # Read after the refresh: if the table shows this change, so does this.
+        earlier = await self._find_outcome(attempts)
+        if earlier is not None:
+            return earlier
+        plan = plan_change(self.table, attempts.request)
+        if not plan.writes:
+            return ChangeOutcome(attempts.request.action, plan.resource)
+        return await self._write(attempts, plan)
+
+    async def _find_outcome(self, attempts: ChangeAttempts) -> ChangeOutcome | None:
+        if not attempts.may_have_taken_effect:
+            return None
+        row = await self._platform.read(outcome_key(attempts.key))
+        if row is None or row.value is None:
+            return None
+        stored = msgspec.json.decode(row.value, type=StoredOutcome)
+        if stored.digest != _digest(attempts.request):
+            detail = "the idempotency key belongs to another request"
+            raise CodedError(ResultCode.IDEMPOTENCY_MISMATCH, detail)
+        return ChangeOutcome(stored.action, outcome_resource(stored, row.revision))
+
+    async def _write(self, attempts: ChangeAttempts, plan: ChangePlan) -> ChangeOutcome:
+        request = attempts.request
+        resource_write, *guard_writes = plan.writes
+        conditions = [
+            Condition(write.key, write.expected_revision) for write in plan.writes
+        ]
+        conditions.append(Condition(outcome_key(attempts.key), 0))
+        outcome = encode_outcome(_digest(request), request.action, plan.resource)
+        writes = [Write(resource_write.key, resource_write.value)]
+        writes.append(Write(outcome_key(attempts.key), outcome))
+        writes += [Write(write.key, write.value) for write in guard_writes]
+        attempts.may_have_taken_effect = True
+        last_revision = await self._platform.batch(conditions, writes)
+        version = last_revision - len(writes) + 1
+        resource = msgspec.structs.replace(plan.resource, resource_version=version)
+        return ChangeOutcome(request.action, resource)
+
+    async def _after_write(self) -> None:
+        self._on_written()
+        self._written_count += 1
+        if self._written_count % _CLEAN_EVERY == 0:
+            await self._cleaner.clean()
+
+    async def _pause(self, attempts: ChangeAttempts) -> None:
+        attempts.count += 1
+        if self._clock.now() >= attempts.deadline:
+            raise attempts.gave_up()
+        pause_s = min(_PAUSE_MAX_S, _PAUSE_MIN_S * 2**attempts.count)
+        await anyio.sleep(self._rng.uniform(0, pause_s))
+
+
+def _is_retried(error: CodedError) -> bool:
+    if isinstance(error, PlatformConflict):
+        return True
+    return error.code is ResultCode.PLATFORM_UNAVAILABLE
+
+
+def _digest(request: ChangeRequest) -> str:
+    return hashlib.sha256(msgspec.json.encode(request, order="sorted")).hexdigest()
--- /dev/null
+++ b/goldcrestpond/api/outcome_cleaner.py
@@ -0,0 +1,61 @@
+"""Keeps the number of stored outcomes bounded."""
+
+from ..errors.coded_error import CodedError
+from ..platform.condition import Condition
+from ..platform.platform import Platform
+from ..platform.read_all_changes import read_all_changes
+from ..platform.write import Write
+from .stored_outcome import OUTCOME_PREFIX
+
+# A few hours of changes at 28,000 a day.
+DEFAULT_KEPT_COUNT = 4096
+_DELETIONS_PER_BATCH = 128
+
+
+class OutcomeCleaner:
+    """Deletes the oldest outcomes beyond a number.
+
+    Age is counted in revisions, since clocks of instances differ. Any instance
+    may clean at any time: each deletion is conditional.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform's service.
+    kept_count : int
+        Outcomes that are kept.
+    """
+
+    __slots__ = ("_cursor", "_kept_count", "_platform", "_revisions")
+
+    def __init__(self, platform: Platform, kept_count: int = DEFAULT_KEPT_COUNT):
+        self._platform = platform
+        self._kept_count = kept_count
+        self._cursor = 0
+        self._revisions: dict[str, int] = {}
+
+    async def clean(self) -> None:
+        """Delete the oldest outcomes beyond the number; do nothing if it fails."""
+        try:
+            await self._refresh()
+            await self._delete_oldest()
+        except CodedError:
+            # Another instance cleaned, or the store is down; the next call
+            # starts from what the table holds then.
+            return
+
+    async def _refresh(self) -> None:
+        changes = await read_all_changes(self._platform, OUTCOME_PREFIX, self._cursor)
+        for row in changes.rows:
+            self._revisions.pop(row.key, None)
+            if row.value is not None:
+                self._revisions[row.key] = row.revision
+        self._cursor = changes.revision
+
+    async def _delete_oldest(self) -> None:
+        excess = max(0, len(self._revisions) - self._kept_count)
+        oldest = list(self._revisions.items())[: min(excess, _DELETIONS_PER_BATCH)]
+        if oldest:
+            conditions = [Condition(key, revision) for key, revision in oldest]
+            writes = [Write(key, None) for key, _ in oldest]
+            await self._platform.batch(conditions, writes)
--- /dev/null
+++ b/goldcrestpond/api/status_reader.py
@@ -0,0 +1,59 @@
+"""Works out the status of resources."""
+
+from collections.abc import Callable
+
+from ..configuration.resource import Resource
+from ..configuration.resource_table import ResourceTable
+from ..configuration.revision_count import RevisionCount, count_in_force
+from .resource_status import ResourceStatus
+from .status_condition import StatusCondition
+
+ReadInForce = Callable[[], list[RevisionCount]]
+
+
+class StatusReader:
+    """Joins the table with what live instances have in force.
+
+    Parameters
+    ----------
+    table : ResourceTable
+        All resources.
+    read_in_force : callable
+        Returns the revisions in force on live instances.
+    """
+
+    __slots__ = ("_read_in_force", "_table", "store_reachable")
+
+    def __init__(self, table: ResourceTable, read_in_force: ReadInForce):
+        self._table = table
+        self._read_in_force = read_in_force
+        self.store_reachable = True
+
+    def read(self, resource: Resource) -> ResourceStatus:
+        """Return the status of a resource."""
+        summary = self._read_in_force()
+        version = resource.resource_version
+        in_force_count, live_count = count_in_force(summary, version)
+        lowest = min((entry.revision for entry in summary), default=0)
+        observed = self._table.generation_at(resource.kind, resource.name, lowest)
+        if live_count and in_force_count == live_count:
+            observed = resource.generation
+        conditions = [
+            _in_force_condition(in_force_count, live_count),
+            _store_condition(self.store_reachable),
+        ]
+        return ResourceStatus(observed, live_count, in_force_count, conditions)
+
+
+def _in_force_condition(in_force_count: int, live_count: int) -> StatusCondition:
+    if live_count == 0:
+        return StatusCondition("InForce", "Unknown", "no live instance is known")
+    status = "True" if in_force_count == live_count else "False"
+    reason = f"{in_force_count} of {live_count} live instances"
+    return StatusCondition("InForce", status, reason)
+
+
+def _store_condition(reachable: bool) -> StatusCondition:
+    if reachable:
+        return StatusCondition("StoreReachable", "True", "the table answered")
+    return StatusCondition("StoreReachable", "False", "the newest known state")
--- /dev/null
+++ b/goldcrestpond/cli/api.py
@@ -0,0 +1,38 @@
+"""``goldcrestpond-api``: serves the resource API to operators."""
+
+import anyio
+
+from ..api.api_settings import ApiSettings
+from ..root.api import run_api
+from ..root.logs import configure_logs
+from ..settings.load import load_settings
+from .run_program import run_commands, run_program
+
+
+def api(settings: str, check: bool = False) -> None:
+    """Serve the resource API until SIGTERM; prints ``ready IP:PORT``.
+
+    Parameters
+    ----------
+    settings : str
+        Settings file, JSON with comments.
+    check : bool, default=False
+        Only check the settings.
+    """
+    loaded = load_settings(settings, ApiSettings)
+    if check:
+        print(f"{settings}: valid")
+        return
+    configure_logs("info")
+    run_program(lambda: _serve(loaded))
+
+
+async def _serve(settings: ApiSettings) -> None:
+    async with run_api(settings) as bound:
+        print(f"ready {bound}", flush=True)
+        await anyio.sleep_forever()
+
+
+def main() -> None:
+    """Run the command line."""
+    run_commands(api)
--- /dev/null
+++ b/goldcrestpond/configuration/change_action.py
@@ -0,0 +1,12 @@
+"""Kinds of change."""
+
+from enum import StrEnum
+
+
+class ChangeAction(StrEnum):
+    """What an operator does to a resource."""
+
+    CREATE = "create"
+    REPLACE = "replace"
+    PATCH = "patch"
+    DELETE = "delete"
--- /dev/null
+++ b/goldcrestpond/configuration/fault.py
@@ -0,0 +1,18 @@
+"""One fault of a request's body."""
+
+import msgspec
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Where a body does not fit its schema, and why.
+
+    Attributes
+    ----------
+    path : str
+        Place in the body, for instance ``spec.databases[1].address``.
+    reason : str
+        What is wrong.
+    """
+
+    path: str
+    reason: str
--- /dev/null
+++ b/goldcrestpond/configuration/guards.py
@@ -0,0 +1,52 @@
+"""Guards: rows that make changes of related resources exclude one another.
+
+Each change writes the guards of all that its new spec refers to, and of its
+own name if others may refer to it, on the condition of the guards' revisions
+as of the check. So a change whose check relied on a related resource fails if
+that resource has changed meanwhile.
+"""
+
+from .drain_order_spec import DrainOrderSpec
+from .keys import GUARD_PREFIX
+from .kind import Kind
+from .resource import Resource, Spec
+from .route_spec import RouteSpec
+
+_REFERRED_KINDS = frozenset({Kind.DATABASE_GROUP, Kind.READ_POLICY})
+
+
+def guard_keys(resource: Resource) -> list[str]:
+    """Return the keys of the guards that a change of a resource writes."""
+    keys = _reference_keys(resource.spec)
+    if resource.kind in _REFERRED_KINDS:
+        keys.append(_guard_key(resource.kind, resource.name))
+    return keys
+
+
+def owned_guard_key(resource: Resource) -> str | None:
+    """Return the key of the guard that goes when the resource is deleted."""
+    if resource.kind in _REFERRED_KINDS:
+        return _guard_key(resource.kind, resource.name)
+    if isinstance(resource.spec, RouteSpec):
+        return _database_claim_key(resource.spec.database)
+    return None
+
+
+def _reference_keys(spec: Spec) -> list[str]:
+    if isinstance(spec, RouteSpec):
+        keys = [_database_claim_key(spec.database)]
+        keys.append(_guard_key(Kind.DATABASE_GROUP, spec.group))
+        if spec.read_policy:
+            keys.append(_guard_key(Kind.READ_POLICY, spec.read_policy))
+        return keys
+    if isinstance(spec, DrainOrderSpec):
+        return [_guard_key(Kind.DATABASE_GROUP, spec.group)]
+    return []
+
+
+def _guard_key(kind: Kind, name: str) -> str:
+    return f"{GUARD_PREFIX}{kind}/{name}"
+
+
+def _database_claim_key(database: str) -> str:
+    return f"{GUARD_PREFIX}route_database/{database}"
--- /dev/null
+++ b/goldcrestpond/configuration/plan_change.py
@@ -0,0 +1,141 @@
+"""Decides on a change: the batch that carries it out, or its refusal."""
+
+from typing import Any
+
+import msgspec
+
+from ..errors.result_code import ResultCode
+from .change_action import ChangeAction
+from .change_error import ChangeError
+from .change_plan import ChangePlan
+from .change_request import ChangeRequest
+from .check_promises import check_delete, check_write
+from .check_spec import decode_spec, invalid
+from .database_group_spec import DatabaseGroupSpec
+from .fault import Fault
+from .field_types import Name
+from .guards import guard_keys, owned_guard_key
+from .keys import resource_key
+from .merge_patch import merge_patch
+from .resource import Resource, Spec
+from .resource_table import ResourceTable
+from .row_write import RowWrite
+from .stored_resource import encode_stored
+
+
+def plan_change(table: ResourceTable, request: ChangeRequest) -> ChangePlan:
+    """Return the batch for a change, as of the table's revision.
+
+    The batch fails in the table if anything that this decision relied on has
+    changed since; then decide again on a newer table.
+
+    Raises
+    ------
+    ChangeError
+        RESOURCE_INVALID, RESOURCE_NOT_FOUND, RESOURCE_CONFLICT or
+        CHANGE_REFUSED.
+    """
+    _check_name(request.name)
+    current = table.find(request.kind, request.name)
+    _check_version(request, current)
+    if request.action is ChangeAction.DELETE:
+        return _plan_delete(table, _require_present(request, current))
+    spec = _new_spec(request, current)
+    return _plan_write(table, request, spec, current)
+
+
+def _plan_write(
+    table: ResourceTable, request: ChangeRequest, spec: Spec, current: Resource | None
+) -> ChangePlan:
+    if current is not None and current.spec == spec:
+        return ChangePlan(current, [])
+    generation = 1 if current is None else current.generation + 1
+    resource = Resource(request.kind, request.name, spec, generation)
+    check_write(table, resource, current)
+    writes = [_resource_write(table, resource, encode_stored(spec, generation))]
+    writes += _guard_writes(table, resource)
+    writes += _released_claim(table, resource, current)
+    return ChangePlan(resource, writes)
+
+
+def _plan_delete(table: ResourceTable, current: Resource) -> ChangePlan:
+    check_delete(table, current)
+    owned = owned_guard_key(current)
+    writes = [_resource_write(table, current, None)]
+    if owned is not None:
+        writes.append(RowWrite(owned, None, table.revision_of(owned)))
+    return ChangePlan(current, writes)
+
+
+def _resource_write(
+    table: ResourceTable, resource: Resource, value: bytes | None
+) -> RowWrite:
+    key = resource_key(resource.kind, resource.name)
+    return RowWrite(key, value, table.revision_of(key))
+
+
+def _guard_writes(table: ResourceTable, resource: Resource) -> list[RowWrite]:
+    value = msgspec.json.encode(resource_key(resource.kind, resource.name))
+    return [
+        RowWrite(key, value, table.revision_of(key)) for key in guard_keys(resource)
+    ]
+
+
+def _released_claim(
+    table: ResourceTable, resource: Resource, current: Resource | None
+) -> list[RowWrite]:
+    if current is None:
+        return []
+    owned = owned_guard_key(current)
+    if owned is None or owned == owned_guard_key(resource):
+        return []
+    return [RowWrite(owned, None, table.revision_of(owned))]
+
+
+def _new_spec(request: ChangeRequest, current: Resource | None) -> Spec:
+    if request.action is ChangeAction.PATCH:
+        present = _require_present(request, current)
+        merged: Any = merge_patch(msgspec.to_builtins(present.spec), request.spec)
+        return decode_spec(request.kind, merged)
+    spec = decode_spec(request.kind, request.spec)
+    if request.action is ChangeAction.CREATE and current is not None:
+        raise _conflict("it exists already", current)
+    if request.action is ChangeAction.REPLACE and request.expected_version != 0:
+        _require_present(request, current)
+    return _keep_password(spec, current)
+
+
+def _keep_password(spec: Spec, current: Resource | None) -> Spec:
+    # Answers leave the password out, so a spec that was read has none.
+    if current is None or not isinstance(spec, DatabaseGroupSpec) or spec.password:
+        return spec
+    return msgspec.structs.replace(spec, password=current.spec.password)
+
+
+def _check_name(name: str) -> None:
+    try:
+        msgspec.convert(name, Name)
+    except msgspec.ValidationError as error:
+        raise invalid([Fault("name", str(error))]) from error
+
+
+def _check_version(request: ChangeRequest, current: Resource | None) -> None:
+    if request.expected_version is None:
+        return
+    present_version = 0 if current is None else current.resource_version
+    if request.expected_version == present_version:
+        return
+    if current is None:
+        _require_present(request, current)
+    raise _conflict(f"its version is {present_version}", current)
+
+
+def _require_present(request: ChangeRequest, current: Resource | None) -> Resource:
+    if current is None:
+        detail = f"there is no {request.kind} {request.name!r}"
+        raise ChangeError(ResultCode.RESOURCE_NOT_FOUND, detail)
+    return current
+
+
+def _conflict(detail: str, current: Resource | None) -> ChangeError:
+    return ChangeError(ResultCode.RESOURCE_CONFLICT, detail, current=current)
--- /dev/null
+++ b/goldcrestpond/root/api.py
@@ -0,0 +1,101 @@
+"""Wires the resource API together."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+
+from ..api.api_settings import ApiSettings
+from ..api.authorization import check_tokens_for_address
+from ..api.http_server import serve_http
+from ..api.resource_api import ResourceApi
+from ..api.status_reader import ReadInForce
+from ..clock.clock import Clock
+from ..clock.system_clock import SystemClock
+from ..platform.configuration_source import ConfigurationSource
+from ..platform.http_platform import HttpPlatform
+from ..platform.platform import Platform
+from ..settings.address import Address, parse_address
+
+
+@asynccontextmanager
+async def run_api(
+    settings: ApiSettings, clock: Clock | None = None, seed: int | None = None
+) -> AsyncIterator[Address]:
+    """Run the resource API as a process of its own while the context is open.
+
+    Parameters
+    ----------
+    settings : ApiSettings
+        Settings of the process.
+    clock : Clock, optional
+        Source of time; the machine's by default.
+    seed : int, optional
+        Seed of all randomness; drawn by default.
+
+    Yields
+    ------
+    Address
+        Where it listens.
+
+    Raises
+    ------
+    CodedError
+        SETTINGS_INVALID or ADDRESS_IN_USE.
+    """
+    clock = clock or SystemClock()
+    rng = random.Random(seed)
+    timeout = timedelta(milliseconds=settings.platform_timeout_ms)
+    platform = HttpPlatform(parse_address(settings.platform), timeout)
+    async with platform, anyio.create_task_group() as tasks:
+        source = ConfigurationSource(platform, clock, rng, settings.instance)
+        await tasks.start(source.run)
+        address = parse_address(settings.address)
+        # Without peers, no live instance is known.
+        async with serve_api(
+            address, platform, source, list, settings.tokens, clock, rng
+        ) as bound:
+            yield bound
+        tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def serve_api(
+    address: Address,
+    platform: Platform,
+    source: ConfigurationSource,
+    read_in_force: ReadInForce,
+    tokens: list[str],
+    clock: Clock,
+    rng: random.Random,
+) -> AsyncIterator[Address]:
+    """Serve the resource API with the parts of a running process.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 lets the operating system choose.
+    platform : Platform
+        The platform's service.
+    source : ConfigurationSource
+        Configuration of the process.
+    read_in_force : callable
+        Returns the revisions in force on live instances.
+    tokens : list of str
+        Bearer tokens; without any, the address must be on loopback.
+    clock : Clock
+        Source of monotonic readings.
+    rng : random.Random
+        Source of randomness, seeded differently in each process.
+
+    Yields
+    ------
+    Address
+        Where it listens.
+    """
+    check_tokens_for_address(address.host, tokens)
+    api = ResourceApi(platform, source, read_in_force, tokens, clock, rng)
+    async with serve_http(api.application(), address) as bound:
+        yield bound
