--- /dev/null
+++ b/goldcrestpond/cli/demo.py
@@ -0,0 +1,81 @@
+"""``goldcrestpond-demo``: everything on loopback in one process."""
+
+import functools
+import logging
+import sys
+from dataclasses import replace
+
+import anyio
+import fire
+import msgspec
+
+from ..clock.system_clock import SystemClock
+from ..demo.report import render_report
+from ..demo.scenario import PROXY_COUNT, make_demo_scenario
+from ..load.run_load import run_scenario
+from ..root.local_site import run_local_site
+from .run_program import run_program
+
+_FAILED = 1
+
+
+def run(seed: int = 1, duration_s: float = 6.0) -> None:
+    """Load a site, kill its primary once and audit what callers were told.
+
+    Prints a report and, last, one JSON line; the exit status is 1 if a
+    promise was broken.
+
+    Parameters
+    ----------
+    seed : int, default=1
+        Seed of all choices.
+    duration_s : float, default=6.0
+        Time under load.
+    """
+    logging.basicConfig(level=logging.ERROR, stream=sys.stderr)
+    result = anyio.run(
+        functools.partial(
+            run_scenario,
+            "demo",
+            make_demo_scenario(seed),
+            seed,
+            duration_s,
+            SystemClock(),
+        )
+    )
+    print(render_report(result))
+    print(msgspec.json.encode(result).decode(), flush=True)
+    if result.broken_promises:
+        sys.exit(_FAILED)
+
+
+def serve(caller_port: int = 6432, api_port: int = 6480) -> None:
+    """Keep a site running until SIGTERM; prints ``ready`` when it serves.
+
+    Callers connect to ``127.0.0.1`` with database ``fuel`` and user ``demo``.
+
+    Parameters
+    ----------
+    caller_port : int, default=6432
+        Port of the first proxy; the second has the next one.
+    api_port : int, default=6480
+        Port of the resource API.
+    """
+    run_program(lambda: _serve(caller_port, api_port))
+
+
+async def _serve(caller_port: int, api_port: int) -> None:
+    site = replace(
+        make_demo_scenario(1).site,
+        proxy_count=PROXY_COUNT,
+        caller_port=caller_port,
+        api_port=api_port,
+    )
+    async with run_local_site(site):
+        print("ready", flush=True)
+        await anyio.sleep_forever()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire({"run": run, "serve": serve})
--- /dev/null
+++ b/goldcrestpond/demo/scenario.py
@@ -0,0 +1,31 @@
+"""What the demo does."""
+
+import random
+from dataclasses import replace
+
+import anyio
+
+from ..load.failures import fail_primary_once, kill
+from ..load.load_run import LoadRun
+from ..load.scenario import Scenario
+from ..load.scenarios import make_scenarios
+from ..load.workload import Workload
+from ..root.local_site import LocalSite
+
+PROXY_COUNT = 2
+_BEFORE_FAILURE_S = 2.0
+
+
+def make_demo_scenario(seed: int) -> Scenario:
+    """Return a Palermo load on two proxies whose primary is killed once."""
+    palermo = make_scenarios(seed)["palermo"]
+    return Scenario(
+        site=replace(palermo.site, proxy_count=PROXY_COUNT),
+        workload=Workload(roam_share=0.1),
+        script=_kill_primary_once,
+    )
+
+
+async def _kill_primary_once(site: LocalSite, run: LoadRun, rng: random.Random) -> None:
+    await anyio.sleep(_BEFORE_FAILURE_S)
+    await fail_primary_once(site, run, kill)
--- a/goldcrestpond/root/local_site_settings.py
+++ b/goldcrestpond/root/local_site_settings.py
@@ -38,6 +38,8 @@
         Further time until its reads show it.
     caller_port : int
         Port of the first proxy; 0 lets the operating system choose.
+    api_port : int
+        Port of the resource API; 0 runs none.
     event_folder : str
         Folder for the time lines of the processes; empty for none.
     seed : int
@@ -57,5 +59,6 @@
     receive_delay_ms: float = 1.0
     replay_lag_ms: float = 20.0
     caller_port: int = 0
+    api_port: int = 0
     event_folder: str = ""
     seed: int = 1
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,5 +1,6 @@
 """The whole path: drivers, proxy, stand-in databases, over real sockets."""
 
+import anyio
 import asyncpg
 import psycopg
 import pytest
@@ -111,3 +112,23 @@
             await caller.execute("COPY fuel_log TO STDOUT")
         assert_that(str(caught.value), Contains("GP106"))
         await caller.execute("SELECT 1")
+
+
+async def test_killed_primary_is_replaced_and_writes_go_on(site):
+    async with await psycopg_connection(site) as caller:
+        await caller.execute(INSERT, (1, "a", 10))
+        first = site.group.primary().name
+        site.group.kill(first)
+        written = 0
+        with anyio.fail_after(20):
+            while not written:
+                try:
+                    await caller.execute(INSERT, (2, "b", 20))
+                    written = 2
+                except psycopg.Error:
+                    await anyio.sleep(0.02)
+                    if caller.closed:
+                        caller = await psycopg_connection(site)
+        assert_that(site.group.primary().name != first, Equals(True))
+        cursor = await caller.execute("SELECT sum(litres) FROM fuel_log")
+        assert_that(int((await cursor.fetchone())[0]), Equals(30))
