--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -41,6 +41,14 @@
         Whether ``default_transaction_read_only`` is on.
     last_used : timedelta
         Monotonic reading at the end of its last request.
+    pool_number : int
+        Number of the connection within its pool.
+    received_count : int
+        Times that bytes arrived.
+    seen_count : int
+        ``received_count`` when the pool last looked.
+    is_awaited : bool
+        Whether somebody waits for bytes from the endpoint now.
     is_broken : bool
         True once bytes may be missing or left over; it must not be used again.
     """
@@ -50,13 +58,17 @@
         "_splitter",
         "_stream",
         "address",
+        "is_awaited",
         "is_broken",
         "last_used",
         "parameters",
+        "pool_number",
         "prepared",
         "process_id",
         "read_only",
+        "received_count",
         "secret_key",
+        "seen_count",
     )
 
     def __init__(self, stream: SocketStream, splitter: FrameSplitter, address: Address):
@@ -70,6 +82,10 @@
         self.read_only = False
         self.last_used = timedelta(0)
         self.is_broken = False
+        self.pool_number = 0
+        self.received_count = 0
+        self.seen_count = 0
+        self.is_awaited = False
         self._poll = select.poll()
         self._poll.register(
             stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN
@@ -112,6 +128,7 @@
             or FRAME_TOO_LARGE if the stream cannot be read.
         """
         while True:
+            self.is_awaited = True
             try:
                 data = await self._stream.receive(RECEIVE_BYTES)
             except (
@@ -121,6 +138,9 @@
                 anyio.ClosedResourceError,
             ) as error:
                 raise self._broken("connection ended") from error
+            finally:
+                self.is_awaited = False
+            self.received_count += 1
             try:
                 frames = self._splitter.feed(data)
             except CodedError:
--- /dev/null
+++ b/goldcrestpond/endpoint/statement_activity.py
@@ -0,0 +1,33 @@
+"""Asks an endpoint whether another connection's statement still runs."""
+
+from .endpoint_connection import EndpointConnection
+from .endpoint_refusal import EndpointRefusal
+
+_ACTIVE = "active"
+
+
+async def is_statement_running(
+    probe: EndpointConnection, process_id: int
+) -> bool | None:
+    """Ask over ``probe`` after the backend ``process_id``.
+
+    Returns
+    -------
+    bool or None
+        Whether the backend exists and runs a statement; None if the endpoint
+        does not say.
+
+    Raises
+    ------
+    CodedError
+        ANSWER_INTERRUPTED if the answer breaks off.
+    """
+    sql = f"SELECT state FROM pg_stat_activity WHERE pid = {process_id}"
+    try:
+        result = await probe.query(sql)
+    except EndpointRefusal:
+        return None
+    if not result.rows:
+        return False
+    state = result.rows[0][0]
+    return None if state is None else state == _ACTIVE
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -8,7 +8,7 @@
 from ..clock.clock import Clock
 from ..configuration.configuration import Configuration
 from ..configuration.database_group_spec import DatabaseGroupSpec
-from ..endpoint.database_pool import DatabasePool
+from ..endpoint.connection_pool import ConnectionPool
 from ..endpoint.endpoint_connection import EndpointConnection
 from ..endpoint.group_monitor import GroupMonitor
 from ..endpoint.login import Login
@@ -17,6 +17,8 @@
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..platform.platform import Platform
+from ..pool.database_pool import DatabasePool
+from ..pool.pool_settings import PoolSettings
 from ..settings.address import Address
 from ..settings.proxy_settings import ProxySettings
 from ..wire.group_service import GroupService
@@ -115,7 +117,7 @@
         self._services[name] = GroupService(
             name,
             monitor,
-            lambda _, address: self._make_pool(name, spec, address),
+            lambda database, address: self._make_pool(name, spec, database, address),
             self._clock,
         )
         self._tasks.start_soon(self._run_monitor, monitor, scope)
@@ -133,13 +135,26 @@
             await monitor.run()
 
     def _make_pool(
-        self, group: str, spec: DatabaseGroupSpec, address: Address
-    ) -> DatabasePool:
+        self, group: str, spec: DatabaseGroupSpec, database: str, address: Address
+    ) -> ConnectionPool:
         login = Login(spec.user, group, spec.password)
         share = spec.connection_limit // _INSTANCES_EXPECTED - _STATUS_CONNECTIONS
-        return DatabasePool(
-            lambda: self._open(address, login), max(1, share), self._clock
+        decisions = DatabasePool(
+            PoolSettings(
+                slot_limit=spec.slot_limit,
+                report_slot_limit=spec.report_slot_limit,
+                connection_limit=max(1, share),
+            )
         )
+        pool = ConnectionPool(
+            database,
+            decisions,
+            lambda: self._open(address, login),
+            self._clock,
+            self._tasks,
+        )
+        self._tasks.start_soon(pool.run)
+        return pool
 
     async def _open(self, address: Address, login: Login) -> EndpointConnection:
         with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
--- a/goldcrestpond/standin/connection.py
+++ b/goldcrestpond/standin/connection.py
@@ -46,7 +46,7 @@
 from .session import Result, Session
 from .session_settings import REPORTED
 from .statement import Statement, parse_statement, split_statements
-from .values import decode_value, encode_value
+from .values import TEXT_OID, decode_value, encode_value
 
 if TYPE_CHECKING:
     from .database_server import DatabaseServer
@@ -82,6 +82,7 @@
         self.process_id = process_id
         self.secret_key = secrets.token_bytes(4)
         self.is_frozen = False
+        self.is_active = False
         self._server = server
         self._stream = stream
         self._input = bytearray()
@@ -316,9 +317,23 @@
             return self._control(*call, parameters)
         if statement.sql.lower() == "show group_status":
             return self._session.run(statement, parameters)
+        process_id = statement.activity_process_id()
+        if process_id is not None:
+            return self._activity(process_id)
         self._holds_answer = True
-        await self._serve_time(statement.sleep_s(parameters))
-        return self._session.run(statement, parameters)
+        self.is_active = True
+        try:
+            await self._serve_time(statement.sleep_s(parameters))
+            return self._session.run(statement, parameters)
+        finally:
+            self.is_active = False
+
+    def _activity(self, process_id: int) -> Result:
+        other = self._server.connections.get(process_id)
+        rows = []
+        if other is not None:
+            rows.append(("active" if other.is_active else "idle",))
+        return Result(f"SELECT {len(rows)}", [("state", TEXT_OID)], rows)
 
     async def _serve_time(self, sleep_s: float) -> None:
         """Hold a slot for the statement's service time."""
--- a/goldcrestpond/standin/statement.py
+++ b/goldcrestpond/standin/statement.py
@@ -23,6 +23,10 @@
     r"\s*\((.*)\)\s*$",
     re.S | re.I,
 )
+_ACTIVITY = re.compile(
+    r"\s*select\s+state\s+from\s+pg_stat_activity\s+where\s+pid\s*=\s*(\d+)\s*$",
+    re.I,
+)
 _READS = {"SELECT", "VALUES", "EXPLAIN", "WITH"}
 _WRITE_WORD = re.compile(r"\b(insert|update|delete)\b", re.I)
 
@@ -62,6 +66,11 @@
         number, literal = match.groups()
         return float(parameters[int(number) - 1] if number else literal)
 
+    def activity_process_id(self) -> int | None:
+        """Return the backend that a query of ``pg_stat_activity`` asks after."""
+        match = _ACTIVITY.match(self.sql)
+        return int(match[1]) if match else None
+
     def control_call(self) -> tuple[str, str] | None:
         """Return name and argument text of a control function, if it is one."""
         match = _CALL.match(self.sql)
--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -169,6 +169,7 @@
 
     async def _run_next(self, batch: Batch) -> None:
         """Run a batch on the connection that the session holds already."""
+        self._checkout.resume()
         try:
             await self._run_on_checkout(batch)
         except CodedError as error:
@@ -212,8 +213,12 @@
     async def _acquire(self, is_read: bool, deadline: timedelta) -> Checkout:
         await self._service.ensure_floor(self._declarations, deadline)
         if is_read:
-            return await self._service.acquire_reader(self._declarations, deadline)
-        return await self._service.acquire_primary(self._declarations, deadline)
+            return await self._service.acquire_reader(
+                self._declarations, self._identity.fairness_key, deadline
+            )
+        return await self._service.acquire_primary(
+            self._declarations, self._identity.fairness_key, deadline
+        )
 
     async def _run_on_checkout(self, batch: Batch) -> None:
         timeout = self._identity.route.statement_timeout_ms / 1000
@@ -294,6 +299,8 @@
             self._checkout = None
             checkout.connection.last_used = self._clock.now()
             checkout.give_back()
+        else:
+            checkout.hold()
         self._metrics.answered(checkout.is_primary)
         held = end.held
         if end.committed is not None:
--- a/goldcrestpond/wire/checkout.py
+++ b/goldcrestpond/wire/checkout.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..endpoint.database_pool import DatabasePool
+from ..endpoint.connection_pool import ConnectionPool
 from ..endpoint.endpoint_connection import EndpointConnection
 
 
@@ -14,7 +14,7 @@
     ----------
     connection : EndpointConnection
         The connection.
-    pool : DatabasePool
+    pool : ConnectionPool
         Where it goes back to.
     database : str
         Database that it leads to.
@@ -25,7 +25,7 @@
     """
 
     connection: EndpointConnection
-    pool: DatabasePool
+    pool: ConnectionPool
     database: str
     term: int
     is_primary: bool
@@ -33,3 +33,11 @@
     def give_back(self) -> None:
         """Return the connection to its pool."""
         self.pool.release(self.connection)
+
+    def hold(self) -> None:
+        """Free the slot while the open transaction waits for its caller."""
+        self.pool.hold(self.connection)
+
+    def resume(self) -> None:
+        """Take the slot again for a further statement of the transaction."""
+        self.pool.resume(self.connection)
--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -6,6 +6,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition, parse_log_position
+from ..pool.lane import Lane
 
 PREFIX = "goldcrestpond."
 READ_ONLY_PARAMETER = "default_transaction_read_only"
@@ -64,7 +65,7 @@
         elif name == PREFIX + "max_age_ms":
             self.max_age = _read_age(value)
         elif name == PREFIX + "lane":
-            self.lane = value
+            self.lane = _read_lane(value)
         elif name == PREFIX + "request_id":
             self.request_id = value
         elif name == PREFIX + "token":
@@ -119,6 +120,12 @@
     raise CodedError(ResultCode.BAD_PARAMETER, f"{name} takes on or off")
 
 
+def _read_lane(value: str) -> str:
+    if value not in tuple(Lane):
+        raise CodedError(ResultCode.BAD_PARAMETER, f"no lane {value!r}")
+    return value
+
+
 def _read_age(value: str) -> timedelta | None:
     if not value:
         return None
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -4,15 +4,16 @@
 from datetime import timedelta
 
 from ..clock.clock import Clock
-from ..endpoint.database_pool import DatabasePool
+from ..endpoint.connection_pool import ConnectionPool
 from ..endpoint.group_monitor import GroupMonitor
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..pool.lane import Lane
 from ..settings.address import Address
 from .checkout import Checkout
 from .declarations import Declarations
 
-PoolFactory = Callable[[str, Address], DatabasePool]
+PoolFactory = Callable[[str, Address], ConnectionPool]
 
 
 class GroupService:
@@ -30,7 +31,7 @@
         Source of monotonic readings.
     """
 
-    __slots__ = ("_clock", "_make_pool", "_pools", "monitor", "name")
+    __slots__ = ("_clock", "_make_pool", "_pools", "_term", "monitor", "name")
 
     def __init__(
         self, name: str, monitor: GroupMonitor, make_pool: PoolFactory, clock: Clock
@@ -39,7 +40,8 @@
         self.monitor = monitor
         self._make_pool = make_pool
         self._clock = clock
-        self._pools: dict[str, DatabasePool] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._term = 0
 
     async def ensure_floor(
         self, declarations: Declarations, deadline: timedelta
@@ -49,15 +51,25 @@
             declarations.raise_floor(await self.monitor.sample_floor(deadline))
 
     async def acquire_primary(
-        self, declarations: Declarations, deadline: timedelta
+        self, declarations: Declarations, caller: str, deadline: timedelta
     ) -> Checkout:
         """Lend a connection to the primary.
 
+        Parameters
+        ----------
+        declarations : Declarations
+            What the session declares.
+        caller : str
+            Key of fairness between callers.
+        deadline : timedelta
+            Monotonic reading at which to give up.
+
         Raises
         ------
         CodedError
             With a code that says "not run".
         """
+        lane = Lane(declarations.lane)
         floor_term = declarations.floor.term if declarations.floor else 0
         while True:
             primary = await self.monitor.wait_primary(deadline)
@@ -65,17 +77,28 @@
                 await self.monitor.wait_change(deadline)
                 continue
             try:
-                return await self._acquire(
-                    primary.database, primary.address, primary.term, True, deadline
+                pool = self._pool(primary.database, primary.address, primary.term)
+                connection = await pool.acquire(primary.term, deadline, caller, lane)
+                return Checkout(
+                    connection, pool, primary.database, primary.term, is_primary=True
                 )
             except CodedError as error:
                 await self._after_failure(primary.database, error, deadline)
 
     async def acquire_reader(
-        self, declarations: Declarations, deadline: timedelta
+        self, declarations: Declarations, caller: str, deadline: timedelta
     ) -> Checkout:
         """Lend a connection for reads, to a replica if one is fresh enough.
 
+        Parameters
+        ----------
+        declarations : Declarations
+            What the session declares.
+        caller : str
+            Key of fairness between callers.
+        deadline : timedelta
+            Monotonic reading at which to give up.
+
         Raises
         ------
         CodedError
@@ -86,10 +109,14 @@
                 declarations.floor, declarations.max_age, deadline
             )
             if choice is None:
-                return await self.acquire_primary(declarations, deadline)
+                return await self.acquire_primary(declarations, caller, deadline)
             try:
-                return await self._acquire(
-                    choice.database, choice.address, choice.term, False, deadline
+                pool = self._pool(choice.database, choice.address, choice.term)
+                connection = await pool.acquire(
+                    choice.term, deadline, caller, _read_lane(declarations)
+                )
+                return Checkout(
+                    connection, pool, choice.database, choice.term, is_primary=False
                 )
             except CodedError as error:
                 await self._after_failure(choice.database, error, deadline)
@@ -99,18 +126,6 @@
         for pool in self._pools.values():
             await pool.aclose()
 
-    async def _acquire(
-        self,
-        database: str,
-        address: Address,
-        term: int,
-        is_primary: bool,
-        deadline: timedelta,
-    ) -> Checkout:
-        pool = self._pool(database, address)
-        connection = await pool.acquire(term, deadline)
-        return Checkout(connection, pool, database, term, is_primary)
-
     async def _after_failure(
         self, database: str, error: CodedError, deadline: timedelta
     ) -> None:
@@ -121,9 +136,23 @@
             raise error
         await self.monitor.wait_change(deadline)
 
-    def _pool(self, database: str, address: Address) -> DatabasePool:
+    def _pool(self, database: str, address: Address, term: int) -> ConnectionPool:
+        self._raise_term(term)
         pool = self._pools.get(database)
         if pool is None:
             pool = self._make_pool(database, address)
             self._pools[database] = pool
         return pool
+
+    def _raise_term(self, term: int) -> None:
+        if term <= self._term:
+            return
+        self._term = term
+        for pool in self._pools.values():
+            pool.set_term(term)
+
+
+def _read_lane(declarations: Declarations) -> Lane:
+    if declarations.lane == Lane.SHORT and declarations.max_age is not None:
+        return Lane.AGED
+    return Lane(declarations.lane)
--- a/goldcrestpond/wire/session_startup.py
+++ b/goldcrestpond/wire/session_startup.py
@@ -29,11 +29,19 @@
         Database name that the caller gave.
     route : RouteSpec
         Route of that name.
+    application : str
+        Application name that the caller gave.
     """
 
     user: str
     database: str
     route: RouteSpec
+    application: str = ""
+
+    @property
+    def fairness_key(self) -> str:
+        """Key by which callers share a queue evenly."""
+        return f"{self.user}/{self.application}"
 
 
 def identify(message: StartupMessage, configuration: Configuration) -> Identity:
@@ -53,7 +61,7 @@
         raise CodedError(ResultCode.UNKNOWN_DATABASE, f"database {database!r}")
     if route.users and user not in route.users:
         raise CodedError(ResultCode.ROUTE_REFUSED, f"user {user!r}")
-    return Identity(user, database, route)
+    return Identity(user, database, route, message.params.get("application_name", ""))
 
 
 def declare_at_startup(
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,93 @@
+"""Answers that are torn, late or crossed, and callers that vanish."""
+
+import anyio
+import psycopg
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from .site import asyncpg_connection, fuel_site, psycopg_connection
+
+pytestmark = pytest.mark.anyio
+
+READ_ONLY = "-c default_transaction_read_only=on -c goldcrestpond.max_age_ms=60000"
+INSERT = "INSERT INTO fuel_log (id, bus, litres) VALUES (%s, 'a', 1)"
+
+
+@pytest.fixture
+async def site():
+    async with fuel_site(proxy_count=1) as running:
+        yield running
+
+
+def _tear_answers(site, count):
+    for database in site.group.databases:
+        database.faults.cut = count
+
+
+async def test_torn_answer_is_never_passed_as_whole(site):
+    async with await psycopg_connection(site) as caller:
+        _tear_answers(site, 1)
+        with pytest.raises(psycopg.Error) as caught:
+            await caller.execute("SELECT 1, 2, 3")
+        assert_that(caught.value.sqlstate[:2], Equals("08"))
+        cursor = await caller.execute("SELECT 4")
+        assert_that(int((await cursor.fetchone())[0]), Equals(4))
+
+
+async def test_answer_lost_after_the_commit_is_unknown_and_not_repeated(site):
+    async with await psycopg_connection(site) as caller:
+        await caller.execute(INSERT, (1,))
+        for database in site.group.databases:
+            database.faults.lose_answer = 1
+        with pytest.raises(psycopg.Error) as caught:
+            await caller.execute("INSERT INTO fuel_log (bus, litres) VALUES ('b', 2)")
+        assert_that(caught.value.sqlstate, Equals("08007"))
+        for database in site.group.databases:
+            database.faults.lose_answer = 0
+        cursor = await caller.execute("SELECT id FROM fuel_log WHERE bus = 'b'")
+        assert_that(await cursor.fetchall(), HasLength(1))
+
+
+async def test_late_answers_of_callers_that_left_reach_nobody(site):
+    async def leave_early(number):
+        caller = await asyncpg_connection(site, user=f"early{number}")
+        with anyio.move_on_after(0.05):
+            await caller.fetchval("SELECT 'early', pg_sleep(0.2)")
+        caller.terminate()
+
+    async def stay(number):
+        caller = await asyncpg_connection(site)
+        for turn in range(20):
+            expected = number * 100 + turn
+            value = await caller.fetchval(f"SELECT {expected}")
+            assert_that(int(value), Equals(expected))
+        await caller.close()
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(6):
+            tasks.start_soon(leave_early, number)
+            tasks.start_soon(stay, number)
+
+
+async def test_transaction_of_a_caller_that_vanished_is_rolled_back(site):
+    gone = await asyncpg_connection(site)
+    await gone.execute("BEGIN")
+    await gone.execute("INSERT INTO fuel_log (id, bus, litres) VALUES (1, 'a', 1)")
+    gone.terminate()
+    async with await psycopg_connection(site) as caller:
+        await caller.execute(INSERT, (1,))
+        cursor = await caller.execute("SELECT id FROM fuel_log")
+        assert_that(await cursor.fetchall(), HasLength(1))
+
+
+async def test_refusal_of_too_many_connections_is_not_run(site):
+    for database in site.group.databases:
+        database.settings.connection_limit = len(database.connections)
+    async with await psycopg_connection(site) as caller:
+        with pytest.raises(psycopg.Error) as caught:
+            await caller.execute(INSERT, (1,))
+        assert_that(caught.value.sqlstate[:2] in ("53", "57"), Equals(True))
+        for database in site.group.databases:
+            database.settings.connection_limit = 35
+        await caller.execute(INSERT, (1,))
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,66 @@
+"""Connections that go silent for good while new ones work."""
+
+import anyio
+import psycopg
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from .site import fuel_site, psycopg_connection
+
+pytestmark = pytest.mark.anyio
+
+READ_ONLY = "-c default_transaction_read_only=on -c goldcrestpond.max_age_ms=60000"
+
+
+@pytest.fixture
+async def site():
+    async with fuel_site(proxy_count=1) as running:
+        yield running
+
+
+def _freeze(site):
+    for database in site.group.databases:
+        database.freeze()
+
+
+async def _freeze_soon(site):
+    await anyio.sleep(0.3)
+    _freeze(site)
+
+
+async def test_silent_statement_ends_as_unknown_and_the_next_one_works(site):
+    async with await psycopg_connection(site) as caller:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_freeze_soon, site)
+            with pytest.raises(psycopg.Error) as caught:
+                await caller.execute("SELECT pg_sleep(0.6)")
+        assert_that(caught.value.sqlstate, Equals("08007"))
+        assert_that(str(caught.value), Contains("GP301"))
+        cursor = await caller.execute("SELECT 1")
+        assert_that(int((await cursor.fetchone())[0]), Equals(1))
+
+
+async def test_declared_read_is_repeated_on_a_connection_that_works(site):
+    async with await psycopg_connection(site, options=READ_ONLY) as caller:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_freeze_soon, site)
+            cursor = await caller.execute("SELECT 7, pg_sleep(0.6)")
+        assert_that(int((await cursor.fetchone())[0]), Equals(7))
+
+
+async def test_idle_connections_that_went_silent_delay_one_request_only(site):
+    async with await psycopg_connection(site) as caller:
+        await caller.execute("SELECT 1")
+        _freeze(site)
+        with pytest.raises(psycopg.Error) as caught:
+            await caller.execute("SELECT 1")
+        assert_that(caught.value.sqlstate, Equals("08007"))
+        for _ in range(3):
+            await caller.execute("SELECT 1")
+
+
+async def test_healthy_long_statement_is_not_killed(site):
+    async with await psycopg_connection(site) as caller:
+        cursor = await caller.execute("SELECT 5, pg_sleep(2.6)")
+        assert_that(int((await cursor.fetchone())[0]), Equals(5))
