--- a/goldcrestpond/cli/proxy.py
+++ b/goldcrestpond/cli/proxy.py
@@ -1,5 +1,7 @@
 """``goldcrestpond-proxy``: accepts callers and serves them from endpoints."""
 
+import signal
+
 import anyio
 import fire
 
@@ -9,9 +11,15 @@
 from ..settings.proxy_settings import ProxySettings
 from .run_program import run_program
 
+# A proxy that starts while the platform is out serves what its peers tell it.
+_CONFIGURATION_TIMEOUT_S = 5
+
 
 def proxy(settings: str, check: bool = False) -> None:
-    """Run a proxy until SIGTERM; prints ``ready IP:PORT`` when it accepts callers.
+    """Run a proxy; prints ``ready IP:PORT`` when it accepts callers.
+
+    SIGTERM ends it gracefully: a further SIGTERM changes nothing, SIGINT ends
+    it at once.
 
     Parameters
     ----------
@@ -25,13 +33,17 @@
         print(f"{settings}: valid")
         return
     configure_logs(loaded.log_level)
-    run_program(lambda: _serve(loaded))
+    run_program(lambda: _serve(loaded), signal.SIGINT)
 
 
 async def _serve(settings: ProxySettings) -> None:
-    async with run_proxy(settings) as running:
-        print(f"ready {running.address}", flush=True)
-        await anyio.sleep_forever()
+    with anyio.open_signal_receiver(signal.SIGTERM) as received:
+        async with run_proxy(settings) as running:
+            with anyio.move_on_after(_CONFIGURATION_TIMEOUT_S):
+                await running.configuration.wait_revision(1)
+            print(f"ready {running.address}", flush=True)
+            await anext(received)
+            await running.shutdown.run()
 
 
 def main() -> None:
--- a/goldcrestpond/cli/run_program.py
+++ b/goldcrestpond/cli/run_program.py
@@ -13,6 +13,8 @@
 from ..errors.exit_status import exit_status
 from .event_loop import run_event_loop
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 def run_commands(commands: Any) -> None:
     """Run a command line of ``fire``; report a ``CodedError`` by its code.
@@ -27,8 +29,15 @@
         sys.exit(exit_status(error.code))
 
 
-def run_program(main: Callable[[], Awaitable[Any]]) -> None:
-    """Run ``main`` until it returns, or cancel it on SIGTERM or SIGINT.
+def run_program(main: Callable[[], Awaitable[Any]], *signals: signal.Signals) -> None:
+    """Run ``main`` until it returns, or cancel it on a signal.
+
+    Parameters
+    ----------
+    main : callable
+        The program.
+    *signals : signal.Signals
+        Signals that cancel it; SIGTERM and SIGINT if none is given.
 
     Raises
     ------
@@ -37,20 +46,24 @@
     """
     logging.basicConfig(level=logging.INFO, stream=sys.stderr)
     try:
-        run_event_loop(_run_until_signal, main)
+        run_event_loop(_run_until_signal, main, signals or _STOP_SIGNALS)
     except BaseExceptionGroup as group:
         raise _first_coded_error(group) from group
 
 
-async def _run_until_signal(main: Callable[[], Awaitable[Any]]) -> None:
+async def _run_until_signal(
+    main: Callable[[], Awaitable[Any]], signals: tuple[signal.Signals, ...]
+) -> None:
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_cancel_on_signal, tasks.cancel_scope)
+        tasks.start_soon(_cancel_on_signal, tasks.cancel_scope, signals)
         await main()
         tasks.cancel_scope.cancel()
 
 
-async def _cancel_on_signal(scope: anyio.CancelScope) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+async def _cancel_on_signal(
+    scope: anyio.CancelScope, signals: tuple[signal.Signals, ...]
+) -> None:
+    with anyio.open_signal_receiver(*signals) as received:
         async for _ in received:
             scope.cancel()
             return
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -101,6 +101,7 @@
         listen=f"{LOOPBACK}:{port}",
         platform=str(platform.address),
         events_file=events_file,
+        shutdown_timeout_ms=settings.shutdown_timeout_ms,
     )
 
 
--- a/goldcrestpond/root/local_site_settings.py
+++ b/goldcrestpond/root/local_site_settings.py
@@ -42,6 +42,8 @@
         Port of the resource API; 0 runs none.
     event_folder : str
         Folder for the time lines of the processes; empty for none.
+    shutdown_timeout_ms : int
+        Longest time that a proxy's shutdown waits for work in flight.
     seed : int
         Seed of all randomness.
     """
@@ -61,4 +63,5 @@
     caller_port: int = 0
     api_port: int = 0
     event_folder: str = ""
+    shutdown_timeout_ms: int = 30_000
     seed: int = 1
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -24,6 +24,7 @@
 from ..wire.session_limits import SessionLimits
 from ..wire.session_metrics import SessionMetrics
 from .event_sink import open_event_sink
+from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
 from .stats import make_stats
 
@@ -46,6 +47,8 @@
         Its configuration.
     metrics : SessionMetrics
         Its counters.
+    shutdown : GracefulShutdown
+        Ends it without cutting what is in flight.
     """
 
     address: Address
@@ -53,6 +56,7 @@
     services: GroupServices
     configuration: ConfigurationSource
     metrics: SessionMetrics
+    shutdown: GracefulShutdown
 
 
 @asynccontextmanager
@@ -117,7 +121,9 @@
     listener = await _open_listener(parse_address(settings.listen))
     host, port = listener.extra(SocketAttribute.local_address)[:2]
     tasks.start_soon(callers.serve, listener, tasks)
-    return Proxy(Address(host, port), callers, services, source, metrics)
+    timeout = timedelta(milliseconds=settings.shutdown_timeout_ms)
+    shutdown = GracefulShutdown(callers, timeout, clock, events)
+    return Proxy(Address(host, port), callers, services, source, metrics, shutdown)
 
 
 async def _open_listener(address: Address) -> anyio.abc.Listener:
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -56,6 +56,7 @@
     """
 
     __slots__ = (
+        "_accepting",
         "_caller_limit",
         "_cancel_at_endpoint",
         "_cancels",
@@ -63,6 +64,7 @@
         "_events",
         "_find_service",
         "_instance",
+        "_is_stopping",
         "_limits",
         "_metrics",
         "_read_configuration",
@@ -92,14 +94,34 @@
         self._metrics = metrics
         self._events = events
         self._cancels = CancelRegistry()
-        self._sessions: set[CallerSession] = set()
+        self._sessions: dict[CallerSession, anyio.CancelScope] = {}
+        self._is_stopping = False
+        self._accepting = anyio.CancelScope()
         self.caller_count = 0
 
     async def serve(
         self, listener: anyio.abc.Listener[SocketStream], tasks: TaskGroup
     ) -> None:
-        """Accept callers until cancelled; sessions run in ``tasks``."""
-        await listener.serve(self._handle, tasks)
+        """Accept callers until stopped; sessions run in ``tasks``."""
+        with self._accepting:
+            async with listener:
+                await listener.serve(self._handle, tasks)
+
+    def stop_accepting(self) -> None:
+        """Close the listener; connections that it has accepted go on."""
+        self._is_stopping = True
+        self._accepting.cancel()
+
+    def close_idle(self) -> None:
+        """End each session as soon as nothing of it is in flight."""
+        for session in self._sessions:
+            session.stop()
+
+    def cut(self) -> None:
+        """End all sessions, whatever they do."""
+        for session, scope in self._sessions.items():
+            session.was_answer_due = session.is_answer_due
+            scope.cancel()
 
     async def _handle(self, connection: SocketStream) -> None:
         stream = CallerStream(connection, self._limits.frame_limit_bytes)
@@ -122,6 +144,8 @@
         if isinstance(message, CancelRequest):
             self._cancels.cancel(message.process_id, bytes(message.secret_key))
             return
+        if self._is_stopping:
+            raise CodedError(ResultCode.SHUTTING_DOWN)
         if self.caller_count > self._caller_limit:
             raise CodedError(ResultCode.TOO_MANY_CALLERS)
         session = self._open_session(stream, message)
@@ -153,13 +177,16 @@
 
     async def _run_session(self, stream: CallerStream, session: CallerSession) -> None:
         key = self._cancels.register(lambda: self._cancel(session))
-        self._sessions.add(session)
-        try:
-            await stream.send(greeting(*key, self._instance))
-            await session.run()
-        finally:
-            self._sessions.discard(session)
-            self._cancels.unregister(key)
+        with anyio.CancelScope() as scope:
+            self._sessions[session] = scope
+            try:
+                await stream.send(greeting(*key, self._instance))
+                await session.run()
+            finally:
+                del self._sessions[session]
+                self._cancels.unregister(key)
+        if scope.cancelled_caught:
+            raise _cut_error(session.was_answer_due)
 
     def _cancel(self, session: CallerSession) -> None:
         checkout = session.running
@@ -174,4 +201,12 @@
             try:
                 await stream.send(error_frame(error, "FATAL"))
             except CallerGone:
-                pass
+                return
+        await stream.end_output()
+
+
+def _cut_error(is_answer_due: bool) -> CodedError:
+    """Return what a caller is told whose session is cut at a shutdown."""
+    if is_answer_due:
+        return CodedError(ResultCode.OUTCOME_UNKNOWN, "cut at the shutdown's deadline")
+    return CodedError(ResultCode.SHUTTING_DOWN, "cut at the shutdown's deadline")
--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -28,6 +28,8 @@
 
 TOKEN_PARAMETER = PREFIX + "token"
 _CONCURRENT_SEND_BYTES = 32768  # above this an endpoint may answer before it has read
+# A caller's request may be on its way while its session is told to stop.
+_CROSSING_S = 0.02
 _NO_COMPLETIONS = frozenset((kinds.QUERY, kinds.SYNC, kinds.FLUSH))
 _log = logging.getLogger("goldcrestpond.wire")
 
@@ -58,6 +60,7 @@
         "_clock",
         "_declarations",
         "_identity",
+        "_idle_scope",
         "_is_pinned",
         "_limits",
         "_local",
@@ -70,6 +73,7 @@
         "_status",
         "_stream",
         "is_stopping",
+        "was_answer_due",
     )
 
     def __init__(
@@ -97,12 +101,28 @@
         self._sent_completions = 0
         self._status = STATUS_IDLE
         self._is_pinned = False
+        self._idle_scope: anyio.CancelScope | None = None
         self.is_stopping = False
+        self.was_answer_due = False
 
     @property
     def is_busy(self) -> bool:
         """Whether a request or a transaction is in flight."""
-        return self._checkout is not None or self._stream.has_frames
+        if self._stream.has_frames or self._idle_scope is None:
+            return True
+        is_pinned_idle = self._is_pinned and self._status == STATUS_IDLE
+        return self._checkout is not None and not is_pinned_idle
+
+    @property
+    def is_answer_due(self) -> bool:
+        """Whether an endpoint may run something at this moment."""
+        return self._checkout is not None and self._idle_scope is None
+
+    def stop(self) -> None:
+        """End the session as soon as nothing is in flight."""
+        self.is_stopping = True
+        if not self.is_busy:
+            self._idle_scope.cancel()
 
     @property
     def running(self) -> Checkout | None:
@@ -118,9 +138,11 @@
             If the caller leaves without saying so.
         CodedError
             If the session cannot go on; the caller has not been told yet.
+            SHUTTING_DOWN after ``stop``.
         """
         try:
-            while not self.is_stopping or self.is_busy:
+            while True:
+                await self._wait_request()
                 batch = await read_batch(self._stream, self._limits.batch_limit_bytes)
                 if batch.end == kinds.TERMINATE:
                     return
@@ -128,6 +150,23 @@
         finally:
             await self._drop_checkout()
 
+    async def _wait_request(self) -> None:
+        with anyio.CancelScope() as self._idle_scope:
+            if self.is_stopping and not self.is_busy:
+                raise CodedError(ResultCode.SHUTTING_DOWN)
+            await self._stream.wait_frame()
+        is_stopped = self._idle_scope.cancelled_caught
+        if is_stopped:
+            await self._take_crossing_request()
+        self._idle_scope = None
+
+    async def _take_crossing_request(self) -> None:
+        """Take a request that arrives as the session is stopped, if one does."""
+        with anyio.move_on_after(_CROSSING_S):
+            await self._stream.wait_frame()
+        if not self._stream.has_frames:
+            raise CodedError(ResultCode.SHUTTING_DOWN)
+
     async def _serve(self, batch: Batch) -> None:
         started = self._clock.now()
         try:
--- a/goldcrestpond/wire/caller_stream.py
+++ b/goldcrestpond/wire/caller_stream.py
@@ -11,6 +11,7 @@
 from ..frames.frame_splitter import FrameSplitter
 
 RECEIVE_BYTES = 16384  # a usual request fits, and idle callers hold no buffer
+_LINGER_S = 1  # a caller that reads at all has read the last words by then
 
 
 class CallerGone(Exception):
@@ -37,12 +38,27 @@
 
     @property
     def has_frames(self) -> bool:
-        """Whether a frame that has arrived waits to be taken."""
-        return bool(self._frames)
+        """Whether a frame, or a part of one, has arrived and waits."""
+        return bool(self._frames) or self._splitter.pending_bytes > 0
 
     async def next_frame(self) -> Frame:
         """Return the next frame.
 
+        Raises
+        ------
+        CallerGone
+            If the connection ends before a frame is whole.
+        CodedError
+            MALFORMED_FRAME or FRAME_TOO_LARGE.
+        """
+        await self.wait_frame()
+        return self._frames.popleft()
+
+    async def wait_frame(self) -> None:
+        """Wait until a frame can be taken without waiting.
+
+        Cancelling loses nothing: bytes that have arrived are kept.
+
         Raises
         ------
         CallerGone
@@ -52,7 +68,6 @@
         """
         while not self._frames:
             self._frames.extend(self._splitter.feed(await self._receive()))
-        return self._frames.popleft()
 
     async def read_exactly(self, count: int) -> bytes:
         """Return ``count`` bytes that precede all frames, for the startup."""
@@ -88,6 +103,20 @@
         """The stream as it is now."""
         return self._stream
 
+    async def end_output(self) -> None:
+        """Say that nothing more follows, and drop what the caller still sends.
+
+        Closing a connection with unread bytes would discard the last words
+        that were sent on it.
+        """
+        with anyio.move_on_after(_LINGER_S):
+            try:
+                await self._stream.send_eof()
+                while True:
+                    await self._stream.receive(RECEIVE_BYTES)
+            except (*_LOST, AttributeError, NotImplementedError):
+                pass
+
     async def aclose(self) -> None:
         """Close the connection at once."""
         with anyio.CancelScope(shield=True), anyio.move_on_after(1):
--- /dev/null
+++ b/tests/test_graceful_shutdown.py
@@ -0,0 +1,151 @@
+"""Graceful shutdown of a proxy, over real sockets and as a process."""
+
+import signal
+import subprocess
+import sys
+
+import anyio
+import psycopg
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength
+
+from .site import asyncpg_connection, fuel_site, psycopg_connection
+
+pytestmark = pytest.mark.anyio
+
+INSERT = "INSERT INTO fuel_log (id, bus, litres) VALUES (%s, 'a', 1)"
+
+
+@pytest.fixture
+async def site():
+    async with fuel_site() as running:
+        yield running
+
+
+async def _litres_count(site):
+    async with await psycopg_connection(site, 1) as other:
+        cursor = await other.execute("SELECT id FROM fuel_log")
+        return len(await cursor.fetchall())
+
+
+async def test_idle_caller_is_told_to_go_elsewhere(site):
+    async with await psycopg_connection(site) as caller:
+        await caller.execute("SELECT 1")
+        await site.proxies[0].shutdown.run()
+        with pytest.raises(psycopg.errors.AdminShutdown) as caught:
+            await caller.execute("SELECT 1")
+        assert_that(str(caught.value), Contains("GP109"))
+    with pytest.raises(OSError):
+        await asyncpg_connection(site)
+
+
+async def test_request_and_transaction_in_flight_are_finished(site):
+    async with await psycopg_connection(site, autocommit=False) as caller:
+        await caller.execute(INSERT, (1,))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(site.proxies[0].shutdown.run)
+            await anyio.sleep(0.1)
+            await caller.execute("SELECT pg_sleep(0.2)")
+            await caller.execute(INSERT, (2,))
+            await caller.commit()
+    assert_that(await _litres_count(site), Equals(2))
+
+
+async def test_stream_of_requests_is_cut_between_two_of_them(site):
+    confirmed = []
+
+    async def write(number):
+        async with await psycopg_connection(site) as caller:
+            # libpq takes a FATAL that follows an answer closely as a notice, and
+            # then tells of the end of the connection alone.
+            with pytest.raises(psycopg.OperationalError):
+                for turn in range(10_000):
+                    key = number * 10_000 + turn
+                    await caller.execute(INSERT, (key,))
+                    confirmed.append(key)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(4):
+            tasks.start_soon(write, number)
+        await anyio.sleep(0.3)
+        await site.proxies[0].shutdown.run()
+    assert_that(len(confirmed) > 0, Equals(True))
+    assert_that(await _litres_count(site), Equals(len(confirmed)))
+
+
+async def test_caller_that_never_finishes_is_cut_and_rolled_back():
+    async with fuel_site(shutdown_timeout_ms=300) as site:
+        async with await psycopg_connection(site, autocommit=False) as caller:
+            await caller.execute(INSERT, (1,))
+            await site.proxies[0].shutdown.run()
+            with pytest.raises(psycopg.errors.AdminShutdown):
+                await caller.execute("SELECT 1")
+        assert_that(await _litres_count(site), Equals(0))
+
+
+async def test_statement_cut_at_the_deadline_is_unknown():
+    async with fuel_site(shutdown_timeout_ms=300) as site:
+        async with await psycopg_connection(site) as caller:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site.proxies[0].shutdown.run)
+                with pytest.raises(psycopg.Error) as caught:
+                    await caller.execute("SELECT pg_sleep(5)")
+            assert_that(caught.value.sqlstate, Equals("08007"))
+
+
+async def test_shutdown_during_a_failover_waits_for_the_new_primary(site):
+    async with await psycopg_connection(site) as caller:
+        await caller.execute(INSERT, (1,))
+        primary = site.proxies[0].services.find("fuel").monitor.primary
+        site.group.kill(primary.database)
+        async with anyio.create_task_group() as tasks:
+
+            async def shut_down():
+                await anyio.sleep(0.05)
+                await site.proxies[0].shutdown.run()
+
+            tasks.start_soon(shut_down)
+            await caller.execute(INSERT, (2,))
+    assert_that(await _litres_count(site), Equals(2))
+
+
+async def test_process_that_gets_sigterm_twice_finishes_its_request(tmp_path):
+    async with fuel_site(proxy_count=1) as site:
+        settings = tmp_path / "proxy.json"
+        settings.write_text(
+            '{"instance": "single", "listen": "127.0.0.1:0",'
+            f'"platform": "{site.platform.address}"}}'
+        )
+        program = "from goldcrestpond.cli.proxy import main; main()"
+        process = await anyio.open_process(
+            [sys.executable, "-c", program, str(settings)],
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            line = (await process.stdout.receive()).decode()
+            port = int(line.strip().rpartition(":")[2])
+            async with await psycopg.AsyncConnection.connect(
+                host="127.0.0.1",
+                port=port,
+                user="demo",
+                dbname="fuel",
+                autocommit=True,
+                sslmode="disable",
+            ) as caller:
+                async with anyio.create_task_group() as tasks:
+
+                    async def terminate():
+                        await anyio.sleep(0.1)
+                        process.send_signal(signal.SIGTERM)
+                        await anyio.sleep(0.1)
+                        process.send_signal(signal.SIGTERM)
+
+                    tasks.start_soon(terminate)
+                    cursor = await caller.execute("SELECT 3, pg_sleep(0.5)")
+                assert_that(await cursor.fetchall(), HasLength(1))
+            assert_that(await process.wait(), Equals(0))
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.aclose()
