--- a/bench/fleet_loop.py
+++ b/bench/fleet_loop.py
@@ -106,7 +106,7 @@
             random.Random(self.rng.getrandbits(64)),
             self._time_at(address),
         )
-        holder = StateHolder(self._time_at(address))
+        holder = StateHolder(self._time_at(address), self.rng)
         self.holders[address] = holder
         self.distributions[address] = self._distribution_class(
             member,
@@ -228,8 +228,8 @@
             holder.now = self._time_at(address)
             state = holder.state
             rows = [r for r in self.table.values() if r.revision > state.revision]
-            holder.apply(ConfigurationDelta(state.revision, self.revision, rows))
-            holder.confirm(state.epoch)
+            delta = ConfigurationDelta(state.revision, self.revision, rows)
+            holder.handle_answer(state.epoch, self.revision, delta, True)
 
     def _time_at(self, address: str) -> timedelta:
         return self.now + self.clock_offset.get(address, timedelta(0))
--- a/bench/state_holder.py
+++ b/bench/state_holder.py
@@ -1,5 +1,6 @@
 """Holds a configuration state without the shell around it."""
 
+import random
 from datetime import timedelta
 
 from goldcrestpond.configuration.configuration_state import (
@@ -15,6 +16,8 @@
     ----------
     now : timedelta
         Monotonic reading.
+    rng : random.Random
+        Source of the first epoch.
 
     Attributes
     ----------
@@ -26,8 +29,8 @@
 
     __slots__ = ("_state", "now", "reverts")
 
-    def __init__(self, now: timedelta):
-        self._state = ConfigurationState(now)
+    def __init__(self, now: timedelta, rng: random.Random):
+        self._state = ConfigurationState(now, rng)
         self.now = now
         self.reverts = 0
 
@@ -37,13 +40,14 @@
         self._state.observe_time(self.now)
         return self._state
 
-    def apply(self, update: ConfigurationUpdate) -> bool:
-        """Apply an update."""
+    def handle_answer(
+        self,
+        epoch: int,
+        revision: int,
+        update: ConfigurationUpdate | None,
+        is_confirmed: bool,
+    ) -> None:
+        """Take an answer in."""
         before = self._state.revision
-        moved = self.state.apply(update)
+        self.state.handle_answer(epoch, revision, update, is_confirmed)
         self.reverts += self._state.revision < before
-        return moved
-
-    def confirm(self, epoch: int) -> None:
-        """Note that a question asked at ``epoch`` was answered."""
-        self.state.confirm(epoch)
--- a/goldcrestpond/api/api_settings.py
+++ b/goldcrestpond/api/api_settings.py
@@ -16,6 +16,8 @@
         ``IP:PORT`` of the platform's service.
     tokens : list of str
         Bearer tokens of operators; without any, only loopback is admitted.
+    peer_key : str
+        Key of the fleet, as the proxies have it.
     platform_timeout_ms : int
         Time for one request to the platform.
     """
@@ -24,4 +26,5 @@
     address: str
     platform: str
     tokens: list[str] = []
+    peer_key: str = ""
     platform_timeout_ms: int = 2000
--- a/goldcrestpond/distribution/configuration_holder.py
+++ b/goldcrestpond/distribution/configuration_holder.py
@@ -12,8 +12,11 @@
     def state(self) -> ConfigurationState:
         """The state, with the present time noted in it."""
 
-    def apply(self, update: ConfigurationUpdate) -> bool:
-        """Apply an update of a peer; return True if the revision moved."""
-
-    def confirm(self, epoch: int) -> None:
-        """Note that a question asked at ``epoch`` was answered as a whole."""
+    def handle_answer(
+        self,
+        epoch: int,
+        revision: int,
+        update: ConfigurationUpdate | None,
+        is_confirmed: bool,
+    ) -> object:
+        """Take a peer's answer in, as `ConfigurationState.handle_answer` does."""
--- a/goldcrestpond/distribution/force_tree.py
+++ b/goldcrestpond/distribution/force_tree.py
@@ -94,6 +94,12 @@
             return []
         return self._claim.claim.counts
 
+    def present_claim(self, now: timedelta) -> ForceClaim:
+        """Return what is in force for one that is no member."""
+        held = self._claim.claim if self._claim else None
+        root_id, number = (held.root_id, held.number) if held else (0, 0)
+        return ForceClaim(self._own_id(), root_id, number, self.in_force(now))
+
     @property
     def is_root(self) -> bool:
         """True if this member holds itself for the root."""
--- a/goldcrestpond/distribution/update_exchange.py
+++ b/goldcrestpond/distribution/update_exchange.py
@@ -114,14 +114,12 @@
     def on_answer(self, answer: UpdateAnswer, source: str) -> list[Action]:
         """Take an answer in; fetch over a stream what did not fit."""
         self._asked_at = None
-        if answer.update is not None:
-            self._holder.apply(answer.update)
+        self._holder.handle_answer(answer.epoch, answer.revision, answer.update, True)
         state = self._holder.state
-        if answer.revision > state.revision:
-            request = UpdateRequest(self._own_id(), state.revision, state.epoch)
-            return [FetchUpdate(source, request)] if answer.update is None else []
-        self._holder.confirm(answer.epoch)
-        return []
+        if answer.revision <= state.revision or answer.update is not None:
+            return []
+        request = UpdateRequest(self._own_id(), state.revision, state.epoch)
+        return [FetchUpdate(source, request)]
 
     def _ask_random(self, now: timedelta) -> list[Action]:
         receivers = self._draw(1)
--- a/goldcrestpond/peer/codec.py
+++ b/goldcrestpond/peer/codec.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from ..distribution.force_claim import ForceClaim
+from ..distribution.force_query import ForceQuery
 from ..distribution.force_report import ForceReport
 from ..distribution.message import Message as DistributionMessage
 from ..distribution.revision_notice import RevisionNotice
@@ -20,7 +21,7 @@
 from . import distribution_codec, membership_codec
 from .schema import peer_schema
 
-PeerMessage = MembershipMessage | DistributionMessage
+PeerMessage = MembershipMessage | DistributionMessage | ForceQuery
 
 DATAGRAM_LIMIT_BYTES = 16 << 10
 _WORD_BYTES = 8
@@ -36,6 +37,7 @@
     UpdateAnswer: distribution_codec.write_update_answer,
     ForceReport: distribution_codec.write_force_report,
     ForceClaim: distribution_codec.write_force_claim,
+    ForceQuery: distribution_codec.write_force_query,
 }
 _READERS = {
     "probe": membership_codec.read_probe,
@@ -48,6 +50,7 @@
     "updateAnswer": distribution_codec.read_update_answer,
     "forceReport": distribution_codec.read_force_report,
     "forceClaim": distribution_codec.read_force_claim,
+    "forceQuery": distribution_codec.read_force_query,
 }
 
 
--- a/goldcrestpond/peer/distribution_codec.py
+++ b/goldcrestpond/peer/distribution_codec.py
@@ -10,6 +10,7 @@
 from ..configuration.configuration_state import ConfigurationUpdate
 from ..configuration.revision_count import RevisionCount
 from ..distribution.force_claim import ForceClaim
+from ..distribution.force_query import ForceQuery
 from ..distribution.force_report import ForceReport
 from ..distribution.revision_notice import RevisionNotice
 from ..distribution.update_answer import UpdateAnswer
@@ -86,6 +87,16 @@
     return ForceClaim(sender_id, body.rootId, body.number, _read_counts(body.counts))
 
 
+def write_force_query(envelope: Any, query: ForceQuery) -> None:
+    """Fill the envelope with a question for what is in force."""
+    envelope.forceQuery = None
+
+
+def read_force_query(sender_id: int, body: Any) -> ForceQuery:
+    """Return the question for what is in force of an envelope."""
+    return ForceQuery(sender_id)
+
+
 def _read_update(union: Any) -> ConfigurationUpdate | None:
     match str(union.which()):
         case "delta":
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
@@ -13,6 +12,7 @@
 from ..distribution.distribution import Distribution
 from ..distribution.distribution_settings import DistributionSettings
 from ..distribution.fetch_update import FetchUpdate
+from ..distribution.force_query import ForceQuery
 from ..distribution.message import Message as DistributionMessage
 from ..distribution.message_received import MessageReceived as DistributionReceived
 from ..distribution.update_answer import UpdateAnswer
@@ -36,14 +36,13 @@
     decode_message,
     encode_message,
 )
+from .list_seeds import ListSeeds
 from .peer_settings import PeerSettings
 from .seal import Seal
 from .update_stream import ask_over_stream, receive_framed, send_framed
 
 _logger = logging.getLogger(__name__)
 
-ListSeeds = Callable[[], Awaitable[list[str]]]
-
 _SEED_PERIOD_S = 5.0
 _SEED_PERIOD_ALONE_S = 0.5
 _OUTGOING_LIMIT = 1000
@@ -61,8 +60,7 @@
     holder : ConfigurationHolder
         Configuration of the process.
     list_seeds : callable
-        Returns ``IP:PORT`` of peers from the platform's lagging list; may
-        raise ``CodedError``.
+        Returns ``IP:PORT`` of peers from the platform's lagging list.
     clock : Clock
         Source of monotonic readings.
     rng : random.Random
@@ -106,6 +104,11 @@
         self.malformed_count = 0
         self.dropped_count = 0
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self._settings.instance
+
     @property
     def members(self) -> list[MemberUpdate]:
         """Live instances, this one included; empty before `run` started."""
@@ -268,14 +271,10 @@
 
     async def _refresh_seeds(self) -> None:
         while True:
-            try:
-                seeds = await self._list_seeds()
-            except CodedError as error:
-                _logger.debug("peer: no list of instances: %s", error)
-            else:
-                own = str(self.address)
-                listed = SeedsListed(tuple(seed for seed in seeds if seed != own))
-                self._perform(self._membership.handle(listed, self._clock.now()))
+            seeds = await self._list_seeds()
+            own = str(self.address)
+            listed = SeedsListed(tuple(seed for seed in seeds if seed != own))
+            self._perform(self._membership.handle(listed, self._clock.now()))
             alone = self.member_count <= 1
             await anyio.sleep(_SEED_PERIOD_ALONE_S if alone else _SEED_PERIOD_S)
 
@@ -318,10 +317,13 @@
                 _logger.debug("peer: a stream broke off: %s", type(error).__name__)
 
     async def _answer_stream(self, stream: SocketStream) -> None:
-        request = await receive_framed(stream, self._seal)
-        if not isinstance(request, UpdateRequest):
-            raise CodedError(ResultCode.PEER_MALFORMED, "not a request")
-        answer = self._distribution.answer(request)
+        match await receive_framed(stream, self._seal):
+            case UpdateRequest() as request:
+                answer = self._distribution.answer(request)
+            case ForceQuery():
+                answer = self._distribution.present_claim(self._clock.now())
+            case _:
+                raise CodedError(ResultCode.PEER_MALFORMED, "not a request")
         if answer is not None:
             await send_framed(stream, self._seal, answer)
 
--- a/goldcrestpond/root/api.py
+++ b/goldcrestpond/root/api.py
@@ -14,6 +14,8 @@
 from ..api.status_reader import ReadInForce
 from ..clock.clock import Clock
 from ..clock.system_clock import SystemClock
+from ..peer.force_reader import ForceReader
+from ..peer.list_seeds import seeds_of
 from ..platform.configuration_source import ConfigurationSource
 from ..platform.http_platform import HttpPlatform
 from ..platform.platform import Platform
@@ -53,9 +55,10 @@
         source = ConfigurationSource(platform, clock, rng, settings.instance)
         await tasks.start(source.run)
         address = parse_address(settings.address)
-        # Without peers, no live instance is known.
+        reader = ForceReader(seeds_of(platform), settings.peer_key, clock, rng)
+        await tasks.start(reader.run)
         async with serve_api(
-            address, platform, source, list, settings.tokens, clock, rng
+            address, platform, source, reader.in_force, settings.tokens, clock, rng
         ) as bound:
             yield bound
         tasks.cancel_scope.cancel()
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
+from ..api.api_settings import ApiSettings
 from ..clock.system_clock import SystemClock
 from ..configuration.database_group_spec import DatabaseGroupSpec
 from ..configuration.database_spec import DatabaseSpec
@@ -13,11 +14,13 @@
 from ..configuration.route_spec import RouteSpec
 from ..configuration.stored_resource import encode_stored
 from ..platform.http_platform import HttpPlatform
+from ..platform.instance_entry import InstanceEntry
 from ..settings.address import Address
 from ..settings.proxy_settings import ProxySettings
 from ..standin.database_group import DatabaseGroup, run_database_group
 from ..standin.database_group_settings import DatabaseGroupSettings, StandinDatabase
 from ..standin.platform_standin import PlatformStandin, run_platform
+from .api import run_api
 from .local_site_settings import LocalSiteSettings
 from .proxy import Proxy, run_proxy
 
@@ -37,11 +40,14 @@
         Stand-in of the database group.
     proxies : list of Proxy
         The proxies.
+    api : Address or None
+        Where the resource API listens, if there is one.
     """
 
     platform: PlatformStandin
     group: DatabaseGroup
     proxies: list[Proxy]
+    api: Address | None = None
 
 
 @asynccontextmanager
@@ -59,17 +65,26 @@
             run_database_group(_group_settings(settings), clock)
         )
         revision = await _write_resources(settings, platform, group)
-        proxies = [
-            await stack.enter_async_context(
-                run_proxy(
-                    _proxy_settings(settings, platform, i), seed=settings.seed + i
-                )
+        proxies: list[Proxy] = []
+        for i in range(settings.proxy_count):
+            proxy = run_proxy(
+                _proxy_settings(settings, platform, i), seed=settings.seed + i
             )
-            for i in range(settings.proxy_count)
-        ]
+            proxies.append(await stack.enter_async_context(proxy))
+            platform.set_instances([_instance_entry(started) for started in proxies])
         for proxy in proxies:
             await proxy.configuration.wait_revision(revision)
-        yield LocalSite(platform, group, proxies)
+        api = None
+        if settings.api_port is not None:
+            api_settings = ApiSettings(
+                "api-1", f"{LOOPBACK}:{settings.api_port}", str(platform.address)
+            )
+            api = await stack.enter_async_context(run_api(api_settings, clock))
+        yield LocalSite(platform, group, proxies, api)
+
+
+def _instance_entry(proxy: Proxy) -> InstanceEntry:
+    return InstanceEntry(proxy.peers.name, str(proxy.peers.address))
 
 
 def _group_settings(settings: LocalSiteSettings) -> DatabaseGroupSettings:
@@ -100,6 +115,7 @@
         instance=name,
         listen=f"{LOOPBACK}:{port}",
         platform=str(platform.address),
+        peer_listen=f"{LOOPBACK}:0",
         events_file=events_file,
         shutdown_timeout_ms=settings.shutdown_timeout_ms,
     )
--- a/goldcrestpond/root/local_site_settings.py
+++ b/goldcrestpond/root/local_site_settings.py
@@ -38,8 +38,9 @@
         Further time until its reads show it.
     caller_port : int
         Port of the first proxy; 0 lets the operating system choose.
-    api_port : int
-        Port of the resource API; 0 runs none.
+    api_port : int or None
+        Port of the resource API; 0 lets the operating system choose, None runs
+        none.
     event_folder : str
         Folder for the time lines of the processes; empty for none.
     shutdown_timeout_ms : int
@@ -61,7 +62,7 @@
     receive_delay_ms: float = 1.0
     replay_lag_ms: float = 20.0
     caller_port: int = 0
-    api_port: int = 0
+    api_port: int | None = None
     event_folder: str = ""
     shutdown_timeout_ms: int = 30_000
     seed: int = 1
--- /dev/null
+++ b/goldcrestpond/root/peers.py
@@ -0,0 +1,28 @@
+"""Wires a process to its peers."""
+
+import random
+
+from ..clock.clock import Clock
+from ..distribution.configuration_holder import ConfigurationHolder
+from ..events.recorder import EventRecorder
+from ..peer.list_seeds import seeds_of
+from ..peer.peer_node import PeerNode
+from ..peer.peer_settings import PeerSettings
+from ..platform.platform import Platform
+from ..settings.address import parse_address
+from ..settings.proxy_settings import ProxySettings
+
+
+def make_peer_node(
+    settings: ProxySettings,
+    holder: ConfigurationHolder,
+    platform: Platform,
+    clock: Clock,
+    rng: random.Random,
+    events: EventRecorder,
+) -> PeerNode:
+    """Return the node of a proxy; it takes part once it runs."""
+    listen = parse_address(settings.peer_listen or "127.0.0.1:0")
+    identity = PeerSettings(settings.instance, settings.zone, listen, settings.peer_key)
+    list_seeds = seeds_of(platform, settings.peer_seeds)
+    return PeerNode(identity, holder, list_seeds, clock, rng, events)
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -15,6 +15,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
+from ..peer.peer_node import PeerNode
 from ..platform.configuration_source import ConfigurationSource
 from ..platform.http_platform import HttpPlatform
 from ..settings.address import Address, parse_address
@@ -26,6 +27,7 @@
 from .event_sink import open_event_sink
 from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
+from .peers import make_peer_node
 from .stats import make_stats
 
 _BACKLOG = 1024  # callers that reconnect all at once after a failure
@@ -49,6 +51,8 @@
         Its counters.
     shutdown : GracefulShutdown
         Ends it without cutting what is in flight.
+    peers : PeerNode
+        The instances that it knows.
     """
 
     address: Address
@@ -57,6 +61,7 @@
     configuration: ConfigurationSource
     metrics: SessionMetrics
     shutdown: GracefulShutdown
+    peers: PeerNode
 
 
 @asynccontextmanager
@@ -85,10 +90,23 @@
     with open_event_sink(settings.events_file) as write_line:
         events = EventRecorder(settings.instance, clock, write_line)
         async with platform, anyio.create_task_group() as tasks:
-            source = ConfigurationSource(platform, clock, rng, settings.instance)
+            source = ConfigurationSource(
+                platform,
+                clock,
+                rng,
+                settings.instance,
+                lambda: peers.live_names,
+                lambda: peers.known_count,
+            )
+            peers = make_peer_node(settings, source, platform, clock, rng, events)
+            source.subscribe(lambda _: peers.wake())
             services = GroupServices(settings, platform, clock, rng, events, tasks)
             source.subscribe(services.apply)
-            proxy = await _listen(settings, clock, events, source, services, tasks)
+            proxy = await _listen(
+                settings, clock, events, source, services, peers, tasks
+            )
+            if settings.peer_listen:
+                await tasks.start(peers.run)
             await tasks.start(source.run)
             events.record("root", "started", address=proxy.address)
             yield proxy
@@ -102,6 +120,7 @@
     events: EventRecorder,
     source: ConfigurationSource,
     services: GroupServices,
+    peers: PeerNode,
     tasks: TaskGroup,
 ) -> Proxy:
     metrics = SessionMetrics(
@@ -123,7 +142,8 @@
     tasks.start_soon(callers.serve, listener, tasks)
     timeout = timedelta(milliseconds=settings.shutdown_timeout_ms)
     shutdown = GracefulShutdown(callers, timeout, clock, events)
-    return Proxy(Address(host, port), callers, services, source, metrics, shutdown)
+    address = Address(host, port)
+    return Proxy(address, callers, services, source, metrics, shutdown, peers)
 
 
 async def _open_listener(address: Address) -> anyio.abc.Listener:
--- a/goldcrestpond/schema/peer.capnp
+++ b/goldcrestpond/schema/peer.capnp
@@ -94,5 +94,6 @@
     updateAnswer @8 :UpdateAnswer;
     forceReport @9 :ForceReport;
     forceClaim @10 :ForceClaim;
+    forceQuery @11 :Void;
   }
 }
--- a/goldcrestpond/settings/proxy_settings.py
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -18,6 +18,15 @@
         ``IP:PORT`` for callers.
     platform : str
         ``IP:PORT`` of the platform's service.
+    peer_listen : str
+        ``IP:PORT`` for other instances over UDP and TCP, as the platform's
+        list of instances gives it; empty for an instance without peers.
+    peer_seeds : list of str
+        ``IP:PORT`` of a few other instances, for a start while the platform's
+        list cannot be read.
+    peer_key : str
+        Key of the fleet, at most 64 bytes; empty on networks that only
+        instances reach.
     statsd : str
         ``IP:PORT`` of the statsd server; empty for no metrics.
     metrics_sample_rate : float
@@ -46,6 +55,9 @@
     listen: str
     platform: str
     zone: str = ""
+    peer_listen: str = ""
+    peer_seeds: list[str] = []
+    peer_key: str = ""
     statsd: str = ""
     metrics_sample_rate: float = 0.1
     events_file: str = ""
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -11,6 +11,7 @@
 from goldcrestpond.configuration.configuration_snapshot import ConfigurationSnapshot
 from goldcrestpond.configuration.revision_count import RevisionCount
 from goldcrestpond.distribution.force_claim import ForceClaim
+from goldcrestpond.distribution.force_query import ForceQuery
 from goldcrestpond.distribution.force_report import ForceReport
 from goldcrestpond.distribution.revision_notice import RevisionNotice
 from goldcrestpond.distribution.update_answer import UpdateAnswer
@@ -76,6 +77,7 @@
         | st.builds(ConfigurationSnapshot, _U32, _CHANGES),
     ),
     st.builds(ForceReport, _U64, _U64, _COUNTS),
+    st.builds(ForceQuery, _U64),
     st.builds(ForceClaim, _U64, _U64, _U64, _COUNTS),
 )
 
