--- a/goldcrestpond/api/api_settings.py
+++ b/goldcrestpond/api/api_settings.py
@@ -27,4 +27,4 @@
     platform: str
     tokens: list[str] = []
     peer_key: str = ""
-    platform_timeout_ms: int = 2000
+    platform_timeout_ms: int = 10_000
--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -7,8 +7,8 @@
 import anyio
 import msgspec
 
-from ..clock.clock import Clock
 from ..configuration.change_batch import change_batch, request_digest
+from ..configuration.change_error import ChangeError
 from ..configuration.change_plan import ChangePlan
 from ..configuration.change_request import ChangeRequest
 from ..configuration.configuration_change import ConfigurationChange
@@ -27,14 +27,13 @@
 from ..platform.platform_conflict import PlatformConflict
 from ..platform.read_all_changes import read_all_changes
 from ..platform.write import Write
-from .change_attempts import ChangeAttempts
 from .change_outcome import ChangeOutcome
 from .outcome_cleaner import OutcomeCleaner
+from .pending_change import PendingChange
+from .race_attempts import race_attempts
 
 # An operator waits this long for a change before its outcome counts as unknown.
 DEFAULT_PATIENCE = timedelta(seconds=10)
-_PAUSE_MIN_S = 0.01
-_PAUSE_MAX_S = 0.25
 _CLEAN_EVERY = 32
 
 
@@ -49,8 +48,6 @@
     ----------
     platform : Platform
         The platform's service.
-    clock : Clock
-        Source of monotonic readings.
     rng : random.Random
         Source of idempotency keys and of pauses; seeded differently in each
         process.
@@ -67,7 +64,6 @@
 
     __slots__ = (
         "_cleaner",
-        "_clock",
         "_on_written",
         "_patience",
         "_platform",
@@ -79,14 +75,12 @@
     def __init__(
         self,
         platform: Platform,
-        clock: Clock,
         rng: random.Random,
         on_written: Callable[[], object],
         patience: timedelta = DEFAULT_PATIENCE,
     ):
         self.table = ResourceTable()
         self._platform = platform
-        self._clock = clock
         self._rng = rng
         self._on_written = on_written
         self._patience = patience
@@ -124,63 +118,60 @@
             PLATFORM_UNAVAILABLE if the outcome is unknown: ask again with the
             same key.
         """
-        attempts = ChangeAttempts(
+        change = PendingChange(
             request=request,
             key=idempotency_key or f"{self._rng.getrandbits(128):032x}",
-            deadline=self._clock.now() + self._patience,
             may_have_taken_effect=bool(idempotency_key),
         )
-        while True:
-            outcome = await self._try_attempt(attempts)
-            if outcome is not None:
-                await self._after_write()
-                return outcome
-            await self._pause(attempts)
-
-    async def _try_attempt(self, attempts: ChangeAttempts) -> ChangeOutcome | None:
-        remaining = attempts.deadline - self._clock.now()
         try:
-            with anyio.fail_after(max(0.0, remaining.total_seconds())):
-                return await self._attempt(attempts)
+            with anyio.fail_after(self._patience.total_seconds()):
+                outcome = await race_attempts(
+                    lambda: self._attempt(change), _is_retried, self._rng
+                )
         except TimeoutError:
-            raise attempts.gave_up() from None
-        except CodedError as error:
-            if not _is_retried(error):
-                raise
-            return None
+            raise change.gave_up() from None
+        await self._after_write()
+        return outcome
 
-    async def _attempt(self, attempts: ChangeAttempts) -> ChangeOutcome:
+    async def _attempt(self, change: PendingChange) -> ChangeOutcome:
         await self.refresh()
-        # Read after the refresh: if the table shows this change, so does this.
-        earlier = await self._find_outcome(attempts)
+        earlier = await self._find_outcome(change)
         if earlier is not None:
             return earlier
-        plan = plan_change(self.table, attempts.request)
+        try:
+            plan = plan_change(self.table, change.request)
+        except ChangeError:
+            # The refusal may come from an earlier attempt that took effect
+            # since; the table shows its effect, so its outcome is there too.
+            earlier = await self._find_outcome(change)
+            if earlier is None:
+                raise
+            return earlier
         if not plan.writes:
-            return ChangeOutcome(attempts.request.action, plan.resource)
-        return await self._write(attempts, plan)
+            return ChangeOutcome(change.request.action, plan.resource)
+        return await self._write(change, plan)
 
-    async def _find_outcome(self, attempts: ChangeAttempts) -> ChangeOutcome | None:
-        if not attempts.may_have_taken_effect:
+    async def _find_outcome(self, change: PendingChange) -> ChangeOutcome | None:
+        if not change.may_have_taken_effect:
             return None
-        row = await self._platform.read(outcome_key(attempts.key))
+        row = await self._platform.read(outcome_key(change.key))
         if row is None or row.value is None:
             return None
         stored = msgspec.json.decode(row.value, type=StoredOutcome)
-        if stored.digest != request_digest(attempts.request):
+        if stored.digest != request_digest(change.request):
             detail = "the idempotency key belongs to another request"
             raise CodedError(ResultCode.IDEMPOTENCY_MISMATCH, detail)
         return ChangeOutcome(stored.action, outcome_resource(stored, row.revision))
 
-    async def _write(self, attempts: ChangeAttempts, plan: ChangePlan) -> ChangeOutcome:
-        batch = change_batch(attempts.request, plan, attempts.key)
+    async def _write(self, change: PendingChange, plan: ChangePlan) -> ChangeOutcome:
+        batch = change_batch(change.request, plan, change.key)
         conditions = [Condition(write.key, write.expected_revision) for write in batch]
         writes = [Write(write.key, write.value) for write in batch]
-        attempts.may_have_taken_effect = True
+        change.may_have_taken_effect = True
         last_revision = await self._platform.batch(conditions, writes)
         version = last_revision - len(batch) + 1
         resource = msgspec.structs.replace(plan.resource, resource_version=version)
-        return ChangeOutcome(attempts.request.action, resource)
+        return ChangeOutcome(change.request.action, resource)
 
     async def _after_write(self) -> None:
         self._on_written()
@@ -188,13 +179,6 @@
         if self._written_count % _CLEAN_EVERY == 0:
             await self._cleaner.clean()
 
-    async def _pause(self, attempts: ChangeAttempts) -> None:
-        attempts.count += 1
-        if self._clock.now() >= attempts.deadline:
-            raise attempts.gave_up()
-        pause_s = min(_PAUSE_MAX_S, _PAUSE_MIN_S * 2**attempts.count)
-        await anyio.sleep(self._rng.uniform(0, pause_s))
-
 
 def _is_retried(error: CodedError) -> bool:
     if isinstance(error, PlatformConflict):
--- a/goldcrestpond/api/change_attempts.py
+++ b/goldcrestpond/api/pending_change.py
@@ -1,7 +1,6 @@
-"""The attempts to carry out one change."""
+"""A change that is tried until it is answered."""
 
 from dataclasses import dataclass
-from datetime import timedelta
 
 from ..configuration.change_request import ChangeRequest
 from ..errors.coded_error import CodedError
@@ -9,8 +8,8 @@
 
 
 @dataclass(slots=True)
-class ChangeAttempts:
-    """State of a change that is tried until its deadline.
+class PendingChange:
+    """State that all attempts of one change share.
 
     Attributes
     ----------
@@ -18,20 +17,14 @@
         The change.
     key : str
         Idempotency key of all attempts.
-    deadline : timedelta
-        Monotonic reading after which it is given up.
     may_have_taken_effect : bool
         True if an attempt, or an earlier request with the key, may have
         written.
-    count : int
-        Attempts so far.
     """
 
     request: ChangeRequest
     key: str
-    deadline: timedelta
     may_have_taken_effect: bool
-    count: int = 0
 
     def gave_up(self) -> CodedError:
         """Return the error that ends the attempts."""
--- /dev/null
+++ b/goldcrestpond/api/race_attempts.py
@@ -0,0 +1,84 @@
+"""Repeats an operation whose attempts may hang."""
+
+import math
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+import anyio
+from anyio.abc import ObjectSendStream
+
+from ..errors.coded_error import CodedError
+
+_T = TypeVar("_T")
+
+# An attempt without an answer for so long is joined by another one.
+_JOIN_AFTER_S = 0.5
+_PAUSE_MIN_S = 0.01
+_PAUSE_MAX_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended(Generic[_T]):
+    """How an attempt ended: a value or an error."""
+
+    value: _T | None = None
+    error: CodedError | None = None
+
+
+async def race_attempts(
+    attempt: Callable[[], Awaitable[_T]],
+    is_retried: Callable[[CodedError], bool],
+    rng: random.Random,
+) -> _T:
+    """Start attempts until one of them ends for good, then cancel the others.
+
+    Whichever attempts take effect, the operation must have its effect once.
+
+    Parameters
+    ----------
+    attempt : callable
+        Makes one attempt.
+    is_retried : callable
+        Says whether an error asks for another attempt.
+    rng : random.Random
+        Spreads the pauses after errors.
+
+    Raises
+    ------
+    CodedError
+        The first error that asks for no other attempt.
+    """
+    send, receive = anyio.create_memory_object_stream[_Ended[_T]](math.inf)
+    final: _Ended[_T] | None = None
+    started_count = 0
+    async with send, receive, anyio.create_task_group() as tasks:
+        while final is None:
+            tasks.start_soon(_run_attempt, attempt, send)
+            started_count += 1
+            with anyio.move_on_after(_JOIN_AFTER_S):
+                ended = await receive.receive()
+                if ended.error is None or not is_retried(ended.error):
+                    final = ended
+                else:
+                    await anyio.sleep(_pause_s(started_count, rng))
+        tasks.cancel_scope.cancel()
+    if final.error is not None:
+        raise final.error
+    return final.value
+
+
+async def _run_attempt(
+    attempt: Callable[[], Awaitable[_T]], send: ObjectSendStream[_Ended[_T]]
+) -> None:
+    try:
+        ended = _Ended(value=await attempt())
+    except CodedError as error:
+        ended = _Ended(error=error)
+    await send.send(ended)
+
+
+def _pause_s(started_count: int, rng: random.Random) -> float:
+    longest_s = min(_PAUSE_MAX_S, _PAUSE_MIN_S * 2 ** min(started_count, 10))
+    return rng.uniform(0, longest_s)
--- a/goldcrestpond/api/resource_api.py
+++ b/goldcrestpond/api/resource_api.py
@@ -12,7 +12,6 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from ..clock.clock import Clock
 from ..configuration.change_action import ChangeAction
 from ..configuration.change_error import ChangeError
 from ..configuration.change_request import ChangeRequest
@@ -54,8 +53,6 @@
         Returns the revisions in force on live instances.
     tokens : list of str
         Bearer tokens; without any, only loopback is admitted.
-    clock : Clock
-        Source of monotonic readings.
     rng : random.Random
         Source of idempotency keys, seeded differently in each process.
     """
@@ -74,13 +71,12 @@
         source: ConfigurationSource,
         read_in_force: ReadInForce,
         tokens: list[str],
-        clock: Clock,
         rng: random.Random,
     ):
         self._source = source
         self._tokens = tokens
         self._read_in_force = read_in_force
-        self._executor = ChangeExecutor(platform, clock, rng, source.request_read)
+        self._executor = ChangeExecutor(platform, rng, source.request_read)
         self._status_reader = StatusReader(self._executor.table, read_in_force)
 
     def application(self) -> Starlette:
--- a/goldcrestpond/platform/configuration_source.py
+++ b/goldcrestpond/platform/configuration_source.py
@@ -29,7 +29,7 @@
 
 # Reads that were started and not answered; a new one starts at each interval,
 # so that the end of an outage is seen while old reads still hang.
-_READS_IN_FLIGHT_MAX = 8
+_READS_IN_FLIGHT_MAX = 32
 _JITTER_MAX = 1.2
 
 Subscriber = Callable[[Configuration], object]
--- a/goldcrestpond/platform/http_platform.py
+++ b/goldcrestpond/platform/http_platform.py
@@ -33,7 +33,8 @@
 
 # Half of what an operator waits for a change to be in force.
 DEFAULT_TIMEOUT = timedelta(seconds=1)
-_CONNECTION_LIMIT = 16
+# Reads and attempts that a silent store never answers occupy some of them.
+_CONNECTION_LIMIT = 64
 _EXPECTED_STATUSES = frozenset({200, 404, 412})
 
 
--- a/goldcrestpond/root/api.py
+++ b/goldcrestpond/root/api.py
@@ -50,15 +50,19 @@
     clock = clock or SystemClock()
     rng = random.Random(seed)
     timeout = timedelta(milliseconds=settings.platform_timeout_ms)
-    platform = HttpPlatform(parse_address(settings.platform), timeout)
-    async with platform, anyio.create_task_group() as tasks:
+    store = parse_address(settings.platform)
+    # The list of instances is asked for again soon if a request hangs; changes
+    # and reads of the table run side by side and may be slow.
+    listing = HttpPlatform(store)
+    platform = HttpPlatform(store, timeout)
+    async with listing, platform, anyio.create_task_group() as tasks:
         source = ConfigurationSource(platform, clock, rng, settings.instance)
         await tasks.start(source.run)
         address = parse_address(settings.address)
-        reader = ForceReader(seeds_of(platform), settings.peer_key, clock, rng)
+        reader = ForceReader(seeds_of(listing), settings.peer_key, clock, rng)
         await tasks.start(reader.run)
         async with serve_api(
-            address, platform, source, reader.in_force, settings.tokens, clock, rng
+            address, platform, source, reader.in_force, settings.tokens, rng
         ) as bound:
             yield bound
         tasks.cancel_scope.cancel()
@@ -71,7 +75,6 @@
     source: ConfigurationSource,
     read_in_force: ReadInForce,
     tokens: list[str],
-    clock: Clock,
     rng: random.Random,
 ) -> AsyncIterator[Address]:
     """Serve the resource API with the parts of a running process.
@@ -88,8 +91,6 @@
         Returns the revisions in force on live instances.
     tokens : list of str
         Bearer tokens; without any, the address must be on loopback.
-    clock : Clock
-        Source of monotonic readings.
     rng : random.Random
         Source of randomness, seeded differently in each process.
 
@@ -99,6 +100,6 @@
         Where it listens.
     """
     check_tokens_for_address(address.host, tokens)
-    api = ResourceApi(platform, source, read_in_force, tokens, clock, rng)
+    api = ResourceApi(platform, source, read_in_force, tokens, rng)
     async with serve_http(api.application(), address) as bound:
         yield bound
--- /dev/null
+++ b/tests/test_change_executor.py
@@ -0,0 +1,128 @@
+"""Changes whose attempts hang, overlap and lose their answers."""
+
+import random
+from datetime import timedelta
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength
+
+from goldcrestpond.api.change_executor import ChangeExecutor
+from goldcrestpond.api.outcome_cleaner import OutcomeCleaner
+from goldcrestpond.configuration.change_action import ChangeAction
+from goldcrestpond.configuration.change_request import ChangeRequest
+from goldcrestpond.configuration.kind import Kind
+from goldcrestpond.configuration.stored_outcome import OUTCOME_PREFIX
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.platform.condition import Condition
+from goldcrestpond.platform.row import Row
+from goldcrestpond.platform.write import Write
+from goldcrestpond.standin.table import Table
+
+pytestmark = pytest.mark.anyio
+
+_CREATE = ChangeRequest(ChangeAction.CREATE, Kind.READ_POLICY, "p", {"max_age_ms": 1})
+
+
+class MemoryPlatform:
+    """The platform's table without a network between, with hooks for faults."""
+
+    def __init__(self):
+        self.table = Table()
+        self.batches = []
+        self.before_read = None
+
+    async def read(self, key):
+        row = self.table.read(key)
+        if self.before_read is not None:
+            await self.before_read()
+        return None if row.value is None else Row(key, row.value, row.revision)
+
+    async def changes(self, prefix, after_revision, limit):
+        return self.table.changes(prefix, after_revision, limit)
+
+    async def batch(self, conditions, writes):
+        self.batches.append((conditions, writes))
+        return self.table.batch(conditions, writes)
+
+
+class LosingPlatform(MemoryPlatform):
+    """Gets each batch late: it takes effect when the test says so."""
+
+    async def batch(self, conditions, writes):
+        self.batches.append((conditions, writes))
+        if len(self.batches) == 1:
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE)
+        return self.table.batch(conditions, writes)
+
+
+class HangingPlatform(MemoryPlatform):
+    """Never answers the first batch, which takes effect."""
+
+    async def batch(self, conditions, writes):
+        written = await super().batch(conditions, writes)
+        if len(self.batches) == 1:
+            await anyio.sleep_forever()
+        return written
+
+
+class DeadPlatform(MemoryPlatform):
+    """Never answers."""
+
+    async def changes(self, prefix, after_revision, limit):
+        await anyio.sleep_forever()
+
+
+def make_executor(platform, patience=timedelta(seconds=10)):
+    return ChangeExecutor(platform, random.Random(1), lambda: None, patience)
+
+
+def generation_count(platform):
+    rows = platform.table.changes("configuration/resource/", 0, 99).rows
+    return len(rows)
+
+
+async def test_change_that_lands_between_check_and_plan_is_not_refused():
+    platform = LosingPlatform()
+    executor = make_executor(platform)
+
+    async def land_first_batch():
+        platform.before_read = None
+        platform.table.batch(*platform.batches[0])
+        await executor.refresh()
+
+    platform.before_read = land_first_batch
+    outcome = await executor.execute(_CREATE)
+    assert_that(outcome.resource.generation, Equals(1))
+    assert_that(generation_count(platform), Equals(1))
+
+
+async def test_attempt_that_hangs_is_joined_by_one_that_finds_its_outcome():
+    platform = HangingPlatform()
+    outcome = await make_executor(platform).execute(_CREATE)
+    assert_that(outcome.resource.resource_version, Equals(1))
+    assert_that(generation_count(platform), Equals(1))
+
+
+@pytest.mark.parametrize("key,word", [("", "nothing was changed"), ("k", "unknown")])
+async def test_giving_up_tells_the_truth(key, word):
+    executor = make_executor(DeadPlatform(), timedelta(milliseconds=50))
+    with pytest.raises(CodedError) as caught:
+        await executor.execute(_CREATE, key)
+    assert_that(caught.value.code, Equals(ResultCode.PLATFORM_UNAVAILABLE))
+    assert_that(caught.value.detail, Contains(word))
+
+
+async def test_outcomes_are_bounded_and_the_oldest_go_first():
+    platform = MemoryPlatform()
+    cleaner = OutcomeCleaner(platform, kept_count=3)
+    for number in range(8):
+        key = f"{OUTCOME_PREFIX}{number}"
+        platform.table.batch([Condition(key, 0)], [Write(key, b"1")])
+        await cleaner.clean()
+    rows = platform.table.changes(OUTCOME_PREFIX, 0, 99).rows
+    kept = [row.key[-1] for row in rows if row.value is not None]
+    assert_that(kept, Equals(["5", "6", "7"]))
+    assert_that(kept, HasLength(3))
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -1,6 +1,7 @@
 """The resource API over real sockets."""
 
 import json
+from datetime import timedelta
 
 import anyio
 import httpx
@@ -258,3 +259,46 @@
         assert_that((await client.get("/v1/Route")).status_code, Equals(200))
 
     run_with_apis(scenario)
+
+
+@pytest.mark.parametrize("faults", [{"silent": True}, {"delay_ms": 700}])
+def test_change_during_a_silent_or_very_slow_store_is_answered(faults):
+    async def scenario(standin, client):
+        for name, value in faults.items():
+            setattr(standin.faults, name, value)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(end_silence, standin)
+            spec = {"max_age_ms": 5}
+            created = await create(client, "ReadPolicy", "p", spec)
+        assert_that(summary(created), has_status(201, generation=1))
+
+    async def end_silence(standin):
+        await anyio.sleep(0.8)
+        standin.faults.silent = False
+
+    run_with_apis(scenario, timeout=timedelta(seconds=10))
+
+
+def test_racing_operators_of_two_apis_are_ordered_and_each_counted_once():
+    async def scenario(standin, first, second):
+        await create(first, "ReadPolicy", "p", {"max_age_ms": 0})
+        accepted = []
+
+        async def operate(client, number):
+            for step in range(5):
+                patch = {"spec": {"max_age_ms": 100 * number + step + 1}}
+                response = await client.patch("/v1/ReadPolicy/p", json=patch)
+                assert_that(response.status_code, Equals(200))
+                accepted.append(response.json())
+
+        async with anyio.create_task_group() as tasks:
+            standin.faults.lose_next_answers = 3
+            for number, client in enumerate([first, second, first, second]):
+                tasks.start_soon(operate, client, number)
+        accepted.sort(key=lambda body: body["resourceVersion"])
+        generations = [body["generation"] for body in accepted]
+        assert_that(generations, Equals(list(range(2, 22))))
+        last = (await first.get("/v1/ReadPolicy/p")).json()
+        assert_that(last["spec"], Equals(accepted[-1]["spec"]))
+
+    run_with_apis(scenario, count=2)
