--- a/goldcrestpond/configuration/route_spec.py
+++ b/goldcrestpond/configuration/route_spec.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .field_types import DurationMs, Name, OptionalName
+from .field_types import DurationMs, Name, OptionalName, OptionalTable
 
 
 class RouteSpec(msgspec.Struct, forbid_unknown_fields=True):
@@ -27,7 +27,8 @@
     users : list of str
         Users that the route admits; empty admits all.
     request_table : str
-        Table that records request ids for at-most-once; empty for none.
+        Table that records request ids and answers, with the text columns
+        ``request_id`` (its primary key) and ``answer``; empty for none.
     queue_timeout_ms : int
         Longest wait for a slot, after which the request is refused as not run.
     statement_timeout_ms : int
@@ -41,6 +42,6 @@
     repeatable: bool = False
     lane: Literal["short", "report"] = "short"
     users: list[str] = []
-    request_table: str = ""
+    request_table: OptionalTable = ""
     queue_timeout_ms: DurationMs = 2000
     statement_timeout_ms: DurationMs = 30000
--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -13,7 +13,7 @@
 from ..frames.build import query_frame
 from ..frames.frame import Frame
 from ..frames.frame_splitter import FrameSplitter
-from ..frames.read import read_error_fields, read_text
+from ..frames.read import read_error_fields, read_parameter, read_text
 from ..settings.address import Address
 from .endpoint_refusal import EndpointRefusal
 from .query_result import QueryResult
@@ -165,8 +165,15 @@
         while not frames or frames[-1].kind != kinds.READY_FOR_QUERY:
             frames.extend(await self.receive_frames())
         self.is_broken = False
+        self._take_parameters(frames)
         return _read_result(frames)
 
+    def _take_parameters(self, frames: list[Frame]) -> None:
+        for frame in frames:
+            if frame.kind == kinds.PARAMETER_STATUS:
+                status = read_parameter(frame)
+                self.parameters[status.name] = status.value
+
     async def aclose(self) -> None:
         """Say goodbye if the connection is whole, then close it."""
         with anyio.CancelScope(shield=True), anyio.move_on_after(1):
--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -33,11 +33,13 @@
     RETRY_BUDGET_SPENT = (207, "53000", 503, "The retry budget is spent; not run.")
     ENDPOINT_REFUSED = (208, "58000", 502, "The endpoint refused a statement.")
     ENDPOINT_MALFORMED = (209, "58000", 502, "An endpoint's answer cannot be read.")
+    PRIMARY_REPLACED = (210, "57P03", 503, "The primary was replaced; not run.")
 
     OUTCOME_UNKNOWN = (301, "08007", 502, "The outcome is unknown.")
     TERM_SUPERSEDED = (302, "08007", 502, "The term ended; the outcome is unknown.")
     ANSWER_INTERRUPTED = (303, "08006", 502, "The answer broke off.")
     PROGRESS_DEADLINE = (304, "08007", 504, "The endpoint fell silent; unknown.")
+    ROLLED_BACK = (305, "40001", 503, "Nothing of the request lasts; not run.")
 
     RESOURCE_INVALID = (401, "22023", 422, "The resource does not fit its schema.")
     RESOURCE_NOT_FOUND = (402, "42704", 404, "No resource has this name.")
--- /dev/null
+++ b/goldcrestpond/retry/repetition.py
@@ -0,0 +1,22 @@
+"""Whether a failed request may be run again."""
+
+from .evidence import Evidence
+
+
+def may_repeat(evidence: Evidence, is_read_only: bool, is_repeatable: bool) -> bool:
+    """Return whether running a request again can do no harm.
+
+    Parameters
+    ----------
+    evidence : Evidence
+        What is known of the failed attempt.
+    is_read_only : bool
+        Whether the endpoint enforced that it changes nothing.
+    is_repeatable : bool
+        Whether the caller declared it idempotent.
+    """
+    if evidence is Evidence.NOT_RUN:
+        return True
+    if evidence is Evidence.INTERRUPTED:
+        return is_read_only or is_repeatable
+    return False
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -28,6 +28,7 @@
 from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
 from .peers import make_peer_node
+from .retry_budgets import RetryBudgets
 from .stats import make_stats
 
 _BACKLOG = 1024  # callers that reconnect all at once after a failure
@@ -103,7 +104,7 @@
             services = GroupServices(settings, platform, clock, rng, events, tasks)
             source.subscribe(services.apply)
             proxy = await _listen(
-                settings, clock, events, source, services, peers, tasks
+                settings, clock, rng, events, source, services, peers, tasks
             )
             if settings.peer_listen:
                 await tasks.start(peers.run)
@@ -117,6 +118,7 @@
 async def _listen(
     settings: ProxySettings,
     clock: Clock,
+    rng: random.Random,
     events: EventRecorder,
     source: ConfigurationSource,
     services: GroupServices,
@@ -136,6 +138,7 @@
         clock,
         metrics,
         events,
+        RetryBudgets(clock, rng).start_attempts,
     )
     listener = await _open_listener(parse_address(settings.listen))
     host, port = listener.extra(SocketAttribute.local_address)[:2]
--- a/goldcrestpond/wire/answer_relay.py
+++ b/goldcrestpond/wire/answer_relay.py
@@ -5,7 +5,7 @@
 from ..errors.result_code import ResultCode
 from ..frames import kinds
 from ..frames.frame import Frame
-from ..frames.read import read_parameter
+from ..frames.read import read_error_fields, read_parameter
 from ..group.log_position import LogPosition, parse_log_position
 from .answer_end import AnswerEnd
 from .answer_script import AnswerScript
@@ -13,6 +13,18 @@
 from .held_answer import HeldAnswer
 
 POSITION_PARAMETER = "group.position"
+_READ_ONLY_SQLSTATE = "25006"
+# What an endpoint may say before the first statement has run.
+_PRELUDE = frozenset(
+    (
+        kinds.PARSE_COMPLETE,
+        kinds.BIND_COMPLETE,
+        kinds.CLOSE_COMPLETE,
+        kinds.PARAMETER_DESCRIPTION,
+        kinds.ROW_DESCRIPTION,
+        kinds.NO_DATA,
+    )
+)
 _GROUP_PREFIX = "group."
 _COMPLETIONS = frozenset(
     (
@@ -39,6 +51,9 @@
         Where it goes.
     script : AnswerScript
         Which completions the caller did not ask for.
+    expects_primary : bool, default=False
+        Whether a refusal to write means that the database was replaced as the
+        primary; the request has not run then, and the caller is not told.
     """
 
     __slots__ = (
@@ -46,7 +61,9 @@
         "_committed",
         "_connection",
         "_held",
+        "_expects_primary",
         "_is_error",
+        "_prelude",
         "_script",
         "_skipped_error",
         "completions",
@@ -58,7 +75,10 @@
         connection: EndpointConnection,
         caller: CallerStream,
         script: AnswerScript,
+        expects_primary: bool = False,
     ):
+        self._expects_primary = expects_primary
+        self._prelude: list[bytes] = []
         self._connection = connection
         self._caller = caller
         self._script = script
@@ -77,12 +97,14 @@
         CallerGone
             If the caller left; the connection is then mid-answer.
         CodedError
-            If the answer breaks off or cannot be read.
+            If the answer breaks off or cannot be read; PRIMARY_REPLACED if
+            the database does not write any more.
         """
         while True:
             out: list[bytes] = []
             for frame in await self._connection.receive_frames():
                 if frame.kind == kinds.READY_FOR_QUERY and not self._is_skipping():
+                    self._release_prelude(out)
                     await self._send(out)
                     return self._end(frame)
                 self._take(frame, out)
@@ -108,7 +130,7 @@
         if self._is_skipping():
             self._skip(frame)
         elif kind == kinds.DATA_ROW:
-            out.append(self._held.take(frame))
+            self._pass_on(frame, out)
         elif kind == kinds.PARAMETER_STATUS:
             self._take_parameter(frame, out)
         elif kind == kinds.PARSE_COMPLETE:
@@ -118,9 +140,30 @@
         elif kind == kinds.COPY_IN or kind == kinds.COPY_BOTH:
             raise CodedError(ResultCode.NOT_CARRIED, "COPY")
         elif kind != kinds.NOTIFICATION:
-            self._is_error = self._is_error or kind == kinds.ERROR
+            if kind == kinds.ERROR:
+                self._take_error(frame)
             self.completions += kind in _COMPLETIONS
-            out.append(self._held.take(frame))
+            self._pass_on(frame, out)
+
+    def _take_error(self, frame: Frame) -> None:
+        self._is_error = True
+        if not self._expects_primary:
+            return
+        if read_error_fields(frame).get("C") == _READ_ONLY_SQLSTATE:
+            raise CodedError(ResultCode.PRIMARY_REPLACED)
+
+    def _pass_on(self, frame: Frame, out: list[bytes]) -> None:
+        """Send a frame on, the prelude of a first answer together with the rest."""
+        if self._expects_primary and frame.kind in _PRELUDE:
+            self._prelude.append(frame.data)
+            return
+        self._release_prelude(out)
+        out.append(self._held.take(frame))
+
+    def _release_prelude(self, out: list[bytes]) -> None:
+        self._expects_primary = False
+        out.extend(self._prelude)
+        self._prelude.clear()
 
     def _skip(self, frame: Frame) -> None:
         if frame.kind == kinds.ERROR:
@@ -148,7 +191,7 @@
             self._connection.prepared[step.name] = None
         if step.is_relayed:
             self.completions += 1
-            out.append(self._held.take(frame))
+            self._pass_on(frame, out)
 
     def _take_close_complete(self, frame: Frame, out: list[bytes]) -> None:
         if not self._script.closes:
@@ -157,7 +200,7 @@
         self._connection.prepared.pop(step.name, None)
         if step.is_relayed:
             self.completions += 1
-            out.append(self._held.take(frame))
+            self._pass_on(frame, out)
 
     async def _send(self, out: list[bytes]) -> None:
         data = b"".join(out)
--- a/goldcrestpond/wire/batch.py
+++ b/goldcrestpond/wire/batch.py
@@ -14,6 +14,7 @@
 _EXTENDED = frozenset(
     (kinds.PARSE, kinds.BIND, kinds.DESCRIBE, kinds.EXECUTE, kinds.CLOSE)
 )
+_RUNS = frozenset((kinds.QUERY, kinds.EXECUTE))
 _COPY = frozenset((kinds.COPY_DATA, kinds.COPY_DONE, kinds.COPY_FAIL))
 
 
@@ -32,6 +33,11 @@
     frames: list[Frame]
     end: int
 
+    @property
+    def runs_statement(self) -> bool:
+        """Whether it runs something, rather than prepares or describes it."""
+        return any(frame.kind in _RUNS for frame in self.frames)
+
     def first_statement(self) -> Statement | None:
         """Return the first statement text of the batch, if it has one."""
         first = self.frames[0]
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -13,7 +13,7 @@
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..frames.build import error_frame
-from .caller_session import CallerSession
+from .caller_session import CallerSession, StartAttempts
 from .caller_stream import CallerGone, CallerStream
 from .cancel_registry import CancelRegistry
 from .checkout import Checkout
@@ -53,9 +53,12 @@
         Counters and timers.
     events : EventRecorder
         Time line.
+    start_attempts : callable
+        Starts the attempts at a request; see ``CallerSession``.
     """
 
     __slots__ = (
+        "_start_attempts",
         "_accepting",
         "_caller_limit",
         "_cancel_at_endpoint",
@@ -83,7 +86,9 @@
         clock: Clock,
         metrics: SessionMetrics,
         events: EventRecorder,
+        start_attempts: StartAttempts,
     ):
+        self._start_attempts = start_attempts
         self._instance = instance
         self._read_configuration = read_configuration
         self._find_service = find_service
@@ -173,6 +178,7 @@
             self._limits,
             self._clock,
             self._metrics,
+            self._start_attempts,
         )
 
     async def _run_session(self, stream: CallerStream, session: CallerSession) -> None:
@@ -191,6 +197,7 @@
     def _cancel(self, session: CallerSession) -> None:
         checkout = session.running
         if checkout is not None:
+            checkout.is_cancelled = True
             self._cancel_at_endpoint(checkout)
 
     async def _say_fatal(self, stream: CallerStream, error: CodedError) -> None:
--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -1,16 +1,21 @@
 """Serves one caller: batches in, whole answers out."""
 
 import logging
+from collections.abc import Callable
 from datetime import timedelta
 
 import anyio
 from pygwire.constants import TransactionStatus
 
 from ..clock.clock import Clock
+from ..endpoint.endpoint_refusal import EndpointRefusal
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..frames import kinds
 from ..frames.build import READY_IDLE, error_frame, parameter_frame, query_frame
+from ..group.log_position import LogPosition
+from ..retry.evidence import Evidence
+from ..retry.request_attempts import RequestAttempts
 from .answer_end import STATUS_IDLE, AnswerEnd
 from .answer_relay import AnswerRelay
 from .answer_script import AnswerScript
@@ -20,17 +25,22 @@
 from .checkout import Checkout
 from .declarations import PREFIX, Declarations, write_token
 from .group_service import GroupService
+from .keyed_request import KeyedRequest
 from .local_answers import LocalAnswers
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
 from .session_startup import Identity
 from .statement_kind import StatementKind
 
+StartAttempts = Callable[[str, timedelta, bool, bool], RequestAttempts]
 TOKEN_PARAMETER = PREFIX + "token"
 _CONCURRENT_SEND_BYTES = 32768  # above this an endpoint may answer before it has read
 # A caller's request may be on its way while its session is told to stop.
 _CROSSING_S = 0.02
 _NO_COMPLETIONS = frozenset((kinds.QUERY, kinds.SYNC, kinds.FLUSH))
+# Another attempt, or another transaction, was first; the next try sees it.
+_CONFLICT_SQLSTATES = frozenset(("23505", "40001", "40P01"))
+_OUTCOME_HUNDREDS = 3  # result codes that leave open whether a request ran
 _log = logging.getLogger("goldcrestpond.wire")
 
 
@@ -53,6 +63,9 @@
         Source of monotonic readings.
     metrics : SessionMetrics
         Counters and timers.
+    start_attempts : callable
+        Returns the ``RequestAttempts`` of a request, given its route's name,
+        its deadline and whether it is read-only and repeatable.
     """
 
     __slots__ = (
@@ -69,6 +82,7 @@
         "_script",
         "_sent_completions",
         "_service",
+        "_start_attempts",
         "_statements",
         "_status",
         "_stream",
@@ -85,7 +99,9 @@
         limits: SessionLimits,
         clock: Clock,
         metrics: SessionMetrics,
+        start_attempts: StartAttempts,
     ):
+        self._start_attempts = start_attempts
         self._stream = stream
         self._identity = identity
         self._declarations = declarations
@@ -221,27 +237,97 @@
         if kind is StatementKind.NOT_CARRIED:
             raise CodedError(ResultCode.NOT_CARRIED, statement.name)
         is_read = self._declarations.read_only or kind is StatementKind.BEGIN_READ_ONLY
-        deadline = self._clock.now() + timedelta(
-            milliseconds=self._identity.route.queue_timeout_ms
+        if self._is_keyed(batch, kind, is_read):
+            await self._run_keyed(batch)
+            return
+        deadline = self._request_deadline()
+        attempts = self._start_attempts(
+            self._identity.database, deadline, is_read, self._declarations.repeatable
         )
         while True:
             self._checkout = await self._acquire(is_read, deadline)
             self._is_pinned = self._is_pinned or kind is StatementKind.SET_SESSION
             try:
-                await self._run_on_checkout(batch)
+                await self._run_on_checkout(batch, expects_primary=not is_read)
                 return
             except CodedError as error:
-                if not self._may_repeat(is_read, deadline):
+                pause = attempts.failed(self._evidence(error), self._clock.now())
+                if pause is None or error.code is ResultCode.NOT_CARRIED:
                     raise self._explain(error) from error
-                _log.info("wire: request repeated: %s", error)
-                await self._drop_checkout()
+                await self._prepare_repetition(error, pause, deadline)
+
+    def _request_deadline(self) -> timedelta:
+        return self._clock.now() + timedelta(
+            milliseconds=self._identity.route.queue_timeout_ms
+        )
 
-    def _may_repeat(self, is_read: bool, deadline: timedelta) -> bool:
+    def _evidence(self, error: CodedError) -> Evidence:
         if self._relay is not None and self._relay.relayed_bytes:
+            return Evidence.ANSWERED
+        if self._checkout is None or self._is_pinned:
+            return Evidence.ANSWERED  # the answer had come; its commit is in doubt
+        if error.code is ResultCode.PRIMARY_REPLACED:
+            return Evidence.NOT_RUN
+        return Evidence.INTERRUPTED
+
+    async def _prepare_repetition(
+        self, error: CodedError, pause: timedelta, deadline: timedelta
+    ) -> None:
+        _log.info("wire: request repeated: %s", error)
+        checkout = self._checkout
+        await self._drop_checkout()
+        await anyio.sleep(pause.total_seconds())
+        if checkout is not None and error.code is ResultCode.PRIMARY_REPLACED:
+            await self._service.report_replaced(checkout.database, deadline)
+
+    def _is_keyed(self, batch: Batch, kind: StatementKind, is_read: bool) -> bool:
+        if not self._declarations.request_id or not self._identity.route.request_table:
             return False
-        if self._is_pinned or self._clock.now() >= deadline:
+        if is_read or kind is not StatementKind.WORK:
             return False
-        return is_read or self._declarations.repeatable
+        return batch.runs_statement and batch.end != kinds.FLUSH
+
+    async def _run_keyed(self, batch: Batch) -> None:
+        """Run a request with an id until its outcome is known or time is up."""
+        request_id = self._declarations.request_id
+        self._declarations.request_id = ""  # it named this request alone
+        deadline = self._request_deadline()
+        attempts = self._start_attempts(self._identity.database, deadline, False, True)
+        may_have_committed = False
+        while True:
+            request = KeyedRequest(
+                self._identity.route.request_table,
+                request_id,
+                batch.frames,
+                self._statements,
+            )
+            try:
+                await self._run_keyed_once(request, deadline)
+                return
+            except CodedError as error:
+                may_have_committed = may_have_committed or request.may_have_committed
+                is_replaced = error.code is ResultCode.PRIMARY_REPLACED
+                evidence = Evidence.NOT_RUN if is_replaced else Evidence.INTERRUPTED
+                pause = attempts.failed(evidence, self._clock.now())
+                if pause is None or not _is_transient(error):
+                    raise _keyed_failure(error, may_have_committed) from error
+                await self._prepare_repetition(error, pause, deadline)
+
+    async def _run_keyed_once(self, request: KeyedRequest, deadline: timedelta) -> None:
+        self._checkout = await self._acquire(False, deadline)
+        checkout = self._checkout
+        timeout = self._identity.route.statement_timeout_ms / 1000
+        with anyio.move_on_after(timeout) as scope:
+            answer = await request.run(checkout.connection)
+        if scope.cancelled_caught:
+            checkout.connection.is_broken = True
+            raise CodedError(ResultCode.PROGRESS_DEADLINE)
+        self._checkout = None
+        checkout.give_back()
+        token = b""
+        if answer.committed is not None:
+            token = await self._confirm(answer.committed)
+        await self._stream.send(token + answer.data + READY_IDLE)
 
     def _explain(self, error: CodedError) -> CodedError:
         """Name the outcome of a request whose answer broke off."""
@@ -261,21 +347,28 @@
             self._declarations, self._identity.fairness_key, deadline
         )
 
-    async def _run_on_checkout(self, batch: Batch) -> None:
+    async def _run_on_checkout(
+        self, batch: Batch, expects_primary: bool = False
+    ) -> None:
         timeout = self._identity.route.statement_timeout_ms / 1000
         with anyio.move_on_after(timeout):
-            await self._run_batch(batch)
+            await self._run_batch(batch, expects_primary)
             return
         self._checkout.connection.is_broken = True
         raise CodedError(ResultCode.PROGRESS_DEADLINE)
 
-    async def _run_batch(self, batch: Batch) -> None:
+    async def _run_batch(self, batch: Batch, expects_primary: bool) -> None:
         connection = self._checkout.connection
         relay = self._relay
         if relay is None:
             self._script = AnswerScript()
             self._sent_completions = 0
-            relay = AnswerRelay(connection, self._stream, self._script)
+            relay = AnswerRelay(
+                connection,
+                self._stream,
+                self._script,
+                expects_primary and batch.end != kinds.FLUSH,
+            )
             self._relay = relay
         data = self._statements.rewrite(batch.frames, connection, self._script)
         data = self._with_settings(data)
@@ -339,16 +432,21 @@
         if end.status == STATUS_IDLE and not self._is_pinned:
             self._checkout = None
             checkout.connection.last_used = self._clock.now()
+            if checkout.is_cancelled:
+                # The cancellation may still be on its way; it must not meet
+                # the request of another caller.
+                checkout.connection.is_broken = True
+                await checkout.connection.aclose()
             checkout.give_back()
         else:
             checkout.hold()
         self._metrics.answered(checkout.is_primary)
         held = end.held
         if end.committed is not None:
-            held = await self._confirm(end) + held
+            held = await self._confirm(end.committed) + held
         await self._stream.send(held + _READY[end.status])
 
-    async def _confirm(self, end: AnswerEnd) -> bytes:
+    async def _confirm(self, committed: LogPosition) -> bytes:
         """Wait until the commit cannot be lost; return the new token's frame.
 
         Raises
@@ -357,8 +455,8 @@
             TERM_SUPERSEDED or OUTCOME_UNKNOWN.
         """
         deadline = self._clock.now() + self._limits.acknowledge_timeout
-        await self._service.monitor.confirm(end.committed, deadline)
-        self._declarations.raise_floor(end.committed)
+        await self._service.monitor.confirm(committed, deadline)
+        self._declarations.raise_floor(committed)
         token = write_token(self._service.name, self._declarations.floor)
         return parameter_frame(TOKEN_PARAMETER, token)
 
@@ -375,6 +473,21 @@
         checkout.give_back()
 
 
+def _is_transient(error: CodedError) -> bool:
+    if isinstance(error, EndpointRefusal):
+        return error.sqlstate in _CONFLICT_SQLSTATES
+    return error.code is not ResultCode.NOT_CARRIED
+
+
+def _keyed_failure(error: CodedError, may_have_committed: bool) -> CodedError:
+    """Name the outcome of a request with an id that was given up."""
+    if may_have_committed:
+        return CodedError(ResultCode.OUTCOME_UNKNOWN, error.detail)
+    if error.code.number // 100 == _OUTCOME_HUNDREDS:
+        return CodedError(ResultCode.ROLLED_BACK, error.detail)
+    return error
+
+
 _READY = {
     ord(status): b"Z\x00\x00\x00\x05" + status.encode() for status in ("I", "T", "E")
 }
--- a/goldcrestpond/wire/checkout.py
+++ b/goldcrestpond/wire/checkout.py
@@ -22,6 +22,8 @@
         Term in which the database was chosen.
     is_primary : bool
         Whether the database was the primary of that term.
+    is_cancelled : bool
+        Whether a cancellation was sent for what the connection runs.
     """
 
     connection: EndpointConnection
@@ -29,6 +31,7 @@
     database: str
     term: int
     is_primary: bool
+    is_cancelled: bool = False
 
     def give_back(self) -> None:
         """Return the connection to its pool."""
--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -10,6 +10,7 @@
 
 PREFIX = "goldcrestpond."
 READ_ONLY_PARAMETER = "default_transaction_read_only"
+REQUEST_ID_LIMIT = 200  # characters; each is kept in the request table
 _TRUE = {"on", "true", "yes", "1", "t"}
 _FALSE = {"off", "false", "no", "0", "f"}
 
@@ -67,7 +68,7 @@
         elif name == PREFIX + "lane":
             self.lane = _read_lane(value)
         elif name == PREFIX + "request_id":
-            self.request_id = value
+            self.request_id = _read_request_id(value)
         elif name == PREFIX + "token":
             self._take_token(value, group)
         else:
@@ -126,6 +127,25 @@
     return value
 
 
+def _read_lane(value: str) -> str:
+    try:
+        return Lane(value)
+    except ValueError as error:
+        known = ", ".join(Lane)
+        raise CodedError(
+            ResultCode.BAD_PARAMETER, f"lane takes one of {known}"
+        ) from error
+
+
+def _read_request_id(value: str) -> str:
+    if len(value) > REQUEST_ID_LIMIT:
+        raise CodedError(
+            ResultCode.BAD_PARAMETER,
+            f"request_id takes at most {REQUEST_ID_LIMIT} characters",
+        )
+    return value
+
+
 def _read_age(value: str) -> timedelta | None:
     if not value:
         return None
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -82,7 +82,7 @@
         while True:
             primary = await self.monitor.wait_primary(deadline)
             if primary.term < least_term:
-                await self.monitor.wait_change(deadline)
+                await self._wait_next_primary(primary.term, deadline)
                 continue
             try:
                 pool = self._pool(primary.database, primary.address, primary.term)
@@ -147,6 +147,17 @@
         for pool in self._pools.values():
             await pool.aclose()
 
+    async def report_replaced(self, database: str, deadline: timedelta) -> None:
+        """Take in that a database refused to write, and wait for news of it."""
+        error = CodedError(ResultCode.PRIMARY_REPLACED, database)
+        self.monitor.report_failure(database, error)
+        await self.monitor.wait_change(deadline)
+
+    async def _wait_next_primary(self, term: int, deadline: timedelta) -> None:
+        if self._clock.now() >= deadline:
+            raise CodedError(ResultCode.NO_PRIMARY, f"only that of term {term}")
+        await self.monitor.wait_change(deadline)
+
     async def _after_failure(
         self, database: str, error: CodedError, deadline: timedelta
     ) -> None:
