--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -98,6 +98,7 @@
         for name, spec in configuration.groups.items():
             if name not in self._services:
                 self._begin(name, spec)
+            self._services[name].monitor.set_draining(_drained(configuration, name))
 
     def _begin(self, name: str, spec: DatabaseGroupSpec) -> None:
         monitor = GroupMonitor(
@@ -160,3 +161,9 @@
         with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
             return await open_connection(address, login)
         raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, f"{address}: no answer")
+
+
+def _drained(configuration: Configuration, group: str) -> set[str]:
+    """Return the databases of a group that drain orders name."""
+    orders = configuration.drain_orders.values()
+    return {order.database for order in orders if order.group == group}
