--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -31,6 +31,7 @@
 # Silence and idleness are judged to within this time while requests run.
 _TICK = timedelta(milliseconds=100)
 _IDLE_TICK = timedelta(seconds=5)
+_CLOSE_TICK_S = 0.005  # closing takes a few round trips on one machine
 _PROBE_TIMEOUT_S = 2  # an endpoint that works answers well within it
 _log = logging.getLogger("goldcrestpond.endpoint")
 
@@ -189,10 +190,21 @@
         self._open_failure = "the primary was replaced"
         self._apply(self._decisions.supersede(term, self._clock.now()))
 
-    def set_limits(self, share: int, slot_limit: int) -> None:
-        """Take newly granted limits of connections and slots."""
+    @property
+    def report_demand(self) -> int:
+        """Reports that run or wait."""
+        return self._decisions.report_demand
+
+    @property
+    def reports_running(self) -> int:
+        """Reports that run."""
+        return self._decisions.reports_running
+
+    def set_limits(self, share: int, slot_limit: int, report_slot_limit: int) -> None:
+        """Take newly granted limits of connections, slots and reports."""
         now = self._clock.now()
-        self._apply(self._decisions.set_slot_limit(slot_limit, now))
+        actions = self._decisions.set_slot_limits(slot_limit, report_slot_limit, now)
+        self._apply(actions)
         self._apply(self._decisions.set_share(share, now))
 
     def leave(self) -> None:
@@ -212,6 +224,8 @@
         self.leave()
         self._is_closed = True
         self._wake.set()
+        while self.open_count > self.running_count:
+            await anyio.sleep(_CLOSE_TICK_S)
 
     async def _wait(self, waiter: _Waiter, wait: timedelta) -> None:
         with anyio.move_on_after(wait.total_seconds()):
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -9,6 +9,7 @@
 from .connection_state import ConnectionState
 from .connection_table import ConnectionTable
 from .grant_connection import GrantConnection
+from .lane import Lane
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
@@ -87,6 +88,16 @@
         """Connections that the present work could use."""
         return self.running_count + self.waiting_count
 
+    @property
+    def reports_running(self) -> int:
+        """Reports that run."""
+        return self._slots.running(Lane.REPORT)
+
+    @property
+    def report_demand(self) -> int:
+        """Reports that run or wait."""
+        return self.reports_running + self._queues.waiting_count(Lane.REPORT)
+
     def request(self, request: SlotRequest, now: timedelta) -> list[PoolAction]:
         """Queue a request, or refuse it at once."""
         if self._leaving:
@@ -243,9 +254,11 @@
         self._limit.set_share(share)
         return self._schedule(now)
 
-    def set_slot_limit(self, slot_limit: int, now: timedelta) -> list[PoolAction]:
-        """Take a new limit of statements that run at once."""
-        self._slots.resize(slot_limit)
+    def set_slot_limits(
+        self, slot_limit: int, report_slot_limit: int, now: timedelta
+    ) -> list[PoolAction]:
+        """Take new limits of statements and of reports that run at once."""
+        self._slots.resize(slot_limit, report_slot_limit)
         return self._schedule(now)
 
     def set_term(self, term: int, now: timedelta) -> list[PoolAction]:
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -32,6 +32,10 @@
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
 
+    def waiting_count(self, lane: Lane) -> int:
+        """Return how many requests of a lane wait."""
+        return len(self._queues[lane])
+
     def submit(self, request: SlotRequest, now: timedelta) -> RefuseRequest | None:
         """Queue a request, or refuse it if its turn would come too late."""
         ahead = self._queues[request.lane].count_ahead(request.caller)
@@ -44,7 +48,7 @@
     def expected_wait(self, lane: Lane, ahead: int) -> timedelta:
         """Return how long a request waits with ``ahead`` others before it."""
         busy = self._slots.running(lane)
-        capacity = self._slots.capacity(lane)
+        capacity = max(1, self._slots.capacity(lane))
         turns = max(0, ahead + busy + 1 - capacity)
         return self._estimates[lane].mean * turns / capacity
 
--- a/goldcrestpond/pool/lane_slots.py
+++ b/goldcrestpond/pool/lane_slots.py
@@ -29,17 +29,17 @@
     def __init__(self, slot_limit: int, report_slot_limit: int):
         self._running = dict.fromkeys(Lane, 0)
         self._short_run = 0
-        self._report_limit = report_slot_limit
-        self.resize(slot_limit)
+        self.resize(slot_limit, report_slot_limit)
 
     @property
     def total(self) -> int:
         """Statements that may run at once."""
         return self._total
 
-    def resize(self, slot_limit: int) -> None:
-        """Set the limit; statements that run are not touched."""
+    def resize(self, slot_limit: int, report_slot_limit: int) -> None:
+        """Set the limits; statements that run are not touched."""
         self._total = max(_MIN_SLOTS, slot_limit)
+        self._report_limit = report_slot_limit
 
     def running(self, lane: Lane) -> int:
         """Return how many statements of a lane run."""
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -13,19 +13,18 @@
 from ..endpoint.group_monitor import GroupMonitor
 from ..endpoint.login import Login
 from ..endpoint.open_connection import open_connection
+from ..endpoint.share_keeper import ShareKeeper
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..platform.platform import Platform
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
-from ..settings.address import Address
+from ..pool.share_limits import ShareLimits
+from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
 from ..wire.group_service import GroupService
 
-_INSTANCES_EXPECTED = 8  # entry instances that share an endpoint's connections
-_STATUS_CONNECTIONS = 1  # each proxy's connection for statuses
-
 
 class GroupServices:
     """Services of all groups that the configuration names.
@@ -54,6 +53,7 @@
         "_running",
         "_services",
         "_settings",
+        "_shares",
         "_specs",
         "_tasks",
     )
@@ -73,6 +73,8 @@
         self._rng = rng
         self._events = events
         self._tasks = tasks
+        self._shares = ShareKeeper(settings.instance, platform, clock, rng)
+        tasks.start_soon(self._shares.run)
         self._services: dict[str, GroupService] = {}
         self._running: dict[str, anyio.CancelScope] = {}
         self._specs: dict[str, DatabaseGroupSpec] = {}
@@ -121,12 +123,25 @@
             lambda database, address: self._make_pool(name, spec, database, address),
             self._clock,
         )
+        for database in spec.databases:
+            address = parse_address(database.address)
+            self._services[name].add_database(database.name, address)
         self._tasks.start_soon(self._run_monitor, monitor, scope)
 
+    async def aclose(self) -> None:
+        """End all services, then give up their shares of connections."""
+        for scope in self._running.values():
+            scope.cancel()
+        for service in self._services.values():
+            await service.aclose()
+        await self._shares.release()
+
     def _end(self, name: str) -> None:
         self._running.pop(name).cancel()
         del self._specs[name]
         service = self._services.pop(name)
+        for database in service.databases():
+            self._shares.remove(name, database)
         self._tasks.start_soon(service.aclose)
 
     async def _run_monitor(
@@ -139,12 +154,9 @@
         self, group: str, spec: DatabaseGroupSpec, database: str, address: Address
     ) -> ConnectionPool:
         login = Login(spec.user, group, spec.password)
-        share = spec.connection_limit // _INSTANCES_EXPECTED - _STATUS_CONNECTIONS
         decisions = DatabasePool(
             PoolSettings(
-                slot_limit=spec.slot_limit,
-                report_slot_limit=spec.report_slot_limit,
-                connection_limit=max(1, share),
+                slot_limit=spec.slot_limit, report_slot_limit=0, connection_limit=0
             )
         )
         pool = ConnectionPool(
@@ -155,6 +167,8 @@
             self._tasks,
         )
         self._tasks.start_soon(pool.run)
+        limits = ShareLimits(spec.connection_limit, spec.report_slot_limit)
+        self._shares.add(group, database, limits, spec.slot_limit, pool)
         return pool
 
     async def _open(self, address: Address, login: Login) -> EndpointConnection:
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -1,5 +1,6 @@
 """Wires a proxy process together."""
 
+import logging
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -34,6 +35,10 @@
 _BACKLOG = 1024  # callers that reconnect all at once after a failure
 
 
+_RELEASE_TIMEOUT_S = 2  # shares that are not given up lapse with their lease
+_log = logging.getLogger("goldcrestpond.root")
+
+
 @dataclass(frozen=True, slots=True)
 class Proxy:
     """A running proxy.
@@ -111,10 +116,19 @@
             await tasks.start(source.run)
             events.record("root", "started", address=proxy.address)
             yield proxy
+            with anyio.move_on_after(_RELEASE_TIMEOUT_S):
+                await _release(services)
             events.record("root", "stopped")
             tasks.cancel_scope.cancel()
 
 
+async def _release(services: GroupServices) -> None:
+    try:
+        await services.aclose()
+    except CodedError as error:
+        _log.info("root: shares not given up: %s", error)
+
+
 async def _listen(
     settings: ProxySettings,
     clock: Clock,
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -142,8 +142,16 @@
             floor_term = (await self.monitor.sample_floor(deadline)).term
         return await self.acquire_primary(declarations, caller, deadline, floor_term)
 
+    def add_database(self, database: str, address: Address) -> None:
+        """Make the pool of a database before its first use."""
+        self._pool(database, address, self._term)
+
+    def databases(self) -> list[str]:
+        """Return the databases that have a pool."""
+        return list(self._pools)
+
     async def aclose(self) -> None:
-        """Close all connections."""
+        """Close all connections that no session holds."""
         for pool in self._pools.values():
             await pool.aclose()
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -91,3 +91,15 @@
         for database in site.group.databases:
             database.settings.connection_limit = 35
         await caller.execute(INSERT, (1,))
+
+
+async def test_open_transactions_leave_slots_to_others(site):
+    holders = [await asyncpg_connection(site) for _ in range(2)]
+    for holder in holders:
+        await holder.execute("BEGIN")
+        await holder.fetchval("SELECT 1")
+    async with await psycopg_connection(site) as caller:
+        await caller.execute("SELECT 1")
+    for holder in holders:
+        await holder.execute("ROLLBACK")
+        await holder.close()
