--- a/goldcrestpond/cli/proxy.py
+++ b/goldcrestpond/cli/proxy.py
@@ -5,8 +5,10 @@
 import anyio
 import fire
 
+from ..root.caller_entry import make_caller_entry
 from ..root.logs import configure_logs
 from ..root.proxy import run_proxy
+from ..settings.address import parse_address
 from ..settings.load import load_settings
 from ..settings.proxy_settings import ProxySettings
 from .run_program import run_program
@@ -29,6 +31,8 @@
         Only check the settings.
     """
     loaded = load_settings(settings, ProxySettings)
+    make_caller_entry(loaded)
+    parse_address(loaded.platform)
     if check:
         print(f"{settings}: valid")
         return
--- a/goldcrestpond/endpoint/open_connection.py
+++ b/goldcrestpond/endpoint/open_connection.py
@@ -13,9 +13,9 @@
 from .endpoint_connection import EndpointConnection
 from .endpoint_refusal import EndpointRefusal
 from .login import Login
+from .scram_client import ScramClientLogin
 
 ENDPOINT_FRAME_LIMIT_BYTES = 1 << 30  # PostgreSQL's own limit for one message
-_AUTHENTICATION_OK = 0
 
 
 async def open_connection(address: Address, login: Login) -> EndpointConnection:
@@ -63,11 +63,20 @@
         "application_name": "goldcrestpond",
     }
     await connection.send(StartupMessage(params=startup).to_wire())
+    scram = ScramClientLogin(login.user, login.password)
     while True:
         for frame in await connection.receive_frames():
             if frame.kind == kinds.READY_FOR_QUERY:
                 return
-            _take_startup_frame(connection, frame)
+            if frame.kind == kinds.AUTHENTICATION:
+                await _send_proof(connection, scram.answer(frame))
+            else:
+                _take_startup_frame(connection, frame)
+
+
+async def _send_proof(connection: EndpointConnection, proof: bytes) -> None:
+    if proof:
+        await connection.send(proof)
 
 
 def _take_startup_frame(connection: EndpointConnection, frame: Frame) -> None:
@@ -81,13 +90,3 @@
         key = BackendKeyData.decode(frame.body)
         connection.process_id = key.process_id
         connection.secret_key = bytes(key.secret_key)
-    elif frame.kind == kinds.AUTHENTICATION:
-        _require_trust(frame)
-
-
-def _require_trust(frame: Frame) -> None:
-    request = int.from_bytes(frame.data[5:9], "big")
-    if request != _AUTHENTICATION_OK:
-        raise CodedError(
-            ResultCode.ENDPOINT_UNREACHABLE, f"authentication request {request}"
-        )
--- /dev/null
+++ b/goldcrestpond/root/caller_entry.py
@@ -0,0 +1,52 @@
+"""Reads credentials and certificates of callers from the settings."""
+
+import ipaddress
+import ssl
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..settings.address import parse_address
+from ..settings.proxy_settings import ProxySettings
+from ..wire.caller_entry import CallerEntry
+from ..wire.scram_verifier import parse_verifier
+
+
+def make_caller_entry(settings: ProxySettings) -> CallerEntry:
+    """Return who may enter.
+
+    Raises
+    ------
+    CodedError
+        SETTINGS_INVALID for a bad verifier or certificate, or if callers from
+        other instances could enter unasked without ``trust_callers``.
+    """
+    verifiers = {user: parse_verifier(text) for user, text in settings.users.items()}
+    listens_on_loopback = ipaddress.ip_address(
+        parse_address(settings.listen).host
+    ).is_loopback
+    if not (verifiers or settings.trust_callers or listens_on_loopback):
+        raise CodedError(
+            ResultCode.SETTINGS_INVALID,
+            "users: none, and trust_callers is not set for an address off loopback",
+        )
+    return CallerEntry(verifiers, _make_tls(settings), settings.requires_tls)
+
+
+def _make_tls(settings: ProxySettings) -> ssl.SSLContext | None:
+    if not settings.tls_certificate_file:
+        if settings.requires_tls:
+            raise CodedError(
+                ResultCode.SETTINGS_INVALID, "requires_tls: no tls_certificate_file"
+            )
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(
+            settings.tls_certificate_file, settings.tls_key_file or None
+        )
+    except (OSError, ssl.SSLError) as error:
+        raise CodedError(
+            ResultCode.SETTINGS_INVALID, f"tls_certificate_file: {error}"
+        ) from error
+    return context
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -100,6 +100,7 @@
         statement_delay_ms=settings.statement_delay_ms,
         receive_delay_ms=settings.receive_delay_ms,
         replay_lag_ms=settings.replay_lag_ms,
+        password=settings.endpoint_password,
     )
 
 
@@ -117,6 +118,8 @@
         platform=str(platform.address),
         peer_listen=f"{LOOPBACK}:0",
         events_file=events_file,
+        users=settings.users,
+        tls_certificate_file=settings.tls_certificate_file,
         shutdown_timeout_ms=settings.shutdown_timeout_ms,
     )
 
@@ -129,6 +132,7 @@
             DatabaseSpec(server.name, str(server.address)) for server in group.databases
         ],
         user=ENDPOINT_USER,
+        password=settings.endpoint_password,
         slot_limit=settings.slot_limit,
         connection_limit=settings.connection_limit,
     )
--- a/goldcrestpond/root/local_site_settings.py
+++ b/goldcrestpond/root/local_site_settings.py
@@ -41,6 +41,12 @@
     api_port : int or None
         Port of the resource API; 0 lets the operating system choose, None runs
         none.
+    users : dict of str to str
+        Users that may enter, with their verifiers; none lets all in.
+    tls_certificate_file : str
+        Certificate and key of the proxies; empty for no encryption.
+    endpoint_password : str
+        Password of the proxies at the databases; empty for none.
     event_folder : str
         Folder for the time lines of the processes; empty for none.
     shutdown_timeout_ms : int
@@ -63,6 +69,9 @@
     replay_lag_ms: float = 20.0
     caller_port: int = 0
     api_port: int | None = None
+    users: dict[str, str] = field(default_factory=dict)
+    tls_certificate_file: str = ""
+    endpoint_password: str = ""
     event_folder: str = ""
     shutdown_timeout_ms: int = 30_000
     seed: int = 1
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -25,6 +25,7 @@
 from ..wire.checkout import Checkout
 from ..wire.session_limits import SessionLimits
 from ..wire.session_metrics import SessionMetrics
+from .caller_entry import make_caller_entry
 from .event_sink import open_event_sink
 from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
@@ -152,6 +153,7 @@
         clock,
         metrics,
         events,
+        make_caller_entry(settings),
         RetryBudgets(clock, rng).start_attempts,
     )
     listener = await _open_listener(parse_address(settings.listen))
--- a/goldcrestpond/settings/proxy_settings.py
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -35,6 +35,17 @@
         File that receives the time line; empty for none.
     log_level : str
         Level of the log.
+    users : dict of str to str
+        Users that may enter, with their SCRAM-SHA-256 verifiers as PostgreSQL
+        writes them; without any, callers enter unasked.
+    trust_callers : bool
+        Allows callers from other instances to enter unasked.
+    tls_certificate_file : str
+        Certificate chain in PEM; empty offers no encryption.
+    tls_key_file : str
+        Private key in PEM; empty if the certificate file holds it.
+    requires_tls : bool
+        Whether unencrypted callers are refused.
     caller_limit : int
         Most callers at once.
     frame_limit_bytes : int
@@ -62,6 +73,11 @@
     metrics_sample_rate: float = 0.1
     events_file: str = ""
     log_level: str = "INFO"
+    users: dict[str, str] = {}
+    trust_callers: bool = False
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+    requires_tls: bool = False
     caller_limit: int = 12_000
     frame_limit_bytes: int = 16 * MEBIBYTE
     batch_limit_bytes: int = 32 * MEBIBYTE
--- a/goldcrestpond/standin/database_server.py
+++ b/goldcrestpond/standin/database_server.py
@@ -9,6 +9,7 @@
 
 from ..clock.clock import Clock
 from ..settings.address import Address
+from ..wire.scram_verifier import make_verifier
 from .connection import ConnectionLost, ServerConnection
 from .database import Database
 from .database_error import DatabaseError
@@ -36,6 +37,8 @@
     ----------
     most_connections : int
         Most connections that were open at once.
+    verifier : ScramVerifier or None
+        What clients must prove; None lets all in.
     last_statement_at : timedelta or None
         Monotonic reading when the last statement began; statements about the
         group and session settings are not counted.
@@ -59,6 +62,7 @@
             receive_delay_ms=settings.receive_delay_ms,
             replay_lag_ms=settings.replay_lag_ms,
         )
+        self.verifier = make_verifier(settings.password) if settings.password else None
         self.slots = anyio.Semaphore(settings.slot_limit)
         self.connections: dict[int, ServerConnection] = {}
         self.most_connections = 0
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -13,12 +13,14 @@
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..frames.build import error_frame
+from .caller_entry import CallerEntry
 from .caller_session import CallerSession, StartAttempts
 from .caller_stream import CallerGone, CallerStream
 from .cancel_registry import CancelRegistry
 from .checkout import Checkout
 from .greeting import greeting
 from .group_service import GroupService
+from .scram_login import log_in_by_scram
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
 from .session_startup import declare_at_startup, identify
@@ -53,11 +55,14 @@
         Counters and timers.
     events : EventRecorder
         Time line.
+    entry : CallerEntry
+        Who may enter.
     start_attempts : callable
         Starts the attempts at a request; see ``CallerSession``.
     """
 
     __slots__ = (
+        "_entry",
         "_start_attempts",
         "_accepting",
         "_caller_limit",
@@ -86,8 +91,10 @@
         clock: Clock,
         metrics: SessionMetrics,
         events: EventRecorder,
+        entry: CallerEntry,
         start_attempts: StartAttempts,
     ):
+        self._entry = entry
         self._start_attempts = start_attempts
         self._instance = instance
         self._read_configuration = read_configuration
@@ -154,6 +161,7 @@
         if self.caller_count > self._caller_limit:
             raise CodedError(ResultCode.TOO_MANY_CALLERS)
         session = self._open_session(stream, message)
+        await self._log_in(stream, message)
         await self._run_session(stream, session)
 
     async def _read_startup(
@@ -161,9 +169,18 @@
     ) -> StartupMessage | CancelRequest:
         timeout = self._limits.startup_timeout.total_seconds()
         with anyio.move_on_after(timeout):
-            return await read_startup(stream)
+            return await read_startup(stream, self._entry)
         raise CodedError(ResultCode.MALFORMED_STARTUP, "no startup packet in time")
 
+    async def _log_in(self, stream: CallerStream, message: StartupMessage) -> None:
+        verifier = self._entry.find_verifier(message.params["user"])
+        if verifier is None:
+            return
+        with anyio.move_on_after(self._limits.startup_timeout.total_seconds()):
+            await log_in_by_scram(stream, verifier)
+            return
+        raise CodedError(ResultCode.AUTHENTICATION_FAILED, "no proof in time")
+
     def _open_session(
         self, stream: CallerStream, message: StartupMessage
     ) -> CallerSession:
--- a/goldcrestpond/wire/caller_stream.py
+++ b/goldcrestpond/wire/caller_stream.py
@@ -1,9 +1,11 @@
 """A caller's connection as whole frames."""
 
+import ssl
 from collections import deque
 
 import anyio
 from anyio.abc import ByteStream
+from anyio.streams.tls import TLSStream
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
@@ -94,14 +96,23 @@
         except _LOST as error:
             raise CallerGone from error
 
-    def replace_stream(self, stream: ByteStream) -> None:
-        """Go on over another stream, after TLS has been agreed."""
-        self._stream = stream
+    async def start_tls(self, context: ssl.SSLContext) -> None:
+        """Go on encrypted.
 
-    @property
-    def raw_stream(self) -> ByteStream:
-        """The stream as it is now."""
-        return self._stream
+        Raises
+        ------
+        CallerGone
+            If no encryption comes about.
+        """
+        try:
+            self._stream = await TLSStream.wrap(
+                self._stream,
+                server_side=True,
+                ssl_context=context,
+                standard_compatible=False,
+            )
+        except _LOST as error:
+            raise CallerGone from error
 
     async def end_output(self) -> None:
         """Say that nothing more follows, and drop what the caller still sends.
--- a/goldcrestpond/wire/startup.py
+++ b/goldcrestpond/wire/startup.py
@@ -9,11 +9,16 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from .caller_entry import CallerEntry
 from .caller_stream import CallerStream
 
 STARTUP_LIMIT_BYTES = 10_000  # PostgreSQL's own limit for a startup packet
 _SHORTEST_PACKET_BYTES = 8
 _REFUSE_ENCRYPTION = b"N"
+_ACCEPT_TLS = b"S"
+_ENCRYPTION_REQUESTS = frozenset(
+    (StartupRequestCode.SSL_REQUEST, StartupRequestCode.GSSENC_REQUEST)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,27 +37,43 @@
     body: bytes
 
 
-async def read_startup(stream: CallerStream) -> StartupMessage | CancelRequest:
+async def read_startup(
+    stream: CallerStream, entry: CallerEntry
+) -> StartupMessage | CancelRequest:
     """Read packets until one opens a session or cancels a request.
 
-    Requests for encryption are answered with "no"; the caller then decides.
+    A request for TLS is followed if the entry offers it; other requests for
+    encryption are answered with "no", and the caller then decides.
 
     Raises
     ------
     CallerGone
         If the caller leaves.
     CodedError
-        MALFORMED_STARTUP if a packet cannot be read.
+        MALFORMED_STARTUP if a packet cannot be read, ENCRYPTION_REQUIRED if
+        the session would be open to listeners.
     """
+    is_encrypted = False
     while True:
         request = await _read_packet(stream)
-        if request.code in (
-            StartupRequestCode.SSL_REQUEST,
-            StartupRequestCode.GSSENC_REQUEST,
-        ):
+        if request.code == StartupRequestCode.SSL_REQUEST and not is_encrypted:
+            is_encrypted = await _answer_tls(stream, entry)
+        elif request.code in _ENCRYPTION_REQUESTS:
             await stream.send(_REFUSE_ENCRYPTION)
-            continue
-        return _decode(request)
+        else:
+            message = _decode(request)
+            if entry.requires_tls and not is_encrypted:
+                raise CodedError(ResultCode.ENCRYPTION_REQUIRED)
+            return message
+
+
+async def _answer_tls(stream: CallerStream, entry: CallerEntry) -> bool:
+    if entry.tls is None:
+        await stream.send(_REFUSE_ENCRYPTION)
+        return False
+    await stream.send(_ACCEPT_TLS)
+    await stream.start_tls(entry.tls)
+    return True
 
 
 async def _read_packet(stream: CallerStream) -> StartupRequest:
