--- a/goldcrestpond/configuration/configuration_state.py
+++ b/goldcrestpond/configuration/configuration_state.py
@@ -11,7 +11,7 @@
 
 # An instance that did not run for longer than this may have missed changes
 # that its peers already serve.
-PAUSE_LIMIT = timedelta(seconds=2)
+PAUSE_LIMIT = timedelta(seconds=10)
 # Changes kept for deltas; a holder that misses more gets a snapshot.
 LOG_LIMIT = 1024
 _EPOCH_BITS = 48
--- a/goldcrestpond/platform/configuration_source.py
+++ b/goldcrestpond/platform/configuration_source.py
@@ -177,6 +177,8 @@
         CodedError
             PLATFORM_UNAVAILABLE if neither table nor peers answered in time.
         """
+        if self.is_confirmed:
+            return self._configuration
         seconds = (deadline - self._clock.now()).total_seconds()
         with anyio.move_on_after(max(seconds, 0)):
             while not self.is_confirmed:
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -23,7 +23,7 @@
 from ..pool.share_limits import ShareLimits
 from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
-from ..wire.group_service import GroupService
+from ..wire.group_service import GroupService, WaitConfiguration
 
 
 class GroupServices:
@@ -35,6 +35,9 @@
         Settings of the process.
     platform : Platform
         The platform's service.
+    wait_configuration : callable
+        Returns once the configuration may be served, given a monotonic
+        reading after which that is given up.
     clock : Clock
         Source of monotonic readings.
     rng : random.Random
@@ -56,12 +59,14 @@
         "_shares",
         "_specs",
         "_tasks",
+        "_wait_configuration",
     )
 
     def __init__(
         self,
         settings: ProxySettings,
         platform: Platform,
+        wait_configuration: WaitConfiguration,
         clock: Clock,
         rng: random.Random,
         events: EventRecorder,
@@ -69,6 +74,7 @@
     ):
         self._settings = settings
         self._platform = platform
+        self._wait_configuration = wait_configuration
         self._clock = clock
         self._rng = rng
         self._events = events
@@ -121,6 +127,7 @@
             name,
             monitor,
             lambda database, address: self._make_pool(name, spec, database, address),
+            self._wait_configuration,
             self._clock,
         )
         for database in spec.databases:
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -33,6 +33,8 @@
 from .retry_budgets import RetryBudgets
 from .stats import make_stats
 
+# Reads of the configuration run side by side, so they may be slow.
+_TABLE_READ_TIMEOUT = timedelta(seconds=8)
 _BACKLOG = 1024  # callers that reconnect all at once after a failure
 
 
@@ -93,12 +95,14 @@
     """
     clock = clock or SystemClock()
     rng = random.Random(seed)
-    platform = HttpPlatform(parse_address(settings.platform))
+    store = parse_address(settings.platform)
+    platform = HttpPlatform(store)
+    slow_platform = HttpPlatform(store, _TABLE_READ_TIMEOUT)
     with open_event_sink(settings.events_file) as write_line:
         events = EventRecorder(settings.instance, clock, write_line)
-        async with platform, anyio.create_task_group() as tasks:
+        async with platform, slow_platform, anyio.create_task_group() as tasks:
             source = ConfigurationSource(
-                platform,
+                slow_platform,
                 clock,
                 rng,
                 settings.instance,
@@ -107,7 +111,9 @@
             )
             peers = make_peer_node(settings, source, platform, clock, rng, events)
             source.subscribe(lambda _: peers.wake())
-            services = GroupServices(settings, platform, clock, rng, events, tasks)
+            services = GroupServices(
+                settings, platform, source.wait_confirmed, clock, rng, events, tasks
+            )
             source.subscribe(services.apply)
             proxy = await _listen(
                 settings, clock, rng, events, source, services, peers, tasks
@@ -145,7 +151,7 @@
     )
     callers = CallerServer(
         settings.instance,
-        lambda: source.current,
+        source.wait_confirmed,
         services.find,
         lambda checkout: _start_cancel(tasks, checkout),
         _limits(settings),
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -1,7 +1,8 @@
 """Accepts callers and runs their sessions."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
@@ -26,7 +27,7 @@
 from .session_startup import declare_at_startup, identify
 from .startup import read_startup
 
-ReadConfiguration = Callable[[], Configuration]
+WaitConfiguration = Callable[[timedelta], Awaitable[Configuration]]
 FindService = Callable[[str], GroupService]
 CancelAtEndpoint = Callable[[Checkout], None]
 _log = logging.getLogger("goldcrestpond.wire")
@@ -39,8 +40,9 @@
     ----------
     instance : str
         Name of the instance.
-    read_configuration : callable
-        Returns the configuration in force.
+    wait_configuration : callable
+        Returns the configuration as soon as it may be served, given a
+        monotonic reading after which it is given up.
     find_service : callable
         Returns the service of a group by its name.
     cancel_at_endpoint : callable
@@ -75,15 +77,15 @@
         "_is_stopping",
         "_limits",
         "_metrics",
-        "_read_configuration",
         "_sessions",
+        "_wait_configuration",
         "caller_count",
     )
 
     def __init__(
         self,
         instance: str,
-        read_configuration: ReadConfiguration,
+        wait_configuration: WaitConfiguration,
         find_service: FindService,
         cancel_at_endpoint: CancelAtEndpoint,
         limits: SessionLimits,
@@ -97,7 +99,7 @@
         self._entry = entry
         self._start_attempts = start_attempts
         self._instance = instance
-        self._read_configuration = read_configuration
+        self._wait_configuration = wait_configuration
         self._find_service = find_service
         self._cancel_at_endpoint = cancel_at_endpoint
         self._limits = limits
@@ -160,7 +162,7 @@
             raise CodedError(ResultCode.SHUTTING_DOWN)
         if self.caller_count > self._caller_limit:
             raise CodedError(ResultCode.TOO_MANY_CALLERS)
-        session = self._open_session(stream, message)
+        session = await self._open_session(stream, message)
         await self._log_in(stream, message)
         await self._run_session(stream, session)
 
@@ -181,10 +183,11 @@
             return
         raise CodedError(ResultCode.AUTHENTICATION_FAILED, "no proof in time")
 
-    def _open_session(
+    async def _open_session(
         self, stream: CallerStream, message: StartupMessage
     ) -> CallerSession:
-        configuration = self._read_configuration()
+        deadline = self._clock.now() + self._limits.startup_timeout
+        configuration = await self._wait_configuration(deadline)
         identity = identify(message, configuration)
         declarations = declare_at_startup(message, identity.route, configuration)
         return CallerSession(
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -1,6 +1,6 @@
 """Finds connections to the databases of one group."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from ..clock.clock import Clock
@@ -13,6 +13,7 @@
 from .checkout import Checkout
 from .declarations import Declarations
 
+WaitConfiguration = Callable[[timedelta], Awaitable[object]]
 PoolFactory = Callable[[str, Address], ConnectionPool]
 
 
@@ -27,18 +28,35 @@
         Knows terms, positions and the primary.
     make_pool : callable
         Makes the pool of a database from its name and address.
+    wait_configuration : callable
+        Returns once the configuration may be served, at once as a rule; after
+        a pause of the process the table or a peer confirms it first.
     clock : Clock
         Source of monotonic readings.
     """
 
-    __slots__ = ("_clock", "_make_pool", "_pools", "_term", "monitor", "name")
+    __slots__ = (
+        "_clock",
+        "_make_pool",
+        "_pools",
+        "_term",
+        "_wait_configuration",
+        "monitor",
+        "name",
+    )
 
     def __init__(
-        self, name: str, monitor: GroupMonitor, make_pool: PoolFactory, clock: Clock
+        self,
+        name: str,
+        monitor: GroupMonitor,
+        make_pool: PoolFactory,
+        wait_configuration: WaitConfiguration,
+        clock: Clock,
     ):
         self.name = name
         self.monitor = monitor
         self._make_pool = make_pool
+        self._wait_configuration = wait_configuration
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
         self._term = 0
@@ -76,6 +94,7 @@
         CodedError
             With a code that says "not run".
         """
+        await self._wait_configuration(deadline)
         lane = Lane(declarations.lane)
         if declarations.floor is not None:
             least_term = max(least_term, declarations.floor.term)
@@ -112,6 +131,7 @@
         CodedError
             With a code that says "not run".
         """
+        await self._wait_configuration(deadline)
         while True:
             choice = await self.monitor.wait_replica(
                 declarations.floor, declarations.max_age, deadline
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,19 +1,30 @@
 """Proxies of a site among themselves: configuration, in force, store outages."""
 
+from dataclasses import replace
+from datetime import timedelta
+
 import anyio
 import httpx
+import psycopg
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.configuration.keys import resource_key
+from goldcrestpond.configuration.kind import Kind
+from goldcrestpond.configuration.read_policy_spec import ReadPolicySpec
+from goldcrestpond.configuration.stored_resource import encode_stored
+from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.root.proxy import run_proxy
 from goldcrestpond.settings.proxy_settings import ProxySettings
 
-from .site import fuel_site
+from .site import fuel_site, psycopg_connection
 
 pytestmark = pytest.mark.anyio
 
 _HANG_S = 20
+_HANG = timedelta(seconds=_HANG_S)
 _ROUTE = {"database": "later", "group": "fuel"}
 
 
@@ -65,3 +76,50 @@
             await _wait_for(confirmed)
             revision = site.proxies[0].configuration.current.revision
             assert_that(late.configuration.current.revision, Equals(revision))
+
+
+class _JumpingClock(SystemClock):
+    """Clock that a test moves forward, as a pause of the process does."""
+
+    __slots__ = ("pause",)
+
+    def __init__(self):
+        self.pause = timedelta(0)
+
+    def now(self):
+        return super().now() + self.pause
+
+
+async def test_proxy_that_was_paused_serves_only_what_is_confirmed_since():
+    clock = _JumpingClock()
+    async with fuel_site(proxy_count=1) as site:
+        settings = ProxySettings(
+            instance="sleeper",
+            listen="127.0.0.1:0",
+            platform=str(site.platform.address),
+        )
+        async with run_proxy(settings, clock) as sleeper:
+            await sleeper.configuration.wait_confirmed(clock.now() + _HANG)
+            paused = replace(site, proxies=[sleeper])
+            connection = await psycopg_connection(paused)
+            await connection.execute("SELECT 1")
+            site.platform.faults.down = True
+            clock.pause = timedelta(hours=1)
+            with pytest.raises(psycopg.Error) as caught:
+                await connection.execute("SELECT 1")
+            assert_that(str(caught.value), Contains("GP501"))
+            site.platform.faults.down = False
+            await connection.execute("SELECT 1")
+            await connection.close()
+
+
+async def test_slow_store_delays_a_change_and_loses_none():
+    async with fuel_site(proxy_count=2) as site:
+        site.platform.faults.delay_ms = 1200
+        async with HttpPlatform(site.platform.address, _HANG) as platform:
+            value = encode_stored(ReadPolicySpec(7), 1)
+            key = resource_key(Kind.READ_POLICY, "slow")
+            revision = await platform.put(key, value, 0)
+        with anyio.fail_after(_HANG_S):
+            for proxy in site.proxies:
+                await proxy.configuration.wait_revision(revision)
