--- a/goldcrestpond/cli/demo.py
+++ b/goldcrestpond/cli/demo.py
@@ -14,6 +14,7 @@
 from ..demo.scenario import PROXY_COUNT, make_demo_scenario
 from ..load.run_load import run_scenario
 from ..root.local_site import run_local_site
+from ..root.logs import configure_logs
 from .run_program import run_program
 
 _FAILED = 1
@@ -61,6 +62,7 @@
     api_port : int, default=6480
         Port of the resource API.
     """
+    configure_logs("WARNING")
     run_program(lambda: _serve(caller_port, api_port))
 
 
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -98,6 +98,18 @@
             raise CodedError(ResultCode.UNKNOWN_DATABASE, f"no group {name!r}")
         return service
 
+    @property
+    def count(self) -> int:
+        """Number of groups."""
+        return len(self._services)
+
+    @property
+    def count_without_primary(self) -> int:
+        """Number of groups that take no writes as far as this process knows."""
+        return sum(
+            service.monitor.primary is None for service in self._services.values()
+        )
+
     def apply(self, configuration: Configuration) -> None:
         """Make, replace and end services so that they fit a configuration."""
         for name in list(self._services):
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -24,12 +24,13 @@
 from ..wire.caller_server import CallerServer
 from ..wire.checkout import Checkout
 from ..wire.session_limits import SessionLimits
-from ..wire.session_metrics import SessionMetrics
+from ..wire.session_metrics import SessionMetrics, StatsClient
 from .caller_entry import make_caller_entry
 from .event_sink import open_event_sink
 from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
 from .peers import make_peer_node
+from .process_gauges import Gauge, report_gauges
 from .retry_budgets import RetryBudgets
 from .stats import make_stats
 
@@ -115,12 +116,14 @@
                 settings, platform, source.wait_confirmed, clock, rng, events, tasks
             )
             source.subscribe(services.apply)
+            stats = make_stats(settings.statsd, settings.instance)
             proxy = await _listen(
-                settings, clock, rng, events, source, services, peers, tasks
+                settings, clock, rng, stats, events, source, services, peers, tasks
             )
             if settings.peer_listen:
                 await tasks.start(peers.run)
             await tasks.start(source.run)
+            tasks.start_soon(report_gauges, stats, _gauges(proxy))
             events.record("root", "started", address=proxy.address)
             yield proxy
             with anyio.move_on_after(_RELEASE_TIMEOUT_S):
@@ -140,15 +143,14 @@
     settings: ProxySettings,
     clock: Clock,
     rng: random.Random,
+    stats: StatsClient,
     events: EventRecorder,
     source: ConfigurationSource,
     services: GroupServices,
     peers: PeerNode,
     tasks: TaskGroup,
 ) -> Proxy:
-    metrics = SessionMetrics(
-        make_stats(settings.statsd, settings.instance), settings.metrics_sample_rate
-    )
+    metrics = SessionMetrics(stats, settings.metrics_sample_rate)
     callers = CallerServer(
         settings.instance,
         source.wait_confirmed,
@@ -171,6 +173,17 @@
     return Proxy(address, callers, services, source, metrics, shutdown, peers)
 
 
+def _gauges(proxy: Proxy) -> list[Gauge]:
+    return [
+        Gauge("callers", lambda: proxy.callers.caller_count),
+        Gauge("groups", lambda: proxy.services.count),
+        Gauge("groups_without_primary", lambda: proxy.services.count_without_primary),
+        Gauge("configuration_revision", lambda: proxy.configuration.current.revision),
+        Gauge("store_reachable", lambda: float(proxy.configuration.store_reachable)),
+        Gauge("live_instances", lambda: len(proxy.peers.live_names)),
+    ]
+
+
 async def _open_listener(address: Address) -> anyio.abc.Listener:
     try:
         return await anyio.create_tcp_listener(
--- a/goldcrestpond/root/stats.py
+++ b/goldcrestpond/root/stats.py
@@ -17,6 +17,9 @@
     def timing(self, stat: str, delta: float, rate: float = 1) -> None:
         """Drop a duration."""
 
+    def gauge(self, stat: str, value: float, rate: float = 1) -> None:
+        """Drop a value."""
+
 
 def make_stats(address_text: str, instance: str) -> StatsClient:
     """Return a client for ``IP:PORT``, or one that drops all for an empty text."""
--- a/goldcrestpond/wire/session_metrics.py
+++ b/goldcrestpond/wire/session_metrics.py
@@ -15,6 +15,9 @@
     def timing(self, stat: str, delta: float, rate: float = 1) -> None:
         """Report a duration in milliseconds."""
 
+    def gauge(self, stat: str, value: float, rate: float = 1) -> None:
+        """Report a present value."""
+
 
 class SessionMetrics:
     """Metrics of all sessions of a process.
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,56 @@
+"""Metrics that a process sends."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import ContainsAll, MatchesRegex
+
+from goldcrestpond.root.proxy import run_proxy
+from goldcrestpond.settings.proxy_settings import ProxySettings
+
+from .site import fuel_site, psycopg_connection
+
+pytestmark = pytest.mark.anyio
+
+GAUGES = {
+    "callers",
+    "groups",
+    "groups_without_primary",
+    "configuration_revision",
+    "store_reachable",
+    "live_instances",
+}
+
+
+async def receive_names(udp, wanted):
+    names = set()
+    with anyio.fail_after(10):
+        while not wanted <= names:
+            data, _ = await udp.receive()
+            line = data.decode()
+            assert_that(line, MatchesRegex(r"goldcrestpond\.m_1\.[\w.]+:-?[\d.]+\|"))
+            names.add(line.partition(":")[0].removeprefix("goldcrestpond.m_1."))
+    return names
+
+
+async def test_gauges_and_requests_reach_statsd():
+    async with (
+        await anyio.create_udp_socket(local_host="127.0.0.1") as udp,
+        fuel_site(proxy_count=1) as site,
+    ):
+        host, port = udp.extra(anyio.abc.SocketAttribute.local_address)
+        settings = ProxySettings(
+            instance="m.1",
+            listen="127.0.0.1:0",
+            platform=str(site.platform.address),
+            statsd=f"{host}:{port}",
+            metrics_sample_rate=1.0,
+        )
+        async with run_proxy(settings) as proxy:
+            await receive_names(udp, GAUGES)
+            await proxy.configuration.wait_revision(1)
+            site.proxies[0] = proxy
+            async with await psycopg_connection(site) as caller:
+                await caller.execute("SELECT 1")
+            names = await receive_names(udp, {"wire.request_ms", "wire.from_primary"})
+            assert_that(names, ContainsAll(["wire.request_ms"]))
