--- a/goldcrestpond/api/resource_api.py
+++ b/goldcrestpond/api/resource_api.py
@@ -27,6 +27,7 @@
 from .authorization import check_bearer
 from .change_body import read_change
 from .change_executor import ChangeExecutor
+from .drain_progress_reader import DrainProgressReader
 from .error_body import ErrorBody
 from .list_body import ListBody
 from .openapi import describe_api
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        "_drains",
         "_executor",
         "_read_in_force",
         "_source",
@@ -77,7 +79,14 @@
         self._tokens = tokens
         self._read_in_force = read_in_force
         self._executor = ChangeExecutor(platform, rng, source.request_read)
-        self._status_reader = StatusReader(self._executor.table, read_in_force)
+        self._drains = DrainProgressReader(platform)
+        self._status_reader = StatusReader(
+            self._executor.table, read_in_force, self._drains.read
+        )
+
+    async def run(self) -> None:
+        """Keep what instances report until cancelled."""
+        await self._drains.run()
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
--- a/goldcrestpond/api/status_condition.py
+++ b/goldcrestpond/api/status_condition.py
@@ -9,7 +9,7 @@
     Attributes
     ----------
     type : str
-        ``InForce`` or ``StoreReachable``.
+        ``InForce``, ``StoreReachable`` or, for a drain order, ``Drained``.
     status : str
         ``True``, ``False`` or ``Unknown``.
     reason : str
--- a/goldcrestpond/api/status_reader.py
+++ b/goldcrestpond/api/status_reader.py
@@ -1,13 +1,18 @@
 """Works out the status of resources."""
 
+from collections import Counter
 from collections.abc import Callable
 
+from ..configuration.kind import Kind
 from ..configuration.resource import Resource
 from ..configuration.resource_table import ResourceTable
 from ..configuration.revision_count import RevisionCount, count_in_force
+from ..drain.drain_phase import DrainPhase
+from ..drain.drain_progress import DrainProgress
 from .resource_status import ResourceStatus
 from .status_condition import StatusCondition
 
+ReadDrain = Callable[[str], list[DrainProgress]]
 ReadInForce = Callable[[], list[RevisionCount]]
 
 
@@ -20,13 +25,21 @@
         All resources.
     read_in_force : callable
         Returns the revisions in force on live instances.
+    read_drain : callable
+        Returns what instances report of a drain order.
     """
 
-    __slots__ = ("_read_in_force", "_table", "store_reachable")
+    __slots__ = ("_read_drain", "_read_in_force", "_table", "store_reachable")
 
-    def __init__(self, table: ResourceTable, read_in_force: ReadInForce):
+    def __init__(
+        self,
+        table: ResourceTable,
+        read_in_force: ReadInForce,
+        read_drain: ReadDrain,
+    ):
         self._table = table
         self._read_in_force = read_in_force
+        self._read_drain = read_drain
         self.store_reachable = True
 
     def read(self, resource: Resource) -> ResourceStatus:
@@ -42,6 +55,9 @@
             _in_force_condition(in_force_count, live_count),
             _store_condition(self.store_reachable),
         ]
+        if resource.kind is Kind.DRAIN_ORDER:
+            reports = self._read_drain(resource.name)
+            conditions.append(_drained_condition(reports, live_count))
         return ResourceStatus(observed, live_count, in_force_count, conditions)
 
 
@@ -53,6 +69,19 @@
     return StatusCondition("InForce", status, reason)
 
 
+def _drained_condition(
+    reports: list[DrainProgress], live_count: int
+) -> StatusCondition:
+    done = sum(report.phase is DrainPhase.DONE for report in reports)
+    expected = max(live_count, len(reports))
+    if not reports:
+        return StatusCondition("Drained", "Unknown", "no instance has reported yet")
+    status = "True" if done >= expected else "False"
+    phases = Counter(report.phase.value for report in reports)
+    named = ", ".join(f"{count} {phase}" for phase, count in sorted(phases.items()))
+    return StatusCondition("Drained", status, f"of {expected} instances {named}")
+
+
 def _store_condition(reachable: bool) -> StatusCondition:
     if reachable:
         return StatusCondition("StoreReachable", "True", "the table answered")
--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -211,6 +211,11 @@
         self._apply(actions)
         self._apply(self._decisions.set_share(share, now))
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new work is refused because the endpoint is leaving."""
+        return self._decisions.is_leaving
+
     def leave(self) -> None:
         """Refuse new work; what runs may end."""
         self._apply(self._decisions.leave(self._clock.now()))
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -73,6 +73,11 @@
         """Connections that may be open, probes included."""
         return len(self._connections) + len(self._probes)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new work is refused because the endpoint is leaving."""
+        return self._leaving
+
     @property
     def waiting_count(self) -> int:
         """Requests that wait."""
--- a/goldcrestpond/root/api.py
+++ b/goldcrestpond/root/api.py
@@ -101,5 +101,8 @@
     """
     check_tokens_for_address(address.host, tokens)
     api = ResourceApi(platform, source, read_in_force, tokens, rng)
-    async with serve_http(api.application(), address) as bound:
-        yield bound
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(api.run)
+        async with serve_http(api.application(), address) as bound:
+            yield bound
+        tasks.cancel_scope.cancel()
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -110,6 +110,11 @@
             service.monitor.primary is None for service in self._services.values()
         )
 
+    def find_pool(self, group: str, database: str) -> ConnectionPool | None:
+        """Return the pool of a database, or None if there is none."""
+        service = self._services.get(group)
+        return service.find_pool(database) if service is not None else None
+
     def apply(self, configuration: Configuration) -> None:
         """Make, replace and end services so that they fit a configuration."""
         for name in list(self._services):
@@ -118,7 +123,6 @@
         for name, spec in configuration.groups.items():
             if name not in self._services:
                 self._begin(name, spec)
-            self._services[name].monitor.set_draining(_drained(configuration, name))
 
     def _begin(self, name: str, spec: DatabaseGroupSpec) -> None:
         monitor = GroupMonitor(
@@ -194,9 +198,3 @@
         with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
             return await open_connection(address, login)
         raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, f"{address}: no answer")
-
-
-def _drained(configuration: Configuration, group: str) -> set[str]:
-    """Return the databases of a group that drain orders name."""
-    orders = configuration.drain_orders.values()
-    return {order.database for order in orders if order.group == group}
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -26,6 +26,7 @@
 from ..wire.session_limits import SessionLimits
 from ..wire.session_metrics import SessionMetrics, StatsClient
 from .caller_entry import make_caller_entry
+from .drain_keeper import DrainKeeper
 from .event_sink import open_event_sink
 from .graceful_shutdown import GracefulShutdown
 from .group_services import GroupServices
@@ -117,6 +118,9 @@
             )
             source.subscribe(services.apply)
             stats = make_stats(settings.statsd, settings.instance)
+            drains = DrainKeeper(settings.instance, services, platform, clock, events)
+            source.subscribe(drains.apply)
+            tasks.start_soon(drains.run)
             proxy = await _listen(
                 settings, clock, rng, stats, events, source, services, peers, tasks
             )
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -166,6 +166,10 @@
         """Make the pool of a database before its first use."""
         self._pool(database, address, self._term)
 
+    def find_pool(self, database: str) -> ConnectionPool | None:
+        """Return the pool of a database."""
+        return self._pools.get(database)
+
     def databases(self) -> list[str]:
         """Return the databases that have a pool."""
         return list(self._pools)
@@ -189,9 +193,10 @@
     async def _after_failure(
         self, database: str, error: CodedError, deadline: timedelta
     ) -> None:
-        if error.code is not ResultCode.ENDPOINT_UNREACHABLE:
+        if error.code is ResultCode.ENDPOINT_UNREACHABLE:
+            self.monitor.report_failure(database, error)
+        elif error.code is not ResultCode.ENDPOINT_LEAVING:
             raise error
-        self.monitor.report_failure(database, error)
         if self._clock.now() >= deadline:
             raise error
         await self.monitor.wait_change(deadline)
