--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -92,6 +92,7 @@
         "_floors",
         "_group",
         "_keeper",
+        "_keeping",
         "_login",
         "_open_connection",
         "_pollers",
@@ -138,6 +139,7 @@
             for name, address in self._addresses.items()
         }
         identity = f"{instance}/{rng.getrandbits(64):016x}"
+        self._keeping = anyio.CancelScope()
         self._keeper = self._new_keeper(identity, platform, rng, recorder)
 
     def _new_keeper(
@@ -195,7 +197,7 @@
         async with anyio.create_task_group() as tasks:
             for poller in self._pollers.values():
                 tasks.start_soon(poller.run)
-            tasks.start_soon(self._keeper.run)
+            tasks.start_soon(self._keep)
             task_status.started()
 
     @property
@@ -232,6 +234,14 @@
             await self._changed.wait(rest)
         return primary
 
+    def stop_keeping(self) -> None:
+        """Leave the group's order to a successor; requests in flight go on."""
+        self._keeping.cancel()
+
+    async def _keep(self) -> None:
+        with self._keeping:
+            await self._keeper.run()
+
     async def wait_change(self, deadline: timedelta) -> None:
         """Wait until something about the group changes, or the deadline."""
         rest = deadline - self._clock.now()
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -25,6 +25,10 @@
 from ..settings.proxy_settings import ProxySettings
 from ..wire.group_service import GroupService, WaitConfiguration
 
+# Longer than a statement may usually run; what still runs then is cut.
+_RETIREMENT_S = 60.0
+_RETIREMENT_TICK_S = 0.1
+
 
 class GroupServices:
     """Services of all groups that the configuration names.
@@ -118,11 +122,26 @@
     def apply(self, configuration: Configuration) -> None:
         """Make, replace and end services so that they fit a configuration."""
         for name in list(self._services):
-            if configuration.groups.get(name) != self._specs[name]:
+            spec = configuration.groups.get(name)
+            if spec is None:
                 self._end(name)
+            elif spec != self._specs[name]:
+                self._replace(name, spec)
         for name, spec in configuration.groups.items():
             if name not in self._services:
                 self._begin(name, spec)
+                self._make_pools(name, spec)
+
+    def _replace(self, name: str, spec: DatabaseGroupSpec) -> None:
+        """Serve new requests by a changed group; pools that still fit go on."""
+        kept = _unchanged_databases(self._specs[name], spec)
+        pools = self._services[name].take_pools(kept)
+        self._end(name)
+        self._begin(name, spec)
+        for database, pool in pools.items():
+            self._services[name].adopt_pool(database, pool)
+            self._share(name, spec, database, pool)
+        self._make_pools(name, spec)
 
     def _begin(self, name: str, spec: DatabaseGroupSpec) -> None:
         monitor = GroupMonitor(
@@ -146,9 +165,6 @@
             self._wait_configuration,
             self._clock,
         )
-        for database in spec.databases:
-            address = parse_address(database.address)
-            self._services[name].add_database(database.name, address)
         self._tasks.start_soon(self._run_monitor, monitor, scope)
 
     async def aclose(self) -> None:
@@ -160,12 +176,28 @@
         await self._shares.release()
 
     def _end(self, name: str) -> None:
-        self._running.pop(name).cancel()
+        scope = self._running.pop(name)
+        self._services[name].monitor.stop_keeping()
         del self._specs[name]
         service = self._services.pop(name)
         for database in service.databases():
             self._shares.remove(name, database)
-        self._tasks.start_soon(service.aclose)
+        self._tasks.start_soon(self._retire, service, scope)
+
+    def _make_pools(self, name: str, spec: DatabaseGroupSpec) -> None:
+        """Begin to share the connections of databases before their first use."""
+        for database in spec.databases:
+            address = parse_address(database.address)
+            self._services[name].add_database(database.name, address)
+
+    async def _retire(self, service: GroupService, scope: anyio.CancelScope) -> None:
+        """Let what runs end, commits that wait included."""
+        with anyio.move_on_after(_RETIREMENT_S):
+            await service.aclose()
+            while service.running_count:
+                await anyio.sleep(_RETIREMENT_TICK_S)
+            await anyio.sleep(self._settings.acknowledge_timeout_ms / 1000)
+        scope.cancel()
 
     async def _run_monitor(
         self, monitor: GroupMonitor, scope: anyio.CancelScope
@@ -190,11 +222,29 @@
             self._tasks,
         )
         self._tasks.start_soon(pool.run)
+        self._share(group, spec, database, pool)
+        return pool
+
+    def _share(
+        self, group: str, spec: DatabaseGroupSpec, database: str, pool: ConnectionPool
+    ) -> None:
         limits = ShareLimits(spec.connection_limit, spec.report_slot_limit)
         self._shares.add(group, database, limits, spec.slot_limit, pool)
-        return pool
 
     async def _open(self, address: Address, login: Login) -> EndpointConnection:
         with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
             return await open_connection(address, login)
         raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, f"{address}: no answer")
+
+
+def _unchanged_databases(old: DatabaseGroupSpec, new: DatabaseGroupSpec) -> set[str]:
+    """Return the databases that are reached as before."""
+    if (old.user, old.password) != (new.user, new.password):
+        return set()
+    before = {database.name: database.address for database in old.databases}
+    return {
+        database.name
+        for database in new.databases
+        if before.get(database.name) == database.address
+    }
+
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -1,15 +1,13 @@
 """Accepts callers and runs their sessions."""
 
 import logging
-from collections.abc import Awaitable, Callable
-from datetime import timedelta
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
 from pygwire.messages import CancelRequest, StartupMessage
 
 from ..clock.clock import Clock
-from ..configuration.configuration import Configuration
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
@@ -19,16 +17,15 @@
 from .caller_stream import CallerGone, CallerStream
 from .cancel_registry import CancelRegistry
 from .checkout import Checkout
+from .declarations import Declarations
 from .greeting import greeting
-from .group_service import GroupService
+from .route_binding import FindService, RouteBinding, WaitConfiguration
 from .scram_login import log_in_by_scram
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
 from .session_startup import declare_at_startup, identify
 from .startup import read_startup
 
-WaitConfiguration = Callable[[timedelta], Awaitable[Configuration]]
-FindService = Callable[[str], GroupService]
 CancelAtEndpoint = Callable[[Checkout], None]
 _log = logging.getLogger("goldcrestpond.wire")
 
@@ -186,15 +183,18 @@
     async def _open_session(
         self, stream: CallerStream, message: StartupMessage
     ) -> CallerSession:
-        deadline = self._clock.now() + self._limits.startup_timeout
-        configuration = await self._wait_configuration(deadline)
-        identity = identify(message, configuration)
-        declarations = declare_at_startup(message, identity.route, configuration)
+        identity = identify(message)
+        declarations = Declarations()
+        binding = RouteBinding(
+            identity, declarations, self._wait_configuration, self._find_service
+        )
+        await binding.refresh(self._clock.now() + self._limits.startup_timeout)
+        declare_at_startup(message, declarations, binding.route.group)
         return CallerSession(
             stream,
             identity,
             declarations,
-            self._find_service(identity.route.group),
+            binding,
             self._limits,
             self._clock,
             self._metrics,
--- a/goldcrestpond/wire/caller_session.py
+++ b/goldcrestpond/wire/caller_session.py
@@ -24,9 +24,9 @@
 from .caller_stream import CallerStream
 from .checkout import Checkout
 from .declarations import PREFIX, Declarations, write_token
-from .group_service import GroupService
 from .keyed_request import KeyedRequest
 from .local_answers import LocalAnswers
+from .route_binding import RouteBinding
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
 from .session_startup import Identity
@@ -55,8 +55,8 @@
         Who it is and its route.
     declarations : Declarations
         What it has declared.
-    service : GroupService
-        The group that serves it.
+    binding : RouteBinding
+        Its route and the group that serves it.
     limits : SessionLimits
         Bounds.
     clock : Clock
@@ -69,6 +69,7 @@
     """
 
     __slots__ = (
+        "_binding",
         "_checkout",
         "_clock",
         "_declarations",
@@ -82,7 +83,6 @@
         "_relay",
         "_script",
         "_sent_completions",
-        "_service",
         "_start_attempts",
         "_statements",
         "_status",
@@ -96,7 +96,7 @@
         stream: CallerStream,
         identity: Identity,
         declarations: Declarations,
-        service: GroupService,
+        binding: RouteBinding,
         limits: SessionLimits,
         clock: Clock,
         metrics: SessionMetrics,
@@ -106,11 +106,11 @@
         self._stream = stream
         self._identity = identity
         self._declarations = declarations
-        self._service = service
+        self._binding = binding
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
-        self._local = LocalAnswers(declarations, service.name)
+        self._local = LocalAnswers(declarations, lambda: binding.route.group)
         self._statements = CallerStatements()
         self._checkout: Checkout | None = None
         self._relay: AnswerRelay | None = None
@@ -248,6 +248,7 @@
 
     async def _run_first(self, batch: Batch) -> None:
         """Run a batch that no transaction precedes, again if that is safe."""
+        await self._binding.refresh(self._request_deadline())
         statement = batch.first_statement()
         kind = statement.kind if statement else StatementKind.WORK
         if kind is StatementKind.NOT_CARRIED:
@@ -274,7 +275,7 @@
 
     def _request_deadline(self) -> timedelta:
         return self._clock.now() + timedelta(
-            milliseconds=self._identity.route.queue_timeout_ms
+            milliseconds=self._binding.route.queue_timeout_ms
         )
 
     def _evidence(self, error: CodedError) -> Evidence:
@@ -294,10 +295,10 @@
         await self._drop_checkout()
         await anyio.sleep(pause.total_seconds())
         if checkout is not None and error.code is ResultCode.PRIMARY_REPLACED:
-            await self._service.report_replaced(checkout.database, deadline)
+            await self._binding.service.report_replaced(checkout.database, deadline)
 
     def _is_keyed(self, batch: Batch, kind: StatementKind, is_read: bool) -> bool:
-        if not self._declarations.request_id or not self._identity.route.request_table:
+        if not self._declarations.request_id or not self._binding.route.request_table:
             return False
         if is_read or kind is not StatementKind.WORK:
             return False
@@ -312,7 +313,7 @@
         may_have_committed = False
         while True:
             request = KeyedRequest(
-                self._identity.route.request_table,
+                self._binding.route.request_table,
                 request_id,
                 batch.frames,
                 self._statements,
@@ -332,7 +333,7 @@
     async def _run_keyed_once(self, request: KeyedRequest, deadline: timedelta) -> None:
         self._checkout = await self._acquire(False, deadline)
         checkout = self._checkout
-        timeout = self._identity.route.statement_timeout_ms / 1000
+        timeout = self._binding.route.statement_timeout_ms / 1000
         with anyio.move_on_after(timeout) as scope:
             answer = await request.run(checkout.connection)
         if scope.cancelled_caught:
@@ -354,19 +355,19 @@
     async def _acquire(self, is_read: bool, deadline: timedelta) -> Checkout:
         is_aged = is_read and self._declarations.max_age is not None
         if not is_aged:
-            await self._service.ensure_floor(self._declarations, deadline)
+            await self._binding.service.ensure_floor(self._declarations, deadline)
         if is_read:
-            return await self._service.acquire_reader(
+            return await self._binding.service.acquire_reader(
                 self._declarations, self._identity.fairness_key, deadline
             )
-        return await self._service.acquire_primary(
+        return await self._binding.service.acquire_primary(
             self._declarations, self._identity.fairness_key, deadline
         )
 
     async def _run_on_checkout(
         self, batch: Batch, expects_primary: bool = False
     ) -> None:
-        timeout = self._identity.route.statement_timeout_ms / 1000
+        timeout = self._binding.route.statement_timeout_ms / 1000
         with anyio.move_on_after(timeout):
             await self._run_batch(batch, expects_primary)
             return
@@ -477,9 +478,9 @@
             TERM_SUPERSEDED or OUTCOME_UNKNOWN.
         """
         deadline = self._clock.now() + self._limits.acknowledge_timeout
-        await self._service.monitor.confirm(committed, deadline)
+        await self._binding.service.monitor.confirm(committed, deadline)
         self._declarations.raise_floor(committed)
-        token = write_token(self._service.name, self._declarations.floor)
+        token = write_token(self._binding.service.name, self._declarations.floor)
         return parameter_frame(TOKEN_PARAMETER, token)
 
     async def _drop_checkout(self) -> None:
--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -1,12 +1,13 @@
 """What a caller declares about its work."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition, parse_log_position
 from ..pool.lane import Lane
+from .route_defaults import RouteDefaults
 
 PREFIX = "goldcrestpond."
 READ_ONLY_PARAMETER = "default_transaction_read_only"
@@ -33,6 +34,8 @@
         Identity of the next request; empty for none.
     floor : LogPosition or None
         Least position that the session's reads must show.
+    declared : set of str
+        Parameters that the caller has set itself.
     """
 
     read_only: bool = False
@@ -41,6 +44,18 @@
     lane: str = "short"
     request_id: str = ""
     floor: LogPosition | None = None
+    declared: set[str] = field(default_factory=set)
+
+    def take_defaults(self, defaults: RouteDefaults) -> None:
+        """Take what a route declares, but for what the caller has declared."""
+        if READ_ONLY_PARAMETER not in self.declared:
+            self.read_only = defaults.read_only
+        if PREFIX + "repeatable" not in self.declared:
+            self.repeatable = defaults.repeatable
+        if PREFIX + "lane" not in self.declared:
+            self.lane = defaults.lane
+        if PREFIX + "max_age_ms" not in self.declared:
+            self.max_age = defaults.max_age
 
     def apply(self, name: str, value: str, group: str) -> None:
         """Take one parameter.
@@ -73,6 +88,7 @@
             self._take_token(value, group)
         else:
             raise CodedError(ResultCode.BAD_PARAMETER, f"unknown parameter {name}")
+        self.declared.add(name)
 
     def show(self, name: str, group: str) -> str:
         """Return the present value of a parameter as text."""
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -1,6 +1,6 @@
 """Finds connections to the databases of one group."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from datetime import timedelta
 
 from ..clock.clock import Clock
@@ -174,6 +174,22 @@
         """Return the databases that have a pool."""
         return list(self._pools)
 
+    @property
+    def running_count(self) -> int:
+        """Number of connections that serve a request now."""
+        return sum(pool.running_count for pool in self._pools.values())
+
+    def take_pools(self, databases: Collection[str]) -> dict[str, ConnectionPool]:
+        """Give away the pools of some databases to a successor."""
+        return {
+            name: self._pools.pop(name) for name in databases if name in self._pools
+        }
+
+    def adopt_pool(self, database: str, pool: ConnectionPool) -> None:
+        """Take the pool of a database from a predecessor."""
+        self._pools[database] = pool
+        pool.set_term(self._term)
+
     async def aclose(self) -> None:
         """Close all connections that no session holds."""
         for pool in self._pools.values():
--- a/goldcrestpond/wire/local_answers.py
+++ b/goldcrestpond/wire/local_answers.py
@@ -1,5 +1,7 @@
 """Answers the statements that concern only the proxy."""
 
+from collections.abc import Callable
+
 from pygwire.constants import TransactionStatus
 from pygwire.messages import (
     BindComplete,
@@ -35,15 +37,15 @@
     ----------
     declarations : Declarations
         What the session has declared; changed by SET.
-    group : str
-        Group of the session's tokens.
+    read_group : callable
+        Returns the group of the session's tokens.
     """
 
-    __slots__ = ("_declarations", "_group", "_portals", "_statements")
+    __slots__ = ("_declarations", "_read_group", "_portals", "_statements")
 
-    def __init__(self, declarations: Declarations, group: str):
+    def __init__(self, declarations: Declarations, read_group: Callable[[], str]):
         self._declarations = declarations
-        self._group = group
+        self._read_group = read_group
         self._statements: dict[str, Statement] = {}
         self._portals: dict[str, Statement] = {}
 
@@ -142,9 +144,11 @@
 
     def _run(self, statement: Statement) -> bytes:
         if statement.kind is StatementKind.DECLARE:
-            self._declarations.apply(statement.name, statement.value, self._group)
+            self._declarations.apply(
+                statement.name, statement.value, self._read_group()
+            )
             return CommandComplete(tag="SET").to_wire()
-        value = self._declarations.show(statement.name, self._group)
+        value = self._declarations.show(statement.name, self._read_group())
         row = DataRow(columns=[value.encode()]).to_wire()
         return row + CommandComplete(tag="SHOW").to_wire()
 
--- a/goldcrestpond/wire/session_startup.py
+++ b/goldcrestpond/wire/session_startup.py
@@ -2,7 +2,6 @@
 
 import shlex
 from dataclasses import dataclass
-from datetime import timedelta
 
 from pygwire.messages import StartupMessage
 
@@ -19,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who a session is and what its route says.
+    """Who a session is.
 
     Attributes
     ----------
@@ -27,15 +26,12 @@
         User that the caller gave.
     database : str
         Database name that the caller gave.
-    route : RouteSpec
-        Route of that name.
     application : str
         Application name that the caller gave.
     """
 
     user: str
     database: str
-    route: RouteSpec
     application: str = ""
 
     @property
@@ -44,45 +40,49 @@
         return f"{self.user}/{self.application}"
 
 
-def identify(message: StartupMessage, configuration: Configuration) -> Identity:
-    """Find the route of a caller.
+def identify(message: StartupMessage) -> Identity:
+    """Read who a caller is.
 
     Raises
     ------
     CodedError
-        UNKNOWN_DATABASE, ROUTE_REFUSED or MALFORMED_STARTUP.
+        MALFORMED_STARTUP if no user is named.
     """
     user = message.params.get("user", "")
     if not user:
         raise CodedError(ResultCode.MALFORMED_STARTUP, "no user name")
     database = message.params.get("database") or user
-    route = configuration.routes.get(database)
+    return Identity(user, database, message.params.get("application_name", ""))
+
+
+def find_route(identity: Identity, configuration: Configuration) -> RouteSpec:
+    """Find the route of a caller.
+
+    Raises
+    ------
+    CodedError
+        UNKNOWN_DATABASE or ROUTE_REFUSED.
+    """
+    route = configuration.routes.get(identity.database)
     if route is None:
-        raise CodedError(ResultCode.UNKNOWN_DATABASE, f"database {database!r}")
-    if route.users and user not in route.users:
-        raise CodedError(ResultCode.ROUTE_REFUSED, f"user {user!r}")
-    return Identity(user, database, route, message.params.get("application_name", ""))
+        raise CodedError(ResultCode.UNKNOWN_DATABASE, f"database {identity.database!r}")
+    if route.users and identity.user not in route.users:
+        raise CodedError(ResultCode.ROUTE_REFUSED, f"user {identity.user!r}")
+    return route
 
 
 def declare_at_startup(
-    message: StartupMessage, route: RouteSpec, configuration: Configuration
-) -> Declarations:
-    """Return what route and startup packet declare.
+    message: StartupMessage, declarations: Declarations, group: str
+) -> None:
+    """Take what the startup packet declares.
 
     Raises
     ------
     CodedError
         BAD_PARAMETER or BAD_TOKEN.
     """
-    declarations = Declarations(
-        read_only=route.read_only, repeatable=route.repeatable, lane=route.lane
-    )
-    policy = configuration.read_policies.get(route.read_policy)
-    if policy is not None:
-        declarations.max_age = timedelta(milliseconds=policy.max_age_ms)
     for name, value in _parameters(message):
-        _apply(declarations, name.lower(), value, route.group)
-    return declarations
+        _apply(declarations, name.lower(), value, group)
 
 
 def _parameters(message: StartupMessage) -> list[tuple[str, str]]:
