--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -247,4 +247,3 @@
         for database in new.databases
         if before.get(database.name) == database.address
     }
-
