--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import anyio
@@ -19,12 +19,14 @@
 from ..peer.peer_node import PeerNode
 from ..platform.configuration_source import ConfigurationSource
 from ..platform.http_platform import HttpPlatform
+from ..platform.platform import Platform
 from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
 from ..wire.caller_server import CallerServer
 from ..wire.checkout import Checkout
 from ..wire.session_limits import SessionLimits
 from ..wire.session_metrics import SessionMetrics, StatsClient
+from .api import serve_api
 from .caller_entry import make_caller_entry
 from .drain_keeper import DrainKeeper
 from .event_sink import open_event_sink
@@ -64,6 +66,8 @@
         Ends it without cutting what is in flight.
     peers : PeerNode
         The instances that it knows.
+    api : Address or None
+        Where its resource API listens, if it has one.
     """
 
     address: Address
@@ -73,6 +77,7 @@
     metrics: SessionMetrics
     shutdown: GracefulShutdown
     peers: PeerNode
+    api: Address | None = None
 
 
 @asynccontextmanager
@@ -129,13 +134,28 @@
             await tasks.start(source.run)
             tasks.start_soon(report_gauges, stats, _gauges(proxy))
             events.record("root", "started", address=proxy.address)
-            yield proxy
+            async with _serve_own_api(settings, slow_platform, proxy, rng) as api:
+                yield replace(proxy, api=api)
             with anyio.move_on_after(_RELEASE_TIMEOUT_S):
                 await _release(services)
             events.record("root", "stopped")
             tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def _serve_own_api(
+    settings: ProxySettings, platform: Platform, proxy: Proxy, rng: random.Random
+) -> AsyncIterator[Address | None]:
+    if not settings.api_listen:
+        yield None
+        return
+    address = parse_address(settings.api_listen)
+    source, in_force = proxy.configuration, proxy.peers.in_force
+    tokens = settings.api_tokens
+    async with serve_api(address, platform, source, in_force, tokens, rng) as bound:
+        yield bound
+
+
 async def _release(services: GroupServices) -> None:
     try:
         await services.aclose()
--- a/goldcrestpond/settings/proxy_settings.py
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -27,6 +27,10 @@
     peer_key : str
         Key of the fleet, at most 64 bytes; empty on networks that only
         instances reach.
+    api_listen : str
+        ``IP:PORT`` of the resource API in this process; empty for none.
+    api_tokens : list of str
+        Bearer tokens of operators; without any, only loopback is admitted.
     statsd : str
         ``IP:PORT`` of the statsd server; empty for no metrics.
     metrics_sample_rate : float
@@ -69,6 +73,8 @@
     peer_listen: str = ""
     peer_seeds: list[str] = []
     peer_key: str = ""
+    api_listen: str = ""
+    api_tokens: list[str] = []
     statsd: str = ""
     metrics_sample_rate: float = 0.1
     events_file: str = ""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
+from goldcrestpond.api.resource_client import ResourceClient
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.configuration.keys import resource_key
 from goldcrestpond.configuration.kind import Kind
@@ -123,3 +124,24 @@
         with anyio.fail_after(_HANG_S):
             for proxy in site.proxies:
                 await proxy.configuration.wait_revision(revision)
+
+
+async def test_any_proxy_can_serve_the_resource_api():
+    async with fuel_site(proxy_count=1) as site:
+        settings = ProxySettings(
+            instance="with-api",
+            listen="127.0.0.1:0",
+            platform=str(site.platform.address),
+            peer_listen="127.0.0.1:0",
+            peer_seeds=[str(site.proxies[0].peers.address)],
+            api_listen="127.0.0.1:0",
+        )
+        async with run_proxy(settings) as proxy:
+            async with ResourceClient(
+                f"http://{proxy.api}", "", SystemClock(), _HANG
+            ) as client:
+                await client.create(Kind.ROUTE, "later", _ROUTE)
+                deadline = SystemClock().now() + _HANG
+                await client.wait_in_force(Kind.ROUTE, "later", deadline)
+        routes = site.proxies[0].configuration.current.routes
+        assert_that(routes, Contains("later"))
