--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -24,6 +24,7 @@
     BAD_TOKEN = (111, "22023", 400, "The session token cannot be read.")
     TOKEN_BEYOND_HISTORY = (112, "22023", 400, "The history lacks the token's write.")
     ENCRYPTION_REQUIRED = (113, "28000", 403, "The instance requires TLS.")
+    IDLE_TRANSACTION = (114, "25P03", 408, "Rolled back: its caller kept it waiting.")
 
     NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
     ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint was reached; not run.")
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -120,6 +120,7 @@
         events_file=events_file,
         users=settings.users,
         tls_certificate_file=settings.tls_certificate_file,
+        idle_transaction_timeout_ms=settings.idle_transaction_timeout_ms,
         shutdown_timeout_ms=settings.shutdown_timeout_ms,
     )
 
--- a/goldcrestpond/root/local_site_settings.py
+++ b/goldcrestpond/root/local_site_settings.py
@@ -47,6 +47,8 @@
         Certificate and key of the proxies; empty for no encryption.
     endpoint_password : str
         Password of the proxies at the databases; empty for none.
+    idle_transaction_timeout_ms : int
+        Longest time that an open transaction waits for its caller.
     event_folder : str
         Folder for the time lines of the processes; empty for none.
     shutdown_timeout_ms : int
@@ -72,6 +74,7 @@
     users: dict[str, str] = field(default_factory=dict)
     tls_certificate_file: str = ""
     endpoint_password: str = ""
+    idle_transaction_timeout_ms: int = 60_000
     event_folder: str = ""
     shutdown_timeout_ms: int = 30_000
     seed: int = 1
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -227,4 +227,7 @@
         batch_limit_bytes=settings.batch_limit_bytes,
         startup_timeout=timedelta(milliseconds=settings.startup_timeout_ms),
         acknowledge_timeout=timedelta(milliseconds=settings.acknowledge_timeout_ms),
+        idle_transaction_timeout=timedelta(
+            milliseconds=settings.idle_transaction_timeout_ms
+        ),
     )
--- a/goldcrestpond/settings/proxy_settings.py
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -60,6 +60,8 @@
         Longest time for startup and authentication.
     acknowledge_timeout_ms : int
         Longest wait for the confirmation of a commit.
+    idle_transaction_timeout_ms : int
+        Longest time that an open transaction waits for its caller.
     connect_timeout_ms : int
         Longest time to open a connection to an endpoint.
     shutdown_timeout_ms : int
@@ -89,5 +91,6 @@
     batch_limit_bytes: int = 32 * MEBIBYTE
     startup_timeout_ms: int = 10_000
     acknowledge_timeout_ms: int = 5_000
+    idle_transaction_timeout_ms: int = 60_000
     connect_timeout_ms: int = 2_000
     shutdown_timeout_ms: int = 30_000
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -13,14 +13,16 @@
 from ..events.recorder import EventRecorder
 from ..frames.build import error_frame
 from .caller_entry import CallerEntry
-from .caller_session import CallerSession, StartAttempts
+from .caller_session import CallerSession
 from .caller_stream import CallerGone, CallerStream
+from .caller_watch import watch_waiting_transactions
 from .cancel_registry import CancelRegistry
 from .checkout import Checkout
 from .declarations import Declarations
 from .greeting import greeting
 from .route_binding import FindService, RouteBinding, WaitConfiguration
 from .scram_login import log_in_by_scram
+from .session_context import SessionContext, StartAttempts
 from .session_limits import SessionLimits
 from .session_metrics import SessionMetrics
 from .session_startup import declare_at_startup, identify
@@ -61,20 +63,21 @@
     """
 
     __slots__ = (
-        "_entry",
-        "_start_attempts",
         "_accepting",
         "_caller_limit",
         "_cancel_at_endpoint",
         "_cancels",
         "_clock",
+        "_entry",
         "_events",
         "_find_service",
         "_instance",
         "_is_stopping",
         "_limits",
         "_metrics",
+        "_overdue",
         "_sessions",
+        "_start_attempts",
         "_wait_configuration",
         "caller_count",
     )
@@ -106,6 +109,7 @@
         self._events = events
         self._cancels = CancelRegistry()
         self._sessions: dict[CallerSession, anyio.CancelScope] = {}
+        self._overdue: set[CallerSession] = set()
         self._is_stopping = False
         self._accepting = anyio.CancelScope()
         self.caller_count = 0
@@ -114,10 +118,21 @@
         self, listener: anyio.abc.Listener[SocketStream], tasks: TaskGroup
     ) -> None:
         """Accept callers until stopped; sessions run in ``tasks``."""
+        tasks.start_soon(
+            watch_waiting_transactions,
+            lambda: self._sessions,
+            self._end_overdue,
+            self._limits.idle_transaction_timeout,
+            self._clock,
+        )
         with self._accepting:
             async with listener:
                 await listener.serve(self._handle, tasks)
 
+    def _end_overdue(self, session: CallerSession) -> None:
+        self._overdue.add(session)
+        self._sessions[session].cancel()
+
     def stop_accepting(self) -> None:
         """Close the listener; connections that it has accepted go on."""
         self._is_stopping = True
@@ -190,7 +205,7 @@
         )
         await binding.refresh(self._clock.now() + self._limits.startup_timeout)
         declare_at_startup(message, declarations, binding.route.group)
-        return CallerSession(
+        context = SessionContext(
             stream,
             identity,
             declarations,
@@ -199,7 +214,9 @@
             self._clock,
             self._metrics,
             self._start_attempts,
+            self._cancel_at_endpoint,
         )
+        return CallerSession(context)
 
     async def _run_session(self, stream: CallerStream, session: CallerSession) -> None:
         key = self._cancels.register(lambda: self._cancel(session))
@@ -211,6 +228,9 @@
             finally:
                 del self._sessions[session]
                 self._cancels.unregister(key)
+        if session in self._overdue:
+            self._overdue.discard(session)
+            raise CodedError(ResultCode.IDLE_TRANSACTION)
         if scope.cancelled_caught:
             raise _cut_error(session.was_answer_due)
 
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -201,6 +201,10 @@
         self.monitor.report_failure(database, error)
         await self.monitor.wait_change(deadline)
 
+    async def wait_news(self, deadline: timedelta) -> None:
+        """Wait until something about the group changes, or the deadline."""
+        await self.monitor.wait_change(deadline)
+
     async def _wait_next_primary(self, term: int, deadline: timedelta) -> None:
         if self._clock.now() >= deadline:
             raise CodedError(ResultCode.NO_PRIMARY, f"only that of term {term}")
--- /dev/null
+++ b/goldcrestpond/wire/keyed_runner.py
@@ -0,0 +1,135 @@
+"""Runs requests with an id until their outcome is known."""
+
+import logging
+from datetime import timedelta
+
+import anyio
+
+from ..endpoint.endpoint_refusal import EndpointRefusal
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..frames import kinds
+from ..retry.evidence import Evidence
+from .answer_end import STATUS_IDLE
+from .batch import Batch
+from .caller_statements import CallerStatements
+from .checkout import Checkout
+from .keyed_request import KeyedRequest
+from .request_answer import RequestAnswer
+from .session_context import SessionContext
+
+# Another attempt, or another transaction, was first; the next try sees it.
+_CONFLICT_SQLSTATES = frozenset(("23505", "40001", "40P01"))
+_OUTCOME_HUNDREDS = 3  # result codes that leave open whether a request ran
+_log = logging.getLogger("goldcrestpond.wire")
+
+
+class KeyedRunner:
+    """Attempts at a session's requests with an id.
+
+    Parameters
+    ----------
+    context : SessionContext
+        The session.
+    statements : CallerStatements
+        The caller's prepared statements.
+
+    Attributes
+    ----------
+    checkout : Checkout or None
+        Connection that runs the present attempt.
+    """
+
+    __slots__ = ("_context", "_statements", "checkout")
+
+    def __init__(self, context: SessionContext, statements: CallerStatements):
+        self._context = context
+        self._statements = statements
+        self.checkout: Checkout | None = None
+
+    def takes(self, batch: Batch) -> bool:
+        """Return whether a batch of work has an id that the route records."""
+        has_id = bool(self._context.declarations.request_id)
+        has_table = bool(self._context.binding.route.request_table)
+        is_whole = batch.runs_statement and batch.end != kinds.FLUSH
+        return has_id and has_table and is_whole
+
+    async def run(self, batch: Batch) -> RequestAnswer:
+        """Run a batch until its outcome is known or time is up.
+
+        Raises
+        ------
+        CodedError
+            If the request was refused or given up; the code tells the outcome.
+        """
+        context = self._context
+        request_id = context.declarations.request_id
+        context.declarations.request_id = ""  # it named this request alone
+        deadline = context.request_deadline()
+        attempts = context.start_request(deadline, False, True)
+        may_have_committed = False
+        while True:
+            request = KeyedRequest(
+                context.binding.route.request_table,
+                request_id,
+                batch.frames,
+                self._statements,
+            )
+            try:
+                return await self._run_once(request, deadline)
+            except CodedError as error:
+                may_have_committed = may_have_committed or request.may_have_committed
+                pause = attempts.failed(_evidence(error), context.clock.now())
+                if pause is None or not _is_transient(error):
+                    raise _name_outcome(error, may_have_committed) from error
+                _log.info("wire: request with an id repeated: %s", error)
+                await anyio.sleep(pause.total_seconds())
+                if error.code is ResultCode.PRIMARY_REPLACED:
+                    await context.binding.service.wait_news(deadline)
+
+    async def _run_once(
+        self, request: KeyedRequest, deadline: timedelta
+    ) -> RequestAnswer:
+        checkout = await self._context.acquire(False, deadline)
+        self.checkout = checkout
+        is_done = False
+        try:
+            with anyio.move_on_after(self._context.statement_timeout_s()):
+                answer = await request.run(checkout.connection)
+                is_done = True
+        finally:
+            self.checkout = None
+            await self._give_back(checkout, is_done)
+        if not is_done:
+            raise CodedError(ResultCode.PROGRESS_DEADLINE)
+        token = b""
+        if answer.committed is not None:
+            token = await self._context.confirm(answer.committed)
+        return RequestAnswer(token + answer.data, STATUS_IDLE, False)
+
+    async def _give_back(self, checkout: Checkout, is_done: bool) -> None:
+        if not is_done or checkout.is_cancelled:
+            checkout.connection.is_broken = True
+            await checkout.connection.aclose()
+        checkout.give_back()
+
+
+def _evidence(error: CodedError) -> Evidence:
+    if error.code is ResultCode.PRIMARY_REPLACED:
+        return Evidence.NOT_RUN
+    return Evidence.INTERRUPTED
+
+
+def _is_transient(error: CodedError) -> bool:
+    if isinstance(error, EndpointRefusal):
+        return error.sqlstate in _CONFLICT_SQLSTATES
+    return error.code is not ResultCode.NOT_CARRIED
+
+
+def _name_outcome(error: CodedError, may_have_committed: bool) -> CodedError:
+    """Name the outcome of a request with an id that was given up."""
+    if may_have_committed:
+        return CodedError(ResultCode.OUTCOME_UNKNOWN, error.detail)
+    if error.code.number // 100 == _OUTCOME_HUNDREDS:
+        return CodedError(ResultCode.ROLLED_BACK, error.detail)
+    return error
--- a/goldcrestpond/wire/session_limits.py
+++ b/goldcrestpond/wire/session_limits.py
@@ -18,9 +18,12 @@
         Longest time for startup and authentication.
     acknowledge_timeout : timedelta
         Longest wait for the confirmation of a commit.
+    idle_transaction_timeout : timedelta
+        Longest time that an open transaction waits for its caller.
     """
 
     frame_limit_bytes: int
     batch_limit_bytes: int
     startup_timeout: timedelta
     acknowledge_timeout: timedelta
+    idle_transaction_timeout: timedelta
