--- a/goldcrestpond/root/drain_keeper.py
+++ b/goldcrestpond/root/drain_keeper.py
@@ -99,6 +99,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_list)
             while True:
+                if self._drains:
+                    self._tell_monitors()  # some may have begun meanwhile
                 self._tick()
                 await self._report()
                 await anyio.sleep(_TICK_S)
@@ -142,9 +144,9 @@
         return wanted
 
     def _tell_monitors(self) -> None:
-        for group in self._configuration.groups:
+        for group, service in self._services.watched().items():
             drained = {d.database for d in self._drains.values() if d.group == group}
-            self._services.find(group).monitor.set_draining(drained)
+            service.monitor.set_draining(drained)
 
     def _withdraw(self, drain: _Drain) -> None:
         self._record("drain_withdrawn", drain)
@@ -164,7 +166,8 @@
         pool = self._services.find_pool(drain.group, drain.database)
         if pool is None:
             return
-        primary = self._services.find(drain.group).monitor.primary
+        service = self._services.watched()[drain.group]
+        primary = service.monitor.primary
         is_primary = primary is not None and primary.database == drain.database
         before = drain.decisions.phase
         actions = drain.decisions.update(
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -1,6 +1,8 @@
 """Makes the services of groups as configurations name them."""
 
 import random
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,6 +19,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
+from ..placement.group_use import GroupUse
 from ..platform.platform import Platform
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
@@ -28,10 +31,11 @@
 # Longer than a statement may usually run; what still runs then is cut.
 _RETIREMENT_S = 60.0
 _RETIREMENT_TICK_S = 0.1
+_REVIEW_PAUSE_S = 30.0  # a group that is not used may be watched so much longer
 
 
 class GroupServices:
-    """Services of all groups that the configuration names.
+    """Services of the groups that this instance watches.
 
     Parameters
     ----------
@@ -54,6 +58,7 @@
 
     __slots__ = (
         "_clock",
+        "_configured",
         "_events",
         "_platform",
         "_rng",
@@ -63,6 +68,7 @@
         "_shares",
         "_specs",
         "_tasks",
+        "_use",
         "_wait_configuration",
     )
 
@@ -85,22 +91,33 @@
         self._tasks = tasks
         self._shares = ShareKeeper(settings.instance, platform, clock, rng)
         tasks.start_soon(self._shares.run)
+        self._configured: dict[str, DatabaseGroupSpec] = {}
+        self._use = GroupUse()
+        tasks.start_soon(self._review_forever)
         self._services: dict[str, GroupService] = {}
         self._running: dict[str, anyio.CancelScope] = {}
         self._specs: dict[str, DatabaseGroupSpec] = {}
 
     def find(self, name: str) -> GroupService:
-        """Return the service of a group.
+        """Return the service of a group for a request.
 
         Raises
         ------
         CodedError
             UNKNOWN_DATABASE if the configuration has no such group.
         """
+        self._use.note_use(name, self._clock.now())
         service = self._services.get(name)
-        if service is None:
+        if service is not None:
+            return service
+        spec = self._configured.get(name)
+        if spec is None:
             raise CodedError(ResultCode.UNKNOWN_DATABASE, f"no group {name!r}")
-        return service
+        return self._begin(name, spec)
+
+    def watched(self) -> dict[str, GroupService]:
+        """Return the services that run, by the names of their groups."""
+        return dict(self._services)
 
     @property
     def count(self) -> int:
@@ -121,29 +138,42 @@
 
     def apply(self, configuration: Configuration) -> None:
         """Make, replace and end services so that they fit a configuration."""
+        self._configured = configuration.groups
+        self._review()
+
+    async def _review_forever(self) -> None:
+        while True:
+            await anyio.sleep(_REVIEW_PAUSE_S)
+            self._review()
+
+    def _review(self) -> None:
+        now = self._clock.now()
+        for name, service in self._services.items():
+            if service.running_count:
+                self._use.note_use(name, now)
+        wanted = self._use.wanted(self._configured, now)
         for name in list(self._services):
-            spec = configuration.groups.get(name)
-            if spec is None:
+            spec = self._configured.get(name)
+            if spec is None or name not in wanted:
                 self._end(name)
             elif spec != self._specs[name]:
                 self._replace(name, spec)
-        for name, spec in configuration.groups.items():
-            if name not in self._services:
-                self._begin(name, spec)
-                self._make_pools(name, spec)
+        for name in wanted - self._services.keys():
+            self._begin(name, self._configured[name])
 
     def _replace(self, name: str, spec: DatabaseGroupSpec) -> None:
         """Serve new requests by a changed group; pools that still fit go on."""
         kept = _unchanged_databases(self._specs[name], spec)
         pools = self._services[name].take_pools(kept)
         self._end(name)
-        self._begin(name, spec)
-        for database, pool in pools.items():
-            self._services[name].adopt_pool(database, pool)
-            self._share(name, spec, database, pool)
-        self._make_pools(name, spec)
+        self._begin(name, spec, pools)
 
-    def _begin(self, name: str, spec: DatabaseGroupSpec) -> None:
+    def _begin(
+        self,
+        name: str,
+        spec: DatabaseGroupSpec,
+        kept_pools: Mapping[str, ConnectionPool] = MappingProxyType({}),
+    ) -> GroupService:
         monitor = GroupMonitor(
             name,
             spec,
@@ -158,14 +188,22 @@
         scope = anyio.CancelScope()
         self._specs[name] = spec
         self._running[name] = scope
-        self._services[name] = GroupService(
+        service = GroupService(
             name,
             monitor,
             lambda database, address: self._make_pool(name, spec, database, address),
             self._wait_configuration,
             self._clock,
         )
+        self._services[name] = service
+        for database, pool in kept_pools.items():
+            service.adopt_pool(database, pool)
+            self._share(name, spec, database, pool)
+        for database in spec.databases:
+            # Shares of connections are asked for before the first use.
+            service.add_database(database.name, parse_address(database.address))
         self._tasks.start_soon(self._run_monitor, monitor, scope)
+        return service
 
     async def aclose(self) -> None:
         """End all services, then give up their shares of connections."""
@@ -184,12 +222,6 @@
             self._shares.remove(name, database)
         self._tasks.start_soon(self._retire, service, scope)
 
-    def _make_pools(self, name: str, spec: DatabaseGroupSpec) -> None:
-        """Begin to share the connections of databases before their first use."""
-        for database in spec.databases:
-            address = parse_address(database.address)
-            self._services[name].add_database(database.name, address)
-
     async def _retire(self, service: GroupService, scope: anyio.CancelScope) -> None:
         """Let what runs end, commits that wait included."""
         with anyio.move_on_after(_RETIREMENT_S):
--- a/goldcrestpond/wire/route_binding.py
+++ b/goldcrestpond/wire/route_binding.py
@@ -73,6 +73,7 @@
         """
         configuration = await self._wait_configuration(deadline)
         if configuration is self._configuration:
+            self.service = self._find_service(self.route.group)
             return
         route = find_route(self._identity, configuration)
         self.service = self._find_service(route.group)
