--- a/bench/peer_nodes.py
+++ b/bench/peer_nodes.py
@@ -115,7 +115,7 @@
         return [str(node.address) for node in nodes[:_SEED_COUNT]]
 
     node = PeerNode(
-        PeerSettings(name, "zone", _LOOPBACK, "key"),
+        PeerSettings(name, "west", _LOOPBACK, "key"),
         ClockHolder(clock, rng),
         list_seeds,
         clock,
--- a/goldcrestpond/configuration/database_spec.py
+++ b/goldcrestpond/configuration/database_spec.py
@@ -14,10 +14,10 @@
         Name within the group.
     address : str
         ``IP:PORT`` of the endpoint.
-    zone : str
+    availability_zone : str
         Availability zone; empty if unknown.
     """
 
     name: Name
     address: AddressText
-    zone: OptionalName = ""
+    availability_zone: OptionalName = ""
--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -76,7 +76,7 @@
         Takes the events of the time line.
     instance : str
         Name of this instance, unique among the live ones.
-    zone : str, default=""
+    availability_zone : str, default=""
         Availability zone of this instance.
     """
 
@@ -108,7 +108,7 @@
         rng: random.Random,
         recorder: EventRecorder,
         instance: str,
-        zone: str = "",
+        availability_zone: str = "",
     ):
         self._group = group
         self._open_connection = open_connection
@@ -122,7 +122,10 @@
         self._changed = Wakeup()
         self._router = ReplicaRouter(
             self._view,
-            {d.name: d.zone in ("", zone) for d in spec.databases},
+            {
+                d.name: d.availability_zone in ("", availability_zone)
+                for d in spec.databases
+            },
             rng,
         )
         self._pollers = {
--- a/goldcrestpond/endpoint/group_monitor_reads.py
+++ b/goldcrestpond/endpoint/group_monitor_reads.py
@@ -32,15 +32,15 @@
     ----------
     view : GroupView
         Newest statuses.
-    is_same_zone : dict of str to bool
-        For each database, whether it is in this instance's zone.
+    is_same_availability_zone : dict of str to bool
+        For each database, whether it is in this instance's availability zone.
     rng : random.Random
         Decides between equals.
     """
 
     __slots__ = (
         "_ages",
-        "_is_same_zone",
+        "_is_same_availability_zone",
         "_lags",
         "_loads",
         "_rng",
@@ -50,10 +50,13 @@
     )
 
     def __init__(
-        self, view: GroupView, is_same_zone: dict[str, bool], rng: random.Random
+        self,
+        view: GroupView,
+        is_same_availability_zone: dict[str, bool],
+        rng: random.Random,
     ):
         self._view = view
-        self._is_same_zone = is_same_zone
+        self._is_same_availability_zone = is_same_availability_zone
         self._rng = rng
         self._ages = AgeSamples()
         self._lags = {name: LagEstimate() for name in view.databases}
@@ -170,4 +173,6 @@
 
     def _wait(self, database: str) -> timedelta:
         load = self._loads.get(database, _IDLE)
-        return expected_wait(load, is_same_zone=self._is_same_zone[database])
+        return expected_wait(
+            load, is_same_availability_zone=self._is_same_availability_zone[database]
+        )
--- a/goldcrestpond/membership/member_update.py
+++ b/goldcrestpond/membership/member_update.py
@@ -23,7 +23,7 @@
         Name of the instance.
     address : str
         ``IP:PORT`` of its peer socket.
-    zone : str
+    availability_zone : str
         Availability zone.
     """
 
@@ -32,7 +32,7 @@
     state: MemberState
     name: str
     address: str
-    zone: str
+    availability_zone: str
 
     @property
     def is_live(self) -> bool:
--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -53,7 +53,7 @@
         Name of this instance.
     address : str
         ``IP:PORT`` of its peer socket.
-    zone : str
+    availability_zone : str
         Its availability zone.
     settings : MembershipSettings
         Periods and limits.
@@ -67,7 +67,7 @@
         self,
         name: str,
         address: str,
-        zone: str,
+        availability_zone: str,
         settings: MembershipSettings,
         rng: random.Random,
         now: timedelta,
@@ -78,7 +78,12 @@
         self._reading = now
         self._ticked_at = now
         self._self = MemberUpdate(
-            rng.getrandbits(_ID_BITS) or 1, 0, MemberState.ALIVE, name, address, zone
+            rng.getrandbits(_ID_BITS) or 1,
+            0,
+            MemberState.ALIVE,
+            name,
+            address,
+            availability_zone,
         )
         self.table = MemberTable()
         self._queue = UpdateQueue()
--- a/goldcrestpond/peer/membership_codec.py
+++ b/goldcrestpond/peer/membership_codec.py
@@ -125,7 +125,7 @@
     out.state = int(update.state)
     out.name = update.name
     out.address = update.address
-    out.zone = update.zone
+    out.availabilityZone = update.availability_zone
 
 
 def _read_updates(slots: Sequence[Any]) -> list[MemberUpdate]:
@@ -137,7 +137,7 @@
 def _read_update(slot: Any) -> MemberUpdate:
     if slot.instanceId == 0:
         raise ValueError("an instance id of 0")
-    if len(slot.name) > _NAME_LIMIT or len(slot.zone) > _NAME_LIMIT:
+    if len(slot.name) > _NAME_LIMIT or len(slot.availabilityZone) > _NAME_LIMIT:
         raise ValueError("a name that is too long")
     return MemberUpdate(
         slot.instanceId,
@@ -145,7 +145,7 @@
         MemberState(slot.state),
         slot.name,
         _read_address(slot.address),
-        slot.zone,
+        slot.availabilityZone,
     )
 
 
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -207,7 +207,7 @@
         self._membership = Membership(
             self._settings.instance,
             str(self.address),
-            self._settings.zone,
+            self._settings.availability_zone,
             MembershipSettings(),
             self._rng,
             now,
--- a/goldcrestpond/peer/peer_settings.py
+++ b/goldcrestpond/peer/peer_settings.py
@@ -13,7 +13,7 @@
     ----------
     instance : str
         Name of the instance.
-    zone : str
+    availability_zone : str
         Availability zone.
     listen : Address
         Where to receive over UDP and TCP; port 0 lets the operating system
@@ -23,6 +23,6 @@
     """
 
     instance: str
-    zone: str
+    availability_zone: str
     listen: Address
     key: str = ""
--- a/goldcrestpond/placement/candidate.py
+++ b/goldcrestpond/placement/candidate.py
@@ -11,9 +11,9 @@
     ----------
     name : str
         Name of the instance.
-    zone : str
+    availability_zone : str
         Availability zone.
     """
 
     name: str
-    zone: str
+    availability_zone: str
--- a/goldcrestpond/placement/holder_table.py
+++ b/goldcrestpond/placement/holder_table.py
@@ -18,23 +18,25 @@
         Places of each group.
     """
 
-    __slots__ = ("_candidates", "_holder_count", "_holders", "_zones")
+    __slots__ = ("_candidates", "_holder_count", "_holders", "_availability_zones")
 
     def __init__(self, holder_count: int):
         self._holder_count = holder_count
         self._candidates: dict[str, Candidate] = {}
         self._holders: dict[str, list[Candidate]] = {}
-        self._zones: dict[str, Sequence[str]] = {}
+        self._availability_zones: dict[str, Sequence[str]] = {}
 
-    def holders(self, group: str, zones: Sequence[str] = ()) -> list[Candidate]:
-        """Return the holders of a group with databases in ``zones``."""
+    def holders(
+        self, group: str, availability_zones: Sequence[str] = ()
+    ) -> list[Candidate]:
+        """Return the holders of a group with databases in ``availability_zones``."""
         found = self._holders.get(group)
-        if found is None or self._zones[group] != zones:
+        if found is None or self._availability_zones[group] != availability_zones:
             found = choose_holders(
-                group, self._candidates.values(), self._holder_count, zones
+                group, self._candidates.values(), self._holder_count, availability_zones
             )
             self._holders[group] = found
-            self._zones[group] = zones
+            self._availability_zones[group] = availability_zones
         return found
 
     def add(self, candidate: Candidate) -> None:
@@ -46,7 +48,7 @@
                 group,
                 [*contenders, candidate],
                 self._holder_count,
-                self._zones[group],
+                self._availability_zones[group],
             )
 
     def remove(self, name: str) -> None:
--- a/goldcrestpond/placement/rendezvous.py
+++ b/goldcrestpond/placement/rendezvous.py
@@ -16,7 +16,7 @@
     group: str,
     candidates: Iterable[Candidate],
     count: int,
-    zones: Sequence[str] = (),
+    availability_zones: Sequence[str] = (),
 ) -> list[Candidate]:
     """Return the instances that hold connections to a group.
 
@@ -33,7 +33,7 @@
         Live instances.
     count : int
         Places of the group.
-    zones : sequence of str, default=()
+    availability_zones : sequence of str, default=()
         Zones of the group's databases, in the order of their names.
 
     Returns
@@ -44,23 +44,30 @@
     ranked = sorted(
         candidates, key=lambda candidate: weigh(group, candidate.name), reverse=True
     )
-    shares = _share(count, sorted(set(zones)))
+    shares = _share(count, sorted(set(availability_zones)))
     chosen = [
         candidate
-        for zone, share in shares.items()
-        for candidate in _in_zone(ranked, zone)[:share]
+        for availability_zone, share in shares.items()
+        for candidate in _in_availability_zone(ranked, availability_zone)[:share]
     ]
     taken = {candidate.name for candidate in chosen}
     others = [candidate for candidate in ranked if candidate.name not in taken]
     return chosen + others[: count - len(chosen)]
 
 
-def _share(count: int, zones: list[str]) -> dict[str, int]:
+def _share(count: int, availability_zones: list[str]) -> dict[str, int]:
     return {
-        zone: count // len(zones) + (index < count % len(zones))
-        for index, zone in enumerate(zones)
+        availability_zone: count // len(availability_zones)
+        + (index < count % len(availability_zones))
+        for index, availability_zone in enumerate(availability_zones)
     }
 
 
-def _in_zone(candidates: list[Candidate], zone: str) -> list[Candidate]:
-    return [candidate for candidate in candidates if candidate.zone == zone]
+def _in_availability_zone(
+    candidates: list[Candidate], availability_zone: str
+) -> list[Candidate]:
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.availability_zone == availability_zone
+    ]
--- a/goldcrestpond/platform/instance_entry.py
+++ b/goldcrestpond/platform/instance_entry.py
@@ -14,7 +14,7 @@
         Name of the instance.
     address : str
         ``IP:PORT`` of the instance.
-    zone : str
+    availability_zone : str
         Availability zone.
     state : str
         ``live`` or ``leaving``.
@@ -22,5 +22,5 @@
 
     name: str
     address: str
-    zone: str = ""
+    availability_zone: str = ""
     state: Literal["live", "leaving"] = "live"
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -183,7 +183,7 @@
             self._rng,
             self._events,
             self._settings.instance,
-            self._settings.zone,
+            self._settings.availability_zone,
         )
         scope = anyio.CancelScope()
         self._specs[name] = spec
--- a/goldcrestpond/root/peers.py
+++ b/goldcrestpond/root/peers.py
@@ -23,6 +23,8 @@
 ) -> PeerNode:
     """Return the node of a proxy; it takes part once it runs."""
     listen = parse_address(settings.peer_listen or "127.0.0.1:0")
-    identity = PeerSettings(settings.instance, settings.zone, listen, settings.peer_key)
+    identity = PeerSettings(
+        settings.instance, settings.availability_zone, listen, settings.peer_key
+    )
     list_seeds = seeds_of(platform, settings.peer_seeds)
     return PeerNode(identity, holder, list_seeds, clock, rng, events)
--- a/goldcrestpond/routing/expected_wait.py
+++ b/goldcrestpond/routing/expected_wait.py
@@ -5,15 +5,15 @@
 from .database_load import DatabaseLoad
 
 CONNECT_MS = 10.0  # opening a connection costs several round trips and a login
-OTHER_ZONE_MS = 1.0  # one round trip between availability zones
+OTHER_AVAILABILITY_ZONE_MS = 1.0  # one round trip between availability zones
 
 
-def expected_wait(load: DatabaseLoad, *, is_same_zone: bool) -> timedelta:
+def expected_wait(load: DatabaseLoad, *, is_same_availability_zone: bool) -> timedelta:
     """Return the expected time from now until a statement starts there."""
     ahead = load.running + load.queued + 1 - load.slots
     wait_ms = max(0, ahead) * load.service_ms / load.slots
     if not load.idle_connections:
         wait_ms += CONNECT_MS
-    if not is_same_zone:
-        wait_ms += OTHER_ZONE_MS
+    if not is_same_availability_zone:
+        wait_ms += OTHER_AVAILABILITY_ZONE_MS
     return timedelta(milliseconds=wait_ms)
--- a/goldcrestpond/schema/peer.capnp
+++ b/goldcrestpond/schema/peer.capnp
@@ -7,7 +7,7 @@
   state @2 :UInt8;
   name @3 :Text;
   address @4 :Text;
-  zone @5 :Text;
+  availabilityZone @5 :Text;
 }
 
 struct Probe {
--- a/goldcrestpond/settings/proxy_settings.py
+++ b/goldcrestpond/settings/proxy_settings.py
@@ -12,7 +12,7 @@
     ----------
     instance : str
         Name of the instance, unique among the live ones.
-    zone : str
+    availability_zone : str
         Availability zone of the instance.
     listen : str
         ``IP:PORT`` for callers.
@@ -71,7 +71,7 @@
     instance: str
     listen: str
     platform: str
-    zone: str = ""
+    availability_zone: str = ""
     peer_listen: str = ""
     peer_seeds: list[str] = []
     peer_key: str = ""
