--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -205,6 +205,7 @@
         Gauge("configuration_revision", lambda: proxy.configuration.current.revision),
         Gauge("store_reachable", lambda: float(proxy.configuration.store_reachable)),
         Gauge("live_instances", lambda: len(proxy.peers.live_names)),
+        Gauge("peer_malformed", lambda: proxy.peers.malformed_count),
     ]
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -19,6 +19,7 @@
     "configuration_revision",
     "store_reachable",
     "live_instances",
+    "peer_malformed",
 }
 
 
