--- /dev/null
+++ b/tests/platform/test_line_codec.py
@@ -0,0 +1,143 @@
+"""Lines of the platform's protocol, whole, split, random and malformed."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, StartsWith
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.group.role import Role
+from goldcrestpond.platform import line_codec as codec
+from goldcrestpond.platform.line_buffer import MESSAGE_LIMIT_BYTES, LineBuffer
+from goldcrestpond.serving.reply import Reply
+from goldcrestpond.serving.statement_kind import StatementKind
+from goldcrestpond.serving.transaction_state import TransactionState
+
+
+def _lines(data, cuts):
+    buffer = LineBuffer()
+    lines = []
+    edges = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        buffer.feed(data[start:end])
+        while (line := buffer.next_line()) is not None:
+            lines.append(line)
+    return lines
+
+
+@given(st.lists(st.binary(max_size=40)), st.lists(st.integers(0, 999)))
+def test_lines_are_the_same_however_bytes_are_split(parts, cuts):
+    clean = [part.replace(b"\n", b"") for part in parts]
+    data = b"".join(part + b"\r\n" for part in clean)
+    expected = data.decode("latin-1").split("\r\n")[:-1]
+    assert_that(_lines(data, cuts), Equals(expected))
+
+
+def test_endless_line_is_refused():
+    buffer = LineBuffer()
+    buffer.feed(b"x" * (MESSAGE_LIMIT_BYTES + 1))
+    with pytest.raises(CodedError) as caught:
+        buffer.next_line()
+    assert_that(caught.value.code, Is(ResultCode.FRAME_TOO_LARGE))
+
+
+@given(st.text(alphabet=st.characters(max_codepoint=255, exclude_characters="\r\n")))
+def test_any_line_is_a_message_or_a_coded_error(line):
+    try:
+        message = codec.decode_caller_line(line)
+        if isinstance(message, codec.Query):
+            codec.decode_statement(message)
+    except CodedError as error:
+        assert_that(error.code, Is(ResultCode.MALFORMED_FRAME))
+
+
+@given(st.text(alphabet=st.characters(max_codepoint=255, exclude_characters="\r\n")))
+def test_any_line_of_a_database_is_read_or_a_coded_error(line):
+    try:
+        codec.ReplyDecoder().feed(line)
+    except CodedError as error:
+        assert_that(error.code, Is(ResultCode.ENDPOINT_MALFORMED))
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "name", "argument", "is_write"),
+    [
+        ("READ 1a4", StatementKind.READ, "", "1a4", False),
+        ("WRITE 1a4 x y", StatementKind.WRITE, "", "1a4 x y", True),
+        ("SET tone very warm", StatementKind.SET, "tone", "very warm", False),
+        ("PREPARE s1 WRITE q2c", StatementKind.PREPARE, "s1", "q2c", True),
+        ("EXECUTE s1 1a4 x", StatementKind.EXECUTE, "s1", "1a4 x", False),
+        ("DEALLOC s1", StatementKind.DEALLOCATE, "s1", "", False),
+        ("COMMIT", StatementKind.COMMIT, "", "", False),
+        ("ROLLBACK", StatementKind.ROLLBACK, "", "", False),
+        ("BEGIN", StatementKind.BEGIN, "", "", False),
+    ],
+)
+def test_statements(text, kind, name, argument, is_write):
+    statement = codec.decode_statement(codec.Query("q1", text))
+    assert_that(statement.kind, Is(kind))
+    assert_that(statement.text, Equals(text))
+    assert_that(statement.name, Equals(name))
+    assert_that(statement.argument, Equals(argument))
+    assert_that(statement.is_write, Is(is_write))
+    assert_that(statement.is_read_only, Is(False))
+
+
+def test_declared_read_only_transaction():
+    statement = codec.decode_statement(codec.Query("q1", "BEGIN READ"))
+    assert_that(statement.is_read_only, Is(True))
+
+
+def test_answer_of_a_database_passes_unchanged():
+    decoder = codec.ReplyDecoder()
+    assert_that(decoder.feed("ROW a b  c"), Is(None))
+    assert_that(decoder.feed("COMPLETE 7.1f3.c"), Is(None))
+    reply = decoder.feed("READY I 3.1209")
+    assert_that(reply.position, Equals(LogPosition(3, 1209)))
+    expected = b"ROW a b  c\r\nCOMPLETE 7.1f3.c\r\nREADY I -\r\n"
+    assert_that(codec.encode_reply(reply), Equals(expected))
+
+
+def test_floor_precedes_the_unchanged_text():
+    data = codec.encode_query("q1", "READ 1a4", LogPosition(3, 12))
+    assert_that(data, Equals(b"QUERY q1 SINCE 3.12 READ 1a4\r\n"))
+
+
+def test_status_row():
+    report = codec.decode_report("replica 3 3.1209 0 12 2 17")
+    assert_that(report.role, Is(Role.REPLICA))
+    assert_that(report.received, Equals(LogPosition(3, 1209)))
+    assert_that(report.lag_ms, Equals(12))
+
+
+# Words with which a caller is promised that nothing is kept.
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
+# Codes after which something may have been kept.
+UNKNOWN = {
+    ResultCode.OUTCOME_UNKNOWN,
+    ResultCode.ANSWER_INTERRUPTED,
+    ResultCode.ENDPOINT_TIMEOUT,
+    ResultCode.ENDPOINT_REFUSED,
+    ResultCode.ENDPOINT_MALFORMED,
+    ResultCode.INTERNAL,
+}
+
+
+@pytest.mark.parametrize("code", sorted(UNKNOWN, key=lambda code: code.number))
+def test_what_may_have_been_kept_is_no_promise(code):
+    word = codec.encode_error(code, "").split(b" ")[1].decode()
+    assert_that(word in PROMISES, Is(False))
+
+
+def test_error_says_number_and_time_to_come_back_on_one_line():
+    reply = Reply(
+        error=ResultCode.NO_PRIMARY,
+        detail="no\r\nleader; retry after 500 ms",
+        state=TransactionState.IDLE,
+    )
+    data = codec.encode_reply(reply).decode()
+    assert_that(data, StartsWith("ERROR BUSY GP201 no leader; retry after 500 ms\r\n"))
+    assert_that(data.count("\r\n"), Equals(2))
--- /dev/null
+++ b/tests/serving/test_registry.py
@@ -0,0 +1,41 @@
+"""Entries that come, drain, lapse and come back."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from goldcrestpond.serving.registry import LAPSE_GRACE, Registry
+
+from .test_leadership import database, ms
+
+
+def test_lapsed_entry_is_kept_for_a_while_and_may_come_back():
+    registry = Registry()
+    registry.put(database("a"), ms(0))
+    registry.remove("a", ms(10))
+    assert_that(registry.is_lapsed("a"), Is(True))
+    assert_that(registry.forget_lapsed(ms(20)), Is(False))
+    registry.put(database("a"), ms(30))
+    assert_that(registry.is_lapsed("a"), Is(False))
+    assert_that(registry.forget_lapsed(LAPSE_GRACE + ms(40)), Is(False))
+    assert_that(registry.leaving_since("a"), Is(None))
+
+
+def test_lapsed_entry_is_forgotten_after_its_grace():
+    registry = Registry()
+    registry.put(database("a"), ms(0))
+    registry.replace([], ms(10))
+    assert_that(registry.leaving_since("a"), Equals(ms(10)))
+    assert_that(registry.forget_lapsed(LAPSE_GRACE + ms(10)), Is(True))
+    assert_that(registry.databases(), Equals([]))
+
+
+def test_drain_counts_from_when_it_was_first_heard_of():
+    registry = Registry()
+    leaving = database("a")
+    leaving = type(leaving)("a", "s", leaving.address, "z", 5, True, leaving.role, 0, 0)
+    registry.put(leaving, ms(5))
+    registry.put(leaving, ms(500))
+    assert_that(registry.leaving_since("a"), Equals(ms(5)))
+    registry.put(database("a"), ms(600))
+    assert_that(registry.leaving_since("a"), Is(None))
+    assert_that(registry.leaving_since("b"), Is(None))
