Hear of suspicions without the feed, and leave callers time to come back

Cause by the logs: the feed's call that began in the outage waits until 14.3 s for an answer that never comes, and writes of suspicions held up the loop that watches. Ruled out: the quorum (all six suspected by 11 s).

--- a/goldcrestpond/serving/floor_finder.py
+++ b/goldcrestpond/serving/floor_finder.py
@@ -33,4 +33,4 @@
             if route.policy is not ReadPolicy.CURRENT:
                 prover.refresh()
             return floor
-        await prover.sample_since(since, deadline)
+        await prover.sample_since(since, prover.wait_limit(deadline))
--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -19,6 +19,9 @@
 # Asks a holder: the leader and its position, proved after the question arrived.
 AskHolder = Callable[[timedelta], Awaitable[tuple[str, LogPosition]]]
 OpenLinkTo = Callable[[ServedDatabase], Awaitable[Link]]
+# Of a statement's time, what it waits for a leader when none is known: the refusal
+# must leave its caller time to come back.
+LEADERLESS_WAIT_PART = 0.5
 UNMET_MEMORY = timedelta(seconds=2)  # after that, nobody cares for the leader
 _RETRY_PAUSE = timedelta(milliseconds=20)
 
@@ -100,6 +103,16 @@
         now = self._clock.now()
         self.request(now, now + self._settings.proof_timeout)
 
+    def wait_limit(self, deadline: timedelta) -> timedelta:
+        """Return until when to wait for a leader, of a time that ends at a deadline.
+
+        While none is known, half of the time is left for the caller to come back.
+        """
+        now = self._clock.now()
+        if self.unmet_for(now) is None:
+            return deadline
+        return now + (deadline - now) * LEADERLESS_WAIT_PART
+
     async def sample_since(
         self, reading: timedelta, deadline: timedelta
     ) -> VerifiedSample:
--- a/goldcrestpond/serving/reply_evidence.py
+++ b/goldcrestpond/serving/reply_evidence.py
@@ -20,8 +20,12 @@
         ResultCode.QUEUE_DEADLINE,
     }
 )
-# Errors after which another attempt may find what this one lacked.
-PASSING = NOT_RUN | {ResultCode.ANSWER_INTERRUPTED, ResultCode.ENDPOINT_REFUSED}
+# Errors after which another attempt may find what this one lacked. Waiting for a
+# leader has been done before NO_PRIMARY is raised.
+PASSING = (NOT_RUN - {ResultCode.NO_PRIMARY}) | {
+    ResultCode.ANSWER_INTERRUPTED,
+    ResultCode.ENDPOINT_REFUSED,
+}
 
 
 def evidence_of(code: ResultCode) -> Evidence:
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -119,7 +119,7 @@
     async def _write(self, deadline: timedelta) -> Reply:
         since = self._clock.now() - WRITE_PROOF_AGE
         prover = self._directory.prover(self._service.name)
-        leader = await prover.leader_since(since, deadline)
+        leader = await prover.leader_since(since, prover.wait_limit(deadline))
         asked_at = self._clock.now()
         try:
             reply = await self._run_at(leader, None, deadline, deadline)
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -35,6 +35,8 @@
 # The members try in an order that differs by service, so that claims seldom race.
 RANK_PAUSE = timedelta(milliseconds=300)
 RETRY_PAUSE = timedelta(milliseconds=500)
+# How often one that suspects a leader reads who else does.
+LOOK_INTERVAL = timedelta(milliseconds=200)
 # A lapsed entry may come back within about 2 s.
 LAPSE_PATIENCE = timedelta(milliseconds=2200)
 TAKE_OVER_LIMIT = timedelta(milliseconds=3500)
@@ -80,6 +82,8 @@
         "_feed",
         "_instance",
         "_log",
+        "_looked_at",
+        "_looking",
         "_members",
         "_open_link",
         "_running",
@@ -116,6 +120,8 @@
         self._written: dict[str, timedelta] = {}
         self._due: dict[str, timedelta] = {}
         self._running: set[str] = set()
+        self._looking = False
+        self._looked_at: timedelta | None = None
         self._feed = TableFeed(
             store, TABLE, FEED_SPACING, self._replace, self._update, clock, rng, log
         )
@@ -128,10 +134,10 @@
             tasks.start_soon(self._feed.run)
             while True:
                 for service in list(self._directory.services.values()):
-                    await self._watch(service)
+                    self._watch(service)
                 await anyio.sleep(TICK_S)
 
-    async def _watch(self, service: Service) -> None:
+    def _watch(self, service: Service) -> None:
         now = self._clock.now()
         if service.name in self._running or not service.databases:
             return
@@ -139,7 +145,7 @@
             return
         is_planned = self._is_leader_leaving(service, now)
         is_suspect = self._is_suspect(service, now)
-        await self._tell(service, is_suspect, now)
+        self._tell(service, is_suspect, now)
         if not is_planned:
             suspects = self._suspicions.by(service.name, now)
             if suspects and not is_suspect:
@@ -174,27 +180,64 @@
         names.sort(key=lambda name: weigh(service.name, name))
         return names.index(self._instance)
 
-    async def _tell(self, service: Service, is_suspect: bool, now: timedelta) -> None:
-        """Write or withdraw this instance's suspicion."""
-        key = suspicion_key(service.name, self._instance)
+    def _tell(self, service: Service, is_suspect: bool, now: timedelta) -> None:
+        """Write, renew or withdraw this instance's suspicion."""
         written_at = self._written.get(service.name)
+        if is_suspect:
+            if written_at is None:
+                self._log.decision("leader suspected", service=service.name)
+            if written_at is None or now - written_at >= RENEWAL:
+                self._written[service.name] = now
+                self._tasks.start_soon(self._write_suspicion, service.name)
+            self._look_around()
+        elif written_at is not None:
+            del self._written[service.name]
+            self._tasks.start_soon(self._withdraw_suspicion, service.name)
+
+    async def _write_suspicion(self, service: str) -> None:
+        key = suspicion_key(service, self._instance)
+        await self._store_suspicion(service, [RowPut(TABLE, "", key, b"{}")], [])
+
+    async def _withdraw_suspicion(self, service: str) -> None:
+        key = suspicion_key(service, self._instance)
+        await self._store_suspicion(service, [], [StoredRow(TABLE, "", key, None, 0)])
+
+    async def _store_suspicion(
+        self, service: str, puts: list[RowPut], removals: list[StoredRow]
+    ) -> None:
         try:
-            if is_suspect:
-                if written_at is None or now - written_at >= RENEWAL:
-                    self._written[service.name] = now
-                    await self._store.write([], [RowPut(TABLE, "", key, b"{}")])
-                    if written_at is None:
-                        self._log.decision("leader suspected", service=service.name)
-            elif written_at is not None:
-                del self._written[service.name]
-                row = StoredRow(TABLE, "", key, None, 0)
-                await self._store.write([], [], [row])
+            await self._store.write([], puts, removals)
         except CodedError as error:
             # It lapses, or is renewed with the next one.
             self._log.decision(
-                "suspicion not written", service=service.name, detail=error.detail
+                "suspicion not written", service=service, detail=error.detail
             )
 
+    def _look_around(self) -> None:
+        """Read the suspicions of others.
+
+        A feed that waits on a store which was away hears of its return too late.
+        """
+        now = self._clock.now()
+        looked_at = self._looked_at
+        if self._looking:
+            return
+        if looked_at is not None and now - looked_at < LOOK_INTERVAL:
+            return
+        self._looking = True
+        self._looked_at = now
+        self._tasks.start_soon(self._read_suspicions)
+
+    async def _read_suspicions(self) -> None:
+        try:
+            answer = await self._store.read(TABLE)
+        except CodedError as error:
+            self._log.decision("suspicions not read", detail=error.detail)
+        else:
+            self._replace(answer.rows)
+        finally:
+            self._looking = False
+
     async def _replace_leader(self, service: Service, is_planned: bool) -> None:
         databases = [served.database for served in service.databases.values()]
         leader_id = service.leadership.presumed(databases)
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -119,7 +119,7 @@
         service = transaction.service
         prover = self._directory.prover(service.name)
         since = self._clock.now() - WRITE_PROOF_AGE
-        leader = await prover.leader_since(since, deadline)
+        leader = await prover.leader_since(since, prover.wait_limit(deadline))
         await self._take_link(leader, deadline)
         asked_at = self._clock.now()
         reply = await self._begin(False, None, deadline)
--- a/tests/platform/test_instance_stop.py
+++ b/tests/platform/test_instance_stop.py
@@ -7,6 +7,8 @@
 
 from ..line_world import GRACE_S, line_world
 
+THINK_S = 0.005  # longer than the end of the stream takes on loopback
+
 
 def _run(body):
     async def run():
@@ -26,6 +28,7 @@
             answered = 0
             with pytest.raises(anyio.EndOfStream):
                 while True:
+                    await anyio.sleep(THINK_S)
                     lines = await caller.ask("READ a")
                     assert_that(lines[-1], Equals("READY I -"))
                     answered += 1
@@ -34,6 +37,23 @@
     _run(body)
 
 
+def test_caller_that_asks_into_the_close_has_nothing_run_unanswered():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("READ a")
+            tasks.start_soon(world.instances[0].stop)
+            answered = 1
+            # A request that crosses the end of the session meets a reset.
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await caller.ask("READ a")
+                    answered += 1
+        run = [e for e in world.group.executions if e[2] == "READ"]
+        assert_that(len(run), Equals(answered))
+
+    _run(body)
+
+
 def test_instance_that_stops_is_not_ready_at_once():
     async def body(world, tasks):
         tasks.start_soon(world.instances[0].stop)
