--- a/goldcrestpond/serving/replica_progress.py
+++ b/goldcrestpond/serving/replica_progress.py
@@ -17,13 +17,14 @@
         Highest position seen in the present epoch.
     """
 
-    __slots__ = ("_backoff", "_epoch", "_lagging_until", "position")
+    __slots__ = ("_backoff", "_epoch", "_lacked", "_lagging_until", "position")
 
     def __init__(self) -> None:
         self.position: LogPosition | None = None
         self._epoch = 0
         self._backoff = BACKOFF_FIRST
         self._lagging_until = timedelta.min
+        self._lacked: LogPosition | None = None
 
     def answered(self, position: LogPosition, epoch: int) -> None:
         """Take in the position of an answer to a read that had its floor."""
@@ -31,22 +32,31 @@
         if self.position is None or position > self.position:
             self.position = position
         self._backoff = max(BACKOFF_FIRST, self._backoff / 2)
-        self._lagging_until = timedelta.min
 
-    def lagged(self, epoch: int, now: timedelta) -> None:
+    def lagged(self, floor: LogPosition, epoch: int, now: timedelta) -> None:
         """Take in that it lacked a floor."""
         self._enter(epoch)
+        is_over = self._lacked is None or now >= self._lagging_until
+        self._lacked = floor if is_over else min(self._lacked, floor)
         self._lagging_until = now + self._backoff
         self._backoff = min(BACKOFF_LIMIT, self._backoff * 2)
 
     def may_have(self, floor: LogPosition, epoch: int, now: timedelta) -> bool:
-        """Return whether asking it for a floor is worth a round trip."""
+        """Return whether asking it for a floor is worth a round trip.
+
+        Lower floors than the one that it lacked are worth it: reads of a stated age
+        have them, while a session's own last commit is at the head of the log.
+        """
         if epoch == self._epoch and self.position is not None:
             if floor <= self.position:
                 return True
+        if epoch == self._epoch and self._lacked is not None:
+            if floor < self._lacked:
+                return True
         return now >= self._lagging_until
 
     def _enter(self, epoch: int) -> None:
         if epoch != self._epoch:
             self._epoch = epoch
             self.position = None
+            self._lacked = None
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -139,12 +139,12 @@
             return None
         return served
 
-    def lagged(self, served: ServedDatabase) -> None:
+    def lagged(self, served: ServedDatabase, floor: LogPosition) -> None:
         """Take in that a database lacked a floor."""
         if served.database_id == self.leadership.leader_id:
             # A floor of its own that it lacks was lost in a change of the leader.
             self.leadership.forget_samples()
-        served.progress.lagged(self.leadership.epoch, self._clock.now())
+        served.progress.lagged(floor, self.leadership.epoch, self._clock.now())
 
     def choose_for_read(
         self, floor: LogPosition, excluded: Iterable[str]
@@ -184,13 +184,15 @@
         wait = expected_wait(
             served.pool.load(database.slots), is_same_availability_zone=is_near
         )
+        now = self._clock.now()
+        wait += served.latency.value(now)
         position = served.progress.position
         return ReadCandidate(
             served.database_id,
             wait,
             served.database_id == self.leadership.leader_id,
             position is not None and floor <= position,
-            served.health.is_avoided(self._clock.now()),
+            served.health.is_avoided(now),
         )
 
     def _has_left(self, served: ServedDatabase, now: timedelta) -> bool:
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -152,15 +152,18 @@
             if served is None:
                 detail = f"{self._service.name}: no database has {floor}"
                 raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
+            asked_at = self._clock.now()
             reply = await self._run_at(
                 served, floor, deadline, self._attempt_deadline(served, deadline)
             )
             if reply.error is ResultCode.NO_FRESH_REPLICA:
-                self._service.lagged(served)
+                self._service.lagged(served, floor)
                 excluded.add(served.database_id)
                 continue
             reply.raise_error()
             served.health.succeeded()
+            now = self._clock.now()
+            served.latency.observe(now - asked_at, now)
             if reply.position is not None:
                 epoch = self._service.leadership.epoch
                 served.progress.answered(reply.position, epoch)
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -151,7 +151,7 @@
             if reply.error is not ResultCode.NO_FRESH_REPLICA:
                 reply.raise_error()
                 return
-            service.lagged(served)
+            service.lagged(served, floor)
             excluded.add(served.database_id)
             await self.give_back()
 
--- a/tests/serving/test_small_decisions.py
+++ b/tests/serving/test_small_decisions.py
@@ -75,7 +75,7 @@
 def test_lagging_replica_is_left_alone_for_floors_that_it_lacks():
     progress = ReplicaProgress()
     progress.answered(LogPosition(1, 5), epoch=1)
-    progress.lagged(1, ms(0))
+    progress.lagged(LogPosition(1, 6), 1, ms(0))
     assert_that(progress.may_have(LogPosition(1, 5), 1, ms(1)), Is(True))
     assert_that(progress.may_have(LogPosition(1, 6), 1, ms(1)), Is(False))
     assert_that(progress.may_have(LogPosition(1, 6), 1, BACKOFF_FIRST), Is(True))
@@ -84,7 +84,7 @@
 def test_position_of_a_former_epoch_proves_nothing():
     progress = ReplicaProgress()
     progress.answered(LogPosition(1, 9), epoch=1)
-    progress.lagged(2, ms(0))
+    progress.lagged(LogPosition(2, 5), 2, ms(0))
     assert_that(progress.may_have(LogPosition(2, 5), 2, ms(1)), Is(False))
 
 
