--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -285,9 +285,9 @@
         served.pool.set_limits(share, max(share, 2), 1)
 
     def _assign(self, service: Service) -> None:
-        if not self._members:
+        limits = self.table.services.get(service.name)
+        if not self._members or limits is None:
             return
-        limits = self.table.services.get(service.name, _UNKNOWN_LIMITS)
         count = holder_count(limits.connection_limit, len(self._members))
         zones = [s.database.availability_zone for s in service.databases.values()]
         is_held = self._holders.assign(service.name, self._members, count, zones)
