--- /dev/null
+++ b/tests/serving/row.py
@@ -0,0 +1,7 @@
+"""Rows of the store for tests."""
+
+from goldcrestpond.serving.row_store import StoredRow
+
+
+def row(key, version, value=b"{}"):
+    return StoredRow("t", "", key, value, version)
--- /dev/null
+++ b/tests/serving/test_choose_database.py
@@ -0,0 +1,36 @@
+"""Which database runs a read."""
+
+import random
+
+from testtools.assertions import assert_that
+from testtools.matchers import Is
+
+from goldcrestpond.serving.choose_database import (
+    LEADER_RESERVE,
+    ReadCandidate,
+    choose_database,
+)
+
+from .test_leadership import ms
+
+
+def candidate(database_id, wait_ms=0, leads=False, has_floor=True, avoided=False):
+    return ReadCandidate(database_id, ms(wait_ms), leads, has_floor, avoided)
+
+
+def test_replica_is_preferred_until_the_leader_is_much_faster():
+    rng = random.Random(1)
+    leader = candidate("l", leads=True)
+    just_slower = candidate("r", wait_ms=LEADER_RESERVE / ms(1) - 1)
+    assert_that(choose_database([leader, just_slower], rng), Is(just_slower))
+    slow = candidate("r", wait_ms=LEADER_RESERVE / ms(1) + 1)
+    assert_that(choose_database([leader, slow], rng), Is(leader))
+
+
+def test_avoided_database_serves_only_where_no_other_can():
+    rng = random.Random(1)
+    avoided = candidate("a", avoided=True)
+    slow = candidate("b", wait_ms=400)
+    assert_that(choose_database([avoided, slow], rng), Is(slow))
+    assert_that(choose_database([avoided], rng), Is(avoided))
+    assert_that(choose_database([], rng), Is(None))
--- /dev/null
+++ b/tests/serving/test_connection_share.py
@@ -0,0 +1,30 @@
+"""Who opens connections, and how many."""
+
+import hypothesis.strategies as st
+from hypothesis import given
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from goldcrestpond.serving.connection_share import (
+    LEADER_PROOF_CONNECTIONS,
+    SUCCESSION_RESERVE,
+    connection_share,
+    holder_count,
+)
+
+
+@given(st.integers(5, 400), st.integers(1, 300))
+def test_shares_and_proofs_of_all_holders_stay_below_the_limit(limit, members):
+    holders = holder_count(limit, members)
+    share = connection_share(limit, holders)
+    assert_that(1 <= holders <= members, Is(True))
+    assert_that(share >= 1, Is(True))
+    used = (share + LEADER_PROOF_CONNECTIONS) * holders
+    assert_that(used <= limit - SUCCESSION_RESERVE, Is(True))
+
+
+def test_small_site_holds_everywhere_and_a_large_one_in_a_few_places():
+    assert_that(holder_count(34, 8), Equals(8))
+    assert_that(holder_count(38, 6), Equals(6))
+    assert_that(holder_count(48, 61), Equals(6))
+    assert_that(holder_count(156, 71), Equals(21))
--- /dev/null
+++ b/tests/serving/test_endpoint_health.py
@@ -0,0 +1,20 @@
+"""Databases that fail are avoided for a while."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Is
+
+from goldcrestpond.serving.endpoint_health import AVOID_FIRST, EndpointHealth
+
+from .test_leadership import ms
+
+
+def test_one_failure_does_not_shun_a_database():
+    health = EndpointHealth()
+    health.failed(ms(0))
+    assert_that(health.is_avoided(ms(1)), Is(False))
+    health.failed(ms(2))
+    assert_that(health.is_avoided(ms(3)), Is(True))
+    assert_that(health.is_avoided(ms(2) + AVOID_FIRST), Is(False))
+    health.failed(ms(300))
+    health.succeeded()
+    assert_that(health.is_avoided(ms(301)), Is(False))
