Refuse writes at once while commits reach no replica

With all replicas deaf or gone, each write held a connection of the leader for the whole time of its route and ended in doubt.

Bodies of the operator and of databases move into the stand-in, where soak and tests share them.

--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -42,6 +42,7 @@
     ENDPOINT_BUSY = (212, "53000", 503, "The endpoint had no slot; not run.")
     ENDPOINT_TIMEOUT = (213, "57014", 504, "The endpoint gave a statement up.")
     WRONG_ENDPOINT = (214, "08001", 503, "The endpoint is another one; not run.")
+    COMMITS_STALLED = (215, "57P03", 503, "Commits reach no replica; not run.")
 
     OUTCOME_UNKNOWN = (301, "08007", 502, "The outcome is unknown.")
     TERM_SUPERSEDED = (302, "08007", 502, "The term ended; the outcome is unknown.")
--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -51,6 +51,7 @@
     ResultCode.ENDPOINT_LEAVING: "BUSY",
     ResultCode.ENDPOINT_UNREACHABLE: "BUSY",
     ResultCode.NO_PRIMARY: "BUSY",
+    ResultCode.COMMITS_STALLED: "BUSY",
     ResultCode.OVERLOADED: "BUSY",
     ResultCode.QUEUE_DEADLINE: "BUSY",
     ResultCode.SHUTTING_DOWN: "BUSY",
--- a/goldcrestpond/serving/reply_evidence.py
+++ b/goldcrestpond/serving/reply_evidence.py
@@ -13,6 +13,7 @@
         ResultCode.STATEMENT_UNKNOWN,
         ResultCode.WRONG_ENDPOINT,
         # Raised before anything was sent.
+        ResultCode.COMMITS_STALLED,
         ResultCode.ENDPOINT_LEAVING,
         ResultCode.ENDPOINT_UNREACHABLE,
         ResultCode.NO_PRIMARY,
@@ -21,8 +22,8 @@
     }
 )
 # Errors after which another attempt may find what this one lacked. Waiting for a
-# leader has been done before NO_PRIMARY is raised.
-PASSING = (NOT_RUN - {ResultCode.NO_PRIMARY}) | {
+# leader, or for commits to go on, has been done before it is said that there is none.
+PASSING = (NOT_RUN - {ResultCode.NO_PRIMARY, ResultCode.COMMITS_STALLED}) | {
     ResultCode.ANSWER_INTERRUPTED,
     ResultCode.ENDPOINT_REFUSED,
 }
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -1,15 +1,19 @@
 """One service: its databases, its leader and how work finds them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 import anyio
 
 from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
 from ..routing.expected_wait import expected_wait
 from .choose_database import ReadCandidate, choose_database
+from .commit_stall import CommitStall
 from .decision_log import DecisionLog
 from .leadership import Leadership
 from .registry import Registry
@@ -18,6 +22,7 @@
 
 # A promotion takes about this long; a caller that is refused may come back then.
 RETRY_LEADER_MS = 500
+_STALL_POLL = timedelta(milliseconds=20)  # trials are let through with time alone
 # Of the time within which a leaving leader must get no more work, what is used.
 DRAIN_USE = 0.7
 
@@ -33,6 +38,8 @@
         Databases by id.
     leadership : Leadership
         Which of them leads.
+    commits : CommitStall
+        Commits that were sent and not answered.
     log : DecisionLog
         Sink of decisions.
     """
@@ -44,6 +51,7 @@
         "_rng",
         "_sampled",
         "_settings",
+        "commits",
         "databases",
         "leadership",
         "log",
@@ -62,6 +70,7 @@
         self.name = name
         self.databases: dict[str, ServedDatabase] = {}
         self.leadership = Leadership()
+        self.commits = CommitStall()
         self._registry = registry
         self._settings = settings
         self._clock = clock
@@ -107,6 +116,7 @@
                 position=position,
                 epoch=self.leadership.epoch,
             )
+            self.commits.forget()
             self.notify()
         served.progress.answered(position, self.leadership.epoch)
 
@@ -132,6 +142,32 @@
         database = self.leadership.next_to_ask(asked, now)
         return None if database is None else self.databases[database.database_id]
 
+    async def admit_write(self, deadline: timedelta) -> None:
+        """Wait until a write may be sent.
+
+        Raises
+        ------
+        CodedError
+            COMMITS_STALLED if commits still reach no replica at the deadline.
+        """
+        while not self.commits.admits(self._clock.now()):
+            if self._clock.now() >= deadline:
+                detail = f"{self.name}: {self.leadership.leader_id}"
+                code = ResultCode.COMMITS_STALLED
+                raise CodedError(code, detail, RETRY_LEADER_MS)
+            await self.wait_change(_STALL_POLL)
+
+    @contextmanager
+    def tracking_commit(self) -> Iterator[None]:
+        """Count a write or commit that is being run; an error means no answer."""
+        number = self.commits.sent(self._clock.now())
+        try:
+            yield
+        except BaseException:
+            self.commits.abandoned(number)
+            raise
+        self.commits.answered(number, self._clock.now())
+
     def leader(self) -> ServedDatabase | None:
         """Return the database that proved last that it leads, if it may get work."""
         served = self.databases.get(self.leadership.leader_id)
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -9,6 +9,7 @@
 from ..retry.request_attempts import RequestAttempts
 from .directory import Directory
 from .floor_finder import find_read_floor
+from .leader_prover import LEADERLESS_WAIT_PART
 from .link_loan import give_back, lend
 from .open_transaction import OpenTransaction
 from .read_floor import SessionFloor
@@ -179,7 +180,10 @@
         is_commit = statement.kind is StatementKind.COMMIT
         if self._session.is_write(statement):
             transaction.has_written = True
-        reply = await self._run_while_busy(statement, deadline)
+        if is_commit and transaction.has_written:
+            reply = await self._commit(statement, deadline)
+        else:
+            reply = await self._run_while_busy(statement, deadline)
         if reply.error is None:
             if not is_commit:
                 transaction.served.pool.hold(transaction.link)
@@ -191,6 +195,18 @@
         detail = f"{transaction.served.database_id}: {reply.detail}"
         raise CodedError(ResultCode.ROLLED_BACK, detail)
 
+    async def _commit(self, statement: Statement, deadline: timedelta) -> Reply:
+        service = self._transaction.service
+        now = self._clock.now()
+        try:
+            await service.admit_write(now + (deadline - now) * LEADERLESS_WAIT_PART)
+        except CodedError as error:
+            raise CodedError(
+                ResultCode.ROLLED_BACK, str(error), error.retry_after_ms
+            ) from error
+        with service.tracking_commit():
+            return await self._run_while_busy(statement, deadline)
+
     async def _run_while_busy(self, statement: Statement, deadline: timedelta) -> Reply:
         """Run a statement; repeat it while the database refuses it for a slot."""
         transaction = self._transaction
--- a/goldcrestpond/soak/promise_checker.py
+++ b/goldcrestpond/soak/promise_checker.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-PROMISES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "CONNLIMIT"})
+from ..standin.line_bodies import PROMISES
 
 
 @dataclass(slots=True)
--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from ..settings.address import Address
+from ..standin.line_bodies import configuration_body, registry_entry
 from ..standin.line_group import LineGroup
 from ..standin.line_platform import LinePlatform
 from ..standin.line_server import LineServer
@@ -16,11 +17,8 @@
 DATABASES = ("d1", "d2", "d3")
 MAX_AGE_MS = 1500
 GRACE_S = 2.0
-_POLICIES = {
-    "current": "primary",
-    "aged": "bounded_staleness",
-    "own": "read_your_writes",
-}
+CONNECTION_LIMIT = 200  # databases of the stand-in take any number
+TIMEOUT_MS = 800
 
 
 class SoakSite:
@@ -64,26 +62,10 @@
     def configure(self) -> None:
         """Put the next version of the configuration in force."""
         self.version += 1
-        routes = [
-            {
-                "name": f"r-{name}",
-                "database": name,
-                "prefix": "/",
-                "routeType": policy,
-                "maxStalenessMs": MAX_AGE_MS,
-                "timeoutMs": 800,
-                "targetLatencyMs": 200,
-                "priority": 1,
-                "serviceName": SERVICE,
-            }
-            for name, policy in _POLICIES.items()
-        ]
-        body = {
-            "configVersion": self.version,
-            "routes": routes,
-            "services": [{"name": SERVICE, "maxConns": 200, "syncReplicas": 1}],
-            "limits": {"txnIdleMs": 3000},
-        }
+        max_age_ms = dict.fromkeys(("aged", "own"), MAX_AGE_MS)
+        body = configuration_body(
+            self.version, SERVICE, CONNECTION_LIMIT, max_age_ms, TIMEOUT_MS
+        )
         self.platform.put("op", "config", body)
 
     def register(self, draining: str = "") -> None:
@@ -92,15 +74,9 @@
             if not database.is_running:
                 self.platform.remove("servers", database_id)
                 continue
-            entry = {
-                "serviceName": SERVICE,
-                "address": str(self.database_links[database_id].address),
-                "zone": "z1",
-                "slots": 8,
-                "state": "draining" if database_id == draining else "ready",
-                "dbRole": str(database.role),
-                "sequence": 1,
-            }
+            address = self.database_links[database_id].address
+            is_draining = database_id == draining
+            entry = registry_entry(SERVICE, database, address, "z1", is_draining)
             self.platform.put("servers", database_id, entry)
 
     def end(self) -> None:
--- /dev/null
+++ b/goldcrestpond/standin/line_bodies.py
@@ -0,0 +1,86 @@
+"""Bodies that the operator and the databases of the users' platform write."""
+
+from ..settings.address import Address
+from .line_group import LineDatabase
+
+# Answers with which a caller is promised that nothing of its attempt is kept.
+PROMISES = frozenset(
+    {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
+)
+# Database names that callers may ask for, with the kind of their route.
+ROUTE_KINDS = {
+    "current": "primary",
+    "aged": "bounded_staleness",
+    "own": "read_your_writes",
+}
+
+
+def configuration_body(
+    version: int,
+    service: str,
+    connection_limit: int,
+    max_age_ms: dict[str, int],
+    timeout_ms: int,
+    names: tuple[str, ...] = tuple(ROUTE_KINDS),
+) -> dict:
+    """Return a version of the configuration with one route of each kind.
+
+    Parameters
+    ----------
+    version : int
+        Its version.
+    service : str
+        Service of all routes.
+    connection_limit : int
+        Connections of one database.
+    max_age_ms : dict of str to int
+        Age that reads of a database name accept.
+    timeout_ms : int
+        Limit of one statement.
+    names : tuple of str
+        Database names that have a route.
+    """
+    routes = [
+        {
+            "name": f"r-{name}",
+            "database": name,
+            "prefix": "/",
+            "routeType": ROUTE_KINDS[name],
+            "maxStalenessMs": max_age_ms.get(name, 0),
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "serviceName": service,
+            "attempts": 2,
+        }
+        for name in names
+    ]
+    return {
+        "configVersion": version,
+        "routes": routes,
+        "services": [
+            {"name": service, "maxConns": connection_limit, "syncReplicas": 1}
+        ],
+        "limits": {"txnIdleMs": 3000},
+    }
+
+
+def registry_entry(
+    service: str,
+    database: LineDatabase,
+    address: Address,
+    availability_zone: str,
+    is_draining: bool = False,
+) -> dict:
+    """Return the entry of a database."""
+    return {
+        "serviceName": service,
+        "address": str(address),
+        "zone": availability_zone,
+        "configVersion": "v1",
+        "slots": 5,
+        "state": "draining" if is_draining else "ready",
+        "warmupLeftMs": 0,
+        "dbRole": str(database.role),
+        "sequence": 1,
+    }
--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -10,6 +10,11 @@
 from goldcrestpond.platform.instance_settings import InstanceSettings
 from goldcrestpond.root.instance import Instance
 from goldcrestpond.settings.address import Address
+from goldcrestpond.standin.line_bodies import (
+    ROUTE_KINDS,
+    configuration_body,
+    registry_entry,
+)
 from goldcrestpond.standin.line_group import LineGroup
 from goldcrestpond.standin.line_platform import LinePlatform
 from goldcrestpond.standin.line_server import LineServer
@@ -18,11 +23,7 @@
 GRACE_S = 1.0
 DATABASES = ["d1", "d2", "d3"]
 ZONES = dict(zip(DATABASES, ["z1", "z2", "z3"], strict=True))
-ROUTES = {
-    "current": {"routeType": "primary"},
-    "aged": {"routeType": "bounded_staleness", "maxStalenessMs": 1500},
-    "own": {"routeType": "read_your_writes", "maxStalenessMs": 2500},
-}
+AGES_MS = {"aged": 1500, "own": 2500}
 
 
 def free_port():
@@ -103,47 +104,17 @@
         for database_id, database in self.group.databases.items():
             if not database.is_running:
                 continue
-            entry = {
-                "serviceName": SERVICE,
-                "address": str(self.servers.addresses[database_id]),
-                "zone": ZONES[database_id],
-                "configVersion": "v1",
-                "slots": 5,
-                "state": "ready",
-                "warmupLeftMs": 0,
-                "dbRole": str(database.role),
-                "sequence": 1,
-                **changes.get(database_id, {}),
-            }
+            address = self.servers.addresses[database_id]
+            entry = registry_entry(SERVICE, database, address, ZONES[database_id])
+            entry.update(changes.get(database_id, {}))
             self.platform.put("servers", database_id, entry)
 
-    def configure(self, names=tuple(ROUTES), **fields):
+    def configure(self, names=tuple(ROUTE_KINDS), timeout_ms=1000):
         """Put the next version of the configuration in force."""
         self.version += 1
-        routes = [
-            {
-                "name": f"r-{name}",
-                "database": name,
-                "prefix": "/",
-                "timeoutMs": 1000,
-                "targetLatencyMs": 200,
-                "priority": 1,
-                "serviceName": SERVICE,
-                "attempts": 2,
-                **ROUTES[name],
-                **fields,
-            }
-            for name in names
-        ]
-        services = [
-            {"name": SERVICE, "maxConns": self.connection_limit, "syncReplicas": 1}
-        ]
-        body = {
-            "configVersion": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": {"txnIdleMs": 3000},
-        }
+        body = configuration_body(
+            self.version, SERVICE, self.connection_limit, AGES_MS, timeout_ms, names
+        )
         self.platform.put("op", "config", body)
 
     async def start_instance(self, name="i1", zone="z1"):
--- a/tests/platform/test_instance_path.py
+++ b/tests/platform/test_instance_path.py
@@ -145,7 +145,7 @@
 
 def test_lost_answer_of_a_write_is_in_doubt_and_it_runs_once():
     async def body(world):
-        world.configure(timeoutMs=300)
+        world.configure(timeout_ms=300)
         await anyio.sleep(0.2)
         async with world.caller("current") as caller:
             await caller.ask("READ a")
@@ -161,7 +161,7 @@
 
 def test_lost_answer_inside_a_transaction_is_a_true_promise():
     async def body(world):
-        world.configure(timeoutMs=300)
+        world.configure(timeout_ms=300)
         await anyio.sleep(0.2)
         async with world.caller("current") as caller:
             await caller.ask("BEGIN")
@@ -178,7 +178,7 @@
 
 def test_lost_answer_of_a_commit_is_in_doubt():
     async def body(world):
-        world.configure(timeoutMs=300)
+        world.configure(timeout_ms=300)
         await anyio.sleep(0.2)
         async with world.caller("current") as caller:
             await caller.ask("BEGIN")
--- a/tests/platform/test_line_codec.py
+++ b/tests/platform/test_line_codec.py
@@ -15,6 +15,7 @@
 from goldcrestpond.serving.reply import Reply
 from goldcrestpond.serving.statement_kind import StatementKind
 from goldcrestpond.serving.transaction_state import TransactionState
+from goldcrestpond.standin.line_bodies import PROMISES
 
 
 def _lines(data, cuts):
@@ -113,8 +114,6 @@
     assert_that(report.lag_ms, Equals(12))
 
 
-# Words with which a caller is promised that nothing is kept.
-PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 # Codes after which something may have been kept.
 UNKNOWN = {
     ResultCode.OUTCOME_UNKNOWN,
--- a/tests/platform/test_trace.py
+++ b/tests/platform/test_trace.py
@@ -10,7 +10,7 @@
 def test_refused_request_leads_to_the_database_that_is_down():
     async def body():
         async with line_world() as world:
-            world.configure(timeoutMs=300)
+            world.configure(timeout_ms=300)
             await anyio.sleep(0.3)
             # No database can be promoted: a replica cannot be read.
             await world.servers.crash("d1")
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -60,7 +60,7 @@
 
 def test_write_through_a_holder_whose_answer_is_lost_is_in_doubt():
     async def body(world):
-        world.configure(timeoutMs=300)
+        world.configure(timeout_ms=300)
         await anyio.sleep(0.3)
         async with world.caller("own", _borrowers(world)[0]) as caller:
             await caller.ask("READ a")
--- /dev/null
+++ b/tests/serving/test_commit_stall.py
@@ -0,0 +1,91 @@
+"""Load pattern: commits that wait for replicas which receive nothing."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, StartsWith
+
+from goldcrestpond.serving.commit_stall import (
+    STALL_AFTER,
+    TRIAL_PAUSE,
+    CommitStall,
+)
+
+from ..line_world import line_world
+from .test_leadership import ms
+
+
+@pytest.fixture
+def stall():
+    return CommitStall()
+
+
+def test_one_late_commit_is_no_stall(stall):
+    stall.sent(ms(0))
+    assert_that(stall.is_stalled(STALL_AFTER * 2), Is(False))
+
+
+def test_several_late_commits_are_a_stall_until_one_is_answered(stall):
+    first = stall.sent(ms(0))
+    stall.sent(ms(0))
+    assert_that(stall.is_stalled(STALL_AFTER - ms(1)), Is(False))
+    assert_that(stall.is_stalled(STALL_AFTER), Is(True))
+    stall.answered(first, STALL_AFTER)
+    assert_that(stall.is_stalled(STALL_AFTER + ms(1)), Is(False))
+
+
+def test_slow_leader_whose_commits_come_through_is_no_stall(stall):
+    """Burst: many wait long, but some are answered all the time."""
+    for number in range(10):
+        stall.sent(ms(number))
+    quick = stall.sent(ms(300))
+    stall.answered(quick, ms(600))
+    assert_that(stall.is_stalled(ms(700)), Is(False))
+
+
+def test_stall_is_remembered_when_nobody_waits_any_more(stall):
+    for _ in range(2):
+        stall.abandoned(stall.sent(ms(0)))
+    assert_that(stall.is_stalled(STALL_AFTER), Is(True))
+    stall.forget()
+    assert_that(stall.is_stalled(STALL_AFTER), Is(False))
+
+
+def test_one_write_now_and_then_finds_out(stall):
+    for _ in range(2):
+        stall.abandoned(stall.sent(ms(0)))
+    now = STALL_AFTER
+    assert_that([stall.admits(now), stall.admits(now)], Equals([True, False]))
+    assert_that(stall.admits(now + TRIAL_PAUSE), Is(True))
+
+
+def test_writes_are_refused_truly_and_reads_go_on_while_replicas_are_deaf():
+    async def body():
+        async with line_world() as world:
+            for database in world.group.databases.values():
+                database.is_cut_off = True
+            answers = []
+
+            async def write(number):
+                async with world.caller("own") as caller:
+                    answers.append((await caller.ask(f"WRITE a{number} 1"))[0])
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(2):
+                    tasks.start_soon(write, number)
+                await anyio.sleep(0.6)
+                for number in range(2, 8):
+                    tasks.start_soon(write, number)
+                async with world.caller("own") as reader:
+                    with anyio.fail_after(1):
+                        assert_that((await reader.ask("READ b"))[0], StartsWith("ROW"))
+            refused = [a for a in answers if a.startswith("ERROR BUSY GP215")]
+            assert_that(len(refused) >= 4, Is(True))
+            writes = [e for e in world.group.executions if e[2] == "WRITE"]
+            assert_that(len(writes), Equals(8 - len(refused)))
+
+    async def run():
+        with anyio.fail_after(20):
+            await body()
+
+    anyio.run(run)
