Send no work to a database that drained before this process heard of it

A process that starts amid a drain took the moment of its own start for the drain's. Now such a drain counts as old.

--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -149,6 +149,9 @@
             leader = self._service.leader()
             if leader is not None:
                 return leader
+            if self._clock.now() >= deadline:
+                detail = f"{self._service.name}: the leader has left"
+                raise CodedError(ResultCode.NO_PRIMARY, detail, RETRY_LEADER_MS)
             await self._service.wait_change(_RETRY_PAUSE)
 
     def request(self, reading: timedelta, deadline: timedelta) -> None:
--- a/goldcrestpond/serving/registry.py
+++ b/goldcrestpond/serving/registry.py
@@ -6,6 +6,8 @@
 
 from .database import Database
 
+# Age of a drain that had begun before this process heard of the database.
+UNKNOWN_DRAIN_AGE = timedelta(hours=1)
 # Entries that lapse while the store is away are back within 2 s of its return.
 LAPSE_GRACE = timedelta(milliseconds=2500)
 
@@ -34,8 +36,9 @@
         known = self._entries.get(database.database_id)
         since = None
         if database.is_draining:
-            is_known = known is not None and known.draining_since is not None
-            since = known.draining_since if is_known else now
+            since = now - UNKNOWN_DRAIN_AGE if known is None else now
+            if known is not None and known.draining_since is not None:
+                since = known.draining_since
         self._entries[database.database_id] = _Entry(database, since)
 
     def remove(self, database_id: str, now: timedelta) -> None:
--- a/tests/platform/test_instance_path.py
+++ b/tests/platform/test_instance_path.py
@@ -318,3 +318,20 @@
         assert_that(set(services), Equals({"fuel"}))
 
     _run(body)
+
+
+def test_instance_that_starts_amid_a_drain_sends_no_work_there():
+    """Restart during a drain; no candidate can be read, so the leader stays."""
+
+    async def body(world):
+        await world.servers.crash("d2")
+        world.register(d1={"state": "draining"})
+        late = await world.start_instance("late")
+        async with world.caller("current", late) as caller:
+            with anyio.fail_after(2):
+                answer = await caller.ask("WRITE a 1")
+            assert_that(answer[0], StartsWith("ERROR BUSY GP201"))
+        ran_at = {database for database, _, _ in world.group.executions}
+        assert_that("d1" in ran_at, Equals(False))
+
+    _run(body)
--- a/tests/serving/test_registry.py
+++ b/tests/serving/test_registry.py
@@ -1,9 +1,11 @@
 """Entries that come, drain, lapse and come back."""
 
+from dataclasses import replace
+
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from goldcrestpond.serving.registry import LAPSE_GRACE, Registry
+from goldcrestpond.serving.registry import LAPSE_GRACE, UNKNOWN_DRAIN_AGE, Registry
 
 from .test_leadership import database, ms
 
@@ -31,11 +33,30 @@
 
 def test_drain_counts_from_when_it_was_first_heard_of():
     registry = Registry()
-    leaving = database("a")
-    leaving = type(leaving)("a", "s", leaving.address, "z", 5, True, leaving.role, 0, 0)
+    registry.put(database("a"), ms(0))
+    leaving = replace(database("a"), is_draining=True)
     registry.put(leaving, ms(5))
     registry.put(leaving, ms(500))
     assert_that(registry.leaving_since("a"), Equals(ms(5)))
     registry.put(database("a"), ms(600))
     assert_that(registry.leaving_since("a"), Is(None))
     assert_that(registry.leaving_since("b"), Is(None))
+
+
+def test_one_that_is_first_heard_of_while_it_drains_gets_no_work():
+    """A process that has just started cannot know since when it has been leaving."""
+    registry = Registry()
+    leaving = replace(database("a"), is_draining=True)
+    registry.put(leaving, ms(5))
+    assert_that(registry.leaving_since("a"), Equals(ms(5) - UNKNOWN_DRAIN_AGE))
+    registry.put(leaving, ms(9))
+    assert_that(registry.leaving_since("a"), Equals(ms(5) - UNKNOWN_DRAIN_AGE))
+
+
+def test_reborn_database_that_drains_counts_as_heard_of():
+    registry = Registry()
+    registry.put(database("a"), ms(0))
+    registry.put(replace(database("a"), is_draining=True), ms(5))
+    registry.remove("a", ms(6))
+    registry.put(replace(database("a"), is_draining=True), ms(7))
+    assert_that(registry.leaving_since("a"), Equals(ms(5)))
