End an attempt at a promotion whose term is not had in time

Cause: the time limit may pass before the term is known, and the name was then unbound, which ended the monitor of the group. The test fails before.

--- a/goldcrestpond/endpoint/group_monitor_promoter.py
+++ b/goldcrestpond/endpoint/group_monitor_promoter.py
@@ -89,6 +89,7 @@
         Promotion or None
             The finished promotion; None if it did not come about.
         """
+        term = 0
         with anyio.move_on_after(_seconds(PROMOTION_LIMIT)):
             term = await self._obtain_term()
         if not term:
