--- a/goldcrestpond/relay/channel.py
+++ b/goldcrestpond/relay/channel.py
@@ -5,6 +5,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..frames.connection_lost import CONNECTION_LOST
 from ..frames.direct_sender import DirectSender
 from .messages import (
     LENGTH_BYTES,
@@ -16,12 +17,6 @@
 )
 
 RECEIVE_BYTES = 16384  # an answer of usual size in one read
-_LOST = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
 
 
 class Channel:
@@ -67,7 +62,7 @@
         """
         try:
             await self._sender.send(encode(message))
-        except _LOST as error:
+        except CONNECTION_LOST as error:
             raise self._lost(error) from error
 
     async def receive(self) -> bytes:
@@ -85,7 +80,7 @@
                 return body
             try:
                 self._data += await self._stream.receive(RECEIVE_BYTES)
-            except _LOST as error:
+            except CONNECTION_LOST as error:
                 raise self._lost(error) from error
 
     async def aclose(self) -> None:
--- a/goldcrestpond/soak/fault_proxy.py
+++ b/goldcrestpond/soak/fault_proxy.py
@@ -5,16 +5,11 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from ..frames.connection_lost import CONNECTION_LOST
 from ..settings.address import Address
 
 LOOPBACK = "127.0.0.1"
 RECEIVE_BYTES = 65536
-_LOST = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
 
 
 @dataclass(slots=True)
@@ -101,7 +96,7 @@
                     await anyio.sleep(self.faults.delay_s)
                 if not (pair.is_silent or getattr(self.faults, drop)):
                     await sink.send(data)
-        except _LOST:
+        except CONNECTION_LOST:
             await pair.aclose()
 
 
