--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -10,7 +10,6 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..frames.connection_lost import CONNECTION_LOST
 from ..frames.direct_sender import DirectSender
 from ..serving.caller_session import CallerSession
 from ..serving.decision_log import DecisionLog
@@ -23,6 +22,12 @@
 
 RECEIVE_BYTES = 4096  # several statements of usual size
 CONNECT_LIMIT = timedelta(seconds=2)  # callers wait so long for the first answer
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class CallerServer:
@@ -69,7 +74,7 @@
         self._connections.add(connection)
         try:
             await connection.run()
-        except CONNECTION_LOST:
+        except _LOST:
             pass  # the caller left; its transaction is rolled back below
         except CodedError as error:
             self._log.decision(
--- a/goldcrestpond/platform/endpoint_link.py
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -7,7 +7,6 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..frames.connection_lost import CONNECTION_LOST
 from ..frames.direct_sender import DirectSender
 from ..group.log_position import LogPosition
 from ..serving.database import Database
@@ -23,6 +22,12 @@
 
 RECEIVE_BYTES = 16384  # an answer of usual size in one read
 GOODBYE_LIMIT_S = 0.2  # a peer that reads nothing is not waited for
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class EndpointLink:
@@ -145,7 +150,7 @@
     async def _say_goodbye(self) -> None:
         try:
             await self._sender.send(codec.GOODBYE)
-        except CONNECTION_LOST:
+        except _LOST:
             pass  # the close says the same
 
     async def connect(self, database: Database) -> None:
@@ -160,7 +165,7 @@
         try:
             await self._sender.send(hello)
             line = await self._next_line()
-        except (*CONNECTION_LOST, CodedError) as error:
+        except (*_LOST, CodedError) as error:
             detail = f"{database.database_id}: {error!r}"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
         refusal = codec.decode_connect_refusal(line)
@@ -188,7 +193,7 @@
             reply = None
             while reply is None:
                 reply = self._decoder.feed(await self._next_line())
-        except CONNECTION_LOST as error:
+        except _LOST as error:
             detail = f"connection lost: {error!r}"
             raise CodedError(ResultCode.ANSWER_INTERRUPTED, detail) from error
         self.is_broken = False
--- a/goldcrestpond/platform/ready_server.py
+++ b/goldcrestpond/platform/ready_server.py
@@ -6,13 +6,18 @@
 import h11
 from anyio.abc import SocketStream
 
-from ..frames.connection_lost import CONNECTION_LOST
 from ..serving.metrics import Metrics
 
 READY_PATH = b"/-/ready"
 METRICS_PATH = b"/metrics"
 RECEIVE_BYTES = 4096
 IDLE_LIMIT_S = 30.0  # the platform asks once a second
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class ReadyServer:
@@ -45,7 +50,7 @@
                 if connection.our_state is not h11.DONE:
                     break
                 connection.start_next_cycle()
-        except (*CONNECTION_LOST, h11.ProtocolError, TimeoutError):
+        except (*_LOST, h11.ProtocolError, TimeoutError):
             pass  # a probe that breaks off asks again on another connection
         finally:
             await anyio.aclose_forcefully(stream)
--- a/goldcrestpond/relay/channel.py
+++ b/goldcrestpond/relay/channel.py
@@ -5,7 +5,6 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..frames.connection_lost import CONNECTION_LOST
 from ..frames.direct_sender import DirectSender
 from .messages import (
     LENGTH_BYTES,
@@ -17,6 +16,12 @@
 )
 
 RECEIVE_BYTES = 16384  # an answer of usual size in one read
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class Channel:
@@ -62,7 +67,7 @@
         """
         try:
             await self._sender.send(encode(message))
-        except CONNECTION_LOST as error:
+        except _LOST as error:
             raise self._lost(error) from error
 
     async def receive(self) -> bytes:
@@ -80,7 +85,7 @@
                 return body
             try:
                 self._data += await self._stream.receive(RECEIVE_BYTES)
-            except CONNECTION_LOST as error:
+            except _LOST as error:
                 raise self._lost(error) from error
 
     async def aclose(self) -> None:
--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -26,11 +26,6 @@
 _RETRY_PAUSE = timedelta(milliseconds=20)
 
 
-def waiting_deadline(now: timedelta, deadline: timedelta) -> timedelta:
-    """Return until when a statement may wait that cannot be sent yet."""
-    return now + (deadline - now) * LEADERLESS_WAIT_PART
-
-
 class LeaderProver:
     """Asks the likely leader for a proof whenever somebody needs a sample.
 
@@ -116,7 +111,7 @@
         now = self._clock.now()
         if self.unmet_for(now) is None:
             return deadline
-        return waiting_deadline(now, deadline)
+        return now + (deadline - now) * LEADERLESS_WAIT_PART
 
     async def sample_since(
         self, reading: timedelta, deadline: timedelta
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -10,7 +10,7 @@
 from ..retry.request_attempts import RequestAttempts
 from .directory import Directory
 from .floor_finder import find_read_floor
-from .leader_prover import waiting_deadline
+from .leader_prover import LEADERLESS_WAIT_PART
 from .link_loan import give_back, lend
 from .read_floor import SessionFloor
 from .reply import Reply
@@ -121,8 +121,7 @@
         since = self._clock.now() - WRITE_PROOF_AGE
         prover = self._directory.prover(self._service.name)
         leader = await prover.leader_since(since, prover.wait_limit(deadline))
-        wait_until = waiting_deadline(self._clock.now(), deadline)
-        await self._service.admit_write(wait_until)
+        await self._service.admit_write(self._stall_limit(deadline))
         asked_at = self._clock.now()
         try:
             with self._service.tracking_commit():
@@ -140,6 +139,10 @@
             self._service.proved(leader, reply.position, asked_at)
         return reply
 
+    def _stall_limit(self, deadline: timedelta) -> timedelta:
+        now = self._clock.now()
+        return now + (deadline - now) * LEADERLESS_WAIT_PART
+
     async def _read(
         self, arrived_at: timedelta, deadline: timedelta, own: SessionFloor | None
     ) -> Reply:
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -9,7 +9,7 @@
 from ..retry.request_attempts import RequestAttempts
 from .directory import Directory
 from .floor_finder import find_read_floor
-from .leader_prover import waiting_deadline
+from .leader_prover import LEADERLESS_WAIT_PART
 from .link_loan import give_back, lend
 from .open_transaction import OpenTransaction
 from .read_floor import SessionFloor
@@ -197,9 +197,9 @@
 
     async def _commit(self, statement: Statement, deadline: timedelta) -> Reply:
         service = self._transaction.service
-        wait_until = waiting_deadline(self._clock.now(), deadline)
+        now = self._clock.now()
         try:
-            await service.admit_write(wait_until)
+            await service.admit_write(now + (deadline - now) * LEADERLESS_WAIT_PART)
         except CodedError as error:
             raise CodedError(
                 ResultCode.ROLLED_BACK, str(error), error.retry_after_ms
--- a/goldcrestpond/soak/fault_proxy.py
+++ b/goldcrestpond/soak/fault_proxy.py
@@ -5,11 +5,16 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
-from ..frames.connection_lost import CONNECTION_LOST
 from ..settings.address import Address
 
 LOOPBACK = "127.0.0.1"
 RECEIVE_BYTES = 65536
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 @dataclass(slots=True)
@@ -96,7 +101,7 @@
                     await anyio.sleep(self.faults.delay_s)
                 if not (pair.is_silent or getattr(self.faults, drop)):
                     await sink.send(data)
-        except CONNECTION_LOST:
+        except _LOST:
             await pair.aclose()
 
 
--- a/goldcrestpond/soak/soak_caller.py
+++ b/goldcrestpond/soak/soak_caller.py
@@ -6,7 +6,6 @@
 import anyio
 
 from ..clock.clock import Clock
-from ..frames.connection_lost import CONNECTION_LOST
 from .promise_checker import PromiseChecker
 from .soak_site import MAX_AGE_MS, SoakSite
 
@@ -14,7 +13,13 @@
 PAUSE_S = 0.02
 # Commits are taken as acknowledged when the answer arrives here.
 AGE_SLACK = timedelta(milliseconds=50)
-_LOST = (*CONNECTION_LOST, TimeoutError)
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    TimeoutError,
+)
 
 
 class SoakCaller:
--- a/goldcrestpond/standin/line_server.py
+++ b/goldcrestpond/standin/line_server.py
@@ -5,12 +5,17 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
-from ..frames.connection_lost import CONNECTION_LOST
 from ..settings.address import Address
 from .line_group import LineDatabase, LineGroup
 from .line_session import LineSession
 
 LOOPBACK = "127.0.0.1"
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class LineServer:
@@ -57,7 +62,7 @@
             try:
                 if database.is_running:
                     await self._serve(database, stream)
-            except CONNECTION_LOST:
+            except _LOST:
                 pass  # the proxy left
             finally:
                 streams.discard(stream)
--- a/goldcrestpond/wire/caller_stream.py
+++ b/goldcrestpond/wire/caller_stream.py
@@ -9,7 +9,6 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..frames.connection_lost import CONNECTION_LOST
 from ..frames.direct_sender import DirectSender
 from ..frames.frame import Frame
 from ..frames.frame_splitter import FrameSplitter
@@ -80,7 +79,7 @@
         while count:
             try:
                 part = await self._stream.receive(count)
-            except CONNECTION_LOST as error:
+            except _LOST as error:
                 raise CallerGone from error
             parts.append(part)
             count -= len(part)
@@ -96,7 +95,7 @@
         """
         try:
             await self._sender.send(data)
-        except CONNECTION_LOST as error:
+        except _LOST as error:
             raise CallerGone from error
 
     async def start_tls(self, context: ssl.SSLContext) -> None:
@@ -115,7 +114,7 @@
                 standard_compatible=False,
             )
             self._sender = DirectSender(self._stream)
-        except CONNECTION_LOST as error:
+        except _LOST as error:
             raise CallerGone from error
 
     async def end_output(self) -> None:
@@ -129,7 +128,7 @@
                 await self._stream.send_eof()
                 while True:
                     await self._stream.receive(RECEIVE_BYTES)
-            except (*CONNECTION_LOST, AttributeError, NotImplementedError):
+            except (*_LOST, AttributeError, NotImplementedError):
                 pass
 
     async def aclose(self) -> None:
@@ -137,15 +136,23 @@
         with anyio.CancelScope(shield=True), anyio.move_on_after(1):
             try:
                 await self._stream.aclose()
-            except CONNECTION_LOST:
+            except _LOST:
                 pass
 
     async def _receive(self) -> bytes:
         try:
             return await self._stream.receive(RECEIVE_BYTES)
-        except CONNECTION_LOST as error:
+        except _LOST as error:
             if self._splitter.pending_bytes:
                 raise CodedError(
                     ResultCode.MALFORMED_FRAME, "connection ended in a frame"
                 ) from error
             raise CallerGone from error
+
+
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
