--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -12,13 +12,13 @@
 from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.configuration.route_spec import RouteSpec
 from goldcrestpond.configuration.stored_resource import encode_stored
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.settings.address import Address, parse_address
 from goldcrestpond.standin.database_group_settings import (
     DatabaseGroupSettings,
     StandinDatabase,
 )
 from goldcrestpond.standin.platform_settings import PlatformStandinSettings
+from goldcrestpond.store.http_platform import HttpPlatform
 
 from .child_process import ChildProcess, run_program
 
--- a/bench/monitor_costs.py
+++ b/bench/monitor_costs.py
@@ -24,13 +24,13 @@
 from goldcrestpond.events.recorder import EventRecorder
 from goldcrestpond.frames import kinds
 from goldcrestpond.frames.build import query_frame
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.settings.address import parse_address
 from goldcrestpond.standin.database_group_settings import (
     DatabaseGroupSettings,
     StandinDatabase,
 )
 from goldcrestpond.standin.platform_settings import PlatformStandinSettings
+from goldcrestpond.store.http_platform import HttpPlatform
 
 from .child_process import run_program
 
--- a/bench/process_faults.py
+++ b/bench/process_faults.py
@@ -26,10 +26,10 @@
 from goldcrestpond.load.run_load import audit_site, make_result, start_sessions
 from goldcrestpond.load.scenarios import make_scenarios
 from goldcrestpond.load.workload import Workload
-from goldcrestpond.platform.instance_entry import InstanceEntry
 from goldcrestpond.root.local_site import LocalSite, run_local_site
 from goldcrestpond.settings.address import Address
 from goldcrestpond.settings.proxy_settings import ProxySettings
+from goldcrestpond.store.instance_entry import InstanceEntry
 
 from .child_process import ChildProcess, run_program
 
--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -23,11 +23,11 @@
 )
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..platform.condition import Condition
-from ..platform.platform import Platform
-from ..platform.platform_conflict import PlatformConflict
-from ..platform.read_all_changes import read_all_changes
-from ..platform.write import Write
+from ..store.condition import Condition
+from ..store.platform import Platform
+from ..store.platform_conflict import PlatformConflict
+from ..store.read_all_changes import read_all_changes
+from ..store.write import Write
 from .change_outcome import ChangeOutcome
 from .outcome_cleaner import OutcomeCleaner
 from .pending_change import PendingChange
--- a/goldcrestpond/api/drain_progress_reader.py
+++ b/goldcrestpond/api/drain_progress_reader.py
@@ -8,8 +8,8 @@
 from ..drain.drain_keys import DRAIN_PREFIX, read_drain_progress_key
 from ..drain.drain_progress import DrainProgress
 from ..errors.coded_error import CodedError
-from ..platform.platform import Platform
-from ..platform.read_all_changes import read_all_changes
+from ..store.platform import Platform
+from ..store.read_all_changes import read_all_changes
 
 _INTERVAL_S = 0.5  # an operator who watches a drain sees it move
 _log = logging.getLogger("goldcrestpond.api")
--- a/goldcrestpond/api/outcome_cleaner.py
+++ b/goldcrestpond/api/outcome_cleaner.py
@@ -2,10 +2,10 @@
 
 from ..configuration.stored_outcome import OUTCOME_PREFIX
 from ..errors.coded_error import CodedError
-from ..platform.condition import Condition
-from ..platform.platform import Platform
-from ..platform.read_all_changes import read_all_changes
-from ..platform.write import Write
+from ..store.condition import Condition
+from ..store.platform import Platform
+from ..store.read_all_changes import read_all_changes
+from ..store.write import Write
 
 # A few hours of changes at 28,000 a day.
 DEFAULT_KEPT_COUNT = 4096
--- a/goldcrestpond/api/resource_api.py
+++ b/goldcrestpond/api/resource_api.py
@@ -22,8 +22,8 @@
 from ..configuration.revision_count import count_in_force
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..platform.configuration_source import ConfigurationSource
-from ..platform.platform import Platform
+from ..store.configuration_source import ConfigurationSource
+from ..store.platform import Platform
 from .authorization import check_bearer
 from .change_body import read_change
 from .change_executor import ChangeExecutor
--- a/goldcrestpond/endpoint/group_monitor.py
+++ b/goldcrestpond/endpoint/group_monitor.py
@@ -14,10 +14,10 @@
 from ..events.recorder import EventRecorder
 from ..group.database_status import DatabaseStatus
 from ..group.log_position import LogPosition
-from ..platform.platform import Platform
 from ..routing.database_load import DatabaseLoad
 from ..routing.replica_choice import ReplicaChoice
 from ..settings.address import Address, parse_address
+from ..store.platform import Platform
 from ..term.failure_kind import FailureKind
 from ..term.group_view import GroupView
 from ..term.primary_view import PrimaryView
--- a/goldcrestpond/endpoint/group_monitor_keeper.py
+++ b/goldcrestpond/endpoint/group_monitor_keeper.py
@@ -9,7 +9,7 @@
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
-from ..platform.platform import Platform
+from ..store.platform import Platform
 from ..term.group_view import GroupView
 from ..term.promotion import Promotion
 from ..term.record_duty import RecordDuty, instance_of, record_duty
--- a/goldcrestpond/endpoint/group_monitor_record.py
+++ b/goldcrestpond/endpoint/group_monitor_record.py
@@ -4,8 +4,8 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..platform.platform import Platform
-from ..platform.platform_conflict import PlatformConflict
+from ..store.platform import Platform
+from ..store.platform_conflict import PlatformConflict
 from ..term.issue_term import has_issued, issue_term, record_primary
 from ..term.term_record import TermRecord
 from ..term.term_start import TermStart
--- a/goldcrestpond/endpoint/share_keeper.py
+++ b/goldcrestpond/endpoint/share_keeper.py
@@ -11,10 +11,6 @@
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
-from ..platform.platform import Platform
-from ..platform.platform_conflict import PlatformConflict
-from ..platform.read_all_changes import read_all_changes
-from ..platform.row import Row
 from ..pool.instance_lease import InstanceLease
 from ..pool.lease_observer import LeaseObserver
 from ..pool.share_demand import ShareDemand
@@ -22,6 +18,10 @@
 from ..pool.share_limits import ShareLimits
 from ..pool.share_proposal import ShareProposal
 from ..pool.share_row import ShareRow
+from ..store.platform import Platform
+from ..store.platform_conflict import PlatformConflict
+from ..store.read_all_changes import read_all_changes
+from ..store.row import Row
 from .connection_pool import ConnectionPool
 
 PREFIX = "sharing/"
--- a/goldcrestpond/load/configuration_changes.py
+++ b/goldcrestpond/load/configuration_changes.py
@@ -9,9 +9,9 @@
 from ..configuration.route_spec import RouteSpec
 from ..configuration.stored_resource import encode_stored
 from ..errors.coded_error import CodedError
-from ..platform.http_platform import HttpPlatform
-from ..platform.platform_conflict import PlatformConflict
 from ..root.local_site import LocalSite
+from ..store.http_platform import HttpPlatform
+from ..store.platform_conflict import PlatformConflict
 from .latencies import Latencies
 from .load_run import LoadRun
 
--- a/goldcrestpond/load/drains.py
+++ b/goldcrestpond/load/drains.py
@@ -9,9 +9,9 @@
 from ..configuration.keys import resource_key
 from ..configuration.kind import Kind
 from ..configuration.stored_resource import encode_stored
-from ..platform.http_platform import HttpPlatform
 from ..root.local_site import LocalSite
 from ..standin.database_server import DatabaseServer
+from ..store.http_platform import HttpPlatform
 from .load_run import LoadRun
 
 _QUIET_S = 1.5
--- a/goldcrestpond/peer/list_seeds.py
+++ b/goldcrestpond/peer/list_seeds.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from ..errors.coded_error import CodedError
-from ..platform.platform import Platform
+from ..store.platform import Platform
 
 _logger = logging.getLogger(__name__)
 
--- a/goldcrestpond/root/api.py
+++ b/goldcrestpond/root/api.py
@@ -16,10 +16,10 @@
 from ..clock.system_clock import SystemClock
 from ..peer.force_reader import ForceReader
 from ..peer.list_seeds import seeds_of
-from ..platform.configuration_source import ConfigurationSource
-from ..platform.http_platform import HttpPlatform
-from ..platform.platform import Platform
 from ..settings.address import Address, parse_address
+from ..store.configuration_source import ConfigurationSource
+from ..store.http_platform import HttpPlatform
+from ..store.platform import Platform
 
 
 @asynccontextmanager
--- a/goldcrestpond/root/drain_keeper.py
+++ b/goldcrestpond/root/drain_keeper.py
@@ -16,8 +16,8 @@
 from ..drain.endpoint_drain import EndpointDrain
 from ..errors.coded_error import CodedError
 from ..events.recorder import EventRecorder
-from ..platform.platform import Platform
-from ..platform.platform_conflict import PlatformConflict
+from ..store.platform import Platform
+from ..store.platform_conflict import PlatformConflict
 from .group_services import GroupServices
 
 _TICK_S = 0.1  # how soon the end of the last statement is noticed
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -20,12 +20,12 @@
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..placement.group_use import GroupUse
-from ..platform.platform import Platform
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
 from ..pool.share_limits import ShareLimits
 from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
+from ..store.platform import Platform
 from ..wire.group_service import GroupService, WaitConfiguration
 
 # Longer than a statement may usually run; what still runs then is cut.
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -13,13 +13,13 @@
 from ..configuration.resource import Spec
 from ..configuration.route_spec import RouteSpec
 from ..configuration.stored_resource import encode_stored
-from ..platform.http_platform import HttpPlatform
-from ..platform.instance_entry import InstanceEntry
 from ..settings.address import Address
 from ..settings.proxy_settings import ProxySettings
 from ..standin.database_group import DatabaseGroup, run_database_group
 from ..standin.database_group_settings import DatabaseGroupSettings, StandinDatabase
 from ..standin.platform_standin import PlatformStandin, run_platform
+from ..store.http_platform import HttpPlatform
+from ..store.instance_entry import InstanceEntry
 from .api import run_api
 from .local_site_settings import LocalSiteSettings
 from .proxy import Proxy, run_proxy
--- a/goldcrestpond/root/peers.py
+++ b/goldcrestpond/root/peers.py
@@ -8,9 +8,9 @@
 from ..peer.list_seeds import seeds_of
 from ..peer.peer_node import PeerNode
 from ..peer.peer_settings import PeerSettings
-from ..platform.platform import Platform
 from ..settings.address import parse_address
 from ..settings.proxy_settings import ProxySettings
+from ..store.platform import Platform
 
 
 def make_peer_node(
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -17,11 +17,11 @@
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
 from ..peer.peer_node import PeerNode
-from ..platform.configuration_source import ConfigurationSource
-from ..platform.http_platform import HttpPlatform
-from ..platform.platform import Platform
 from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
+from ..store.configuration_source import ConfigurationSource
+from ..store.http_platform import HttpPlatform
+from ..store.platform import Platform
 from ..wire.caller_server import CallerServer
 from ..wire.checkout import Checkout
 from ..wire.session_limits import SessionLimits
--- a/goldcrestpond/standin/lagging_list.py
+++ b/goldcrestpond/standin/lagging_list.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from ..platform.instance_entry import InstanceEntry
+from ..store.instance_entry import InstanceEntry
 
 
 class LaggingList:
--- a/goldcrestpond/standin/platform_settings.py
+++ b/goldcrestpond/standin/platform_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..platform.instance_entry import InstanceEntry
+from ..store.instance_entry import InstanceEntry
 
 
 class PlatformStandinSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/goldcrestpond/standin/platform_standin.py
+++ b/goldcrestpond/standin/platform_standin.py
@@ -13,18 +13,18 @@
 
 from ..api.http_server import serve_http
 from ..clock.clock import Clock
-from ..platform.condition import Condition
-from ..platform.http_bodies import (
+from ..settings.address import Address
+from ..store.condition import Condition
+from ..store.http_bodies import (
     BatchBody,
     ChangesBody,
     RevisionBody,
     RowBody,
     RowsBody,
 )
-from ..platform.instance_entry import InstanceEntry
-from ..platform.platform_conflict import PlatformConflict
-from ..platform.write import Write
-from ..settings.address import Address
+from ..store.instance_entry import InstanceEntry
+from ..store.platform_conflict import PlatformConflict
+from ..store.write import Write
 from .lagging_list import LaggingList
 from .platform_counts import PlatformCounts
 from .platform_faults import PlatformFaults
--- a/goldcrestpond/standin/table.py
+++ b/goldcrestpond/standin/table.py
@@ -3,11 +3,11 @@
 from bisect import bisect_right
 from collections.abc import Sequence
 
-from ..platform.changes import Changes
-from ..platform.condition import Condition
-from ..platform.platform_conflict import PlatformConflict
-from ..platform.row import Row
-from ..platform.write import Write
+from ..store.changes import Changes
+from ..store.condition import Condition
+from ..store.platform_conflict import PlatformConflict
+from ..store.row import Row
+from ..store.write import Write
 
 
 class Table:
--- a/tests/api_fixture.py
+++ b/tests/api_fixture.py
@@ -9,11 +9,11 @@
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.configuration.revision_count import RevisionCount
-from goldcrestpond.platform.configuration_source import ConfigurationSource
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.root.api import serve_api
 from goldcrestpond.settings.address import Address
 from goldcrestpond.standin.platform_standin import run_platform
+from goldcrestpond.store.configuration_source import ConfigurationSource
+from goldcrestpond.store.http_platform import HttpPlatform
 
 LOOPBACK = Address("127.0.0.1", 0)
 CLOCK = SystemClock()
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -2,8 +2,8 @@
 
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
-from goldcrestpond.platform.platform_conflict import PlatformConflict
-from goldcrestpond.platform.row import Row
+from goldcrestpond.store.platform_conflict import PlatformConflict
+from goldcrestpond.store.row import Row
 
 
 class FakePlatform:
--- a/tests/test_change_executor.py
+++ b/tests/test_change_executor.py
@@ -16,10 +16,10 @@
 from goldcrestpond.configuration.stored_outcome import OUTCOME_PREFIX
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
-from goldcrestpond.platform.condition import Condition
-from goldcrestpond.platform.row import Row
-from goldcrestpond.platform.write import Write
 from goldcrestpond.standin.table import Table
+from goldcrestpond.store.condition import Condition
+from goldcrestpond.store.row import Row
+from goldcrestpond.store.write import Write
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_configuration_change.py
+++ b/tests/test_configuration_change.py
@@ -12,7 +12,7 @@
 from goldcrestpond.configuration.read_policy_spec import ReadPolicySpec
 from goldcrestpond.configuration.route_spec import RouteSpec
 from goldcrestpond.configuration.stored_resource import encode_stored
-from goldcrestpond.platform.http_platform import HttpPlatform
+from goldcrestpond.store.http_platform import HttpPlatform
 
 from .site import fuel_site, psycopg_connection
 
--- a/tests/test_configuration_source.py
+++ b/tests/test_configuration_source.py
@@ -12,10 +12,10 @@
 from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.configuration.read_policy_spec import ReadPolicySpec
 from goldcrestpond.configuration.stored_resource import encode_stored
-from goldcrestpond.platform.configuration_source import ConfigurationSource
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.settings.address import Address
 from goldcrestpond.standin.platform_standin import run_platform
+from goldcrestpond.store.configuration_source import ConfigurationSource
+from goldcrestpond.store.http_platform import HttpPlatform
 
 _LOOPBACK = Address("127.0.0.1", 0)
 _CLOCK = SystemClock()
--- a/tests/test_drain_orders.py
+++ b/tests/test_drain_orders.py
@@ -13,10 +13,10 @@
 from goldcrestpond.configuration.keys import resource_key
 from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.configuration.stored_resource import encode_stored
-from goldcrestpond.platform.http_platform import HttpPlatform
-from goldcrestpond.platform.instance_entry import InstanceEntry
 from goldcrestpond.root.api import serve_api
 from goldcrestpond.settings.address import Address
+from goldcrestpond.store.http_platform import HttpPlatform
+from goldcrestpond.store.instance_entry import InstanceEntry
 
 from .site import fuel_site, psycopg_connection
 
--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -23,7 +23,6 @@
 from goldcrestpond.frames.read import read_parameter
 from goldcrestpond.group.log_position import parse_log_position
 from goldcrestpond.group.role import Role
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.settings.address import Address
 from goldcrestpond.standin.database_group import run_database_group
 from goldcrestpond.standin.database_group_settings import (
@@ -31,6 +30,7 @@
     StandinDatabase,
 )
 from goldcrestpond.standin.platform_standin import run_platform
+from goldcrestpond.store.http_platform import HttpPlatform
 
 CLOCK = SystemClock()
 LOGIN = Login("proxy", "depot")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,9 +16,9 @@
 from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.configuration.read_policy_spec import ReadPolicySpec
 from goldcrestpond.configuration.stored_resource import encode_stored
-from goldcrestpond.platform.http_platform import HttpPlatform
 from goldcrestpond.root.proxy import run_proxy
 from goldcrestpond.settings.proxy_settings import ProxySettings
+from goldcrestpond.store.http_platform import HttpPlatform
 
 from .site import fuel_site, psycopg_connection
 
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -18,8 +18,8 @@
 from goldcrestpond.events.recorder import EventRecorder
 from goldcrestpond.group.log_position import LogPosition
 from goldcrestpond.group.role import Role
-from goldcrestpond.platform.instance_entry import InstanceEntry
-from goldcrestpond.platform.row import Row
+from goldcrestpond.store.instance_entry import InstanceEntry
+from goldcrestpond.store.row import Row
 from goldcrestpond.term.replaced_primary import ReplacedPrimary
 from goldcrestpond.term.term_record import TermRecord
 from goldcrestpond.term.term_start import TermStart
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,15 +13,15 @@
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.exit_status import exit_status
 from goldcrestpond.errors.result_code import ResultCode
-from goldcrestpond.platform.condition import Condition
-from goldcrestpond.platform.http_platform import HttpPlatform
-from goldcrestpond.platform.instance_entry import InstanceEntry
-from goldcrestpond.platform.platform_conflict import PlatformConflict
-from goldcrestpond.platform.row import Row
-from goldcrestpond.platform.write import Write
 from goldcrestpond.settings.address import Address
 from goldcrestpond.standin.platform_standin import run_platform
 from goldcrestpond.standin.table import Table
+from goldcrestpond.store.condition import Condition
+from goldcrestpond.store.http_platform import HttpPlatform
+from goldcrestpond.store.instance_entry import InstanceEntry
+from goldcrestpond.store.platform_conflict import PlatformConflict
+from goldcrestpond.store.row import Row
+from goldcrestpond.store.write import Write
 
 _LOOPBACK = Address("127.0.0.1", 0)
 _SHORT = timedelta(milliseconds=200)
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -23,8 +23,8 @@
 from goldcrestpond.drain.drain_phase import DrainPhase
 from goldcrestpond.drain.drain_progress import DrainProgress
 from goldcrestpond.errors.coded_error import CodedError
-from goldcrestpond.platform.condition import Condition
-from goldcrestpond.platform.write import Write
+from goldcrestpond.store.condition import Condition
+from goldcrestpond.store.write import Write
 
 from .api_fixture import GROUP_SPEC, run_with_apis
 
--- a/tests/test_resource_changes.py
+++ b/tests/test_resource_changes.py
@@ -37,10 +37,10 @@
 from goldcrestpond.configuration.keys import CONFIGURATION_PREFIX, resource_key
 from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.configuration.resource_table import ResourceTable
-from goldcrestpond.platform.condition import Condition
-from goldcrestpond.platform.platform_conflict import PlatformConflict
-from goldcrestpond.platform.write import Write
 from goldcrestpond.standin.table import Table
+from goldcrestpond.store.condition import Condition
+from goldcrestpond.store.platform_conflict import PlatformConflict
+from goldcrestpond.store.write import Write
 
 _OPERATORS = st.integers(0, 1)
 _GROUPS = st.sampled_from(["g", "h"])
