--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -22,12 +22,11 @@
 from ..pool.probe_endpoint import ProbeEndpoint
 from ..pool.refuse_request import RefuseRequest
 from ..pool.slot_request import SlotRequest
-from .endpoint_connection import EndpointConnection
-from .endpoint_refusal import EndpointRefusal
-from .statement_activity import is_statement_running
+from ..routing.database_load import DatabaseLoad
+from .pooled_link import PooledLink
 
-OpenEndpoint = Callable[[], Awaitable[EndpointConnection]]
-TOO_MANY_CONNECTIONS = "53300"
+OpenLink = Callable[[], Awaitable[PooledLink]]
+AskAfter = Callable[[PooledLink], Awaitable[bool | None]]
 # Silence and idleness are judged to within this time while requests run.
 _TICK = timedelta(milliseconds=100)
 _IDLE_TICK = timedelta(seconds=5)
@@ -42,7 +41,7 @@
 
     request: SlotRequest
     done: anyio.Event
-    connection: EndpointConnection | None = None
+    connection: PooledLink | None = None
     refusal: RefuseRequest | None = None
 
 
@@ -61,9 +60,13 @@
         Source of monotonic readings.
     tasks : TaskGroup
         Runs opens, checks, probes and closes.
+    ask_after : callable
+        Asks the database over a new connection whether the statement of a silent
+        one still runs; returns None if it cannot say.
     """
 
     __slots__ = (
+        "_ask_after",
         "_clock",
         "_connections",
         "_decisions",
@@ -83,16 +86,18 @@
         self,
         name: str,
         decisions: DatabasePool,
-        open_connection: OpenEndpoint,
+        open_connection: OpenLink,
         clock: Clock,
         tasks: TaskGroup,
+        ask_after: AskAfter,
     ):
+        self._ask_after = ask_after
         self._name = name
         self._decisions = decisions
         self._open_connection = open_connection
         self._clock = clock
         self._tasks = tasks
-        self._connections: dict[int, EndpointConnection] = {}
+        self._connections: dict[int, PooledLink] = {}
         self._opening: dict[int, anyio.CancelScope] = {}
         self._waiters: dict[int, _Waiter] = {}
         self._request_ids = itertools.count(1)
@@ -116,6 +121,16 @@
         """Connections that the present work could use."""
         return self._decisions.demand
 
+    def load(self, slots: int) -> DatabaseLoad:
+        """Return how busy this instance keeps the database.
+
+        Parameters
+        ----------
+        slots : int
+            Slots of the database, whoever uses them.
+        """
+        return self._decisions.load(slots)
+
     async def run(self) -> None:
         """Judge silence, idleness and deadlines until closed."""
         while not self._is_closed:
@@ -128,7 +143,7 @@
 
     async def acquire(
         self, term: int, deadline: timedelta, caller: str, lane: Lane
-    ) -> EndpointConnection:
+    ) -> PooledLink:
         """Lend a connection.
 
         Parameters
@@ -165,17 +180,17 @@
             raise
         return self._result(waiter)
 
-    def release(self, connection: EndpointConnection) -> None:
+    def release(self, connection: PooledLink) -> None:
         """Take a connection back; one that is broken is closed."""
         now = self._clock.now()
         reusable = not connection.is_broken
         self._apply(self._decisions.released(connection.pool_number, reusable, now))
 
-    def hold(self, connection: EndpointConnection) -> None:
+    def hold(self, connection: PooledLink) -> None:
         """Free the slot while an open transaction waits for its caller."""
         self._apply(self._decisions.held(connection.pool_number, self._clock.now()))
 
-    def resume(self, connection: EndpointConnection) -> None:
+    def resume(self, connection: PooledLink) -> None:
         """Note that an open transaction runs a further statement."""
         self._decisions.resumed(connection.pool_number, self._clock.now())
         self._wake.set()
@@ -255,7 +270,7 @@
             return
         self._apply(self._decisions.abandon(request_id, self._clock.now()))
 
-    def _result(self, waiter: _Waiter) -> EndpointConnection:
+    def _result(self, waiter: _Waiter) -> PooledLink:
         if waiter.connection is not None:
             return waiter.connection
         refusal = waiter.refusal
@@ -302,7 +317,7 @@
 
     async def _open(self, connection_id: int) -> None:
         failure: CodedError | None = None
-        connection: EndpointConnection | None = None
+        connection: PooledLink | None = None
         with anyio.CancelScope() as scope:
             self._opening[connection_id] = scope
             try:
@@ -325,10 +340,7 @@
     def _open_failed(
         self, connection_id: int, failure: CodedError, now: timedelta
     ) -> None:
-        too_many = (
-            isinstance(failure, EndpointRefusal)
-            and failure.sqlstate == TOO_MANY_CONNECTIONS
-        )
+        too_many = failure.code is ResultCode.ENDPOINT_FULL
         self._open_failure = failure.detail
         _log.info("pool: %s: open failed: %s", self._name, failure)
         self._apply(self._decisions.open_failed(connection_id, too_many, now))
@@ -344,7 +356,7 @@
         _log.debug("pool: %s: close connection: %s", self._name, reason)
         self._tasks.start_soon(self._finish_close, connection)
 
-    async def _finish_close(self, connection: EndpointConnection) -> None:
+    async def _finish_close(self, connection: PooledLink) -> None:
         await connection.aclose()
         number = connection.pool_number
         self._apply(self._decisions.closed(number, self._clock.now()))
@@ -356,7 +368,7 @@
         healthy = connection.is_quiet()
         if healthy:
             try:
-                await connection.query("")
+                await connection.check()
             except CodedError:
                 healthy = False
         self._apply(self._decisions.checked(connection_id, healthy, self._clock.now()))
@@ -380,13 +392,6 @@
             actions = self._decisions.probe_failed(connection_id, now)
         self._apply(actions)
 
-    async def _ask_after(self, silent: EndpointConnection) -> bool | None:
-        probe = await self._open_connection()
-        try:
-            return await is_statement_running(probe, silent.process_id)
-        finally:
-            await probe.aclose()
-
     def _note_progress(self) -> None:
         now = self._clock.now()
         for connection_id, connection in self._connections.items():
--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -172,6 +172,10 @@
         self._take_parameters(frames)
         return _read_result(frames)
 
+    async def check(self) -> None:
+        """Make one round trip that changes nothing."""
+        await self.query("")
+
     def _take_parameters(self, frames: list[Frame]) -> None:
         for frame in frames:
             if frame.kind == kinds.PARAMETER_STATUS:
--- a/goldcrestpond/endpoint/endpoint_refusal.py
+++ b/goldcrestpond/endpoint/endpoint_refusal.py
@@ -3,6 +3,8 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 
+TOO_MANY_CONNECTIONS = "53300"
+
 
 class EndpointRefusal(CodedError):
     """The endpoint answered with an error; the statement did not take effect.
@@ -18,5 +20,7 @@
     __slots__ = ("sqlstate",)
 
     def __init__(self, sqlstate: str, message: str):
-        super().__init__(ResultCode.ENDPOINT_REFUSED, f"{sqlstate} {message}")
+        is_full = sqlstate == TOO_MANY_CONNECTIONS
+        code = ResultCode.ENDPOINT_FULL if is_full else ResultCode.ENDPOINT_REFUSED
+        super().__init__(code, f"{sqlstate} {message}")
         self.sqlstate = sqlstate
--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -25,6 +25,8 @@
     TOKEN_BEYOND_HISTORY = (112, "22023", 400, "The history lacks the token's write.")
     ENCRYPTION_REQUIRED = (113, "28000", 403, "The instance requires TLS.")
     IDLE_TRANSACTION = (114, "25P03", 408, "Rolled back: its caller kept it waiting.")
+    TRANSACTION_FAILED = (115, "25P02", 409, "The transaction failed; end it.")
+    STATEMENT_UNKNOWN = (116, "26000", 404, "No prepared statement has this name.")
 
     NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
     ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint was reached; not run.")
@@ -36,6 +38,10 @@
     ENDPOINT_REFUSED = (208, "58000", 502, "The endpoint refused a statement.")
     ENDPOINT_MALFORMED = (209, "58000", 502, "An endpoint's answer cannot be read.")
     PRIMARY_REPLACED = (210, "57P03", 503, "The primary was replaced; not run.")
+    ENDPOINT_FULL = (211, "53300", 503, "The endpoint takes no more connections.")
+    ENDPOINT_BUSY = (212, "53000", 503, "The endpoint had no slot; not run.")
+    ENDPOINT_TIMEOUT = (213, "57014", 504, "The endpoint gave a statement up.")
+    WRONG_ENDPOINT = (214, "08001", 503, "The endpoint is another one; not run.")
 
     OUTCOME_UNKNOWN = (301, "08007", 502, "The outcome is unknown.")
     TERM_SUPERSEDED = (302, "08007", 502, "The term ended; the outcome is unknown.")
--- /dev/null
+++ b/goldcrestpond/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translation only."""
--- /dev/null
+++ b/goldcrestpond/platform/caller_server.py
@@ -0,0 +1,239 @@
+"""Accepts callers that speak the line protocol (shell)."""
+
+import itertools
+from collections.abc import Callable
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..frames.direct_sender import DirectSender
+from ..serving.caller_session import CallerSession
+from ..serving.decision_log import DecisionLog
+from ..serving.directory import Directory
+from ..serving.reply import Reply
+from ..serving.transaction_state import TransactionState
+from . import line_codec as codec
+from .endpoint_link import set_timeouts
+from .line_buffer import LineBuffer
+
+RECEIVE_BYTES = 4096  # several statements of usual size
+CONNECT_LIMIT = timedelta(seconds=2)  # callers wait so long for the first answer
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+class CallerServer:
+    """Serves callers until it is stopped.
+
+    Parameters
+    ----------
+    directory : Directory
+        Routes and services.
+    open_session : callable
+        Makes the session of a caller's key and database name.
+    log : DecisionLog
+        Sink of decisions.
+    """
+
+    __slots__ = ("_directory", "_keys", "_log", "_open_session", "_talks")
+
+    def __init__(
+        self,
+        directory: Directory,
+        open_session: Callable[[str, str], CallerSession],
+        log: DecisionLog,
+    ):
+        self._directory = directory
+        self._open_session = open_session
+        self._log = log
+        self._keys = itertools.count(1)
+        self._talks: set[_CallerTalk] = set()
+
+    @property
+    def caller_count(self) -> int:
+        """Callers that are connected."""
+        return len(self._talks)
+
+    @property
+    def open_transactions(self) -> int:
+        """Callers that are inside a transaction."""
+        return sum(talk.is_in_transaction for talk in self._talks)
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one caller until either side ends the session."""
+        set_timeouts(stream.extra(SocketAttribute.raw_socket))
+        talk = _CallerTalk(stream, f"c{next(self._keys)}", self)
+        self._talks.add(talk)
+        try:
+            await talk.run()
+        except _LOST:
+            pass  # the caller left; its transaction is rolled back below
+        except CodedError as error:
+            self._log.decision(
+                "caller dropped", session=talk.key, code=f"GP{error.code.number}"
+            )
+        finally:
+            self._talks.discard(talk)
+            await talk.aclose()
+
+    async def open_session(self, key: str, connect: codec.Connect) -> CallerSession:
+        """Return a session for a caller whose database has a route.
+
+        Raises
+        ------
+        CodedError
+            UNKNOWN_DATABASE, or PLATFORM_UNAVAILABLE if no configuration came.
+        """
+        with anyio.move_on_after(CONNECT_LIMIT.total_seconds() * 0.75):
+            while not self._directory.table.version:
+                await anyio.sleep(0.02)
+        if not self._directory.table.version:
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, "no configuration yet")
+        self._directory.route(connect.database)
+        return self._open_session(key, connect.database)
+
+    @property
+    def idle_limit(self) -> timedelta:
+        """Longest pause inside a transaction."""
+        return self._directory.table.transaction_idle_limit
+
+    def end_idle(self) -> None:
+        """Close the sessions that wait for nothing."""
+        for talk in list(self._talks):
+            talk.end_when_idle()
+
+    async def abort_transactions(self) -> None:
+        """Roll back what callers keep open."""
+        for talk in list(self._talks):
+            await talk.abort("shutting down")
+
+
+class _CallerTalk:
+    """One caller's connection."""
+
+    __slots__ = (
+        "_lines",
+        "_reading",
+        "_sender",
+        "_server",
+        "_session",
+        "_stream",
+        "is_ending",
+        "key",
+    )
+
+    def __init__(self, stream: SocketStream, key: str, server: CallerServer):
+        self._stream = stream
+        self._sender = DirectSender(stream)
+        self._lines = LineBuffer()
+        self._server = server
+        self._session: CallerSession | None = None
+        self._reading: anyio.CancelScope | None = None
+        self.is_ending = False
+        self.key = key
+
+    @property
+    def is_in_transaction(self) -> bool:
+        """Whether the caller has a transaction open."""
+        session = self._session
+        if session is None:
+            return False
+        return session.transaction_state is not TransactionState.IDLE
+
+    async def run(self) -> None:
+        """Answer the caller's messages in order."""
+        try:
+            if not await self._connect():
+                return
+            while await self._answer_next():
+                pass
+        except CodedError as error:
+            await self._sender.send(codec.encode_error(error.code, error.detail))
+            raise
+
+    def end_when_idle(self) -> None:
+        """End the session as soon as no statement or transaction is open."""
+        self.is_ending = True
+        if self._reading is not None and not self.is_in_transaction:
+            self._reading.cancel()
+
+    async def abort(self, reason: str) -> None:
+        """Roll back the caller's transaction unless a statement is running."""
+        if self._session is not None and self._reading is not None:
+            await self._session.abort(reason)
+
+    async def aclose(self) -> None:
+        """Roll back and close."""
+        with anyio.CancelScope(shield=True):
+            if self._session is not None:
+                await self._session.aclose()
+            await anyio.aclose_forcefully(self._stream)
+
+    async def _connect(self) -> bool:
+        line = await self._read_line()
+        if line is None:
+            return False
+        message = codec.decode_caller_line(line)
+        if isinstance(message, codec.Quit):
+            return False
+        if not isinstance(message, codec.Connect):
+            raise CodedError(ResultCode.MALFORMED_FRAME, "CONNECT comes first")
+        self._session = await self._server.open_session(self.key, message)
+        await self._sender.send(codec.encode_ready(TransactionState.IDLE))
+        return True
+
+    async def _answer_next(self) -> bool:
+        if self.is_ending and not self.is_in_transaction:
+            return False
+        line = await self._read_line()
+        if line is None:
+            return False
+        message = codec.decode_caller_line(line)
+        if isinstance(message, codec.Quit):
+            return False
+        if not isinstance(message, codec.Query):
+            raise CodedError(ResultCode.MALFORMED_FRAME, "the session has begun")
+        reply = await self._run(message)
+        await self._sender.send(codec.encode_reply(reply))
+        return True
+
+    async def _run(self, query: codec.Query) -> Reply:
+        try:
+            statement = codec.decode_statement(query)
+        except CodedError as error:
+            state = self._session.transaction_state
+            return Reply(error=error.code, detail=error.detail, state=state)
+        return await self._session.run(statement)
+
+    async def _read_line(self) -> str | None:
+        """Return the next line; None if the session is to end."""
+        while True:
+            line = self._lines.next_line()
+            if line is not None:
+                return line
+            data = await self._receive()
+            if data is None:
+                return None
+            self._lines.feed(data)
+
+    async def _receive(self) -> bytes | None:
+        while True:
+            limit_s = None
+            if self.is_in_transaction:
+                limit_s = self._server.idle_limit.total_seconds()
+            with anyio.move_on_after(limit_s) as self._reading:
+                data = await self._stream.receive(RECEIVE_BYTES)
+                self._reading = None
+                return data
+            self._reading = None
+            if self.is_ending and not self.is_in_transaction:
+                return None
+            if self._session is not None:
+                await self._session.abort("idle for too long")
--- /dev/null
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -0,0 +1,250 @@
+"""A connection to a database that speaks the line protocol (shell)."""
+
+import select
+import socket
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..frames.direct_sender import DirectSender
+from ..group.log_position import LogPosition
+from ..serving.database import Database
+from ..serving.database_report import DatabaseReport
+from ..serving.reply import Reply
+from ..serving.shape import Shape
+from ..serving.statement import Statement
+from ..serving.statement_kind import StatementKind
+from ..serving.transaction_state import TransactionState
+from . import line_codec as codec
+from .line_buffer import LineBuffer
+
+RECEIVE_BYTES = 16384  # an answer of usual size in one read
+# Unacknowledged bytes break the connection after this time; the platform's databases
+# drop an unreachable caller after 3 s.
+USER_TIMEOUT_MS = 3000
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+class EndpointLink:
+    """One connection; its answers are read in order.
+
+    Attributes
+    ----------
+    pool_number, received_count, seen_count, is_awaited, is_broken
+        See ``PooledLink``.
+    values, prepared, state
+        See ``Link``.
+    """
+
+    __slots__ = (
+        "_decoder",
+        "_lines",
+        "_poll",
+        "_sender",
+        "_stream",
+        "is_awaited",
+        "is_broken",
+        "pool_number",
+        "prepared",
+        "received_count",
+        "seen_count",
+        "state",
+        "values",
+    )
+
+    def __init__(self, stream: SocketStream):
+        self._stream = stream
+        self._sender = DirectSender(stream)
+        self._lines = LineBuffer()
+        self._decoder = codec.ReplyDecoder()
+        raw = stream.extra(SocketAttribute.raw_socket)
+        self._poll = select.poll()
+        self._poll.register(raw.fileno(), select.POLLIN)
+        self.pool_number = 0
+        self.received_count = 0
+        self.seen_count = 0
+        self.is_awaited = False
+        self.is_broken = False
+        self.values: dict[str, str] = {}
+        self.prepared: dict[Shape, str] = {}
+        self.state = TransactionState.IDLE
+
+    async def execute(
+        self, statement: Statement, shape: Shape | None, floor: LogPosition | None
+    ) -> Reply:
+        """Run a caller's statement under its own id."""
+        text = statement.text
+        if statement.kind is StatementKind.EXECUTE and shape is not None:
+            text = codec.execute_text(self.prepared[shape], statement.argument)
+        return await self._ask(codec.encode_query(statement.request_id, text, floor))
+
+    async def begin(self, is_read_only: bool, floor: LogPosition | None) -> Reply:
+        """Begin a transaction."""
+        text = codec.BEGIN_READ_ONLY if is_read_only else codec.BEGIN
+        return await self._ask(codec.encode_query(codec.OWN_ID, text, floor))
+
+    async def rollback(self) -> Reply:
+        """End a transaction without a commit."""
+        return await self._ask_own(codec.ROLLBACK)
+
+    async def prove(self) -> Reply:
+        """Begin a writing transaction and end it; the reply is the beginning's."""
+        reply = await self._ask_own(codec.BEGIN)
+        if self.state is not TransactionState.IDLE:
+            await self.rollback()
+        return reply
+
+    async def check(self) -> None:
+        """Make one round trip."""
+        reply = await self.begin(True, None)
+        reply.raise_error()
+        await self.rollback()
+
+    async def reset(self) -> None:
+        """Clear values and prepared statements."""
+        (await self._ask_own(codec.RESET)).raise_error()
+        self.values.clear()
+        self.prepared.clear()
+
+    async def set_value(self, name: str, value: str) -> None:
+        """Set a session value."""
+        (await self._ask_own(codec.set_text(name, value))).raise_error()
+        self.values[name] = value
+
+    async def prepare(self, shape: Shape) -> None:
+        """Prepare a statement under a name of this link's."""
+        name = f"g{len(self.prepared) + 1}"
+        (await self._ask_own(codec.prepare_text(name, shape))).raise_error()
+        self.prepared[shape] = name
+
+    async def report(self) -> DatabaseReport:
+        """Ask what the database says of itself."""
+        return await self._ask_report(codec.STATUS)
+
+    async def pause(self, term: int) -> DatabaseReport:
+        """Stop a replica from receiving."""
+        return await self._ask_report(codec.pause_text(term))
+
+    async def resume(self) -> DatabaseReport:
+        """Let a paused replica receive again."""
+        return await self._ask_report(codec.RESUME)
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived since the last answer."""
+        return not self.is_broken and not self._poll.poll(0)
+
+    async def aclose(self) -> None:
+        """Say goodbye if the connection is whole, then close it."""
+        with anyio.CancelScope(shield=True):
+            if not self.is_broken:
+                try:
+                    self._stream.extra(SocketAttribute.raw_socket).send(codec.GOODBYE)
+                except OSError:
+                    pass  # the close says the same
+            self.is_broken = True
+            await anyio.aclose_forcefully(self._stream)
+
+    async def connect(self, database: Database) -> None:
+        """Exchange the first messages.
+
+        Raises
+        ------
+        CodedError
+            ENDPOINT_UNREACHABLE, ENDPOINT_FULL, WRONG_ENDPOINT or ENDPOINT_BUSY.
+        """
+        hello = codec.encode_connect(database.service, database.database_id)
+        try:
+            await self._sender.send(hello)
+            line = await self._next_line()
+        except (*_LOST, CodedError) as error:
+            detail = f"{database.database_id}: {error!r}"
+            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+        refusal = codec.decode_connect_refusal(line)
+        if refusal is not None:
+            raise refusal
+        self._decoder.feed(line)
+
+    async def _ask_report(self, text: str) -> DatabaseReport:
+        reply = await self._ask_own(text)
+        reply.raise_error()
+        if len(reply.rows) != 1:
+            detail = f"{text}: {len(reply.rows)} rows"
+            raise CodedError(ResultCode.ENDPOINT_MALFORMED, detail)
+        return codec.decode_report(reply.rows[0])
+
+    async def _ask_own(self, text: str) -> Reply:
+        return await self._ask(codec.encode_query(codec.OWN_ID, text))
+
+    async def _ask(self, data: bytes) -> Reply:
+        if self.is_broken:
+            raise CodedError(ResultCode.ANSWER_INTERRUPTED, "the connection is broken")
+        self.is_broken = True  # until the whole answer has been read
+        try:
+            await self._sender.send(data)
+            reply = None
+            while reply is None:
+                reply = self._decoder.feed(await self._next_line())
+        except _LOST as error:
+            detail = f"connection lost: {error!r}"
+            raise CodedError(ResultCode.ANSWER_INTERRUPTED, detail) from error
+        self.is_broken = False
+        self.state = reply.state
+        return reply
+
+    async def _next_line(self) -> str:
+        while True:
+            line = self._lines.next_line()
+            if line is not None:
+                return line
+            self.is_awaited = True
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            finally:
+                self.is_awaited = False
+            self.received_count += 1
+            self._lines.feed(data)
+
+
+async def open_endpoint_link(database: Database) -> EndpointLink:
+    """Connect to a database; the caller bounds the time.
+
+    Raises
+    ------
+    CodedError
+        A code that says that no connection came about.
+    """
+    address = database.address
+    try:
+        stream = await anyio.connect_tcp(address.host, address.port)
+    except OSError as error:
+        detail = f"{database.database_id} at {address}: {error}"
+        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+    set_timeouts(stream.extra(SocketAttribute.raw_socket))
+    link = EndpointLink(stream)
+    try:
+        await link.connect(database)
+    except BaseException:
+        link.is_broken = True
+        await link.aclose()
+        raise
+    return link
+
+
+def set_timeouts(raw: socket.socket) -> None:
+    """Let the kernel find out that the other end of a connection is gone."""
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
--- /dev/null
+++ b/goldcrestpond/platform/failover_call.py
@@ -0,0 +1,63 @@
+"""Orders a promotion from the platform."""
+
+from datetime import timedelta
+
+import msgspec
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..serving.failover import PromotionRefused
+from .http_client import HttpClient
+
+CALL_TIMEOUT = timedelta(milliseconds=1000)  # the call only takes the order
+_HOLDER = "X-Goldcrestpond-Duty-Holder"
+_FENCING_TOKEN = "X-Goldcrestpond-Fencing-Token"
+
+
+class _FailoverBody(msgspec.Struct, rename="camel"):
+    service_name: str
+    id: str
+
+
+class FailoverCall:
+    """The platform's call that names the next leader of a service.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Client of the platform's address for duties.
+    instance : str
+        Name of this instance.
+    """
+
+    __slots__ = ("_http", "_instance")
+
+    def __init__(self, http: HttpClient, instance: str):
+        self._http = http
+        self._instance = instance
+
+    async def promote(self, service: str, database_id: str, token: int) -> None:
+        """Order that a database leads its service.
+
+        Raises
+        ------
+        PromotionRefused
+            If the token is superseded or the database is not running.
+        CodedError
+            PLATFORM_UNAVAILABLE if there was no answer: the order may be carried
+            out now or later.
+        """
+        headers = [
+            ("Content-Type", "application/json"),
+            (_HOLDER, self._instance),
+            (_FENCING_TOKEN, str(token)),
+        ]
+        body = msgspec.json.encode(_FailoverBody(service, database_id))
+        answer = await self._http.request(
+            "POST", "/failover", CALL_TIMEOUT, headers, body
+        )
+        if answer.status == 409:
+            raise PromotionRefused(f"{service}: {database_id} with token {token}")
+        if answer.status != 200:
+            detail = f"POST /failover: status {answer.status}"
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
--- /dev/null
+++ b/goldcrestpond/platform/http_connection.py
@@ -0,0 +1,133 @@
+"""One HTTP/1.1 connection to a service of the platform (shell)."""
+
+from dataclasses import dataclass
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..settings.address import Address
+from .endpoint_link import set_timeouts
+
+RECEIVE_BYTES = 65536
+BODY_LIMIT_BYTES = 16 << 20  # far beyond the platform's 1 MB an answer
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole response.
+
+    Attributes
+    ----------
+    status : int
+        Status code.
+    body : bytes
+        Body.
+    """
+
+    status: int
+    body: bytes
+
+
+class HttpConnection:
+    """Sends one request at a time; broken by anything but a whole answer."""
+
+    __slots__ = ("_connection", "_host", "_stream", "is_broken")
+
+    def __init__(self, stream: SocketStream, address: Address):
+        self._stream = stream
+        self._host = str(address)
+        self._connection = h11.Connection(h11.CLIENT)
+        self.is_broken = False
+
+    async def request(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if no whole answer comes; the request may have
+            been carried out, or may be later.
+        """
+        self.is_broken = True  # until the whole answer has been read
+        try:
+            await self._stream.send(self._encode(method, target, headers, body))
+            answer = await self._receive()
+        except (
+            OSError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.ProtocolError,
+        ) as error:
+            detail = f"{method} {target.partition('?')[0]}: {error!r}"
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
+        if self._connection.our_state is h11.DONE:
+            if self._connection.their_state is h11.DONE:
+                self._connection.start_next_cycle()
+                self.is_broken = False
+        return answer
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.is_broken = True
+        await anyio.aclose_forcefully(self._stream)
+
+    def _encode(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> bytes:
+        lines = [("Host", self._host), *headers]
+        if body or method != "GET":
+            lines.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=lines)
+        data = self._connection.send(request)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        return data + self._connection.send(h11.EndOfMessage())
+
+    async def _receive(self) -> HttpAnswer:
+        status = 0
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                self._connection.receive_data(await self._read())
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > BODY_LIMIT_BYTES:
+                    raise h11.RemoteProtocolError("the body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpAnswer(status, b"".join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise anyio.EndOfStream
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._stream.receive(RECEIVE_BYTES)
+        except anyio.EndOfStream:
+            return b""
+
+
+async def open_http_connection(address: Address) -> HttpConnection:
+    """Connect; the caller bounds the time.
+
+    Raises
+    ------
+    CodedError
+        PLATFORM_UNAVAILABLE if no connection comes about; nothing was sent.
+    """
+    try:
+        stream = await anyio.connect_tcp(address.host, address.port)
+    except OSError as error:
+        detail = f"{address}: {error}"
+        raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
+    set_timeouts(stream.extra(SocketAttribute.raw_socket))
+    return HttpConnection(stream, address)
--- /dev/null
+++ b/goldcrestpond/platform/store_client.py
@@ -0,0 +1,166 @@
+"""The platform's store behind the product's port for rows."""
+
+import base64
+from collections.abc import Sequence
+from datetime import timedelta
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..serving.row_store import (
+    FeedAnswer,
+    HistoryLost,
+    RowConflict,
+    RowPut,
+    StoredRow,
+)
+from .http_client import HttpClient
+
+CALL_TIMEOUT = timedelta(milliseconds=1500)  # many times the store's usual 4 ms
+FEED_SLACK = timedelta(milliseconds=800)  # beyond the time that the store may wait
+_JSON = ("Content-Type", "application/json")
+_PAGE_ROWS = 500
+
+
+class _RowBody(msgspec.Struct, rename="camel"):
+    table_name: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    deleted: bool = False
+
+
+class _RowsBody(msgspec.Struct, rename="camel"):
+    rows: list[_RowBody] = []
+    ver: int = 0
+    now_ms: float = 0
+    has_more: bool = False
+
+
+class _Condition(msgspec.Struct, rename="camel"):
+    table_name: str
+    part: str
+    key: str
+    ver: int
+
+
+class _Put(msgspec.Struct, rename="camel"):
+    table_name: str
+    part: str
+    key: str
+    value: str
+
+
+class _Removal(msgspec.Struct, rename="camel"):
+    table_name: str
+    part: str
+    key: str
+
+
+class _Transaction(msgspec.Struct):
+    precondition: list[_Condition]
+    puts: list[_Put]
+    remove: list[_Removal]
+
+
+class StoreClient:
+    """Rows over the platform's HTTP interface.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Client of the store's address.
+    """
+
+    __slots__ = ("_http", "_rows")
+
+    def __init__(self, http: HttpClient):
+        self._http = http
+        self._rows = msgspec.json.Decoder(_RowsBody)
+
+    async def read(self, table: str, part: str = "") -> FeedAnswer:
+        """Return all rows of a part as of one moment, the first page's."""
+        rows: list[StoredRow] = []
+        start = ""
+        version = 0
+        while True:
+            query = {"tableName": table, "part": part, "limit": _PAGE_ROWS}
+            if start:
+                query["from"] = start
+            body = await self._get("/-/rows-get", query, CALL_TIMEOUT)
+            # A change between two pages is heard again from the first version.
+            version = version or body.ver
+            rows += map(_to_row, body.rows)
+            if not body.has_more or not body.rows:
+                return FeedAnswer(rows, version, body.now_ms)
+            start = body.rows[-1].key + "\0"
+
+    async def follow(self, table: str, after: int, wait: timedelta) -> FeedAnswer:
+        """Return the rows that changed after a version, waiting for one."""
+        wait_ms = wait // timedelta(milliseconds=1)
+        query = {"tableName": table, "after": after, "waitMs": wait_ms}
+        body = await self._get("/-/rows-feed", query, wait + FEED_SLACK)
+        return FeedAnswer([_to_row(row) for row in body.rows], body.ver, body.now_ms)
+
+    async def write(
+        self,
+        conditions: Sequence[StoredRow],
+        puts: Sequence[RowPut],
+        removals: Sequence[StoredRow] = (),
+    ) -> int:
+        """Apply all or nothing; return the version of the written rows."""
+        transaction = _Transaction(
+            [_Condition(c.table, c.part, c.key, c.version) for c in conditions],
+            [_Put(p.table, p.part, p.key, _encode(p.value)) for p in puts],
+            [_Removal(r.table, r.part, r.key) for r in removals],
+        )
+        answer = await self._http.request(
+            "POST",
+            "/-/rows-tx",
+            CALL_TIMEOUT,
+            [_JSON],
+            msgspec.json.encode(transaction),
+        )
+        if answer.status not in (200, 412):
+            raise _unavailable("POST /-/rows-tx", answer.status)
+        body = self._decode(answer.body)
+        if answer.status == 412:
+            raise RowConflict([_to_row(row) for row in body.rows])
+        return body.ver
+
+    async def _get(self, path: str, query: dict, timeout: timedelta) -> _RowsBody:
+        target = f"{path}?{urlencode(query)}"
+        answer = await self._http.request("GET", target, timeout)
+        if answer.status == 410:
+            raise HistoryLost
+        if answer.status != 200:
+            raise _unavailable(f"GET {path}", answer.status)
+        return self._decode(answer.body)
+
+    def _decode(self, body: bytes) -> _RowsBody:
+        try:
+            return self._rows.decode(body)
+        except msgspec.MsgspecError as error:
+            detail = f"unreadable answer: {error}"
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
+
+
+def _to_row(body: _RowBody) -> StoredRow:
+    value = None
+    if not body.deleted:
+        try:
+            value = base64.b64decode(body.value)
+        except ValueError:
+            value = b""  # no JSON: whoever reads the row says that it cannot
+    return StoredRow(body.table_name, body.part, body.key, value, body.ver)
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode("ascii")
+
+
+def _unavailable(call: str, status: int) -> CodedError:
+    return CodedError(ResultCode.PLATFORM_UNAVAILABLE, f"{call}: status {status}")
--- /dev/null
+++ b/goldcrestpond/platform/store_tables.py
@@ -0,0 +1,82 @@
+"""Feeds the operator's configuration and the registry into the directory."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..serving.database import Database
+from ..serving.decision_log import DecisionLog
+from ..serving.directory import Directory
+from ..serving.row_store import StoredRow
+from . import database_entry, operator_configuration
+
+_UNREADABLE = (msgspec.MsgspecError, KeyError, CodedError)
+
+
+class ConfigurationRows:
+    """Takes the rows of the operator's table."""
+
+    __slots__ = ("_directory", "_log")
+
+    def __init__(self, directory: Directory, log: DecisionLog):
+        self._directory = directory
+        self._log = log
+
+    def take(self, rows: Sequence[StoredRow]) -> None:
+        """Put the newest readable version in force."""
+        for row in rows:
+            if row.key != operator_configuration.KEY or row.value is None:
+                continue
+            try:
+                table = operator_configuration.decode_configuration(row.value)
+            except _UNREADABLE as error:
+                self._log.decision(
+                    "configuration unreadable", row=row.version, detail=str(error)
+                )
+                continue
+            self._directory.apply_table(table)
+
+
+class RegistryRows:
+    """Takes the rows of the databases' table."""
+
+    __slots__ = ("_clock", "_directory", "_log", "_unreadable")
+
+    def __init__(self, directory: Directory, clock: Clock, log: DecisionLog):
+        self._directory = directory
+        self._clock = clock
+        self._log = log
+        self._unreadable: set[str] = set()
+
+    def replace(self, rows: Sequence[StoredRow]) -> None:
+        """Take in the whole list."""
+        decoded = [self._decode(row) for row in rows if row.value is not None]
+        listed = [database for database in decoded if database is not None]
+        self._directory.registry.replace(listed, self._clock.now())
+        self._directory.apply_registry()
+
+    def update(self, rows: Sequence[StoredRow]) -> None:
+        """Take in changed entries."""
+        now = self._clock.now()
+        for row in rows:
+            database = None if row.value is None else self._decode(row)
+            if database is None:
+                self._directory.registry.remove(row.key, now)
+            else:
+                self._directory.registry.put(database, now)
+        self._directory.apply_registry()
+
+    def _decode(self, row: StoredRow) -> Database | None:
+        try:
+            database = database_entry.decode_entry(row.key, row.value)
+        except _UNREADABLE as error:
+            if row.key not in self._unreadable:
+                self._log.decision(
+                    "entry unreadable", database=row.key, detail=str(error)
+                )
+            self._unreadable.add(row.key)
+            return None
+        self._unreadable.discard(row.key)
+        return database
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from ..errors.result_code import ResultCode
+from ..routing.database_load import DatabaseLoad
 from .check_connection import CheckConnection
 from .close_connection import CloseConnection
 from .connection_limit import ConnectionLimit
@@ -105,6 +106,23 @@
         """Reports that run or wait."""
         return self.reports_running + self._queues.waiting_count(Lane.REPORT)
 
+    def load(self, slots: int) -> DatabaseLoad:
+        """Return how busy this instance keeps the database.
+
+        Parameters
+        ----------
+        slots : int
+            Slots of the database; fewer connections allow fewer statements.
+        """
+        limit = max(1, min(slots, self._slots.total))
+        return DatabaseLoad(
+            running=self._connections.count(ConnectionState.BUSY),
+            queued=self.waiting_count,
+            idle_connections=self._connections.count(ConnectionState.IDLE),
+            slots=limit,
+            service_ms=self._queues.service_time / timedelta(milliseconds=1),
+        )
+
     def request(self, request: SlotRequest, now: timedelta) -> list[PoolAction]:
         """Queue a request, or refuse it at once."""
         if self._leaving:
@@ -456,7 +474,7 @@
             return []
         limit = self._limit.current(now)
         if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
-            limit -= 1
+            limit -= self._settings.probe_reserve
         room = limit - self.open_count
         if room <= 0:
             return []
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -37,6 +37,12 @@
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
 
+    @property
+    def service_time(self) -> timedelta:
+        """Usual time for which a request holds its slot, over all lanes."""
+        means = [estimate.mean for estimate in self._estimates.values()]
+        return sum(means, timedelta(0)) / len(means)
+
     def waiting_count(self, lane: Lane) -> int:
         """Return how many requests of a lane wait."""
         return len(self._queues[lane])
--- a/goldcrestpond/pool/pool_settings.py
+++ b/goldcrestpond/pool/pool_settings.py
@@ -32,6 +32,8 @@
         An idle connection that was not used for longer is closed.
     open_backoff : timedelta
         Pause after an open that failed, before the next one.
+    probe_reserve : int
+        Connections kept back for probes.
     estimate_growth : timedelta
         After a refusal for too many connections, the lowered estimate rises
         by one connection per this time.
@@ -47,4 +49,5 @@
     silence_limit: timedelta = timedelta(seconds=30)
     idle_close: timedelta = timedelta(seconds=60)
     open_backoff: timedelta = timedelta(milliseconds=100)
+    probe_reserve: int = 1
     estimate_growth: timedelta = timedelta(seconds=5)
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -16,6 +16,7 @@
 from ..endpoint.login import Login
 from ..endpoint.open_connection import open_connection
 from ..endpoint.share_keeper import ShareKeeper
+from ..endpoint.statement_activity import is_statement_running
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
@@ -252,6 +253,7 @@
             lambda: self._open(address, login),
             self._clock,
             self._tasks,
+            lambda silent: self._ask_after(silent, address, login),
         )
         self._tasks.start_soon(pool.run)
         self._share(group, spec, database, pool)
@@ -263,6 +265,15 @@
         limits = ShareLimits(spec.connection_limit, spec.report_slot_limit)
         self._shares.add(group, database, limits, spec.slot_limit, pool)
 
+    async def _ask_after(
+        self, silent: EndpointConnection, address: Address, login: Login
+    ) -> bool | None:
+        probe = await self._open(address, login)
+        try:
+            return await is_statement_running(probe, silent.process_id)
+        finally:
+            await probe.aclose()
+
     async def _open(self, address: Address, login: Login) -> EndpointConnection:
         with anyio.move_on_after(self._settings.connect_timeout_ms / 1000):
             return await open_connection(address, login)
--- /dev/null
+++ b/goldcrestpond/root/instance.py
@@ -0,0 +1,189 @@
+"""The program on the users' platform, put together."""
+
+import os
+import random
+import signal
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketListener, TaskGroup
+
+from ..clock.system_clock import SystemClock
+from ..errors.coded_error import CodedError
+from ..platform import database_entry, operator_configuration
+from ..platform.caller_server import CallerServer
+from ..platform.endpoint_link import open_endpoint_link
+from ..platform.failover_call import FailoverCall
+from ..platform.http_client import HttpClient
+from ..platform.instance_settings import InstanceSettings, load_instance_settings
+from ..platform.ready_server import ReadyServer
+from ..platform.store_client import StoreClient
+from ..platform.store_tables import ConfigurationRows, RegistryRows
+from ..serving.caller_session import CallerSession
+from ..serving.directory import Directory
+from ..serving.member_keeper import MemberKeeper
+from ..serving.metrics_text import MetricsText
+from ..serving.serving_settings import ServingSettings
+from ..serving.succession_keeper import SuccessionKeeper
+from ..serving.table_feed import TableFeed
+from ..settings.address import parse_address
+from .instance_shutdown import shut_down
+from .structured_log import StructuredLog
+
+CONFIGURATION_SPACING = timedelta(milliseconds=50)
+# Databases write a heartbeat about once a second each; one call brings several.
+REGISTRY_SPACING = timedelta(milliseconds=500)
+LAPSE_TICK_S = 0.5
+BACKLOG = 512  # callers that come back all at once after a restart
+
+
+async def run_instance(path: str) -> None:
+    """Serve callers until SIGTERM.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    """
+    settings = load_instance_settings(path)
+    clock = SystemClock()
+    log = StructuredLog(settings.instance, clock)
+    log.decision(
+        "start", process=os.getpid(), availability_zone=settings.availability_zone
+    )
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        async with anyio.create_task_group() as tasks:
+            instance = _Instance(settings, clock, log, tasks)
+            await instance.start()
+            async for received in signals:
+                if received is signal.SIGTERM:
+                    break
+                _check_settings(path, log)
+            await instance.stop()
+            tasks.cancel_scope.cancel()
+    log.decision("stop")
+
+
+def _check_settings(path: str, log: StructuredLog) -> None:
+    """Log what changed settings would do; none of them can change in a life."""
+    try:
+        load_instance_settings(path)
+    except CodedError as error:
+        log.decision("settings refused", detail=error.detail)
+    else:
+        log.decision("settings checked")
+
+
+class _Instance:
+    """Everything that one process runs."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: SystemClock,
+        log: StructuredLog,
+        tasks: TaskGroup,
+    ):
+        rng = random.Random()
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._tasks = tasks
+        self._is_stopping = False
+        store = StoreClient(HttpClient(parse_address(settings.store)))
+        serving = ServingSettings(
+            settings.instance,
+            settings.availability_zone,
+            drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
+        )
+        self._directory = Directory(
+            serving, open_endpoint_link, clock, rng, log, tasks, self._note_failure
+        )
+        failover = None
+        if settings.duties:
+            http = HttpClient(parse_address(settings.duties))
+            failover = FailoverCall(http, settings.instance)
+        self._members = MemberKeeper(
+            settings.instance, store, self._directory, clock, rng, log
+        )
+        self._succession = SuccessionKeeper(
+            settings.instance,
+            self._directory,
+            self._members,
+            store,
+            failover,
+            open_endpoint_link,
+            clock,
+            rng,
+            log,
+            tasks,
+        )
+        configuration = ConfigurationRows(self._directory, log)
+        registry = RegistryRows(self._directory, clock, log)
+        self._configuration_feed = TableFeed(
+            store,
+            operator_configuration.TABLE,
+            CONFIGURATION_SPACING,
+            configuration.take,
+            configuration.take,
+            clock,
+            rng,
+            log,
+        )
+        self._registry_feed = TableFeed(
+            store,
+            database_entry.TABLE,
+            REGISTRY_SPACING,
+            registry.replace,
+            registry.update,
+            clock,
+            rng,
+            log,
+        )
+        self._callers = CallerServer(self._directory, self._open_session, log)
+        self._ready = ReadyServer(self._is_ready, MetricsText())
+        self._listeners: list[SocketListener] = []
+        self._rng = rng
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        tasks = self._tasks
+        for feed in (self._configuration_feed, self._registry_feed):
+            tasks.start_soon(feed.run)
+        tasks.start_soon(self._members.run)
+        tasks.start_soon(self._succession.run)
+        tasks.start_soon(self._forget_lapsed)
+        await self._listen(self._settings.ready_listen, self._ready.handle)
+        await self._listen(self._settings.listen, self._callers.handle)
+
+    async def stop(self) -> None:
+        """Let what runs end, within the grace period."""
+        self._is_stopping = True
+        self._log.decision("stopping", callers=self._callers.caller_count)
+        await self._members.leave()
+        await shut_down(self._callers, self._settings.grace_s, self._clock, self._log)
+        await self._directory.aclose()
+
+    async def _listen(self, address_text: str, handle) -> None:
+        address = parse_address(address_text)
+        listener = await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port, backlog=BACKLOG
+        )
+        self._listeners.append(listener)
+        self._tasks.start_soon(listener.serve, handle)
+
+    def _open_session(self, key: str, database: str) -> CallerSession:
+        return CallerSession(
+            key, database, self._directory, self._clock, self._rng, self._log
+        )
+
+    def _is_ready(self) -> bool:
+        return not self._is_stopping and self._directory.table.version > 0
+
+    def _note_failure(self, service, served, detail: str) -> None:
+        self._succession.note_failure(service, served, detail)
+
+    async def _forget_lapsed(self) -> None:
+        while True:
+            await anyio.sleep(LAPSE_TICK_S)
+            self._directory.drop_lapsed()
--- /dev/null
+++ b/goldcrestpond/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol-neutral core: statements, sessions, floors and choice of database."""
--- /dev/null
+++ b/goldcrestpond/serving/caller_session.py
@@ -0,0 +1,219 @@
+"""Runs the statements of one caller."""
+
+import random
+from datetime import timedelta
+
+import anyio
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from .decision_log import DecisionLog
+from .directory import Directory
+from .open_transaction import OpenTransaction
+from .read_floor import SessionFloor
+from .reply import Reply
+from .route import Route
+from .session_state import SessionState
+from .single_statement import SingleStatement
+from .statement import Statement
+from .statement_kind import StatementKind
+from .transaction_runner import TransactionRunner
+from .transaction_state import TransactionState
+
+_LOCAL = frozenset({StatementKind.SET, StatementKind.PREPARE, StatementKind.DEALLOCATE})
+_RUN = frozenset({StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE})
+
+
+class CallerSession:
+    """One caller's session, from its start to its end.
+
+    Parameters
+    ----------
+    key : str
+        Identity for fairness between callers.
+    database : str
+        Database name that it asked for.
+    directory : Directory
+        Routes and services in force.
+    clock : Clock
+        Source of readings.
+    rng : random.Random
+        Source of jitter.
+    log : DecisionLog
+        Sink of decisions.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_database",
+        "_directory",
+        "_floors",
+        "_key",
+        "_log",
+        "_rng",
+        "_state",
+        "_transaction",
+    )
+
+    def __init__(
+        self,
+        key: str,
+        database: str,
+        directory: Directory,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ):
+        self._key = key
+        self._database = database
+        self._directory = directory
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._state = SessionState()
+        self._floors: dict[str, SessionFloor] = {}
+        self._transaction: OpenTransaction | None = None
+
+    @property
+    def transaction_state(self) -> TransactionState:
+        """Where the session stands."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.has_failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    async def run(self, statement: Statement) -> Reply:
+        """Run one statement; errors are replies."""
+        arrived_at = self._clock.now()
+        try:
+            reply = await self._run(statement, arrived_at)
+        except CodedError as error:
+            reply = self._failure(statement, error, arrived_at)
+        reply.state = self.transaction_state
+        return reply
+
+    async def abort(self, reason: str) -> None:
+        """Roll back an open transaction; its next statement hears of it."""
+        transaction = self._transaction
+        if transaction is None or transaction.has_failed:
+            return
+        transaction.has_failed = True
+        self._log.decision("transaction aborted", session=self._key, reason=reason)
+        await self._runner(transaction).give_back()
+
+    async def aclose(self) -> None:
+        """Roll back what is open."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            with anyio.CancelScope(shield=True):
+                await self._runner(transaction).give_back()
+
+    async def _run(self, statement: Statement, arrived_at: timedelta) -> Reply:
+        transaction = self._transaction
+        if transaction is not None:
+            return await self._run_in(transaction, statement, arrived_at)
+        if statement.kind in _LOCAL:
+            self._state.apply(statement)
+            return Reply()
+        route = self._directory.route(self._database)
+        if statement.kind is StatementKind.BEGIN:
+            self._begin(route, statement, arrived_at)
+            return Reply()
+        if statement.kind not in _RUN:
+            raise CodedError(ResultCode.MALFORMED_FRAME, "no transaction is open")
+        service = self._directory.service(route.service)
+        single = SingleStatement(
+            self._key, statement, self._state, route, service, self._directory
+        )
+        reply = await single.run(arrived_at, self._floors.get(route.service))
+        if self._state.is_write(statement):
+            self._note_write(route.service, reply)
+        return reply
+
+    def _begin(self, route: Route, statement: Statement, now: timedelta) -> None:
+        service = self._directory.service(route.service)
+        self._transaction = OpenTransaction(
+            route, service, statement.is_read_only, began_at=now
+        )
+
+    async def _run_in(
+        self, transaction: OpenTransaction, statement: Statement, arrived_at: timedelta
+    ) -> Reply:
+        if statement.kind is StatementKind.ROLLBACK:
+            self._transaction = None
+            await self._runner(transaction).give_back()
+            return Reply()
+        if statement.kind is StatementKind.COMMIT:
+            self._transaction = None
+            return await self._commit(transaction, statement, arrived_at)
+        if transaction.has_failed:
+            raise CodedError(ResultCode.TRANSACTION_FAILED)
+        if statement.kind is StatementKind.BEGIN:
+            transaction.has_failed = True
+            await self._runner(transaction).give_back()
+            raise CodedError(ResultCode.MALFORMED_FRAME, "a transaction is open")
+        if statement.kind in _LOCAL:
+            self._state.apply(statement)
+            return Reply()
+        return await self._run_or_fail(transaction, statement, arrived_at)
+
+    async def _run_or_fail(
+        self, transaction: OpenTransaction, statement: Statement, arrived_at: timedelta
+    ) -> Reply:
+        try:
+            return await self._runner(transaction).run(statement, arrived_at)
+        except CodedError:
+            transaction.has_failed = True
+            await self._runner(transaction).give_back()
+            raise
+
+    async def _commit(
+        self, transaction: OpenTransaction, statement: Statement, arrived_at: timedelta
+    ) -> Reply:
+        runner = self._runner(transaction)
+        if transaction.has_failed:
+            await runner.give_back()
+            raise CodedError(ResultCode.ROLLED_BACK, "the transaction had failed")
+        try:
+            reply = await runner.run(statement, arrived_at)
+        finally:
+            await runner.give_back()
+        if transaction.has_written:
+            self._note_write(transaction.route.service, reply)
+        return reply
+
+    def _note_write(self, service: str, reply: Reply) -> None:
+        if reply.position is not None:
+            epoch = self._directory.service(service).leadership.epoch
+            self._floors[service] = SessionFloor(reply.position, epoch)
+
+    def _runner(self, transaction: OpenTransaction) -> TransactionRunner:
+        return TransactionRunner(
+            self._key,
+            transaction,
+            self._state,
+            self._floors.get(transaction.route.service),
+            self._directory,
+        )
+
+    def _failure(
+        self, statement: Statement, error: CodedError, arrived_at: timedelta
+    ) -> Reply:
+        elapsed = self._clock.now() - arrived_at
+        self._log.decision(
+            "statement failed",
+            request=statement.request_id,
+            session=self._key,
+            kind=statement.kind.name,
+            code=f"GP{error.code.number}",
+            detail=error.detail,
+            retry_after_ms=error.retry_after_ms,
+            elapsed_ms=round(elapsed.total_seconds() * 1000),
+            version=self._directory.table.version,
+        )
+        detail = error.detail or error.code.meaning
+        if error.retry_after_ms:
+            detail += f"; retry after {error.retry_after_ms} ms"
+        return Reply(error=error.code, detail=detail)
--- /dev/null
+++ b/goldcrestpond/serving/directory.py
@@ -0,0 +1,259 @@
+"""What this process serves: routes, services and their databases (shell)."""
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock.clock import Clock
+from ..endpoint.connection_pool import ConnectionPool
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..pool.database_pool import DatabasePool
+from ..pool.pool_settings import PoolSettings
+from ..retry.retry_budget import RetryBudget
+from .connection_share import connection_share
+from .database import Database
+from .decision_log import DecisionLog
+from .leader_prover import LeaderProver
+from .link import Link
+from .registry import Registry
+from .route import Route
+from .route_table import RouteTable, ServiceLimits
+from .served_database import ServedDatabase
+from .service import Service
+from .serving_settings import ServingSettings
+
+OpenLink = Callable[[Database], Awaitable[Link]]
+_UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
+
+
+class Directory:
+    """Routes in force, the registry, and a service object for each service.
+
+    Attributes
+    ----------
+    table : RouteTable
+        The configuration in force.
+    registry : Registry
+        The databases.
+    clock : Clock
+        Source of readings.
+    rng : random.Random
+        Source of jitter.
+    log : DecisionLog
+        Sink of decisions.
+    services : dict of str to Service
+        Services by name.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_member_count",
+        "_note_failure",
+        "_open_link",
+        "_provers",
+        "_settings",
+        "_tasks",
+        "clock",
+        "log",
+        "registry",
+        "rng",
+        "services",
+        "table",
+    )
+
+    def __init__(
+        self,
+        settings: ServingSettings,
+        open_link: OpenLink,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        tasks: TaskGroup,
+        note_failure: Callable[[str, ServedDatabase, str], None],
+    ):
+        self.table = RouteTable()
+        self.registry = Registry()
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.services: dict[str, Service] = {}
+        self._settings = settings
+        self._open_link = open_link
+        self._tasks = tasks
+        self._note_failure = note_failure
+        self._provers: dict[str, LeaderProver] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._member_count = 1
+
+    @property
+    def member_count(self) -> int:
+        """Live instances by which connections are shared."""
+        return self._member_count
+
+    def route(self, database: str) -> Route:
+        """Return the route of a database name.
+
+        Raises
+        ------
+        CodedError
+            UNKNOWN_DATABASE if no route has the name.
+        """
+        route = self.table.routes.get(database)
+        if route is None:
+            detail = f"no route in version {self.table.version}: {database!r}"
+            raise CodedError(ResultCode.UNKNOWN_DATABASE, detail)
+        return route
+
+    def service(self, name: str) -> Service:
+        """Return a service, with whatever databases are registered for it."""
+        service = self.services.get(name)
+        if service is None:
+            service = Service(
+                name, self.registry, self._settings, self.clock, self.rng, self.log
+            )
+            self.services[name] = service
+            self._provers[name] = self._make_prover(service)
+            self._budgets[name] = RetryBudget(self.clock.now())
+        return service
+
+    def prover(self, service: str) -> LeaderProver:
+        """Return the prover of a service."""
+        return self._provers[service]
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self._budgets[service]
+
+    def apply_table(self, table: RouteTable) -> bool:
+        """Put a configuration in force, unless a newer one already is."""
+        if table.version <= self.table.version:
+            return False
+        self.log.decision(
+            "configuration in force",
+            version=table.version,
+            former=self.table.version,
+            routes=len(table.routes),
+        )
+        self.table = table
+        self.apply_shares()
+        return True
+
+    def set_member_count(self, count: int) -> None:
+        """Share the connections of all databases among this many instances."""
+        if count != self._member_count:
+            self.log.decision("members", count=count, former=self._member_count)
+            self._member_count = count
+            self.apply_shares()
+
+    def apply_registry(self) -> None:
+        """Bring the services in line with the registry."""
+        self.registry.forget_lapsed(self.clock.now())
+        listed = {d.database_id: d for d in self.registry.databases()}
+        for service in self.services.values():
+            for database_id, served in list(service.databases.items()):
+                present = listed.get(database_id)
+                if present is None or _is_other(served.database, present):
+                    self._drop(service, served)
+        for database in listed.values():
+            service = self.service(database.service)
+            served = service.databases.get(database.database_id)
+            if served is None:
+                service.databases[database.database_id] = self._serve(database)
+            else:
+                served.database = database
+            service.notify()
+
+    def drop_lapsed(self) -> None:
+        """Drop databases that lapsed and did not come back."""
+        if self.registry.forget_lapsed(self.clock.now()):
+            self.apply_registry()
+
+    def apply_shares(self) -> None:
+        """Give each pool its share by the configuration and the members."""
+        for service in self.services.values():
+            for served in service.databases.values():
+                self._share(served)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        for prover in self._provers.values():
+            await prover.aclose()
+        for service in self.services.values():
+            for served in service.databases.values():
+                served.pool.close_all("shutting down")
+
+    def _serve(self, database: Database) -> ServedDatabase:
+        decisions = DatabasePool(
+            PoolSettings(probe_reserve=0, idle_close=_IDLE_CLOSE, connection_limit=1)
+        )
+        served = ServedDatabase(
+            database,
+            ConnectionPool(
+                database.database_id,
+                decisions,
+                lambda: self._open(served.database),
+                self.clock,
+                self._tasks,
+                _cannot_say,
+            ),
+        )
+        self._tasks.start_soon(served.pool.run)
+        self._share(served)
+        self.log.decision(
+            "database listed",
+            database=database.database_id,
+            service=database.service,
+            address=str(database.address),
+            role=database.role,
+        )
+        return served
+
+    def _drop(self, service: Service, served: ServedDatabase) -> None:
+        del service.databases[served.database_id]
+        self.log.decision(
+            "database gone", database=served.database_id, service=service.name
+        )
+        served.pool.leave()
+        self._tasks.start_soon(served.pool.aclose)
+
+    def _share(self, served: ServedDatabase) -> None:
+        database = served.database
+        limits = self.table.services.get(database.service, _UNKNOWN_LIMITS)
+        share = connection_share(limits.connection_limit, self._member_count)
+        served.pool.set_limits(share, max(share, 2), 1)
+
+    def _make_prover(self, service: Service) -> LeaderProver:
+        return LeaderProver(
+            service,
+            lambda served: self._open(served.database),
+            self._settings,
+            self.clock,
+            self._tasks,
+            lambda served, detail: self._note_failure(service.name, served, detail),
+        )
+
+    async def _open(self, database: Database) -> Link:
+        limit_s = self._settings.connect_timeout.total_seconds()
+        try:
+            with anyio.fail_after(limit_s):
+                return await self._open_link(database)
+        except TimeoutError as error:
+            detail = f"{database.database_id}: no connection in time"
+            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+
+
+# Opening a connection takes a slot, so it is kept while the endpoint keeps it.
+_IDLE_CLOSE = timedelta(minutes=10)
+
+
+def _is_other(known: Database, present: Database) -> bool:
+    is_moved = known.address != present.address or known.service != present.service
+    return is_moved or known.born_ms != present.born_ms
+
+
+async def _cannot_say(_silent: object) -> bool | None:
+    return None
--- /dev/null
+++ b/goldcrestpond/serving/floor_finder.py
@@ -0,0 +1,36 @@
+"""Finds the floor of a read, with a new proof where it needs one."""
+
+from datetime import timedelta
+
+from ..group.log_position import LogPosition
+from .leader_prover import LeaderProver
+from .leadership import Leadership
+from .read_floor import SessionFloor, find_floor, sample_needed_since
+from .route import ReadPolicy, Route
+
+
+async def find_read_floor(
+    leadership: Leadership,
+    prover: LeaderProver,
+    route: Route,
+    own: SessionFloor | None,
+    arrived_at: timedelta,
+    deadline: timedelta,
+) -> LogPosition:
+    """Return the position that a read must show.
+
+    Raises
+    ------
+    CodedError
+        NO_PRIMARY if a new sample is needed and none can be had in time.
+    """
+    if route.policy is ReadPolicy.BOUNDED:
+        own = None
+    since = sample_needed_since(route, arrived_at)
+    while True:
+        floor = find_floor(leadership, since, own)
+        if floor is not None:
+            if route.policy is not ReadPolicy.CURRENT:
+                prover.refresh()
+            return floor
+        await prover.sample_since(since, deadline)
--- /dev/null
+++ b/goldcrestpond/serving/leader_prover.py
@@ -0,0 +1,186 @@
+"""Proves which database leads, once for all reads that wait (shell)."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..term.verified_sample import VerifiedSample
+from .link import Link
+from .served_database import ServedDatabase
+from .service import RETRY_LEADER_MS, Service
+from .serving_settings import ServingSettings
+
+OpenLinkTo = Callable[[ServedDatabase], Awaitable[Link]]
+_RETRY_PAUSE = timedelta(milliseconds=20)
+
+
+class LeaderProver:
+    """Asks the likely leader for a proof whenever somebody needs a sample.
+
+    One connection to the last one asked is kept open.
+
+    Parameters
+    ----------
+    service : Service
+        The service.
+    open_link : callable
+        Opens a connection that is not pooled.
+    settings : ServingSettings
+        Time limits.
+    clock : Clock
+        Source of readings.
+    tasks : TaskGroup
+        Runs the asking.
+    note_failure : callable
+        Told of each database that did not answer as the leader should.
+    """
+
+    __slots__ = (
+        "_asked",
+        "_clock",
+        "_deadline",
+        "_is_running",
+        "_link",
+        "_needed_since",
+        "_note_failure",
+        "_open_link",
+        "_service",
+        "_settings",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        open_link: OpenLinkTo,
+        settings: ServingSettings,
+        clock: Clock,
+        tasks: TaskGroup,
+        note_failure: Callable[[ServedDatabase, str], None],
+    ):
+        self._service = service
+        self._open_link = open_link
+        self._settings = settings
+        self._clock = clock
+        self._tasks = tasks
+        self._note_failure = note_failure
+        self._link: Link | None = None
+        self._asked: ServedDatabase | None = None
+        self._is_running = False
+        self._needed_since = timedelta.min
+        self._deadline = timedelta.min
+
+    async def sample_since(
+        self, reading: timedelta, deadline: timedelta
+    ) -> VerifiedSample:
+        """Return a sample that was asked for at or after a reading.
+
+        Raises
+        ------
+        CodedError
+            NO_PRIMARY if no database proved in time that it leads.
+        """
+        while True:
+            sample = self._service.leadership.newest_sample()
+            if sample is not None and sample.sampled_after >= reading:
+                return sample
+            remaining = deadline - self._clock.now()
+            if remaining <= timedelta(0):
+                detail = f"{self._service.name}: no database proved that it leads"
+                raise CodedError(ResultCode.NO_PRIMARY, detail, RETRY_LEADER_MS)
+            self.request(reading, deadline)
+            await self._service.wait_sample(remaining)
+
+    async def leader_since(
+        self, reading: timedelta, deadline: timedelta
+    ) -> ServedDatabase:
+        """Return the database that proved after a reading that it leads.
+
+        Raises
+        ------
+        CodedError
+            NO_PRIMARY if none did so in time; nothing was sent.
+        """
+        while True:
+            await self.sample_since(reading, deadline)
+            leader = self._service.leader()
+            if leader is not None:
+                return leader
+            await self._service.wait_change(_RETRY_PAUSE)
+
+    def request(self, reading: timedelta, deadline: timedelta) -> None:
+        """Ask for a sample without waiting for it."""
+        self._needed_since = max(self._needed_since, reading)
+        self._deadline = max(self._deadline, deadline)
+        if not self._is_running:
+            self._is_running = True
+            self._tasks.start_soon(self._run)
+
+    def refresh(self) -> None:
+        """Take a sample soon if the newest one is older than the interval."""
+        now = self._clock.now()
+        newest = self._service.leadership.newest_sample()
+        due = now - self._settings.sample_interval
+        if newest is None or newest.sampled_after < due:
+            self.request(due, now + self._settings.proof_timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        link, self._link, self._asked = self._link, None, None
+        if link is not None:
+            await link.aclose()
+
+    async def _run(self) -> None:
+        try:
+            while self._is_needed():
+                if not await self._ask():
+                    await self._service.wait_change(_RETRY_PAUSE)
+        finally:
+            self._is_running = False
+
+    def _is_needed(self) -> bool:
+        if self._clock.now() >= self._deadline:
+            return False
+        sample = self._service.leadership.newest_sample()
+        return sample is None or sample.sampled_after < self._needed_since
+
+    async def _ask(self) -> bool:
+        """Ask the likely leader once; return whether it proved that it leads."""
+        served = self._service.likely_leader()
+        if served is None:
+            return False
+        try:
+            with anyio.fail_after(self._settings.proof_timeout.total_seconds()):
+                link = await self._link_to(served)
+                asked_at = self._clock.now()
+                reply = await link.prove()
+        except (CodedError, TimeoutError) as error:
+            await self.aclose()
+            detail = str(error) or "no answer"
+            served.health.failed(self._clock.now())
+            self._service.doubt_leader(served)
+            self._note_failure(served, detail)
+            return False
+        if reply.error is ResultCode.PRIMARY_REPLACED:
+            self._service.refused_to_lead(served)
+            return False
+        if reply.error is not None or reply.position is None:
+            self._note_failure(served, reply.detail)
+            return False
+        self._service.proved(served, reply.position, asked_at)
+        self._service.notify_sample()
+        return True
+
+    async def _link_to(self, served: ServedDatabase) -> Link:
+        if self._link is not None and self._asked is served:
+            if self._link.is_quiet():
+                return self._link
+        await self.aclose()
+        self._link = await self._open_link(served)
+        self._asked = served
+        return self._link
--- /dev/null
+++ b/goldcrestpond/serving/link_loan.py
@@ -0,0 +1,71 @@
+"""Lends a link for one statement or transaction (shell)."""
+
+from datetime import timedelta
+
+import anyio
+
+from ..clock.clock import Clock
+from ..endpoint.connection_pool import ConnectionPool
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..pool.lane import Lane
+from .align_link import align_link
+from .link import Link
+from .route import ReadPolicy, Route
+from .served_database import ServedDatabase
+from .session_state import SessionState
+
+ROLLBACK_LIMIT_S = 1.0  # a rollback is one round trip without work
+
+
+def lane_of(route: Route) -> Lane:
+    """Return the lane of a route's work."""
+    return Lane.AGED if route.policy is ReadPolicy.BOUNDED else Lane.SHORT
+
+
+async def lend(
+    served: ServedDatabase,
+    session: SessionState,
+    key: str,
+    route: Route,
+    deadline: timedelta,
+    clock: Clock,
+) -> Link:
+    """Acquire a link of a database and bring it in line with a session.
+
+    Raises
+    ------
+    CodedError
+        A code that says that nothing was run.
+    """
+    try:
+        link = await served.pool.acquire(0, deadline, key, lane_of(route))
+    except CodedError as error:
+        if error.code is ResultCode.ENDPOINT_UNREACHABLE:
+            served.health.failed(clock.now())
+        raise
+    try:
+        with anyio.fail_after((deadline - clock.now()).total_seconds()):
+            await align_link(link, session)
+    except (CodedError, TimeoutError) as error:
+        link.is_broken = True
+        served.pool.release(link)
+        served.health.failed(clock.now())
+        detail = f"{served.database_id}: {error}"
+        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+    except BaseException:
+        link.is_broken = True
+        served.pool.release(link)
+        raise
+    return link
+
+
+async def give_back(pool: ConnectionPool, link: Link, is_open: bool) -> None:
+    """Return a link; what is open on it is rolled back first."""
+    if is_open and not link.is_broken:
+        try:
+            with anyio.fail_after(ROLLBACK_LIMIT_S):
+                await link.rollback()
+        except (CodedError, TimeoutError):
+            link.is_broken = True  # closing rolls back as well
+    pool.release(link)
--- /dev/null
+++ b/goldcrestpond/serving/reply_evidence.py
@@ -0,0 +1,29 @@
+"""What an error answer of a database says about the run."""
+
+from ..errors.result_code import ResultCode
+from ..retry.evidence import Evidence
+
+# Errors with which a database says that a statement has not run.
+NOT_RUN = frozenset(
+    {
+        ResultCode.ENDPOINT_BUSY,
+        ResultCode.ENDPOINT_FULL,
+        ResultCode.NO_FRESH_REPLICA,
+        ResultCode.PRIMARY_REPLACED,
+        ResultCode.STATEMENT_UNKNOWN,
+        ResultCode.WRONG_ENDPOINT,
+        # Raised before anything was sent.
+        ResultCode.ENDPOINT_LEAVING,
+        ResultCode.ENDPOINT_UNREACHABLE,
+        ResultCode.NO_PRIMARY,
+        ResultCode.OVERLOADED,
+        ResultCode.QUEUE_DEADLINE,
+    }
+)
+# Errors after which another attempt may find what this one lacked.
+PASSING = NOT_RUN | {ResultCode.ANSWER_INTERRUPTED, ResultCode.ENDPOINT_REFUSED}
+
+
+def evidence_of(code: ResultCode) -> Evidence:
+    """Return how far a statement that failed with a code has come."""
+    return Evidence.NOT_RUN if code in NOT_RUN else Evidence.INTERRUPTED
--- /dev/null
+++ b/goldcrestpond/serving/route_table.py
@@ -0,0 +1,44 @@
+"""The operator's configuration in force."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .route import Route
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """Limits of one service.
+
+    Attributes
+    ----------
+    connection_limit : int
+        Connections of all callers together to one of its databases.
+    synchronous_replicas : int
+        Replicas that have received a commit before it is acknowledged.
+    """
+
+    connection_limit: int
+    synchronous_replicas: int
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    version : int
+        Version; a process never goes back to a lower one.
+    routes : dict of str to Route
+        Routes by the database name that callers ask for.
+    services : dict of str to ServiceLimits
+        Limits by service.
+    transaction_idle_limit : timedelta
+        Longest pause within a transaction.
+    """
+
+    version: int = 0
+    routes: dict[str, Route] = field(default_factory=dict)
+    services: dict[str, ServiceLimits] = field(default_factory=dict)
+    transaction_idle_limit: timedelta = timedelta(seconds=10)
--- /dev/null
+++ b/goldcrestpond/serving/run_on_link.py
@@ -0,0 +1,56 @@
+"""Runs one statement on a link that was lent (shell)."""
+
+from datetime import timedelta
+
+import anyio
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
+from .align_link import align_link, prepare_for
+from .link import Link
+from .reply import Reply
+from .session_state import SessionState
+from .statement import Statement
+
+
+async def run_on_link(
+    link: Link,
+    session: SessionState,
+    statement: Statement,
+    floor: LogPosition | None,
+    deadline: timedelta,
+    clock: Clock,
+) -> Reply:
+    """Run a statement and return the database's answer, an error included.
+
+    A name that the database does not know is prepared again, once.
+
+    Raises
+    ------
+    CodedError
+        ANSWER_INTERRUPTED if no whole answer came by the deadline. The link is
+        broken then.
+    """
+    try:
+        with anyio.fail_after(max(0.0, (deadline - clock.now()).total_seconds())):
+            reply = await _run(link, session, statement, floor)
+            if reply.error is ResultCode.STATEMENT_UNKNOWN:
+                link.prepared.clear()
+                reply = await _run(link, session, statement, floor)
+            return reply
+    except TimeoutError as error:
+        link.is_broken = True
+        raise CodedError(ResultCode.ANSWER_INTERRUPTED, "no answer in time") from error
+    except BaseException:
+        link.is_broken = True
+        raise
+
+
+async def _run(
+    link: Link, session: SessionState, statement: Statement, floor: LogPosition | None
+) -> Reply:
+    await align_link(link, session)
+    shape = await prepare_for(link, session, statement)
+    return await link.execute(statement, shape, floor)
--- /dev/null
+++ b/goldcrestpond/serving/served_database.py
@@ -0,0 +1,35 @@
+"""A database with what this process holds for it."""
+
+from ..endpoint.connection_pool import ConnectionPool
+from .database import Database
+from .endpoint_health import EndpointHealth
+from .replica_progress import ReplicaProgress
+
+
+class ServedDatabase:
+    """One database that may run work.
+
+    Attributes
+    ----------
+    database : Database
+        Its entry in the registry.
+    pool : ConnectionPool
+        Connections to it.
+    health : EndpointHealth
+        What requests have met there.
+    progress : ReplicaProgress
+        What answers have shown of its log.
+    """
+
+    __slots__ = ("database", "health", "pool", "progress")
+
+    def __init__(self, database: Database, pool: ConnectionPool):
+        self.database = database
+        self.pool = pool
+        self.health = EndpointHealth()
+        self.progress = ReplicaProgress()
+
+    @property
+    def database_id(self) -> str:
+        """Id of the database."""
+        return self.database.database_id
--- /dev/null
+++ b/goldcrestpond/serving/service.py
@@ -0,0 +1,198 @@
+"""One service: its databases, its leader and how work finds them."""
+
+import random
+from collections.abc import Iterable
+from datetime import timedelta
+
+import anyio
+
+from ..clock.clock import Clock
+from ..group.log_position import LogPosition
+from ..routing.expected_wait import expected_wait
+from .choose_database import ReadCandidate, choose_database
+from .decision_log import DecisionLog
+from .leadership import Leadership
+from .registry import Registry
+from .served_database import ServedDatabase
+from .serving_settings import ServingSettings
+
+# A promotion takes about this long; a caller that is refused may come back then.
+RETRY_LEADER_MS = 500
+# Of the time within which a leaving leader must get no more work, what is used.
+DRAIN_USE = 0.7
+
+
+class Service:
+    """The databases of one service.
+
+    Attributes
+    ----------
+    name : str
+        Name of the service.
+    databases : dict of str to ServedDatabase
+        Databases by id.
+    leadership : Leadership
+        Which of them leads.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_log",
+        "_registry",
+        "_rng",
+        "_sampled",
+        "_settings",
+        "databases",
+        "leadership",
+        "name",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        registry: Registry,
+        settings: ServingSettings,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ):
+        self.name = name
+        self.databases: dict[str, ServedDatabase] = {}
+        self.leadership = Leadership()
+        self._registry = registry
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._changed = anyio.Event()
+        self._sampled = anyio.Event()
+
+    def notify(self) -> None:
+        """Wake what waits for another leader or database."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait_change(self, limit: timedelta) -> None:
+        """Wait until something changed, or until the limit."""
+        with anyio.move_on_after(max(0.0, limit.total_seconds())):
+            await self._changed.wait()
+
+    def notify_sample(self) -> None:
+        """Wake the reads that wait for a sample."""
+        self._sampled.set()
+        self._sampled = anyio.Event()
+
+    async def wait_sample(self, limit: timedelta) -> None:
+        """Wait until a proof brought a sample, or until the limit."""
+        with anyio.move_on_after(limit.total_seconds()):
+            await self._sampled.wait()
+
+    def doubt_leader(self, served: ServedDatabase) -> None:
+        """Ask others too after a database did not answer."""
+        self.leadership.doubted(served.database_id, self._clock.now())
+
+    def proved(
+        self, served: ServedDatabase, position: LogPosition, asked_at: timedelta
+    ) -> None:
+        """Take in a proof that a database leads."""
+        served.health.succeeded()
+        if self.leadership.proved(served.database_id, position, asked_at):
+            self._log.decision(
+                "leader proved",
+                service=self.name,
+                database=served.database_id,
+                position=position,
+                epoch=self.leadership.epoch,
+            )
+            self.notify()
+        served.progress.answered(position, self.leadership.epoch)
+
+    def refused_to_lead(self, served: ServedDatabase) -> None:
+        """Take in that a database refused to lead."""
+        if self.leadership.refused(served.database_id, self._clock.now()):
+            self._log.decision(
+                "leader lost",
+                service=self.name,
+                database=served.database_id,
+                epoch=self.leadership.epoch,
+            )
+            self.notify()
+
+    def likely_leader(self) -> ServedDatabase | None:
+        """Return the database that most likely leads and may get work now."""
+        now = self._clock.now()
+        asked = (
+            served.database
+            for served in self.databases.values()
+            if not self._has_left(served, now)
+        )
+        database = self.leadership.next_to_ask(asked, now)
+        return None if database is None else self.databases[database.database_id]
+
+    def leader(self) -> ServedDatabase | None:
+        """Return the database that proved last that it leads, if it may get work."""
+        served = self.databases.get(self.leadership.leader_id)
+        if served is None or self._has_left(served, self._clock.now()):
+            return None
+        return served
+
+    def lagged(self, served: ServedDatabase) -> None:
+        """Take in that a database lacked a floor."""
+        if served.database_id == self.leadership.leader_id:
+            # A floor of its own that it lacks was lost in a change of the leader.
+            self.leadership.forget_samples()
+        served.progress.lagged(self.leadership.epoch, self._clock.now())
+
+    def choose_for_read(
+        self, floor: LogPosition, excluded: Iterable[str]
+    ) -> ServedDatabase | None:
+        """Return the database that serves a read with a floor, or None."""
+        now = self._clock.now()
+        epoch = self.leadership.epoch
+        candidates = [
+            self._candidate(served, floor)
+            for served in self.databases.values()
+            if served.database_id not in excluded
+            and self._admits_reads(served)
+            and self._may_have(served, floor, epoch, now)
+        ]
+        chosen = choose_database(candidates, self._rng)
+        return None if chosen is None else self.databases[chosen.database_id]
+
+    def _may_have(
+        self,
+        served: ServedDatabase,
+        floor: LogPosition,
+        epoch: int,
+        now: timedelta,
+    ) -> bool:
+        if served.database_id == self.leadership.leader_id:
+            return not self._has_left(served, now)
+        return served.progress.may_have(floor, epoch, now)
+
+    def _admits_reads(self, served: ServedDatabase) -> bool:
+        if served.database_id == self.leadership.leader_id:
+            return True
+        return self._registry.leaving_since(served.database_id) is None
+
+    def _candidate(self, served: ServedDatabase, floor: LogPosition) -> ReadCandidate:
+        database = served.database
+        is_near = database.availability_zone == self._settings.availability_zone
+        wait = expected_wait(
+            served.pool.load(database.slots), is_same_availability_zone=is_near
+        )
+        position = served.progress.position
+        return ReadCandidate(
+            served.database_id,
+            wait,
+            served.database_id == self.leadership.leader_id,
+            position is not None and floor <= position,
+            served.health.is_avoided(self._clock.now()),
+        )
+
+    def _has_left(self, served: ServedDatabase, now: timedelta) -> bool:
+        since = self._registry.leaving_since(served.database_id)
+        return (
+            since is not None and now - since > self._settings.drain_limit * DRAIN_USE
+        )
--- /dev/null
+++ b/goldcrestpond/serving/single_statement.py
@@ -0,0 +1,195 @@
+"""Runs a statement outside of a transaction."""
+
+from datetime import timedelta
+
+import anyio
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
+from ..retry.request_attempts import RequestAttempts
+from .directory import Directory
+from .floor_finder import find_read_floor
+from .link_loan import give_back, lend
+from .read_floor import SessionFloor
+from .reply import Reply
+from .reply_evidence import PASSING, evidence_of
+from .route import Route
+from .run_on_link import run_on_link
+from .served_database import ServedDatabase
+from .service import Service
+from .session_state import SessionState
+from .statement import Statement
+from .transaction_state import TransactionState
+
+# A write goes out only if the leader proved itself within this time, so that one
+# that has fallen silent costs the outcome of few writes.
+WRITE_PROOF_AGE = timedelta(milliseconds=200)
+# A read is tried elsewhere after this part of the objective without an answer,
+# or after so many usual times, whichever is later.
+READ_ATTEMPT_PART = 0.5
+READ_ATTEMPT_TIMES = 6
+
+
+class SingleStatement:
+    """One read or write with its attempts.
+
+    Parameters
+    ----------
+    key : str
+        The caller, for fairness.
+    statement : Statement
+        What to run.
+    session : SessionState
+        Values and names of the caller.
+    route : Route
+        Route of the caller's database.
+    service : Service
+        Service of the route.
+    directory : Directory
+        Provers, budgets and clock.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_is_write",
+        "_key",
+        "_route",
+        "_service",
+        "_session",
+        "_statement",
+    )
+
+    def __init__(
+        self,
+        key: str,
+        statement: Statement,
+        session: SessionState,
+        route: Route,
+        service: Service,
+        directory: Directory,
+    ):
+        self._key = key
+        self._statement = statement
+        self._session = session
+        self._route = route
+        self._service = service
+        self._directory = directory
+        self._clock = directory.clock
+        self._is_write = session.is_write(statement)
+
+    async def run(self, arrived_at: timedelta, own: SessionFloor | None) -> Reply:
+        """Run it; repeat what certainly did not run or only reads.
+
+        Raises
+        ------
+        CodedError
+            With a code that says "not run" only if it did not run.
+        """
+        deadline = arrived_at + self._route.timeout
+        budget = self._directory.budget(self._service.name)
+        attempts = RequestAttempts(
+            deadline, not self._is_write, False, budget, self._directory.rng
+        )
+        while True:
+            try:
+                if self._is_write:
+                    return await self._write(deadline)
+                return await self._read(arrived_at, deadline, own)
+            except CodedError as error:
+                if error.code not in PASSING:
+                    raise
+                evidence = evidence_of(error.code)
+                pause = attempts.failed(evidence, self._clock.now())
+                if pause is None:
+                    raise
+                self._directory.log.decision(
+                    "attempt failed",
+                    request=self._statement.request_id,
+                    code=f"GP{error.code.number}",
+                    detail=error.detail,
+                    evidence=evidence.name,
+                )
+            await anyio.sleep(pause.total_seconds())
+
+    async def _write(self, deadline: timedelta) -> Reply:
+        since = self._clock.now() - WRITE_PROOF_AGE
+        prover = self._directory.prover(self._service.name)
+        leader = await prover.leader_since(since, deadline)
+        asked_at = self._clock.now()
+        try:
+            reply = await self._run_at(leader, None, deadline, deadline)
+        except CodedError as error:
+            if error.code is ResultCode.ANSWER_INTERRUPTED:
+                detail = f"{leader.database_id}: {error.detail}"
+                raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail) from error
+            raise
+        if reply.error is ResultCode.PRIMARY_REPLACED:
+            self._service.refused_to_lead(leader)
+        reply.raise_error()
+        if reply.position is not None:
+            self._service.proved(leader, reply.position, asked_at)
+        return reply
+
+    async def _read(
+        self, arrived_at: timedelta, deadline: timedelta, own: SessionFloor | None
+    ) -> Reply:
+        floor = await find_read_floor(
+            self._service.leadership,
+            self._directory.prover(self._service.name),
+            self._route,
+            own,
+            arrived_at,
+            deadline,
+        )
+        excluded: set[str] = set()
+        while True:
+            served = self._service.choose_for_read(floor, excluded)
+            if served is None:
+                detail = f"{self._service.name}: no database has {floor}"
+                raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
+            reply = await self._run_at(
+                served, floor, deadline, self._attempt_deadline(served, deadline)
+            )
+            if reply.error is ResultCode.NO_FRESH_REPLICA:
+                self._service.lagged(served)
+                excluded.add(served.database_id)
+                continue
+            reply.raise_error()
+            served.health.succeeded()
+            if reply.position is not None:
+                epoch = self._service.leadership.epoch
+                served.progress.answered(reply.position, epoch)
+            return reply
+
+    def _attempt_deadline(
+        self, served: ServedDatabase, deadline: timedelta
+    ) -> timedelta:
+        load = served.pool.load(served.database.slots)
+        usual = timedelta(milliseconds=load.service_ms)
+        limit = max(
+            self._route.objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES
+        )
+        return min(deadline, self._clock.now() + limit)
+
+    async def _run_at(
+        self,
+        served: ServedDatabase,
+        floor: LogPosition | None,
+        deadline: timedelta,
+        answer_by: timedelta,
+    ) -> Reply:
+        link = await lend(
+            served, self._session, self._key, self._route, deadline, self._clock
+        )
+        try:
+            return await run_on_link(
+                link, self._session, self._statement, floor, answer_by, self._clock
+            )
+        except CodedError:
+            served.health.failed(self._clock.now())
+            raise
+        finally:
+            is_open = link.state is not TransactionState.IDLE
+            await give_back(served.pool, link, is_open)
--- /dev/null
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -0,0 +1,217 @@
+"""Runs the statements of one transaction on the connection that it holds."""
+
+from datetime import timedelta
+
+import anyio
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..retry.request_attempts import RequestAttempts
+from .directory import Directory
+from .floor_finder import find_read_floor
+from .link_loan import give_back, lend
+from .open_transaction import OpenTransaction
+from .read_floor import SessionFloor
+from .reply import Reply
+from .reply_evidence import NOT_RUN, PASSING, evidence_of
+from .route import ReadPolicy
+from .run_on_link import run_on_link
+from .session_state import SessionState
+from .single_statement import WRITE_PROOF_AGE
+from .statement import Statement
+from .statement_kind import StatementKind
+from .transaction_state import TransactionState
+
+BUSY_PAUSE_S = 0.01  # a slot is held for about as long as a short statement runs
+
+
+class TransactionRunner:
+    """Runs statements of an open transaction.
+
+    Parameters
+    ----------
+    key : str
+        The caller, for fairness.
+    transaction : OpenTransaction
+        The transaction.
+    session : SessionState
+        Values and names of the caller.
+    own : SessionFloor or None
+        Last commit of the session.
+    directory : Directory
+        Provers, budgets and clock.
+    """
+
+    __slots__ = ("_clock", "_directory", "_key", "_own", "_session", "_transaction")
+
+    def __init__(
+        self,
+        key: str,
+        transaction: OpenTransaction,
+        session: SessionState,
+        own: SessionFloor | None,
+        directory: Directory,
+    ):
+        self._key = key
+        self._transaction = transaction
+        self._session = session
+        self._own = own
+        self._directory = directory
+        self._clock = directory.clock
+
+    async def run(self, statement: Statement, arrived_at: timedelta) -> Reply:
+        """Run a read, a write or the commit.
+
+        Raises
+        ------
+        CodedError
+            ROLLED_BACK if nothing of the transaction is kept, OUTCOME_UNKNOWN if
+            a commit was sent and its answer did not come.
+        """
+        deadline = arrived_at + self._transaction.route.timeout
+        if self._transaction.link is None:
+            return await self._run_first(statement, deadline)
+        self._transaction.served.pool.resume(self._transaction.link)
+        return await self._run_next(statement, deadline)
+
+    async def give_back(self) -> None:
+        """Roll back what is open and return the connection."""
+        transaction = self._transaction
+        link, transaction.link = transaction.link, None
+        if link is not None:
+            is_open = link.state is not TransactionState.IDLE
+            await give_back(transaction.served.pool, link, is_open)
+
+    async def _run_first(self, statement: Statement, deadline: timedelta) -> Reply:
+        service = self._transaction.service
+        budget = self._directory.budget(service.name)
+        attempts = RequestAttempts(deadline, True, False, budget, self._directory.rng)
+        while True:
+            try:
+                await self._open(deadline)
+                return await self._run_next(statement, deadline)
+            except CodedError as error:
+                await self.give_back()
+                may_repeat = error.code in PASSING and not self._transaction.has_written
+                if not may_repeat:
+                    raise
+                pause = attempts.failed(evidence_of(error.code), self._clock.now())
+                if pause is None:
+                    raise
+                self._directory.log.decision(
+                    "transaction opened again",
+                    request=statement.request_id,
+                    code=f"GP{error.code.number}",
+                    detail=error.detail,
+                )
+            await anyio.sleep(pause.total_seconds())
+
+    async def _open(self, deadline: timedelta) -> None:
+        transaction = self._transaction
+        policy = transaction.route.policy
+        if transaction.is_read_only and policy is not ReadPolicy.CURRENT:
+            await self._open_at_reader(deadline)
+        else:
+            await self._open_at_leader(deadline)
+
+    async def _open_at_leader(self, deadline: timedelta) -> None:
+        transaction = self._transaction
+        service = transaction.service
+        prover = self._directory.prover(service.name)
+        since = self._clock.now() - WRITE_PROOF_AGE
+        leader = await prover.leader_since(since, deadline)
+        await self._take_link(leader, deadline)
+        asked_at = self._clock.now()
+        reply = await self._begin(False, None, deadline)
+        if reply.error is ResultCode.PRIMARY_REPLACED:
+            service.refused_to_lead(leader)
+        reply.raise_error()
+        if reply.position is not None:
+            service.proved(leader, reply.position, asked_at)
+
+    async def _open_at_reader(self, deadline: timedelta) -> None:
+        transaction = self._transaction
+        service = transaction.service
+        floor = await find_read_floor(
+            service.leadership,
+            self._directory.prover(service.name),
+            transaction.route,
+            self._own,
+            transaction.began_at,
+            deadline,
+        )
+        excluded: set[str] = set()
+        while True:
+            served = service.choose_for_read(floor, excluded)
+            if served is None:
+                detail = f"{service.name}: no database has {floor}"
+                raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
+            await self._take_link(served, deadline)
+            reply = await self._begin(True, floor, deadline)
+            if reply.error is not ResultCode.NO_FRESH_REPLICA:
+                reply.raise_error()
+                return
+            service.lagged(served)
+            excluded.add(served.database_id)
+            await self.give_back()
+
+    async def _take_link(self, served, deadline: timedelta) -> None:
+        transaction = self._transaction
+        transaction.link = await lend(
+            served, self._session, self._key, transaction.route, deadline, self._clock
+        )
+        transaction.served = served
+
+    async def _begin(self, is_read_only: bool, floor, deadline: timedelta) -> Reply:
+        link = self._transaction.link
+        remaining = (deadline - self._clock.now()).total_seconds()
+        try:
+            with anyio.fail_after(max(0.0, remaining)):
+                return await link.begin(is_read_only, floor)
+        except TimeoutError as error:
+            link.is_broken = True
+            self._transaction.served.health.failed(self._clock.now())
+            detail = "the beginning was not answered"
+            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+
+    async def _run_next(self, statement: Statement, deadline: timedelta) -> Reply:
+        transaction = self._transaction
+        is_commit = statement.kind is StatementKind.COMMIT
+        if self._session.is_write(statement):
+            transaction.has_written = True
+        reply = await self._run_while_busy(statement, deadline)
+        if reply.error is None:
+            if not is_commit:
+                transaction.served.pool.hold(transaction.link)
+            return reply
+        if reply.error is ResultCode.PRIMARY_REPLACED:
+            transaction.service.refused_to_lead(transaction.served)
+        if is_commit and reply.error not in NOT_RUN:
+            reply.raise_error()
+        detail = f"{transaction.served.database_id}: {reply.detail}"
+        raise CodedError(ResultCode.ROLLED_BACK, detail)
+
+    async def _run_while_busy(self, statement: Statement, deadline: timedelta) -> Reply:
+        """Run a statement; repeat it while the database refuses it for a slot."""
+        transaction = self._transaction
+        link = transaction.link
+        while True:
+            try:
+                reply = await run_on_link(
+                    link, self._session, statement, None, deadline, self._clock
+                )
+            except CodedError as error:
+                transaction.served.health.failed(self._clock.now())
+                raise self._interrupted(statement, error) from error
+            is_busy = reply.error is ResultCode.ENDPOINT_BUSY
+            if not is_busy or link.state is not TransactionState.OPEN:
+                return reply
+            await anyio.sleep(BUSY_PAUSE_S)
+
+    def _interrupted(self, statement: Statement, error: CodedError) -> CodedError:
+        transaction = self._transaction
+        detail = f"{transaction.served.database_id}: {error.detail}"
+        is_commit = statement.kind is StatementKind.COMMIT
+        if is_commit and transaction.has_written:
+            return CodedError(ResultCode.OUTCOME_UNKNOWN, detail)
+        return CodedError(ResultCode.ROLLED_BACK, detail)
