--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -1,6 +1,7 @@
 """Accepts callers that speak the line protocol (shell)."""
 
 import itertools
+import traceback
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -79,6 +80,12 @@
             self._log.decision(
                 "caller dropped", session=talk.key, code=f"GP{error.code.number}"
             )
+        except Exception as error:  # a fault in one session ends only that session
+            self._log.decision(
+                "internal error",
+                session=talk.key,
+                trace=traceback.format_exception(error),
+            )
         finally:
             self._talks.discard(talk)
             await talk.aclose()
--- a/goldcrestpond/platform/endpoint_link.py
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -27,6 +27,7 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+GOODBYE_LIMIT_S = 0.2  # a peer that reads nothing is not waited for
 _LOST = (
     OSError,
     anyio.EndOfStream,
@@ -147,13 +148,17 @@
         """Say goodbye if the connection is whole, then close it."""
         with anyio.CancelScope(shield=True):
             if not self.is_broken:
-                try:
-                    self._stream.extra(SocketAttribute.raw_socket).send(codec.GOODBYE)
-                except OSError:
-                    pass  # the close says the same
+                with anyio.move_on_after(GOODBYE_LIMIT_S):
+                    await self._say_goodbye()
             self.is_broken = True
             await anyio.aclose_forcefully(self._stream)
 
+    async def _say_goodbye(self) -> None:
+        try:
+            await self._sender.send(codec.GOODBYE)
+        except _LOST:
+            pass  # the close says the same
+
     async def connect(self, database: Database) -> None:
         """Exchange the first messages.
 
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -32,7 +32,7 @@
 
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
 # Databases write a heartbeat about once a second each; one call brings several.
-REGISTRY_SPACING = timedelta(milliseconds=500)
+REGISTRY_SPACING = timedelta(milliseconds=1000)
 LAPSE_TICK_S = 0.5
 BACKLOG = 512  # callers that come back all at once after a restart
 
@@ -96,9 +96,7 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
         )
-        self._directory = Directory(
-            serving, open_endpoint_link, clock, rng, log, tasks, self._note_failure
-        )
+        self._directory = Directory(serving, open_endpoint_link, clock, rng, log, tasks)
         failover = None
         if settings.duties:
             http = HttpClient(parse_address(settings.duties))
@@ -180,9 +178,6 @@
     def _is_ready(self) -> bool:
         return not self._is_stopping and self._directory.table.version > 0
 
-    def _note_failure(self, service, served, detail: str) -> None:
-        self._succession.note_failure(service, served, detail)
-
     async def _forget_lapsed(self) -> None:
         while True:
             await anyio.sleep(LAPSE_TICK_S)
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -27,6 +27,8 @@
 from .serving_settings import ServingSettings
 
 OpenLink = Callable[[Database], Awaitable[Link]]
+# Sites have 6 to 8 instances today; a small share is safe until the members are read.
+MEMBERS_UNTIL_KNOWN = 8
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
 
@@ -52,7 +54,6 @@
     __slots__ = (
         "_budgets",
         "_member_count",
-        "_note_failure",
         "_open_link",
         "_provers",
         "_settings",
@@ -73,7 +74,6 @@
         rng: random.Random,
         log: DecisionLog,
         tasks: TaskGroup,
-        note_failure: Callable[[str, ServedDatabase, str], None],
     ):
         self.table = RouteTable()
         self.registry = Registry()
@@ -84,10 +84,9 @@
         self._settings = settings
         self._open_link = open_link
         self._tasks = tasks
-        self._note_failure = note_failure
         self._provers: dict[str, LeaderProver] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._member_count = 1
+        self._member_count = MEMBERS_UNTIL_KNOWN
 
     @property
     def member_count(self) -> int:
@@ -233,7 +232,6 @@
             self._settings,
             self.clock,
             self._tasks,
-            lambda served, detail: self._note_failure(service.name, served, detail),
         )
 
     async def _open(self, database: Database) -> Link:
--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -16,6 +16,7 @@
 from .serving_settings import ServingSettings
 
 OpenLinkTo = Callable[[ServedDatabase], Awaitable[Link]]
+UNMET_MEMORY = timedelta(seconds=2)  # after that, nobody cares for the leader
 _RETRY_PAUSE = timedelta(milliseconds=20)
 
 
@@ -36,8 +37,6 @@
         Source of readings.
     tasks : TaskGroup
         Runs the asking.
-    note_failure : callable
-        Told of each database that did not answer as the leader should.
     """
 
     __slots__ = (
@@ -47,11 +46,11 @@
         "_is_running",
         "_link",
         "_needed_since",
-        "_note_failure",
         "_open_link",
         "_service",
         "_settings",
         "_tasks",
+        "_unmet_since",
     )
 
     def __init__(
@@ -61,19 +60,32 @@
         settings: ServingSettings,
         clock: Clock,
         tasks: TaskGroup,
-        note_failure: Callable[[ServedDatabase, str], None],
     ):
         self._service = service
         self._open_link = open_link
         self._settings = settings
         self._clock = clock
         self._tasks = tasks
-        self._note_failure = note_failure
         self._link: Link | None = None
         self._asked: ServedDatabase | None = None
         self._is_running = False
         self._needed_since = timedelta.min
         self._deadline = timedelta.min
+        self._unmet_since: timedelta | None = None
+
+    def unmet_for(self, now: timedelta) -> timedelta | None:
+        """Return for how long no database has proved that it leads.
+
+        None while proofs succeed, and once nobody has asked for a while.
+        """
+        if self._unmet_since is None or now - self._deadline > UNMET_MEMORY:
+            return None
+        return now - self._unmet_since
+
+    def look(self) -> None:
+        """Find out whether the service has a leader now."""
+        now = self._clock.now()
+        self.request(now, now + self._settings.proof_timeout)
 
     async def sample_since(
         self, reading: timedelta, deadline: timedelta
@@ -151,7 +163,10 @@
 
     async def _ask(self) -> bool:
         """Ask the likely leader once; return whether it proved that it leads."""
+        began_at = self._clock.now()
         served = self._service.likely_leader()
+        if self._unmet_since is None:
+            self._unmet_since = began_at  # until a proof arrives
         if served is None:
             return False
         try:
@@ -161,21 +176,29 @@
                 reply = await link.prove()
         except (CodedError, TimeoutError) as error:
             await self.aclose()
-            detail = str(error) or "no answer"
-            served.health.failed(self._clock.now())
             self._service.doubt_leader(served)
-            self._note_failure(served, detail)
+            self._failed(served, str(error) or "no answer")
             return False
         if reply.error is ResultCode.PRIMARY_REPLACED:
             self._service.refused_to_lead(served)
             return False
         if reply.error is not None or reply.position is None:
-            self._note_failure(served, reply.detail)
+            self._failed(served, reply.detail)
             return False
+        self._unmet_since = None
         self._service.proved(served, reply.position, asked_at)
         self._service.notify_sample()
         return True
 
+    def _failed(self, served: ServedDatabase, detail: str) -> None:
+        served.health.failed(self._clock.now())
+        self._service.log.decision(
+            "proof failed",
+            service=self._service.name,
+            database=served.database_id,
+            detail=detail,
+        )
+
     async def _link_to(self, served: ServedDatabase) -> Link:
         if self._link is not None and self._asked is served:
             if self._link.is_quiet():
--- a/goldcrestpond/serving/member_keeper.py
+++ b/goldcrestpond/serving/member_keeper.py
@@ -1,7 +1,6 @@
 """Keeps this instance among the members and counts them (shell)."""
 
 import random
-from collections.abc import Sequence
 from datetime import timedelta
 
 import anyio
@@ -12,9 +11,9 @@
 from .directory import Directory
 from .members import HEARTBEAT, TABLE, Members
 from .row_store import RowPut, RowStore, StoredRow
-from .table_feed import TableFeed
 
-SPACING = timedelta(seconds=1)  # a change of members may wait so long
+# At a start all instances write their rows within a second.
+FIRST_READS = (timedelta(seconds=1), timedelta(seconds=3))
 LEAVE_LIMIT_S = 0.5
 
 
@@ -40,7 +39,6 @@
     __slots__ = (
         "_clock",
         "_directory",
-        "_feed",
         "_instance",
         "_is_leaving",
         "_log",
@@ -66,9 +64,6 @@
         self._log = log
         self._members = Members()
         self._is_leaving = False
-        self._feed = TableFeed(
-            store, TABLE, SPACING, self._replace, self._update, clock, rng, log
-        )
 
     @property
     def live(self) -> list[str]:
@@ -76,14 +71,17 @@
         return sorted({self._instance, *self._members.live(self._clock.now())})
 
     async def run(self) -> None:
-        """Write heartbeats and follow those of others until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._feed.run)
-            while not self._is_leaving:
+        """Write heartbeats and read those of others until cancelled."""
+        await self._beat()
+        for pause in FIRST_READS:
+            await anyio.sleep(pause.total_seconds())
+            await self._read()
+        while not self._is_leaving:
+            pause_s = HEARTBEAT.total_seconds() * self._rng.uniform(0.8, 1)
+            await anyio.sleep(pause_s)
+            if not self._is_leaving:
                 await self._beat()
-                pause = HEARTBEAT.total_seconds() * self._rng.uniform(0.8, 1)
-                await anyio.sleep(pause)
-                self._count()
+                await self._read()
 
     async def leave(self) -> None:
         """Remove this instance from the members."""
@@ -103,13 +101,11 @@
         except CodedError as error:
             self._log.decision("heartbeat not written", detail=error.detail)
 
-    def _replace(self, rows: Sequence[StoredRow]) -> None:
-        self._members.replace(rows, self._clock.now())
-        self._count()
-
-    def _update(self, rows: Sequence[StoredRow]) -> None:
-        self._members.update(rows, self._clock.now())
-        self._count()
-
-    def _count(self) -> None:
+    async def _read(self) -> None:
+        try:
+            answer = await self._store.read(TABLE)
+        except CodedError as error:
+            self._log.decision("members not read", detail=error.detail)
+            return
+        self._members.replace(answer.rows, self._clock.now())
         self._directory.set_member_count(len(self.live))
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -6,7 +6,7 @@
 from .row_store import StoredRow
 
 TABLE = "member"
-HEARTBEAT = timedelta(seconds=4)
+HEARTBEAT = timedelta(seconds=8)
 # A member is live until so many heartbeats in a row are missing.
 MISSED_HEARTBEATS = 3
 
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -33,18 +33,20 @@
         Databases by id.
     leadership : Leadership
         Which of them leads.
+    log : DecisionLog
+        Sink of decisions.
     """
 
     __slots__ = (
         "_changed",
         "_clock",
-        "_log",
         "_registry",
         "_rng",
         "_sampled",
         "_settings",
         "databases",
         "leadership",
+        "log",
         "name",
     )
 
@@ -64,7 +66,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._log = log
+        self.log = log
         self._changed = anyio.Event()
         self._sampled = anyio.Event()
 
@@ -98,7 +100,7 @@
         """Take in a proof that a database leads."""
         served.health.succeeded()
         if self.leadership.proved(served.database_id, position, asked_at):
-            self._log.decision(
+            self.log.decision(
                 "leader proved",
                 service=self.name,
                 database=served.database_id,
@@ -111,7 +113,7 @@
     def refused_to_lead(self, served: ServedDatabase) -> None:
         """Take in that a database refused to lead."""
         if self.leadership.refused(served.database_id, self._clock.now()):
-            self._log.decision(
+            self.log.decision(
                 "leader lost",
                 service=self.name,
                 database=served.database_id,
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -1,14 +1,236 @@
-"""Replaces leaders (shell); not built yet."""
+"""Watches the leaders of all services and replaces those that fail (shell)."""
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..placement.rendezvous import weigh
+from .database import Database
+from .decision_log import DecisionLog
+from .directory import Directory
+from .failover import Failover
+from .link import Link
+from .member_keeper import MemberKeeper
+from .row_store import RowPut, RowStore, StoredRow
+from .service import Service
+from .succession_claim import ClaimKeeper
+from .succession_run import SuccessionRun
+from .suspicions import (
+    RENEWAL,
+    TABLE,
+    Suspicions,
+    quorum,
+    suspicion_key,
+)
+from .table_feed import TableFeed
+
+TICK_S = 0.1
+# Longer than a silent connection takes to be found and replaced.
+SUSPECT_AFTER = timedelta(milliseconds=600)
+# The members try in an order that differs by service, so that claims seldom race.
+RANK_PAUSE = timedelta(milliseconds=300)
+RETRY_PAUSE = timedelta(milliseconds=500)
+# A lapsed entry may come back within about 2 s.
+LAPSE_PATIENCE = timedelta(milliseconds=2200)
+TAKE_OVER_LIMIT = timedelta(milliseconds=3500)
+TAKE_OVER_TICK = timedelta(milliseconds=50)
+FEED_SPACING = timedelta(milliseconds=50)
+
+OpenLink = Callable[[Database], Awaitable[Link]]
 
 
 class SuccessionKeeper:
-    """Placeholder."""
+    """One loop over all services.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    directory : Directory
+        The services.
+    members : MemberKeeper
+        Live instances.
+    store : RowStore
+        Holds claims and suspicions.
+    failover : Failover or None
+        Orders promotions; without one, leaders are not replaced.
+    open_link : callable
+        Opens a connection.
+    clock : Clock
+        Source of readings.
+    rng : random.Random
+        Source of jitter.
+    log : DecisionLog
+        Sink of decisions.
+    tasks : TaskGroup
+        Runs successions.
+    """
 
-    def __init__(self, *args):
-        pass
+    __slots__ = (
+        "_claims",
+        "_clock",
+        "_directory",
+        "_due",
+        "_failover",
+        "_feed",
+        "_instance",
+        "_log",
+        "_members",
+        "_open_link",
+        "_running",
+        "_store",
+        "_suspicions",
+        "_tasks",
+        "_written",
+    )
 
-    def note_failure(self, service, served, detail: str) -> None:
-        """Take in a failure."""
+    def __init__(
+        self,
+        instance: str,
+        directory: Directory,
+        members: MemberKeeper,
+        store: RowStore,
+        failover: Failover | None,
+        open_link: OpenLink,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        tasks: TaskGroup,
+    ):
+        self._instance = instance
+        self._directory = directory
+        self._members = members
+        self._store = store
+        self._failover = failover
+        self._open_link = open_link
+        self._clock = clock
+        self._log = log
+        self._tasks = tasks
+        self._claims = ClaimKeeper(instance, store, clock)
+        self._suspicions = Suspicions()
+        self._written: dict[str, timedelta] = {}
+        self._due: dict[str, timedelta] = {}
+        self._running: set[str] = set()
+        self._feed = TableFeed(
+            store, TABLE, FEED_SPACING, self._replace, self._update, clock, rng, log
+        )
 
     async def run(self) -> None:
-        """Run."""
+        """Watch until cancelled."""
+        if self._failover is None:
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._feed.run)
+            while True:
+                for service in list(self._directory.services.values()):
+                    await self._watch(service)
+                await anyio.sleep(TICK_S)
+
+    async def _watch(self, service: Service) -> None:
+        now = self._clock.now()
+        if service.name in self._running or not service.databases:
+            return
+        is_planned = self._is_leader_leaving(service, now)
+        is_suspect = self._is_suspect(service, now)
+        await self._tell(service, is_suspect, now)
+        if not is_planned:
+            suspects = self._suspicions.by(service.name, now)
+            if suspects and not is_suspect:
+                self._directory.prover(service.name).look()
+            agreed = len(suspects) >= quorum(self._directory.member_count)
+            if not (is_suspect and agreed):
+                self._due.pop(service.name, None)
+                return
+        due = self._due.setdefault(service.name, now + self._rank(service) * RANK_PAUSE)
+        if now >= due:
+            self._due[service.name] = now + RETRY_PAUSE
+            self._running.add(service.name)
+            self._tasks.start_soon(self._replace_leader, service, is_planned)
+
+    def _is_suspect(self, service: Service, now: timedelta) -> bool:
+        unmet_for = self._directory.prover(service.name).unmet_for(now)
+        return unmet_for is not None and unmet_for >= SUSPECT_AFTER
+
+    def _is_leader_leaving(self, service: Service, now: timedelta) -> bool:
+        leader_id = service.leadership.leader_id
+        registry = self._directory.registry
+        database = registry.get(leader_id)
+        if database is None:
+            return False
+        if database.is_draining:
+            return True
+        since = registry.leaving_since(leader_id)
+        return since is not None and now - since >= LAPSE_PATIENCE
+
+    def _rank(self, service: Service) -> int:
+        names = sorted(self._members.live, key=lambda n: weigh(service.name, n))
+        return names.index(self._instance)
+
+    async def _tell(self, service: Service, is_suspect: bool, now: timedelta) -> None:
+        """Write or withdraw this instance's suspicion."""
+        key = suspicion_key(service.name, self._instance)
+        written_at = self._written.get(service.name)
+        try:
+            if is_suspect:
+                if written_at is None or now - written_at >= RENEWAL:
+                    self._written[service.name] = now
+                    await self._store.write([], [RowPut(TABLE, "", key, b"{}")])
+                    if written_at is None:
+                        self._log.decision("leader suspected", service=service.name)
+            elif written_at is not None:
+                del self._written[service.name]
+                row = StoredRow(TABLE, "", key, None, 0)
+                await self._store.write([], [], [row])
+        except CodedError as error:
+            # It lapses, or is renewed with the next one.
+            self._log.decision(
+                "suspicion not written", service=service.name, detail=error.detail
+            )
+
+    async def _replace_leader(self, service: Service, is_planned: bool) -> None:
+        leader_id = service.leadership.leader_id
+        try:
+            claim = await self._claims.claim(service.name, leader_id)
+            if claim is None:
+                return
+            databases = [served.database for served in service.databases.values()]
+            run = SuccessionRun(
+                claim,
+                databases,
+                leader_id,
+                is_planned,
+                self._failover,
+                self._open_link,
+                self._clock,
+                self._log,
+            )
+            if await run.run():
+                await self._wait_taken_over(service, leader_id)
+                await run.resume_receiving()
+        except CodedError as error:
+            self._log.decision(
+                "succession failed", service=service.name, detail=error.detail
+            )
+        finally:
+            self._running.discard(service.name)
+
+    async def _wait_taken_over(self, service: Service, former: str) -> None:
+        began_at = self._clock.now()
+        prover = self._directory.prover(service.name)
+        while self._clock.now() - began_at < TAKE_OVER_LIMIT:
+            leader_id = service.leadership.leader_id
+            if leader_id and leader_id != former:
+                return
+            prover.look()
+            await service.wait_change(TAKE_OVER_TICK)
+
+    def _replace(self, rows) -> None:
+        self._suspicions.replace(rows, self._clock.now())
+
+    def _update(self, rows) -> None:
+        self._suspicions.update(rows, self._clock.now())
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -11,7 +11,7 @@
 from .decision_log import DecisionLog
 from .row_store import FeedAnswer, HistoryLost, RowStore, StoredRow
 
-WAIT = timedelta(seconds=2)  # a silent connection is found within it and some more
+WAIT = timedelta(seconds=4)  # a silent connection is found within it and some more
 RETRY_FIRST = timedelta(milliseconds=100)
 RETRY_LIMIT = timedelta(milliseconds=800)  # well within what a change may take
 
