--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 
 import anyio
-from anyio.abc import SocketListener, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, TaskGroup
 
+from ..clock.clock import Clock
 from ..clock.system_clock import SystemClock
 from ..errors.coded_error import CodedError
 from ..platform import database_entry, operator_configuration
@@ -20,6 +21,7 @@
 from ..platform.store_client import StoreClient
 from ..platform.store_tables import ConfigurationRows, RegistryRows
 from ..serving.caller_session import CallerSession
+from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
 from ..serving.member_keeper import MemberKeeper
 from ..serving.metrics_text import MetricsText
@@ -53,7 +55,7 @@
     )
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
-            instance = _Instance(settings, clock, log, tasks)
+            instance = Instance(settings, clock, log, tasks)
             await instance.start()
             async for received in signals:
                 if received is signal.SIGTERM:
@@ -74,14 +76,31 @@
         log.decision("settings checked")
 
 
-class _Instance:
-    """Everything that one process runs."""
+class Instance:
+    """Everything that one process runs.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Its settings.
+    clock : Clock
+        Source of time.
+    log : DecisionLog
+        Sink of decisions.
+    tasks : TaskGroup
+        Runs all of it.
+
+    Attributes
+    ----------
+    directory : Directory
+        Routes and services in force.
+    """
 
     def __init__(
         self,
         settings: InstanceSettings,
-        clock: SystemClock,
-        log: StructuredLog,
+        clock: Clock,
+        log: DecisionLog,
         tasks: TaskGroup,
     ):
         rng = random.Random()
@@ -96,17 +115,17 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
         )
-        self._directory = Directory(serving, open_endpoint_link, clock, rng, log, tasks)
+        self.directory = Directory(serving, open_endpoint_link, clock, rng, log, tasks)
         failover = None
         if settings.duties:
             http = HttpClient(parse_address(settings.duties))
             failover = FailoverCall(http, settings.instance)
         self._members = MemberKeeper(
-            settings.instance, store, self._directory, clock, rng, log
+            settings.instance, store, self.directory, clock, rng, log
         )
         self._succession = SuccessionKeeper(
             settings.instance,
-            self._directory,
+            self.directory,
             self._members,
             store,
             failover,
@@ -116,8 +135,8 @@
             log,
             tasks,
         )
-        configuration = ConfigurationRows(self._directory, log)
-        registry = RegistryRows(self._directory, clock, log)
+        configuration = ConfigurationRows(self.directory, log)
+        registry = RegistryRows(self.directory, clock, log)
         self._configuration_feed = TableFeed(
             store,
             operator_configuration.TABLE,
@@ -138,8 +157,8 @@
             rng,
             log,
         )
-        self._callers = CallerServer(self._directory, self._open_session, log)
-        self._ready = ReadyServer(self._is_ready, MetricsText())
+        self._callers = CallerServer(self.directory, self._open_session, log)
+        self._ready = ReadyServer(self.is_ready, MetricsText())
         self._listeners: list[SocketListener] = []
         self._rng = rng
 
@@ -160,7 +179,12 @@
         self._log.decision("stopping", callers=self._callers.caller_count)
         await self._members.leave()
         await shut_down(self._callers, self._settings.grace_s, self._clock, self._log)
-        await self._directory.aclose()
+        await self.directory.aclose()
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return self._listeners[-1].extra(SocketAttribute.local_address)
 
     async def _listen(self, address_text: str, handle) -> None:
         address = parse_address(address_text)
@@ -172,13 +196,14 @@
 
     def _open_session(self, key: str, database: str) -> CallerSession:
         return CallerSession(
-            key, database, self._directory, self._clock, self._rng, self._log
+            key, database, self.directory, self._clock, self._rng, self._log
         )
 
-    def _is_ready(self) -> bool:
-        return not self._is_stopping and self._directory.table.version > 0
+    def is_ready(self) -> bool:
+        """Return whether new callers may come."""
+        return not self._is_stopping and self.directory.table.version > 0
 
     async def _forget_lapsed(self) -> None:
         while True:
             await anyio.sleep(LAPSE_TICK_S)
-            self._directory.drop_lapsed()
+            self.directory.drop_lapsed()
--- a/goldcrestpond/serving/leadership.py
+++ b/goldcrestpond/serving/leadership.py
@@ -34,13 +34,21 @@
         not compared.
     """
 
-    __slots__ = ("_epoch_began", "_refused", "_samples", "epoch", "leader_id")
+    __slots__ = (
+        "_declined",
+        "_epoch_began",
+        "_refused",
+        "_samples",
+        "epoch",
+        "leader_id",
+    )
 
     def __init__(self) -> None:
         self.leader_id = ""
         self.epoch = 0
         self._epoch_began = timedelta.min
         self._refused: dict[str, timedelta] = {}
+        self._declined: set[str] = set()
         self._samples: deque[VerifiedSample] = deque(maxlen=SAMPLE_LIMIT)
 
     def proved(
@@ -59,12 +67,14 @@
                 return False
             self._change_leader(database_id, asked_at)
         self._refused.pop(database_id, None)
+        self._declined.discard(database_id)
         self._add_sample(VerifiedSample(position, asked_at))
         return is_change
 
     def refused(self, database_id: str, now: timedelta) -> bool:
         """Take in that a database refused to lead; True if it was the leader."""
         self._refused[database_id] = now
+        self._declined.add(database_id)
         if database_id != self.leader_id:
             return False
         self._change_leader("", now)
@@ -81,6 +91,18 @@
         open_ones = [d for d in databases if self._may_ask(d.database_id, now)]
         return min(open_ones, key=self._rank, default=None)
 
+    def presumed(self, databases: Iterable[Database]) -> str:
+        """Return the id of the leader, or of the one that should lead by its word.
+
+        Empty if several or none say that they lead, or if it has just refused.
+        """
+        if self.leader_id:
+            return self.leader_id
+        by_word = [d.database_id for d in databases if d.role is Role.PRIMARY]
+        if len(by_word) != 1 or by_word[0] in self._declined:
+            return ""
+        return by_word[0]
+
     def forget_samples(self) -> None:
         """Drop all samples; reads take a new one."""
         self._samples.clear()
--- a/goldcrestpond/serving/succession_claim.py
+++ b/goldcrestpond/serving/succession_claim.py
@@ -82,9 +82,11 @@
         nonces: set[str] = set()
         for _ in range(ATTEMPTS_MAX):
             row = await self._read(service)
-            if row is not None and self._nonce(row) in nonces:
+            body = self._body(row)
+            if body is not None and body.nonce in nonces:
                 return Claim(service, row.version, self._clock.now())
-            if row is not None and self._is_held(service, row):
+            is_own = body is not None and body.holder == self._instance
+            if row is not None and not is_own and self._is_held(service, row):
                 return None
             nonce = uuid.uuid4().hex
             nonces.add(nonce)
@@ -92,7 +94,8 @@
             try:
                 version = await self._write(service, row, nonce, former)
             except RowConflict as conflict:
-                mine = [r for r in conflict.rows if self._nonce(r) in nonces]
+                bodies = [(self._body(r), r) for r in conflict.rows]
+                mine = [r for b, r in bodies if b is not None and b.nonce in nonces]
                 if not mine:
                     return None
                 version = mine[0].version
@@ -125,10 +128,10 @@
         put = RowPut(TABLE, "", service, msgspec.json.encode(body))
         return await self._store.write([condition], [put])
 
-    def _nonce(self, row: StoredRow) -> str:
-        if row.value is None:
-            return ""
+    def _body(self, row: StoredRow | None) -> ClaimBody | None:
+        if row is None or row.value is None:
+            return None
         try:
-            return msgspec.json.decode(row.value, type=ClaimBody).nonce
+            return msgspec.json.decode(row.value, type=ClaimBody)
         except msgspec.MsgspecError:
-            return ""  # a row of another writer is nobody's claim
+            return None  # a row of another writer is nobody's claim
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -193,12 +193,12 @@
             )
 
     async def _replace_leader(self, service: Service, is_planned: bool) -> None:
-        leader_id = service.leadership.leader_id
+        databases = [served.database for served in service.databases.values()]
+        leader_id = service.leadership.presumed(databases)
         try:
             claim = await self._claims.claim(service.name, leader_id)
             if claim is None:
                 return
-            databases = [served.database for served in service.databases.values()]
             run = SuccessionRun(
                 claim,
                 databases,
--- /dev/null
+++ b/goldcrestpond/standin/line_server.py
@@ -0,0 +1,105 @@
+"""Serves databases of the platform's kind on loopback."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from ..settings.address import Address
+from .line_group import LineDatabase, LineGroup
+from .line_session import LineSession
+
+LOOPBACK = "127.0.0.1"
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+class LineServer:
+    """One listener for each database of a group.
+
+    Parameters
+    ----------
+    group : LineGroup
+        The databases.
+
+    Attributes
+    ----------
+    addresses : dict of str to Address
+        Where each listens.
+    loses_answer : callable
+        Told the text of each query; True lets its answer be lost.
+    """
+
+    def __init__(self, group: LineGroup):
+        self.group = group
+        self.addresses: dict[str, Address] = {}
+        self.loses_answer: Callable[[str], bool] = lambda text: False
+        self._streams: dict[str, set[SocketStream]] = {}
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen for every database."""
+        for database in self.group.databases.values():
+            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+            port = listener.extra(SocketAttribute.local_port)
+            self.addresses[database.database_id] = Address(LOOPBACK, port)
+            self._streams[database.database_id] = set()
+            tasks.start_soon(listener.serve, self._handler(database))
+
+    async def crash(self, database_id: str) -> None:
+        """Stop a database: its connections break, new ones are refused."""
+        self.group.databases[database_id].is_running = False
+        for stream in list(self._streams[database_id]):
+            await anyio.aclose_forcefully(stream)
+
+    def _handler(self, database: LineDatabase) -> Callable:
+        async def handle(stream: SocketStream) -> None:
+            streams = self._streams[database.database_id]
+            streams.add(stream)
+            try:
+                if database.is_running:
+                    await self._serve(database, stream)
+            except _LOST:
+                pass  # the proxy left
+            finally:
+                streams.discard(stream)
+                await anyio.aclose_forcefully(stream)
+
+        return handle
+
+    async def _serve(self, database: LineDatabase, stream: SocketStream) -> None:
+        session = LineSession(self.group, database)
+        data = b""
+        while True:
+            data += await stream.receive()
+            while b"\r\n" in data:
+                line, _, data = data.partition(b"\r\n")
+                if not await self._answer(database, session, stream, line.decode()):
+                    return
+
+    async def _answer(
+        self,
+        database: LineDatabase,
+        session: LineSession,
+        stream: SocketStream,
+        line: str,
+    ) -> bool:
+        word, _, rest = line.partition(" ")
+        if word == "CONNECT":
+            fields = rest.split(" ")
+            if fields[0] != self.group.service or fields[2:] != [database.database_id]:
+                await stream.send(b"ERROR WRONGNODE another\r\n")
+                return False
+            shown = database.shown
+            await stream.send(f"READY I {shown.term}.{shown.position}\r\n".encode())
+            return True
+        if word != "QUERY":
+            return False
+        request_id, _, text = rest.partition(" ")
+        lines = await session.answer(request_id, text)
+        if not self.loses_answer(text):
+            await stream.send("".join(f"{one}\r\n" for one in lines).encode())
+        return True
--- /dev/null
+++ b/goldcrestpond/standin/line_session.py
@@ -0,0 +1,136 @@
+"""One session at a database of the platform's kind."""
+
+import itertools
+
+from ..group.log_position import LogPosition
+from ..group.role import Role
+from .line_group import LineDatabase, LineGroup
+
+_RECEIPTS = itertools.count(1)
+
+
+class LineSession:
+    """Answers query texts with the lines of their answers."""
+
+    def __init__(self, group: LineGroup, database: LineDatabase):
+        self._group = group
+        self._database = database
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
+        self._state = "I"
+        self._is_plain = False
+        self._writes: list[tuple[str, str]] = []
+
+    async def answer(self, request_id: str, text: str) -> list[str]:
+        """Return the lines that answer a text."""
+        lines = await self._answer(request_id, text)
+        if lines[-1].startswith("ERROR") and self._state == "T":
+            self._state = "E"
+        shown = self._database.shown
+        return [*lines, f"READY {self._state} {shown.term}.{shown.position}"]
+
+    async def _answer(self, request_id: str, text: str) -> list[str]:
+        word, _, rest = text.partition(" ")
+        if word == "SINCE":
+            position, _, text = rest.partition(" ")
+            term, _, number = position.partition(".")
+            if self._database.shown < LogPosition(int(term), int(number)):
+                return ["ERROR LAGGING behind"]
+            word, _, rest = text.partition(" ")
+        if self._state == "E" and word != "ROLLBACK":
+            return ["ERROR MALFORMED the transaction failed"]
+        if self._is_plain and self._state == "T" and not self._leads():
+            return [f"ERROR READONLY {self._database.database_id}"]
+        handler = getattr(self, f"_do_{word.lower()}", None)
+        if handler is None:
+            return ["ERROR MALFORMED unknown"]
+        return await handler(request_id, rest)
+
+    def _leads(self) -> bool:
+        return self._database.role is Role.PRIMARY
+
+    def _done(self, request_id: str) -> list[str]:
+        if request_id == "-":
+            return ["COMPLETE -"]
+        return [f"COMPLETE r{next(_RECEIPTS)}"]
+
+    async def _do_begin(self, request_id: str, rest: str) -> list[str]:
+        if not rest and not self._leads():
+            return [f"ERROR READONLY {self._database.database_id}"]
+        self._state = "T"
+        self._is_plain = not rest
+        return self._done(request_id)
+
+    async def _do_commit(self, request_id: str, rest: str) -> list[str]:
+        writes, self._writes = self._writes, []
+        self._group.executions.append(
+            (self._database.database_id, request_id, "COMMIT")
+        )
+        if writes:
+            await self._group.commit(self._database, writes)
+        self._state = "I"
+        return self._done(request_id)
+
+    async def _do_rollback(self, request_id: str, rest: str) -> list[str]:
+        self._writes = []
+        self._state = "I"
+        return self._done(request_id)
+
+    async def _do_read(self, request_id: str, rest: str) -> list[str]:
+        self._group.executions.append((self._database.database_id, request_id, "READ"))
+        row = f"ROW {self._database.read(rest)} {sorted(self._values.items())}"
+        return [row, *self._done(request_id)]
+
+    async def _do_write(self, request_id: str, rest: str) -> list[str]:
+        if not self._leads():
+            return [f"ERROR READONLY {self._database.database_id}"]
+        self._group.executions.append((self._database.database_id, request_id, "WRITE"))
+        item, _, data = rest.partition(" ")
+        self._writes.append((item, data))
+        if self._state == "I":
+            writes, self._writes = self._writes, []
+            await self._group.commit(self._database, writes)
+        return self._done(request_id)
+
+    async def _do_set(self, request_id: str, rest: str) -> list[str]:
+        name, _, value = rest.partition(" ")
+        self._values[name] = value
+        return self._done(request_id)
+
+    async def _do_prepare(self, request_id: str, rest: str) -> list[str]:
+        name, _, shape = rest.partition(" ")
+        self._prepared[name] = shape.partition(" ")[0]
+        return self._done(request_id)
+
+    async def _do_execute(self, request_id: str, rest: str) -> list[str]:
+        name, _, arguments = rest.partition(" ")
+        kind = self._prepared.get(name)
+        if kind is None:
+            return ["ERROR NOSTMT unknown"]
+        handler = self._do_write if kind == "WRITE" else self._do_read
+        return await handler(request_id, arguments)
+
+    async def _do_reset(self, request_id: str, rest: str) -> list[str]:
+        self._values.clear()
+        self._prepared.clear()
+        return self._done(request_id)
+
+    async def _do_status(self, request_id: str, rest: str) -> list[str]:
+        database = self._database
+        received = database.received
+        row = (
+            f"ROW {database.role} {database.term} {received.term}.{received.position} "
+            f"{database.paused_term} 0 0 1"
+        )
+        return [row, "COMPLETE -"]
+
+    async def _do_pause(self, request_id: str, rest: str) -> list[str]:
+        newest = max(d.term for d in self._group.databases.values())
+        if int(rest) > newest and self._database.role is Role.REPLICA:
+            self._database.paused_term = int(rest)
+        return await self._do_status(request_id, "")
+
+    async def _do_resume(self, request_id: str, rest: str) -> list[str]:
+        self._database.paused_term = 0
+        self._group.replicate()
+        return await self._do_status(request_id, "")
--- /dev/null
+++ b/tests/line_world.py
@@ -0,0 +1,185 @@
+"""A site of the users' platform on loopback: store, databases, instances."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from goldcrestpond.api.http_server import serve_http
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.platform.instance_settings import InstanceSettings
+from goldcrestpond.root.instance import Instance
+from goldcrestpond.settings.address import Address
+from goldcrestpond.standin.line_group import LineGroup
+from goldcrestpond.standin.line_platform import LinePlatform
+from goldcrestpond.standin.line_server import LineServer
+
+SERVICE = "fuel"
+DATABASES = ["d1", "d2", "d3"]
+ZONES = dict(zip(DATABASES, ["z1", "z2", "z3"], strict=True))
+ROUTES = {
+    "current": {"routeType": "primary"},
+    "aged": {"routeType": "bounded_staleness", "maxStalenessMs": 1500},
+    "own": {"routeType": "read_your_writes", "maxStalenessMs": 2500},
+}
+
+
+class ListLog:
+    """Keeps decisions."""
+
+    def __init__(self):
+        self.lines = []
+
+    def decision(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def events(self):
+        return [event for event, _ in self.lines]
+
+
+class LineCaller:
+    """A caller that speaks the line protocol."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._data = b""
+        self._next_id = 0
+
+    async def line(self):
+        while b"\r\n" not in self._data:
+            self._data += await self._stream.receive()
+        line, _, self._data = self._data.partition(b"\r\n")
+        return line.decode("latin-1")
+
+    async def send(self, data):
+        await self._stream.send(data)
+
+    async def connect(self, database):
+        await self.send(f"CONNECT {database} test\r\n".encode())
+        return await self.line()
+
+    async def ask(self, text):
+        """Return the lines of an answer, the last one its READY."""
+        self._next_id += 1
+        await self.send(f"QUERY q{self._next_id} {text}\r\n".encode())
+        lines = [await self.line()]
+        while not lines[-1].startswith("READY"):
+            lines.append(await self.line())
+        return lines
+
+    async def aclose(self):
+        await anyio.aclose_forcefully(self._stream)
+
+
+class LineWorld:
+    """Everything that one test runs."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.platform = LinePlatform()
+        self.group = LineGroup(SERVICE, DATABASES)
+        self.servers = LineServer(self.group)
+        self.platform.promote = self._promote
+        self.logs = []
+        self.instances = []
+        self.version = 0
+        self.address = Address("127.0.0.1", 0)
+
+    def _promote(self, service, database_id):
+        self.group.promote(database_id)
+        self.register()
+
+    def register(self, **changes):
+        """Write the databases' entries; ``changes`` by id override fields."""
+        for database_id, database in self.group.databases.items():
+            if not database.is_running:
+                continue
+            entry = {
+                "serviceName": SERVICE,
+                "address": str(self.servers.addresses[database_id]),
+                "zone": ZONES[database_id],
+                "configVersion": "v1",
+                "slots": 5,
+                "state": "ready",
+                "warmupLeftMs": 0,
+                "dbRole": str(database.role),
+                "sequence": 1,
+                **changes.get(database_id, {}),
+            }
+            self.platform.put("servers", database_id, entry)
+
+    def configure(self, names=tuple(ROUTES), **fields):
+        """Put the next version of the configuration in force."""
+        self.version += 1
+        routes = [
+            {
+                "name": f"r-{name}",
+                "database": name,
+                "prefix": "/",
+                "timeoutMs": 1000,
+                "targetLatencyMs": 200,
+                "priority": 1,
+                "serviceName": SERVICE,
+                "attempts": 2,
+                **ROUTES[name],
+                **fields,
+            }
+            for name in names
+        ]
+        services = [{"name": SERVICE, "maxConns": 34, "syncReplicas": 1}]
+        body = {
+            "configVersion": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": {"txnIdleMs": 3000},
+        }
+        self.platform.put("op", "config", body)
+
+    async def start_instance(self, name="i1", zone="z1"):
+        """Start one instance and wait until it is ready."""
+        log = ListLog()
+        settings = InstanceSettings(
+            instance=name,
+            availability_zone=zone,
+            listen="127.0.0.1:0",
+            ready_listen="127.0.0.1:0",
+            store=str(self.address),
+            duties=str(self.address),
+        )
+        instance = Instance(settings, SystemClock(), log, self.tasks)
+        await instance.start()
+        with anyio.fail_after(5):
+            while not (instance.is_ready() and instance.directory.services):
+                await anyio.sleep(0.01)
+        self.instances.append(instance)
+        self.logs.append(log)
+        return instance
+
+    @asynccontextmanager
+    async def caller(self, database, instance=None):
+        """Connect a caller to an instance."""
+        host, port = (instance or self.instances[0]).caller_address
+        caller = LineCaller(await anyio.connect_tcp(host, port))
+        try:
+            greeting = await caller.connect(database)
+            assert greeting == "READY I -", greeting
+            yield caller
+        finally:
+            await caller.aclose()
+
+
+@asynccontextmanager
+async def line_world(instance_count=1):
+    """Run a site with so many instances until the context ends."""
+    async with anyio.create_task_group() as tasks:
+        world = LineWorld(tasks)
+        await world.servers.start(tasks)
+        application = world.platform.application()
+        async with serve_http(application, Address("127.0.0.1", 0)) as address:
+            world.address = address
+            world.configure()
+            world.register()
+            for index in range(instance_count):
+                await world.start_instance(f"i{index + 1}")
+            yield world
+            tasks.cancel_scope.cancel()
+            world.platform.is_down = True  # feeds that wait end at once
--- /dev/null
+++ b/tests/platform/test_instance_path.py
@@ -0,0 +1,320 @@
+"""The whole path: callers, an instance, databases and the store on loopback."""
+
+import anyio
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, MatchesRegex, StartsWith
+
+from ..line_world import line_world
+
+SERVICE_OF_OTHERS = "others"
+
+
+def _run(body, instance_count=1):
+    async def run():
+        with anyio.fail_after(30):
+            async with line_world(instance_count) as world:
+                await body(world)
+
+    anyio.run(run)
+
+
+def test_write_is_read_back_with_the_signatures_of_databases():
+    async def body(world):
+        for database in ("current", "own"):
+            async with world.caller(database) as caller:
+                written = await caller.ask(f"WRITE {database} 7 litres")
+                read = await caller.ask(f"READ {database}")
+                assert_that(written[0], MatchesRegex("COMPLETE r[0-9]+"))
+                assert_that(read[0], StartsWith("ROW 7 litres"))
+                assert_that(read[1], MatchesRegex("COMPLETE r[0-9]+"))
+                assert_that(read[2], Equals("READY I -"))
+
+    _run(body)
+
+
+def test_unknown_database_is_refused_and_closed():
+    async def body(world):
+        host, port = world.instances[0].caller_address
+        stream = await anyio.connect_tcp(host, port)
+        await stream.send(b"CONNECT nobody test\r\n")
+        answer = await stream.receive()
+        assert_that(answer.decode(), StartsWith("ERROR NODB GP102"))
+
+    _run(body)
+
+
+def test_transaction_keeps_its_connection_and_commits():
+    async def body(world):
+        async with world.caller("own") as caller, world.caller("own") as other:
+            assert_that(await caller.ask("BEGIN"), Equals(["COMPLETE -", "READY T -"]))
+            await caller.ask("WRITE a 1")
+            seen_before = await other.ask("READ a")
+            committed = await caller.ask("COMMIT")
+            seen_after = await caller.ask("READ a")
+            assert_that(seen_before[0], StartsWith("ROW - "))
+            assert_that(committed[-1], Equals("READY I -"))
+            assert_that(seen_after[0], StartsWith("ROW 1 "))
+
+    _run(body)
+
+
+def test_rollback_keeps_nothing():
+    async def body(world):
+        async with world.caller("current") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            rolled_back = await caller.ask("ROLLBACK")
+            assert_that(rolled_back, Equals(["COMPLETE -", "READY I -"]))
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW - "))
+
+    _run(body)
+
+
+def test_caller_that_leaves_inside_a_transaction_keeps_nothing():
+    async def body(world):
+        async with world.caller("current") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+        async with world.caller("current") as caller:
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW - "))
+
+    _run(body)
+
+
+def test_values_and_names_of_callers_do_not_mix():
+    async def body(world):
+        async with world.caller("own") as one, world.caller("own") as two:
+            await one.ask("SET lang it")
+            await two.ask("SET tone warm")
+            await one.ask("PREPARE s READ q1")
+            await two.ask("PREPARE s WRITE q1")
+            for _ in range(3):
+                of_one = await one.ask("EXECUTE s a")
+                of_two = await two.ask("EXECUTE s a 5")
+                plain = await two.ask("READ a")
+                assert_that(of_one[0], Contains("[('lang', 'it')]"))
+                assert_that(of_two[0], StartsWith("COMPLETE r"))
+                assert_that(plain[0], Contains("[('tone', 'warm')]"))
+
+    _run(body)
+
+
+def test_dropped_name_is_unknown():
+    async def body(world):
+        async with world.caller("own") as caller:
+            await caller.ask("PREPARE s READ q1")
+            await caller.ask("DEALLOC s")
+            answer = await caller.ask("EXECUTE s a")
+            assert_that(answer[0], StartsWith("ERROR NOSTMT"))
+
+    _run(body)
+
+
+def test_bad_statement_harms_nobody():
+    async def body(world):
+        async with world.caller("own") as caller:
+            for text in (
+                "SELECT 1",
+                "SINCE 1.1 READ a",
+                "STATUS",
+                "PAUSE 9",
+                "BEGIN X",
+            ):
+                answer = await caller.ask(text)
+                assert_that(answer[0], StartsWith("ERROR MALFORMED"))
+                assert_that(answer[1], Equals("READY I -"))
+            assert_that((await caller.ask("READ a"))[1], StartsWith("COMPLETE r"))
+
+    _run(body)
+
+
+def test_pipelined_statements_are_answered_in_order():
+    async def body(world):
+        async with world.caller("own") as caller:
+            await caller.send(b"QUERY 1 WRITE a 1\r\nQUERY 2 READ a\r\nQUE")
+            assert_that(await caller.line(), StartsWith("COMPLETE"))
+            assert_that(await caller.line(), Equals("READY I -"))
+            assert_that(await caller.line(), StartsWith("ROW 1"))
+            await caller.line()
+            await caller.line()
+            await caller.send(b"RY 3 READ a\r\n")
+            assert_that(await caller.line(), StartsWith("ROW 1"))
+
+    _run(body)
+
+
+def test_lost_answer_of_a_write_is_in_doubt_and_it_runs_once():
+    async def body(world):
+        world.configure(timeoutMs=300)
+        await anyio.sleep(0.2)
+        async with world.caller("current") as caller:
+            await caller.ask("READ a")
+            world.servers.loses_answer = lambda text: text.startswith("WRITE")
+            answer = await caller.ask("WRITE a 1")
+            assert_that(answer[0], StartsWith("ERROR INDOUBT"))
+            world.servers.loses_answer = lambda text: False
+            writes = [e for e in world.group.executions if e[2] == "WRITE"]
+            assert_that(writes, HasLength(1))
+
+    _run(body)
+
+
+def test_lost_answer_inside_a_transaction_is_a_true_promise():
+    async def body(world):
+        world.configure(timeoutMs=300)
+        await anyio.sleep(0.2)
+        async with world.caller("current") as caller:
+            await caller.ask("BEGIN")
+            world.servers.loses_answer = lambda text: text.startswith("WRITE")
+            answer = await caller.ask("WRITE a 1")
+            assert_that(answer[0], StartsWith("ERROR ABORTED"))
+            assert_that(answer[1], Equals("READY E -"))
+            world.servers.loses_answer = lambda text: False
+            await caller.ask("ROLLBACK")
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW - "))
+
+    _run(body)
+
+
+def test_lost_answer_of_a_commit_is_in_doubt():
+    async def body(world):
+        world.configure(timeoutMs=300)
+        await anyio.sleep(0.2)
+        async with world.caller("current") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            world.servers.loses_answer = lambda text: text == "COMMIT"
+            answer = await caller.ask("COMMIT")
+            assert_that(answer[0], StartsWith("ERROR INDOUBT"))
+            assert_that(answer[1], Equals("READY I -"))
+
+    _run(body)
+
+
+def test_lost_answer_of_a_read_is_read_again():
+    async def body(world):
+        async with world.caller("own") as caller:
+            await caller.ask("WRITE a 1")
+            lost = []
+
+            def lose_once(text):
+                is_read = text.partition(" ")[2].endswith("READ a")
+                is_lost = (is_read or text == "READ a") and not lost
+                lost.extend([text] * is_lost)
+                return is_lost
+
+            world.servers.loses_answer = lose_once
+            answer = await caller.ask("READ a")
+            assert_that(lost, HasLength(1))
+            assert_that(answer[0], StartsWith("ROW 1"))
+
+    _run(body)
+
+
+def test_lagging_replicas_leave_reads_to_the_leader():
+    async def body(world):
+        for database in world.group.databases.values():
+            database.lags = True
+        async with world.caller("own") as caller:
+            await caller.ask("WRITE a 1")
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 1"))
+        async with world.caller("current") as caller:
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 1"))
+
+    _run(body)
+
+
+def test_replaced_primary_serves_no_current_read():
+    async def body(world):
+        async with world.caller("current") as caller:
+            await caller.ask("WRITE a 1")
+            # The old primary gets nothing more and answers plain reads as before.
+            world.group.databases["d1"].is_cut_off = True
+            world.group.promote("d2")
+            async with world.caller("current") as other:
+                await other.ask("WRITE a 2")
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 2"))
+
+    _run(body)
+
+
+def test_crashed_leader_is_replaced_and_keeps_what_was_acknowledged():
+    async def body(world):
+        async with world.caller("own", world.instances[0]) as caller:
+            for number in range(5):
+                await caller.ask(f"WRITE a {number}")
+            await world.servers.crash("d1")
+            with anyio.fail_after(12):
+                answer = await caller.ask("WRITE a last")
+                while answer[0].startswith("ERROR BUSY"):
+                    answer = await caller.ask("WRITE a last")
+            assert_that(answer[0], StartsWith("COMPLETE r"))
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW last"))
+        assert_that(world.platform.promotions, HasLength(1))
+        assert_that(world.group.lost_acknowledged, Equals([]))
+
+    _run(body, instance_count=3)
+
+
+def test_leader_that_leaves_is_replaced_without_a_refusal():
+    async def body(world):
+        async with world.caller("current") as caller:
+            await caller.ask("WRITE a 0")
+            world.register(d1={"state": "draining"})
+            refused = []
+            with anyio.fail_after(12):
+                while not world.platform.promotions:
+                    answer = await caller.ask("WRITE a 1")
+                    refused += [answer[0]] * answer[0].startswith("ERROR")
+            assert_that((await caller.ask("WRITE a 2"))[0], StartsWith("COMPLETE r"))
+            assert_that(refused, Equals([]))
+        assert_that(world.group.lost_acknowledged, Equals([]))
+
+    _run(body)
+
+
+def test_configuration_comes_within_a_second_and_never_goes_back():
+    async def body(world):
+        world.configure(names=("own",))
+        await anyio.sleep(0.5)
+        version = world.instances[0].directory.table.version
+        assert_that(set(world.instances[0].directory.table.routes), Equals({"own"}))
+        old = {"configVersion": 1, "routes": [], "services": []}
+        world.platform.put("op", "config", old)
+        await anyio.sleep(0.3)
+        assert_that(world.instances[0].directory.table.version, Equals(version))
+        world.platform.put("op", "config", b"not json")
+        world.platform.forget_history()
+        await anyio.sleep(0.5)
+        world.version = 10
+        world.configure()
+        await anyio.sleep(0.5)
+        assert_that(world.instances[0].directory.table.version, Equals(11))
+
+    _run(body)
+
+
+def test_store_that_is_down_leaves_callers_served():
+    async def body(world):
+        async with world.caller("own") as caller:
+            await caller.ask("WRITE a 1")
+            world.platform.is_down = True
+            await anyio.sleep(0.5)
+            await caller.ask("WRITE a 2")
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 2"))
+
+    _run(body)
+
+
+def test_entries_of_other_writers_name_no_database():
+    async def body(world):
+        world.platform.put("servers", "x1", b"\xff")
+        world.platform.put("servers", "x2", {"serviceName": SERVICE_OF_OTHERS})
+        world.platform.put("servers", "x3", [])
+        await anyio.sleep(1.3)
+        async with world.caller("own") as caller:
+            assert_that((await caller.ask("WRITE a 1"))[0], StartsWith("COMPLETE r"))
+        services = world.instances[0].directory.services
+        assert_that(set(services), Equals({"fuel"}))
+
+    _run(body)
