--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -111,6 +111,11 @@
         """Longest pause inside a transaction."""
         return self._directory.table.transaction_idle_limit
 
+    def end_after_answers(self) -> None:
+        """Close each session after its next answer, when nothing is on its way."""
+        for talk in self._talks:
+            talk.is_ending = True
+
     def end_idle(self) -> None:
         """Close the sessions that wait for nothing."""
         for talk in list(self._talks):
@@ -154,6 +159,13 @@
             return False
         return session.transaction_state is not TransactionState.IDLE
 
+    @property
+    def _has_open_transaction(self) -> bool:
+        session = self._session
+        if session is None:
+            return False
+        return session.transaction_state is TransactionState.OPEN
+
     async def run(self) -> None:
         """Answer the caller's messages in order."""
         try:
@@ -166,9 +178,9 @@
             raise
 
     def end_when_idle(self) -> None:
-        """End the session as soon as no statement or transaction is open."""
+        """End the session as soon as no statement runs and none is to follow."""
         self.is_ending = True
-        if self._reading is not None and not self.is_in_transaction:
+        if self._reading is not None and not self._has_open_transaction:
             self._reading.cancel()
 
     async def abort(self, reason: str) -> None:
@@ -197,8 +209,6 @@
         return True
 
     async def _answer_next(self) -> bool:
-        if self.is_ending and not self.is_in_transaction:
-            return False
         line = await self._read_line()
         if line is None:
             return False
@@ -209,7 +219,7 @@
             raise CodedError(ResultCode.MALFORMED_FRAME, "the session has begun")
         reply = await self._run(message)
         await self._sender.send(codec.encode_reply(reply))
-        return True
+        return self.is_in_transaction or not self.is_ending
 
     async def _run(self, query: codec.Query) -> Reply:
         try:
@@ -240,7 +250,7 @@
                 self._reading = None
                 return data
             self._reading = None
-            if self.is_ending and not self.is_in_transaction:
+            if self.is_ending and not self._has_open_transaction:
                 return None
             if self._session is not None:
                 await self._session.abort("idle for too long")
--- a/goldcrestpond/root/instance_shutdown.py
+++ b/goldcrestpond/root/instance_shutdown.py
@@ -36,12 +36,11 @@
     moved_on = min(MOVED_ON, grace * TRANSACTION_PART)
     while clock.now() - began_at < moved_on:
         await anyio.sleep(_TICK_S)
-    transactions_aborted = False
+    callers.end_after_answers()
+    while callers.caller_count and clock.now() - began_at < grace * TRANSACTION_PART:
+        await anyio.sleep(_TICK_S)
+    await callers.abort_transactions()
     while callers.caller_count and clock.now() - began_at < grace * LAST_PART:
         callers.end_idle()
-        is_due = clock.now() - began_at >= grace * TRANSACTION_PART
-        if is_due and not transactions_aborted:
-            transactions_aborted = True
-            await callers.abort_transactions()
         await anyio.sleep(_TICK_S)
     log.decision("sessions ended", left=callers.caller_count)
--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -14,6 +14,7 @@
 from goldcrestpond.standin.line_server import LineServer
 
 SERVICE = "fuel"
+GRACE_S = 1.0
 DATABASES = ["d1", "d2", "d3"]
 ZONES = dict(zip(DATABASES, ["z1", "z2", "z3"], strict=True))
 ROUTES = {
@@ -144,6 +145,7 @@
             ready_listen="127.0.0.1:0",
             store=str(self.address),
             duties=str(self.address),
+            grace_s=GRACE_S,
         )
         instance = Instance(settings, SystemClock(), log, self.tasks)
         await instance.start()
--- /dev/null
+++ b/tests/platform/test_instance_stop.py
@@ -0,0 +1,79 @@
+"""A stop cuts no statement, and leaves transactions half of the grace period."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, StartsWith
+
+from ..line_world import GRACE_S, line_world
+
+
+def _run(body):
+    async def run():
+        with anyio.fail_after(20):
+            async with line_world() as world:
+                async with anyio.create_task_group() as tasks:
+                    await body(world, tasks)
+
+    anyio.run(run)
+
+
+def test_busy_caller_is_closed_only_behind_an_answer():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("READ a")
+            tasks.start_soon(world.instances[0].stop)
+            answered = 0
+            with pytest.raises(anyio.EndOfStream):
+                while True:
+                    lines = await caller.ask("READ a")
+                    assert_that(lines[-1], Equals("READY I -"))
+                    answered += 1
+            assert_that(answered > 10, Is(True))
+
+    _run(body)
+
+
+def test_instance_that_stops_is_not_ready_at_once():
+    async def body(world, tasks):
+        tasks.start_soon(world.instances[0].stop)
+        await anyio.sleep(0.01)
+        assert_that(world.instances[0].is_ready(), Is(False))
+
+    _run(body)
+
+
+def test_open_transaction_may_commit_in_the_first_half():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            tasks.start_soon(world.instances[0].stop)
+            await anyio.sleep(GRACE_S * 0.3)
+            assert_that((await caller.ask("COMMIT"))[0], StartsWith("COMPLETE r"))
+
+    _run(body)
+
+
+def test_transaction_that_stays_open_is_rolled_back_and_closed():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            await world.instances[0].stop()
+            with pytest.raises(anyio.EndOfStream):
+                await caller.ask("READ a")
+        assert_that(world.group.databases["d1"].read("a"), Equals("-"))
+
+    _run(body)
+
+
+def test_idle_session_is_closed_within_the_grace_period():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            with anyio.fail_after(GRACE_S):
+                await world.instances[0].stop()
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await caller.ask("READ a")
+
+    _run(body)
