--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -27,7 +27,9 @@
     listen : str
         ``IP:PORT`` for callers.
     ready_listen : str
-        ``IP:PORT`` for the ready probe and the metrics.
+        ``IP:PORT`` for the ready probe.
+    metrics_listen : str
+        ``IP:PORT`` for the metrics.
     store : str
         ``IP:PORT`` of the platform's store.
     duties : str
@@ -42,6 +44,7 @@
     availability_zone: str
     listen: str
     ready_listen: str
+    metrics_listen: str
     store: str
     duties: str = ""
     drain_limit_ms: int = 7000
@@ -62,7 +65,7 @@
         raise CodedError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
     try:
         settings = msgspec.json.decode(data, type=InstanceSettings)
-        for key in ("listen", "ready_listen", "store"):
+        for key in ("listen", "ready_listen", "metrics_listen", "store"):
             parse_address(getattr(settings, key))
         if settings.duties:
             parse_address(settings.duties)
--- a/goldcrestpond/platform/ready_server.py
+++ b/goldcrestpond/platform/ready_server.py
@@ -6,7 +6,7 @@
 import h11
 from anyio.abc import SocketStream
 
-from ..serving.metrics_text import MetricsText
+from ..serving.metrics import Metrics
 
 READY_PATH = b"/-/ready"
 METRICS_PATH = b"/metrics"
@@ -27,13 +27,13 @@
     ----------
     is_ready : callable
         Whether new callers may come.
-    metrics : callable
-        Returns the metrics as text.
+    metrics : Metrics
+        Rendered as text on demand.
     """
 
     __slots__ = ("_is_ready", "_metrics")
 
-    def __init__(self, is_ready: Callable[[], bool], metrics: MetricsText):
+    def __init__(self, is_ready: Callable[[], bool], metrics: Metrics):
         self._is_ready = is_ready
         self._metrics = metrics
 
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -24,7 +24,7 @@
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
 from ..serving.member_keeper import MemberKeeper
-from ..serving.metrics_text import MetricsText
+from ..serving.metrics import Metrics
 from ..serving.serving_settings import ServingSettings
 from ..serving.succession_keeper import SuccessionKeeper
 from ..serving.table_feed import TableFeed
@@ -104,6 +104,7 @@
         tasks: TaskGroup,
     ):
         rng = random.Random()
+        metrics = Metrics()
         self._settings = settings
         self._clock = clock
         self._log = log
@@ -115,7 +116,9 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
         )
-        self.directory = Directory(serving, open_endpoint_link, clock, rng, log, tasks)
+        self.directory = Directory(
+            serving, open_endpoint_link, clock, rng, log, metrics, tasks
+        )
         failover = None
         if settings.duties:
             http = HttpClient(parse_address(settings.duties))
@@ -158,7 +161,8 @@
             log,
         )
         self._callers = CallerServer(self.directory, self._open_session, log)
-        self._ready = ReadyServer(self.is_ready, MetricsText())
+        self._ready = ReadyServer(self.is_ready, metrics)
+        metrics.set_gauges(self._gauges)
         self._listeners: list[SocketListener] = []
         self._rng = rng
 
@@ -171,6 +175,7 @@
         tasks.start_soon(self._succession.run)
         tasks.start_soon(self._forget_lapsed)
         await self._listen(self._settings.ready_listen, self._ready.handle)
+        await self._listen(self._settings.metrics_listen, self._ready.handle)
         await self._listen(self._settings.listen, self._callers.handle)
 
     async def stop(self) -> None:
@@ -203,6 +208,21 @@
         """Return whether new callers may come."""
         return not self._is_stopping and self.directory.table.version > 0
 
+    def _gauges(self) -> dict[str, float]:
+        feeds = {
+            "configuration": self._configuration_feed,
+            "registry": self._registry_feed,
+        }
+        reached = {
+            f'store_reachable{{table="{name}"}}': int(feed.is_reachable)
+            for name, feed in feeds.items()
+        }
+        callers = {
+            "callers": self._callers.caller_count,
+            "open_transactions": self._callers.open_transactions,
+        }
+        return {**self.directory.gauges(), **reached, **callers}
+
     async def _forget_lapsed(self) -> None:
         while True:
             await anyio.sleep(LAPSE_TICK_S)
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -91,6 +91,7 @@
             reply = await self._run(statement, arrived_at)
         except CodedError as error:
             reply = self._failure(statement, error, arrived_at)
+        self._measure(statement, reply, self._clock.now() - arrived_at)
         reply.state = self.transaction_state
         return reply
 
@@ -198,6 +199,14 @@
             self._directory,
         )
 
+    def _measure(self, statement: Statement, reply: Reply, elapsed: timedelta) -> None:
+        metrics = self._directory.metrics
+        code = "ok" if reply.error is None else f"GP{reply.error.number}"
+        metrics.count("statements_total", kind=statement.kind.name, code=code)
+        if statement.kind in _RUN or statement.kind is StatementKind.COMMIT:
+            name = f"{statement.kind.name.lower()}_latency"
+            metrics.observe_ms(name, elapsed / timedelta(milliseconds=1))
+
     def _failure(
         self, statement: Statement, error: CodedError, arrived_at: timedelta
     ) -> Reply:
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -19,6 +19,7 @@
 from .decision_log import DecisionLog
 from .leader_prover import LeaderProver
 from .link import Link
+from .metrics import Metrics
 from .registry import Registry
 from .route import Route
 from .route_table import RouteTable, ServiceLimits
@@ -47,6 +48,8 @@
         Source of jitter.
     log : DecisionLog
         Sink of decisions.
+    metrics : Metrics
+        Counters and latencies.
     services : dict of str to Service
         Services by name.
     """
@@ -60,6 +63,7 @@
         "_tasks",
         "clock",
         "log",
+        "metrics",
         "registry",
         "rng",
         "services",
@@ -73,6 +77,7 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
+        metrics: Metrics,
         tasks: TaskGroup,
     ):
         self.table = RouteTable()
@@ -80,6 +85,7 @@
         self.clock = clock
         self.rng = rng
         self.log = log
+        self.metrics = metrics
         self.services: dict[str, Service] = {}
         self._settings = settings
         self._open_link = open_link
@@ -171,6 +177,20 @@
         if self.registry.forget_lapsed(self.clock.now()):
             self.apply_registry()
 
+    def gauges(self) -> dict[str, float]:
+        """Return how many connections and requests there are by database."""
+        readings: dict[str, float] = {
+            "configuration_version": self.table.version,
+            "members": self._member_count,
+        }
+        for service in self.services.values():
+            for served in service.databases.values():
+                label = f'{{service="{service.name}",database="{served.database_id}"}}'
+                readings[f"endpoint_connections{label}"] = served.pool.open_count
+                readings[f"endpoint_running{label}"] = served.pool.running_count
+                readings[f"endpoint_demand{label}"] = served.pool.demand
+        return readings
+
     def apply_shares(self) -> None:
         """Give each pool its share by the configuration and the members."""
         for service in self.services.values():
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -104,6 +104,9 @@
                 pause = attempts.failed(evidence, self._clock.now())
                 if pause is None:
                     raise
+                self._directory.metrics.count(
+                    "attempts_failed_total", code=f"GP{error.code.number}"
+                )
                 self._directory.log.decision(
                     "attempt failed",
                     request=self._statement.request_id,
--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -143,6 +143,7 @@
             availability_zone=zone,
             listen="127.0.0.1:0",
             ready_listen="127.0.0.1:0",
+            metrics_listen="127.0.0.1:0",
             store=str(self.address),
             duties=str(self.address),
             grace_s=GRACE_S,
