--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -16,8 +16,8 @@
 from ..serving.directory import Directory
 from ..serving.reply import Reply
 from ..serving.transaction_state import TransactionState
+from ..settings.socket_timeouts import set_timeouts
 from . import line_codec as codec
-from .endpoint_link import set_timeouts
 from .line_buffer import LineBuffer
 
 RECEIVE_BYTES = 4096  # several statements of usual size
--- a/goldcrestpond/platform/endpoint_link.py
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -1,7 +1,6 @@
 """A connection to a database that speaks the line protocol (shell)."""
 
 import select
-import socket
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -17,16 +16,11 @@
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
 from ..serving.transaction_state import TransactionState
+from ..settings.socket_timeouts import set_timeouts
 from . import line_codec as codec
 from .line_buffer import LineBuffer
 
 RECEIVE_BYTES = 16384  # an answer of usual size in one read
-# Unacknowledged bytes break the connection after this time; the platform's databases
-# drop an unreachable caller after 3 s.
-USER_TIMEOUT_MS = 3000
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
 GOODBYE_LIMIT_S = 0.2  # a peer that reads nothing is not waited for
 _LOST = (
     OSError,
@@ -243,13 +237,3 @@
         await link.aclose()
         raise
     return link
-
-
-def set_timeouts(raw: socket.socket) -> None:
-    """Let the kernel find out that the other end of a connection is gone."""
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
--- a/goldcrestpond/platform/http_connection.py
+++ b/goldcrestpond/platform/http_connection.py
@@ -9,7 +9,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..settings.address import Address
-from .endpoint_link import set_timeouts
+from ..settings.socket_timeouts import set_timeouts
 
 RECEIVE_BYTES = 65536
 BODY_LIMIT_BYTES = 16 << 20  # far beyond the platform's 1 MB an answer
--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -28,6 +28,8 @@
         ``IP:PORT`` for callers.
     ready_listen : str
         ``IP:PORT`` for the ready probe.
+    peer_listen : str
+        ``IP:PORT`` for other instances.
     metrics_listen : str
         ``IP:PORT`` for the metrics.
     store : str
@@ -44,6 +46,7 @@
     availability_zone: str
     listen: str
     ready_listen: str
+    peer_listen: str
     metrics_listen: str
     store: str
     duties: str = ""
@@ -65,7 +68,7 @@
         raise CodedError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
     try:
         settings = msgspec.json.decode(data, type=InstanceSettings)
-        for key in ("listen", "ready_listen", "metrics_listen", "store"):
+        for key in ("listen", "ready_listen", "peer_listen", "metrics_listen", "store"):
             parse_address(getattr(settings, key))
         if settings.duties:
             parse_address(settings.duties)
--- /dev/null
+++ b/goldcrestpond/relay/holder.py
@@ -0,0 +1,137 @@
+"""An instance that holds connections to a service, as others see it (shell)."""
+
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketAttribute, TaskGroup
+
+from ..clock.clock import Clock
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..serving.endpoint_health import EndpointHealth
+from ..settings.address import Address
+from ..settings.socket_timeouts import set_timeouts
+from .channel import Channel
+from .messages import Message, Response, Return
+
+CONNECT_LIMIT = timedelta(milliseconds=300)  # many round trips between zones
+ANSWER_SLACK = timedelta(milliseconds=100)  # beyond what the holder may wait
+IDLE_CHANNELS_MAX = 8  # a burst opens more; they are closed after it
+
+
+class Holder:
+    """Channels to one holder.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    address : Address
+        Where it takes channels.
+    availability_zone : str
+        Its availability zone.
+    health : EndpointHealth
+        What requests have met there.
+    outstanding : int
+        Loans and questions that are under way.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_idle",
+        "_tasks",
+        "address",
+        "availability_zone",
+        "health",
+        "name",
+        "outstanding",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        availability_zone: str,
+        clock: Clock,
+        tasks: TaskGroup,
+    ):
+        self._tasks = tasks
+        self.name = name
+        self.address = address
+        self.availability_zone = availability_zone
+        self.health = EndpointHealth()
+        self.outstanding = 0
+        self._clock = clock
+        self._idle: list[Channel] = []
+
+    async def take(self) -> Channel:
+        """Return an unused channel.
+
+        Raises
+        ------
+        CodedError
+            PEER_UNREACHABLE if none can be opened; nothing was asked.
+        """
+        while self._idle:
+            channel = self._idle.pop()
+            if not channel.is_broken:
+                return channel
+        return await self._open()
+
+    async def give_back(self, channel: Channel) -> None:
+        """Take back a channel on which nothing is outstanding."""
+        if channel.is_broken or len(self._idle) >= IDLE_CHANNELS_MAX:
+            with anyio.CancelScope(shield=True):
+                await channel.aclose()
+        else:
+            self._idle.append(channel)
+
+    def end_loan(self, channel: Channel, is_intact: bool) -> None:
+        """Return what was lent over a channel, without waiting."""
+        self.outstanding -= 1
+        self._tasks.start_soon(self._end_loan, channel, is_intact)
+
+    async def _end_loan(self, channel: Channel, is_intact: bool) -> None:
+        if not channel.is_broken:
+            try:
+                await channel.send(Return(not is_intact))
+            except CodedError:
+                pass  # the loan ends with its channel
+        await self.give_back(channel)
+
+    async def ask(
+        self, channel: Channel, message: Message, wait: timedelta
+    ) -> Response:
+        """Ask over a channel; the wait is the holder's, some slack is added.
+
+        Raises
+        ------
+        CodedError
+            PEER_UNREACHABLE if no answer comes.
+        """
+        limit = wait + ANSWER_SLACK
+        try:
+            with anyio.fail_after(limit.total_seconds()):
+                response = await channel.ask(message)
+        except (CodedError, TimeoutError) as error:
+            self.health.failed(self._clock.now())
+            detail = f"{self.name}: {error}"
+            raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
+        self.health.succeeded()
+        return response
+
+    async def aclose(self) -> None:
+        """Close unused channels."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _open(self) -> Channel:
+        try:
+            with anyio.fail_after(CONNECT_LIMIT.total_seconds()):
+                stream = await anyio.connect_tcp(self.address.host, self.address.port)
+        except (OSError, TimeoutError) as error:
+            self.health.failed(self._clock.now())
+            detail = f"{self.name} at {self.address}: {error}"
+            raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
+        set_timeouts(stream.extra(SocketAttribute.raw_socket))
+        return Channel(stream)
--- /dev/null
+++ b/goldcrestpond/relay/relay_server.py
@@ -0,0 +1,164 @@
+"""Serves other instances from the connections that this one holds (shell)."""
+
+from datetime import timedelta
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..pool.lane import Lane
+from ..serving.directory import Directory
+from ..serving.link import Link
+from ..serving.link_loan import give_back
+from ..serving.served_database import ServedDatabase
+from ..serving.shape import Shape
+from ..serving.transaction_state import TransactionState
+from ..settings.socket_timeouts import set_timeouts
+from . import messages
+from .channel import Channel
+
+# Whoever borrowed has given up long before; a silent connection is found sooner.
+RUN_LIMIT_S = 15.0
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class RelayServer:
+    """Takes channels of other instances.
+
+    Parameters
+    ----------
+    directory : Directory
+        Services and provers of this instance.
+    """
+
+    __slots__ = ("_directory",)
+
+    def __init__(self, directory: Directory):
+        self._directory = directory
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one channel until it ends."""
+        set_timeouts(stream.extra(SocketAttribute.raw_socket))
+        loan = _Loan(Channel(stream), self._directory)
+        try:
+            await loan.serve()
+        except CodedError as error:
+            if error.code is not ResultCode.ANSWER_INTERRUPTED:
+                self._directory.log.decision("channel dropped", detail=str(error))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await loan.aclose()
+
+
+class _Loan:
+    """One channel and the connection that is lent over it."""
+
+    __slots__ = ("_channel", "_directory", "_link", "_served")
+
+    def __init__(self, channel: Channel, directory: Directory):
+        self._channel = channel
+        self._directory = directory
+        self._link: Link | None = None
+        self._served: ServedDatabase | None = None
+
+    async def serve(self) -> None:
+        """Answer messages in order."""
+        while True:
+            request = messages.decode_request(await self._channel.receive())
+            if isinstance(request, messages.Return):
+                await self._give_back(request.is_broken)
+                continue
+            try:
+                response = await self._answer(request)
+            except CodedError as error:
+                response = messages.to_refused(error)
+            await self._channel.send(response)
+
+    async def aclose(self) -> None:
+        """Roll back what is open and close the channel."""
+        await self._give_back(is_broken=False)
+        await self._channel.aclose()
+
+    async def _answer(self, request: messages.Request) -> messages.Response:
+        match request:
+            case messages.Lend():
+                return await self._lend(request)
+            case messages.Prove():
+                return await self._prove(request)
+        if self._link is None:
+            raise CodedError(ResultCode.PEER_MALFORMED, "nothing is lent")
+        try:
+            with anyio.fail_after(RUN_LIMIT_S):
+                return await self._run(self._link, request)
+        except TimeoutError as error:
+            self._link.is_broken = True
+            raise CodedError(ResultCode.ANSWER_INTERRUPTED, "no answer") from error
+        except BaseException:
+            self._link.is_broken = True
+            raise
+
+    async def _lend(self, request: messages.Lend) -> messages.Response:
+        await self._give_back(is_broken=False)
+        service = self._directory.services.get(request.service)
+        served = service and service.databases.get(request.database_id)
+        if served is None or not self._directory.holds(request.service):
+            detail = f"{request.service}/{request.database_id} is not held here"
+            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
+        deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
+        lane = Lane(request.lane)
+        self._link = await served.pool.acquire(0, deadline, request.caller, lane)
+        self._served = served
+        return messages.Lent(self._link.values, list(self._link.prepared))
+
+    async def _prove(self, request: messages.Prove) -> messages.Response:
+        if not self._directory.holds(request.service):
+            detail = f"{request.service} is not held here"
+            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
+        service = self._directory.service(request.service)
+        now = self._directory.clock.now()
+        prover = self._directory.prover(request.service)
+        sample = await prover.sample_since(now, now + request.wait_ms * _MILLISECOND)
+        leader = service.leader()
+        if leader is None:
+            raise CodedError(ResultCode.NO_PRIMARY, request.service)
+        return messages.Proved(leader.database_id, sample.position)
+
+    async def _run(self, link: Link, request: messages.Request) -> messages.Response:
+        self._served.pool.resume(link)
+        match request:
+            case messages.Execute():
+                shape = None if request.shape is None else Shape(*request.shape)
+                statement = messages.to_statement(request)
+                floor = messages.to_position(request.floor)
+                reply = await link.execute(statement, shape, floor)
+            case messages.Begin():
+                floor = messages.to_position(request.floor)
+                reply = await link.begin(request.is_read_only, floor)
+            case messages.Rollback():
+                reply = await link.rollback()
+            case _:
+                return await self._arrange(link, request)
+        if link.state is TransactionState.OPEN:
+            self._served.pool.hold(link)
+        return messages.to_answer(reply)
+
+    async def _arrange(
+        self, link: Link, request: messages.Request
+    ) -> messages.Response:
+        match request:
+            case messages.Reset():
+                await link.reset()
+            case messages.SetValue():
+                await link.set_value(request.name, request.value)
+            case messages.Prepare():
+                await link.prepare(Shape(request.is_write, request.text))
+        return messages.Done()
+
+    async def _give_back(self, is_broken: bool) -> None:
+        link, self._link = self._link, None
+        if link is None:
+            return
+        link.is_broken = link.is_broken or is_broken
+        is_open = link.state is not TransactionState.IDLE
+        await give_back(self._served.pool, link, is_open)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -20,10 +20,13 @@
 from ..platform.ready_server import ReadyServer
 from ..platform.store_client import StoreClient
 from ..platform.store_tables import ConfigurationRows, RegistryRows
+from ..relay.holders import Holders
+from ..relay.relay_server import RelayServer
 from ..serving.caller_session import CallerSession
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
 from ..serving.member_keeper import MemberKeeper
+from ..serving.members import Member
 from ..serving.metrics import Metrics
 from ..serving.serving_settings import ServingSettings
 from ..serving.succession_keeper import SuccessionKeeper
@@ -116,16 +119,21 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
         )
+        holders = Holders(settings.instance, clock, tasks)
         self.directory = Directory(
-            serving, open_endpoint_link, clock, rng, log, metrics, tasks
+            serving, open_endpoint_link, clock, rng, log, metrics, tasks, holders
+        )
+        member = Member(
+            settings.instance,
+            settings.availability_zone,
+            parse_address(settings.peer_listen),
         )
         failover = None
         if settings.duties:
             http = HttpClient(parse_address(settings.duties))
             failover = FailoverCall(http, settings.instance)
-        self._members = MemberKeeper(
-            settings.instance, store, self.directory, clock, rng, log
-        )
+        self._relay = RelayServer(self.directory)
+        self._members = MemberKeeper(member, store, self.directory, clock, rng, log)
         self._succession = SuccessionKeeper(
             settings.instance,
             self.directory,
@@ -176,6 +184,7 @@
         tasks.start_soon(self._forget_lapsed)
         await self._listen(self._settings.ready_listen, self._ready.handle)
         await self._listen(self._settings.metrics_listen, self._ready.handle)
+        await self._listen(self._settings.peer_listen, self._relay.handle)
         await self._listen(self._settings.listen, self._callers.handle)
 
     async def stop(self) -> None:
--- a/goldcrestpond/serving/connection_share.py
+++ b/goldcrestpond/serving/connection_share.py
@@ -1,22 +1,37 @@
-"""How many connections of a database this instance may open."""
+"""Who opens connections to a database, and how many."""
 
 # Kept for a succession, which asks each database over a connection of its own,
 # and for the connections of instances that have just died.
 SUCCESSION_RESERVE = 3
-LEADER_PROOF_CONNECTIONS = 1  # of each instance
+LEADER_PROOF_CONNECTIONS = 1  # of each holder
 LEAST_SHARE = 1
+# Up to so many instances all hold every service, if each gets two connections.
+ALL_HOLD_MEMBERS = 16
+# What one holder of a larger fleet opens: enough for its neighbours to share.
+HOLDER_CONNECTIONS = 6
 
 
-def connection_share(connection_limit: int, member_count: int) -> int:
-    """Return the part of one instance in the connections of all.
+def holder_count(connection_limit: int, member_count: int) -> int:
+    """Return how many instances hold the connections of a service.
 
     Parameters
     ----------
     connection_limit : int
-        Connections that the database takes from all callers together.
+        Connections that a database takes from all callers together.
     member_count : int
         Live instances, this one included.
     """
     shared = connection_limit - SUCCESSION_RESERVE
-    part = shared // max(1, member_count) - LEADER_PROOF_CONNECTIONS
+    least = LEAST_SHARE + LEADER_PROOF_CONNECTIONS
+    is_small = member_count <= ALL_HOLD_MEMBERS
+    if is_small and shared >= least * member_count:
+        return member_count
+    wanted = shared // (HOLDER_CONNECTIONS + LEADER_PROOF_CONNECTIONS)
+    return max(1, min(member_count, wanted))
+
+
+def connection_share(connection_limit: int, holders: int) -> int:
+    """Return how many connections one holder may open for statements."""
+    shared = connection_limit - SUCCESSION_RESERVE
+    part = shared // max(1, holders) - LEADER_PROOF_CONNECTIONS
     return max(LEAST_SHARE, part)
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -11,14 +11,20 @@
 from ..endpoint.connection_pool import ConnectionPool
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
+from ..relay.choose_holder import choose_holder
+from ..relay.holders import Holders
+from ..relay.relay_pool import RelayPool
+from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
-from .connection_share import connection_share
+from .connection_share import connection_share, holder_count
 from .database import Database
 from .decision_log import DecisionLog
 from .leader_prover import LeaderProver
 from .link import Link
+from .members import Member
 from .metrics import Metrics
 from .registry import Registry
 from .route import Route
@@ -56,7 +62,10 @@
 
     __slots__ = (
         "_budgets",
-        "_member_count",
+        "_held",
+        "_holder_counts",
+        "_holders",
+        "_members",
         "_open_link",
         "_provers",
         "_settings",
@@ -79,6 +88,7 @@
         log: DecisionLog,
         metrics: Metrics,
         tasks: TaskGroup,
+        holders: Holders,
     ):
         self.table = RouteTable()
         self.registry = Registry()
@@ -92,12 +102,23 @@
         self._tasks = tasks
         self._provers: dict[str, LeaderProver] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._member_count = MEMBERS_UNTIL_KNOWN
+        self._holders = holders
+        self._members: list[Member] = []
+        self._held: dict[str, bool] = {}
+        self._holder_counts: dict[str, int] = {}
 
     @property
     def member_count(self) -> int:
         """Live instances by which connections are shared."""
-        return self._member_count
+        return len(self._members) or MEMBERS_UNTIL_KNOWN
+
+    def holds(self, service: str) -> bool:
+        """Return whether this instance holds connections to a service."""
+        return self._held.get(service, True)
+
+    def holder_count(self, service: str) -> int:
+        """Return how many instances hold connections to a service."""
+        return self._holder_counts.get(service, self.member_count)
 
     def route(self, database: str) -> Route:
         """Return the route of a database name.
@@ -147,12 +168,13 @@
         self.apply_shares()
         return True
 
-    def set_member_count(self, count: int) -> None:
-        """Share the connections of all databases among this many instances."""
-        if count != self._member_count:
-            self.log.decision("members", count=count, former=self._member_count)
-            self._member_count = count
-            self.apply_shares()
+    def set_members(self, members: list[Member]) -> None:
+        """Share the connections of all databases among these instances."""
+        if members == self._members:
+            return
+        self.log.decision("members", count=len(members), former=len(self._members))
+        self._members = members
+        self.apply_shares()
 
     def apply_registry(self) -> None:
         """Bring the services in line with the registry."""
@@ -163,6 +185,7 @@
                 present = listed.get(database_id)
                 if present is None or _is_other(served.database, present):
                     self._drop(service, served)
+        new_services = {d.service for d in listed.values()} - self.services.keys()
         for database in listed.values():
             service = self.service(database.service)
             served = service.databases.get(database.database_id)
@@ -171,6 +194,10 @@
             else:
                 served.database = database
             service.notify()
+        for name in new_services:
+            self._assign(self.services[name])
+            for served in self.services[name].databases.values():
+                self._share(served)
 
     def drop_lapsed(self) -> None:
         """Drop databases that lapsed and did not come back."""
@@ -181,7 +208,7 @@
         """Return how many connections and requests there are by database."""
         readings: dict[str, float] = {
             "configuration_version": self.table.version,
-            "members": self._member_count,
+            "members": self.member_count,
         }
         for service in self.services.values():
             for served in service.databases.values():
@@ -194,6 +221,7 @@
     def apply_shares(self) -> None:
         """Give each pool its share by the configuration and the members."""
         for service in self.services.values():
+            self._assign(service)
             for served in service.databases.values():
                 self._share(served)
 
@@ -209,17 +237,25 @@
         decisions = DatabasePool(
             PoolSettings(probe_reserve=0, idle_close=_IDLE_CLOSE, connection_limit=1)
         )
-        served = ServedDatabase(
-            database,
-            ConnectionPool(
-                database.database_id,
-                decisions,
-                lambda: self._open(served.database),
-                self.clock,
-                self._tasks,
-                _cannot_say,
-            ),
+        own = ConnectionPool(
+            database.database_id,
+            decisions,
+            lambda: self._open(served.database),
+            self.clock,
+            self._tasks,
+            _cannot_say,
         )
+        name = database.service
+        borrowed = RelayPool(
+            name,
+            database.database_id,
+            lambda: self._holders.of(name),
+            self._settings.availability_zone,
+            self.clock,
+            self.rng,
+        )
+        pool = SwitchedPool(own, borrowed, lambda: self.holds(name))
+        served = ServedDatabase(database, pool)
         self._tasks.start_soon(served.pool.run)
         self._share(served)
         self.log.decision(
@@ -242,9 +278,39 @@
     def _share(self, served: ServedDatabase) -> None:
         database = served.database
         limits = self.table.services.get(database.service, _UNKNOWN_LIMITS)
-        share = connection_share(limits.connection_limit, self._member_count)
+        holders = self.holder_count(database.service)
+        share = connection_share(limits.connection_limit, holders)
+        if not self.holds(database.service):
+            share = 0
         served.pool.set_limits(share, max(share, 2), 1)
 
+    def _assign(self, service: Service) -> None:
+        if not self._members:
+            return
+        limits = self.table.services.get(service.name, _UNKNOWN_LIMITS)
+        count = holder_count(limits.connection_limit, len(self._members))
+        zones = [s.database.availability_zone for s in service.databases.values()]
+        is_held = self._holders.assign(service.name, self._members, count, zones)
+        self._holder_counts[service.name] = count
+        if is_held != self.holds(service.name):
+            self.log.decision(
+                "holder", service=service.name, holds=is_held, holders=count
+            )
+        self._held[service.name] = is_held
+
+    async def _ask_holder(
+        self, service: str, wait: timedelta
+    ) -> tuple[str, LogPosition]:
+        holder = choose_holder(
+            self._holders.of(service),
+            self._settings.availability_zone,
+            self.clock.now(),
+            self.rng,
+        )
+        if holder is None:
+            raise CodedError(ResultCode.PEER_UNREACHABLE, f"{service}: no holder")
+        return await self._holders.prove(service, holder, wait)
+
     def _make_prover(self, service: Service) -> LeaderProver:
         return LeaderProver(
             service,
@@ -252,6 +318,8 @@
             self._settings,
             self.clock,
             self._tasks,
+            lambda: self.holds(service.name),
+            lambda wait: self._ask_holder(service.name, wait),
         )
 
     async def _open(self, database: Database) -> Link:
--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -9,12 +9,15 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
 from ..term.verified_sample import VerifiedSample
 from .link import Link
 from .served_database import ServedDatabase
 from .service import RETRY_LEADER_MS, Service
 from .serving_settings import ServingSettings
 
+# Asks a holder: the leader and its position, proved after the question arrived.
+AskHolder = Callable[[timedelta], Awaitable[tuple[str, LogPosition]]]
 OpenLinkTo = Callable[[ServedDatabase], Awaitable[Link]]
 UNMET_MEMORY = timedelta(seconds=2)  # after that, nobody cares for the leader
 _RETRY_PAUSE = timedelta(milliseconds=20)
@@ -37,12 +40,18 @@
         Source of readings.
     tasks : TaskGroup
         Runs the asking.
+    is_holder : callable
+        Whether this instance holds connections to the service.
+    ask_holder : callable
+        Asks an instance that does.
     """
 
     __slots__ = (
+        "_ask_holder",
         "_asked",
         "_clock",
         "_deadline",
+        "_is_holder",
         "_is_running",
         "_link",
         "_needed_since",
@@ -60,7 +69,11 @@
         settings: ServingSettings,
         clock: Clock,
         tasks: TaskGroup,
+        is_holder: Callable[[], bool],
+        ask_holder: AskHolder,
     ):
+        self._is_holder = is_holder
+        self._ask_holder = ask_holder
         self._service = service
         self._open_link = open_link
         self._settings = settings
@@ -162,7 +175,9 @@
         return sample is None or sample.sampled_after < self._needed_since
 
     async def _ask(self) -> bool:
-        """Ask the likely leader once; return whether it proved that it leads."""
+        """Ask once; return whether a database proved that it leads."""
+        if not self._is_holder():
+            return await self._ask_remotely()
         began_at = self._clock.now()
         served = self._service.likely_leader()
         if self._unmet_since is None:
@@ -190,6 +205,26 @@
         self._service.notify_sample()
         return True
 
+    async def _ask_remotely(self) -> bool:
+        if self._link is not None:
+            await self.aclose()
+        asked_at = self._clock.now()
+        try:
+            answer = await self._ask_holder(self._settings.proof_timeout)
+        except CodedError as error:
+            self._service.log.decision(
+                "proof failed", service=self._service.name, detail=str(error)
+            )
+            return False
+        database_id, position = answer
+        served = self._service.databases.get(database_id)
+        if served is None:
+            return False
+        self._unmet_since = None
+        self._service.proved(served, position, asked_at)
+        self._service.notify_sample()
+        return True
+
     def _failed(self, served: ServedDatabase, detail: str) -> None:
         served.health.failed(self._clock.now())
         self._service.log.decision(
--- a/goldcrestpond/serving/link_loan.py
+++ b/goldcrestpond/serving/link_loan.py
@@ -5,10 +5,10 @@
 import anyio
 
 from ..clock.clock import Clock
-from ..endpoint.connection_pool import ConnectionPool
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
+from ..relay.switched_pool import SwitchedPool
 from .align_link import align_link
 from .link import Link
 from .route import ReadPolicy, Route
@@ -60,7 +60,7 @@
     return link
 
 
-async def give_back(pool: ConnectionPool, link: Link, is_open: bool) -> None:
+async def give_back(pool: SwitchedPool, link: Link, is_open: bool) -> None:
     """Return a link; what is open on it is rolled back first."""
     if is_open and not link.is_broken:
         try:
--- a/goldcrestpond/serving/member_keeper.py
+++ b/goldcrestpond/serving/member_keeper.py
@@ -9,7 +9,7 @@
 from ..errors.coded_error import CodedError
 from .decision_log import DecisionLog
 from .directory import Directory
-from .members import HEARTBEAT, TABLE, Members
+from .members import HEARTBEAT, TABLE, Member, Members, encode_member
 from .row_store import RowPut, RowStore, StoredRow
 
 # At a start all instances write their rows within a second.
@@ -22,8 +22,8 @@
 
     Parameters
     ----------
-    instance : str
-        Name of this instance.
+    member : Member
+        This instance.
     store : RowStore
         The store.
     directory : Directory
@@ -39,9 +39,9 @@
     __slots__ = (
         "_clock",
         "_directory",
-        "_instance",
         "_is_leaving",
         "_log",
+        "_member",
         "_members",
         "_rng",
         "_store",
@@ -49,14 +49,14 @@
 
     def __init__(
         self,
-        instance: str,
+        member: Member,
         store: RowStore,
         directory: Directory,
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
     ):
-        self._instance = instance
+        self._member = member
         self._store = store
         self._directory = directory
         self._clock = clock
@@ -66,12 +66,15 @@
         self._is_leaving = False
 
     @property
-    def live(self) -> list[str]:
-        """Names of live members; this instance is always one."""
-        return sorted({self._instance, *self._members.live(self._clock.now())})
+    def live(self) -> list[Member]:
+        """Live members by name; this instance is always one."""
+        members = {m.name: m for m in self._members.live(self._clock.now())}
+        members[self._member.name] = self._member
+        return [members[name] for name in sorted(members)]
 
     async def run(self) -> None:
         """Write heartbeats and read those of others until cancelled."""
+        await self._read()
         await self._beat()
         for pause in FIRST_READS:
             await anyio.sleep(pause.total_seconds())
@@ -86,7 +89,7 @@
     async def leave(self) -> None:
         """Remove this instance from the members."""
         self._is_leaving = True
-        row = StoredRow(TABLE, "", self._instance, None, 0)
+        row = StoredRow(TABLE, "", self._member.name, None, 0)
         with anyio.move_on_after(LEAVE_LIMIT_S):
             try:
                 await self._store.write([], [], [row])
@@ -95,7 +98,7 @@
                 self._log.decision("member not removed", detail=error.detail)
 
     async def _beat(self) -> None:
-        put = RowPut(TABLE, "", self._instance, b"{}")
+        put = RowPut(TABLE, "", self._member.name, encode_member(self._member))
         try:
             await self._store.write([], [put])
         except CodedError as error:
@@ -108,4 +111,4 @@
             self._log.decision("members not read", detail=error.detail)
             return
         self._members.replace(answer.rows, self._clock.now())
-        self._directory.set_member_count(len(self.live))
+        self._directory.set_members(self.live)
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -1,8 +1,13 @@
 """Which instances are live, by the rows that they write."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
+from ..errors.coded_error import CodedError
+from ..settings.address import Address, parse_address
 from .row_store import StoredRow
 
 TABLE = "member"
@@ -11,6 +16,48 @@
 MISSED_HEARTBEATS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A live instance.
+
+    Attributes
+    ----------
+    name : str
+        Its name.
+    availability_zone : str
+        Its availability zone.
+    address : Address or None
+        Where it takes channels of other instances; None if its row does not say.
+    """
+
+    name: str
+    availability_zone: str
+    address: Address | None
+
+
+class MemberBody(msgspec.Struct, frozen=True):
+    """Value of a member's row."""
+
+    availability_zone: str
+    address: str
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the value of a member's row."""
+    return msgspec.json.encode(
+        MemberBody(member.availability_zone, str(member.address))
+    )
+
+
+def decode_member(row: StoredRow) -> Member:
+    """Return the member of a row; one that cannot be read still counts."""
+    try:
+        body = msgspec.json.decode(row.value, type=MemberBody)
+        return Member(row.key, body.availability_zone, parse_address(body.address))
+    except (msgspec.MsgspecError, CodedError):
+        return Member(row.key, "", None)
+
+
 class Members:
     """Members by the last change of their rows.
 
@@ -20,24 +67,20 @@
     __slots__ = ("_heard",)
 
     def __init__(self) -> None:
-        self._heard: dict[str, tuple[int, timedelta]] = {}
+        self._heard: dict[str, tuple[StoredRow, timedelta]] = {}
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta) -> None:
         """Take in all rows."""
-        keys = {row.key for row in rows}
-        for key in self._heard.keys() - keys:
-            del self._heard[key]
-        self.update(rows, now)
-
-    def update(self, rows: Sequence[StoredRow], now: timedelta) -> None:
-        """Take in changed rows."""
+        heard = {}
         for row in rows:
-            if row.value is None:
-                self._heard.pop(row.key, None)
-            elif row.key not in self._heard or self._heard[row.key][0] != row.version:
-                self._heard[row.key] = (row.version, now)
+            known = self._heard.get(row.key)
+            is_same = known is not None and known[0].version == row.version
+            heard[row.key] = known if is_same else (row, now)
+        self._heard = heard
 
-    def live(self, now: timedelta) -> list[str]:
-        """Return the names of live members."""
+    def live(self, now: timedelta) -> list[Member]:
+        """Return the live members."""
         limit = HEARTBEAT * MISSED_HEARTBEATS
-        return [name for name, (_, at) in self._heard.items() if now - at < limit]
+        return [
+            decode_member(row) for row, at in self._heard.values() if now - at < limit
+        ]
--- a/goldcrestpond/serving/served_database.py
+++ b/goldcrestpond/serving/served_database.py
@@ -1,6 +1,6 @@
 """A database with what this process holds for it."""
 
-from ..endpoint.connection_pool import ConnectionPool
+from ..relay.switched_pool import SwitchedPool
 from .database import Database
 from .endpoint_health import EndpointHealth
 from .replica_progress import ReplicaProgress
@@ -13,7 +13,7 @@
     ----------
     database : Database
         Its entry in the registry.
-    pool : ConnectionPool
+    pool : SwitchedPool
         Connections to it.
     health : EndpointHealth
         What requests have met there.
@@ -23,7 +23,7 @@
 
     __slots__ = ("database", "health", "pool", "progress")
 
-    def __init__(self, database: Database, pool: ConnectionPool):
+    def __init__(self, database: Database, pool: SwitchedPool):
         self.database = database
         self.pool = pool
         self.health = EndpointHealth()
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -135,6 +135,8 @@
         now = self._clock.now()
         if service.name in self._running or not service.databases:
             return
+        if not self._directory.holds(service.name):
+            return
         is_planned = self._is_leader_leaving(service, now)
         is_suspect = self._is_suspect(service, now)
         await self._tell(service, is_suspect, now)
@@ -142,7 +144,7 @@
             suspects = self._suspicions.by(service.name, now)
             if suspects and not is_suspect:
                 self._directory.prover(service.name).look()
-            agreed = len(suspects) >= quorum(self._directory.member_count)
+            agreed = len(suspects) >= quorum(self._directory.holder_count(service.name))
             if not (is_suspect and agreed):
                 self._due.pop(service.name, None)
                 return
@@ -168,7 +170,8 @@
         return since is not None and now - since >= LAPSE_PATIENCE
 
     def _rank(self, service: Service) -> int:
-        names = sorted(self._members.live, key=lambda n: weigh(service.name, n))
+        names = [member.name for member in self._members.live]
+        names.sort(key=lambda name: weigh(service.name, name))
         return names.index(self._instance)
 
     async def _tell(self, service: Service, is_suspect: bool, now: timedelta) -> None:
--- /dev/null
+++ b/tests/relay/test_relay.py
@@ -0,0 +1,147 @@
+"""Instances that hold no connections serve callers through those that do."""
+
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, StartsWith
+
+from goldcrestpond.relay.choose_holder import NEAR_RESERVE, choose_holder
+from goldcrestpond.serving.endpoint_health import EndpointHealth
+
+from ..line_world import SERVICE, line_world
+
+# So few connections that one of three instances holds them all.
+FEW_CONNECTIONS = 8
+
+
+def _run(body):
+    async def run():
+        with anyio.fail_after(30):
+            async with line_world(3, FEW_CONNECTIONS) as world:
+                await _settle(world)
+                await body(world)
+
+    anyio.run(run)
+
+
+async def _settle(world):
+    """Wait until all know the members, and so the one holder."""
+    while [i.directory.holds(SERVICE) for i in world.instances].count(True) != 1:
+        await anyio.sleep(0.05)
+
+
+def _borrowers(world):
+    return [i for i in world.instances if not i.directory.holds(SERVICE)]
+
+
+def test_every_kind_of_statement_passes_through_a_holder():
+    async def body(world):
+        for borrower in _borrowers(world):
+            async with world.caller("own", borrower) as caller:
+                await caller.ask("SET lang it")
+                await caller.ask("PREPARE w WRITE q1")
+                assert_that(
+                    (await caller.ask("EXECUTE w a 1"))[0], StartsWith("COMPLETE r")
+                )
+                read = await caller.ask("READ a")
+                assert_that(read[0], Equals("ROW 1 [('lang', 'it')]"))
+                await caller.ask("BEGIN")
+                await caller.ask("WRITE a 2")
+                assert_that((await caller.ask("COMMIT"))[0], StartsWith("COMPLETE r"))
+                assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 2"))
+            async with world.caller("current", borrower) as caller:
+                assert_that((await caller.ask("READ a"))[0], StartsWith("ROW 2 []"))
+
+    _run(body)
+
+
+def test_write_through_a_holder_whose_answer_is_lost_is_in_doubt():
+    async def body(world):
+        world.configure(timeoutMs=300)
+        await anyio.sleep(0.3)
+        async with world.caller("own", _borrowers(world)[0]) as caller:
+            await caller.ask("READ a")
+            world.servers.loses_answer = lambda text: text.startswith("WRITE")
+            assert_that((await caller.ask("WRITE a 1"))[0], StartsWith("ERROR INDOUBT"))
+        writes = [e for e in world.group.executions if e[2] == "WRITE"]
+        assert_that(len(writes), Equals(1))
+
+    _run(body)
+
+
+def test_transaction_of_a_caller_that_left_is_rolled_back_at_the_holder():
+    async def body(world):
+        borrower = _borrowers(world)[0]
+        async with world.caller("own", borrower) as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+        for _ in range(2 * FEW_CONNECTIONS):
+            async with world.caller("own", borrower) as caller:
+                await caller.ask("BEGIN")
+                assert_that((await caller.ask("READ a"))[0], StartsWith("ROW - "))
+
+    _run(body)
+
+
+def test_open_connections_stay_below_the_limit_under_a_burst():
+    """Burst: forty callers at two borrowing instances at once."""
+
+    async def body(world):
+        answers = []
+
+        async def call(instance):
+            async with world.caller("own", instance) as caller:
+                answers.append((await caller.ask("READ a"))[0])
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(40):
+                tasks.start_soon(call, _borrowers(world)[number % 2])
+        assert_that({answer.partition(" ")[0] for answer in answers}, Equals({"ROW"}))
+        opened = [
+            served.pool.open_count
+            for instance in world.instances
+            for served in instance.directory.services[SERVICE].databases.values()
+        ]
+        assert_that(max(opened) < FEW_CONNECTIONS, Is(True))
+
+    _run(body)
+
+
+def test_crashed_leader_is_replaced_for_borrowers_too():
+    async def body(world):
+        async with world.caller("own", _borrowers(world)[0]) as caller:
+            await caller.ask("WRITE a 1")
+            await world.servers.crash("d1")
+            answer = await caller.ask("WRITE a 2")
+            while answer[0].startswith("ERROR BUSY"):
+                answer = await caller.ask("WRITE a 2")
+            assert_that(answer[0], StartsWith("COMPLETE r"))
+        assert_that(world.group.lost_acknowledged, Equals([]))
+        events = [event for log in world.logs for event in log.events()]
+        assert_that(events, Contains("promotion ordered"))
+
+    _run(body)
+
+
+@dataclass
+class _Holder:
+    availability_zone: str
+    outstanding: int = 0
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+
+
+def test_near_holder_with_the_least_work_is_asked():
+    rng = random.Random(1)
+    now = timedelta(0)
+    near, far = _Holder("z1", NEAR_RESERVE), _Holder("z2")
+    busier = _Holder("z1", NEAR_RESERVE + 1)
+    assert_that(choose_holder([busier, far], "z1", now, rng), Is(far))
+    near.outstanding -= 1
+    assert_that(choose_holder([busier, near, far], "z1", now, rng), Is(near))
+    near.health.failed(now)
+    near.health.failed(now)
+    assert_that(choose_holder([near, far], "z1", now, rng), Is(far))
+    assert_that(choose_holder([], "z1", now, rng), Is(None))
