--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -227,6 +227,7 @@
             for name, feed in feeds.items()
         }
         callers = {
+            "process": os.getpid(),
             "callers": self._callers.caller_count,
             "open_transactions": self._callers.open_transactions,
         }
--- /dev/null
+++ b/goldcrestpond/soak/fault_proxy.py
@@ -0,0 +1,119 @@
+"""A loopback proxy that delays, resets, cuts or silences connections."""
+
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from ..settings.address import Address
+
+LOOPBACK = "127.0.0.1"
+RECEIVE_BYTES = 65536
+_LOST = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+@dataclass(slots=True)
+class LinkFaults:
+    """What happens to bytes now.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time that bytes are held up, each way.
+    drops_requests, drops_answers : bool
+        Bytes of that direction go nowhere, also those of new connections.
+    """
+
+    delay_s: float = 0.0
+    drops_requests: bool = False
+    drops_answers: bool = False
+
+
+class FaultProxy:
+    """Forwards connections to one target.
+
+    Parameters
+    ----------
+    target : Address
+        Where they lead.
+
+    Attributes
+    ----------
+    address : Address or None
+        Where it listens once started.
+    faults : LinkFaults
+        Faults in force.
+    """
+
+    def __init__(self, target: Address):
+        self.target = target
+        self.address: Address | None = None
+        self.faults = LinkFaults()
+        self._pairs: set[_Pair] = set()
+
+    async def start(self, tasks: TaskGroup) -> Address:
+        """Listen; return the address."""
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        port = listener.extra(SocketAttribute.local_port)
+        self.address = Address(LOOPBACK, port)
+        tasks.start_soon(listener.serve, self._handle)
+        return self.address
+
+    async def reset_connections(self) -> None:
+        """Break every open connection."""
+        for pair in list(self._pairs):
+            await pair.aclose()
+
+    def silence_connections(self) -> None:
+        """Let every open connection go silent for good; new ones work."""
+        for pair in self._pairs:
+            pair.is_silent = True
+
+    async def _handle(self, near: SocketStream) -> None:
+        try:
+            far = await anyio.connect_tcp(self.target.host, self.target.port)
+        except OSError:
+            await anyio.aclose_forcefully(near)
+            return
+        pair = _Pair(near, far)
+        self._pairs.add(pair)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, pair, near, far, "drops_requests")
+                tasks.start_soon(self._pump, pair, far, near, "drops_answers")
+        finally:
+            self._pairs.discard(pair)
+            with anyio.CancelScope(shield=True):
+                await pair.aclose()
+
+    async def _pump(
+        self, pair: "_Pair", source: SocketStream, sink: SocketStream, drop: str
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(RECEIVE_BYTES)
+                if self.faults.delay_s:
+                    await anyio.sleep(self.faults.delay_s)
+                if not (pair.is_silent or getattr(self.faults, drop)):
+                    await sink.send(data)
+        except _LOST:
+            await pair.aclose()
+
+
+class _Pair:
+    """The two halves of one forwarded connection."""
+
+    def __init__(self, near: SocketStream, far: SocketStream):
+        self._near = near
+        self._far = far
+        self.is_silent = False
+
+    async def aclose(self) -> None:
+        """Break both halves."""
+        await anyio.aclose_forcefully(self._near)
+        await anyio.aclose_forcefully(self._far)
--- /dev/null
+++ b/goldcrestpond/soak/instance_process.py
@@ -0,0 +1,78 @@
+"""The real program as a child process."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from ..platform.instance_settings import PATH_VARIABLE
+from ..settings.address import Address
+
+STOP_LIMIT_S = 8.0  # beyond the grace period
+
+
+class InstanceProcess:
+    """Starts, signals and ends one program; only ever its own child, by its id.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    folder : Path
+        Takes settings and log.
+    settings : dict
+        Settings of the program.
+    """
+
+    def __init__(self, name: str, folder: Path, settings: dict):
+        self.name = name
+        self.settings = settings
+        self._path = folder / f"{name}.json"
+        self._log_path = folder / f"{name}.log"
+        self._path.write_text(json.dumps(settings), encoding="utf-8")
+        self._child: subprocess.Popen | None = None
+
+    @property
+    def address(self) -> Address:
+        """Where callers connect."""
+        host, _, port = self.settings["listen"].rpartition(":")
+        return Address(host, int(port))
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Start the program; its output is appended to its log."""
+        environment = {**os.environ, PATH_VARIABLE: str(self._path)}
+        with self._log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", "goldcrestpond.cli.instance"],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def send(self, which: signal.Signals) -> None:
+        """Send a signal if the process lives."""
+        if self.is_running:
+            self._child.send_signal(which)
+
+    def end(self) -> None:
+        """Kill the process and wait for it."""
+        if self._child is None:
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self._child.wait(STOP_LIMIT_S)
+
+    def has_stopped_in(self, limit_s: float) -> bool:
+        """Wait for a process that was told to stop."""
+        until = time.monotonic() + limit_s
+        while self.is_running and time.monotonic() < until:
+            time.sleep(0.01)
+        return not self.is_running
--- /dev/null
+++ b/goldcrestpond/soak/run_soak.py
@@ -0,0 +1,230 @@
+"""Runs a soak and reports what it found."""
+
+import random
+import tempfile
+from collections import Counter
+from datetime import timedelta
+from pathlib import Path
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from ..api.http_server import serve_http
+from ..clock.system_clock import SystemClock
+from ..settings.address import Address
+from .fault_proxy import LOOPBACK
+from .promise_checker import PromiseChecker
+from .soak_caller import SoakCaller
+from .soak_faults import FAULTS
+from .soak_site import SoakSite
+
+CALLERS_PER_INSTANCE = 4
+START_LIMIT_S = 20.0
+# Faults end before this part of the time; the rest is for recovery.
+FAULT_PART = 0.7
+RECOVERY_LIMIT = timedelta(seconds=12)
+FAULT_PAUSE_S = 1.0  # mean time between two starts; faults last longer and overlap
+
+
+class SoakReport(msgspec.Struct, frozen=True):
+    """What a soak found.
+
+    Attributes
+    ----------
+    seed : int
+        Its seed.
+    duration_s : float
+        Time under load.
+    processes : int
+        Instances.
+    findings : list of str
+        Broken promises; none is the aim.
+    outcomes : dict of str to int
+        Answers by their first word, and ends of connections.
+    faults : dict of str to int
+        Faults by name.
+    logs : str
+        Folder with the logs, kept if there is a finding.
+    """
+
+    seed: int
+    duration_s: float
+    processes: int
+    findings: list[str]
+    outcomes: dict[str, int]
+    faults: dict[str, int]
+    logs: str
+
+
+async def run_soak(seed: int, duration_s: float, processes: int) -> SoakReport:
+    """Run one soak.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of callers and faults.
+    duration_s : float
+        Time under load.
+    processes : int
+        Instances.
+    """
+    folder = Path(tempfile.mkdtemp(prefix="goldcrestpond-soak-"))
+    rng = random.Random(seed)
+    site = SoakSite(folder)
+    checker = PromiseChecker()
+    faults: Counter[str] = Counter()
+    try:
+        async with anyio.create_task_group() as tasks:
+            application = site.platform.application()
+            async with serve_http(application, Address(LOOPBACK, 0)) as store:
+                await site.start(tasks, store, processes)
+                await _wait_started(site)
+                await _load(site, checker, rng, duration_s, faults)
+                site.end()
+                tasks.cancel_scope.cancel()
+                site.platform.is_down = True  # feeds that wait end at once
+    finally:
+        site.end()
+    _check_logs(site, checker)
+    logs = str(folder) if checker.findings else ""
+    if not checker.findings:
+        _remove(folder)
+    return SoakReport(
+        seed,
+        duration_s,
+        processes,
+        checker.findings,
+        dict(checker.counts),
+        dict(faults),
+        logs,
+    )
+
+
+async def _wait_started(site: SoakSite) -> None:
+    with anyio.fail_after(START_LIMIT_S):
+        for instance in site.instances:
+            address = instance.address
+            while True:
+                try:
+                    stream = await anyio.connect_tcp(address.host, address.port)
+                except OSError:
+                    await anyio.sleep(0.05)
+                    continue
+                await anyio.aclose_forcefully(stream)
+                break
+
+
+async def _load(
+    site: SoakSite,
+    checker: PromiseChecker,
+    rng: random.Random,
+    duration_s: float,
+    faults: Counter,
+) -> None:
+    clock = SystemClock()
+    count = CALLERS_PER_INSTANCE * len(site.instances)
+    callers = [
+        SoakCaller(number, site, checker, clock, random.Random(rng.random()))
+        for number in range(count)
+    ]
+    async with anyio.create_task_group() as work:
+        for caller in callers:
+            work.start_soon(caller.run)
+        async with anyio.create_task_group() as harm:
+            harm.start_soon(_watch_versions, site, checker, duration_s * FAULT_PART)
+            with anyio.move_on_after(duration_s * FAULT_PART):
+                await _draw_faults(site, rng, harm, faults)
+        await anyio.sleep(duration_s * (1 - FAULT_PART))
+        _check_recovery(callers, checker, clock, duration_s)
+        for caller in callers:
+            caller.is_ending = True
+
+
+async def _draw_faults(
+    site: SoakSite, rng: random.Random, harm: TaskGroup, faults: Counter
+) -> None:
+    while True:
+        await anyio.sleep(rng.expovariate(1 / FAULT_PAUSE_S))
+        fault = rng.choice(FAULTS)
+        faults[fault.__name__] += 1
+        harm.start_soon(fault, site, random.Random(rng.random()))
+
+
+async def _watch_versions(
+    site: SoakSite, checker: PromiseChecker, duration_s: float
+) -> None:
+    """Watch that the configuration of one process never goes back."""
+    seen: dict[str, tuple[int, int]] = {}
+    with anyio.move_on_after(duration_s):
+        while True:
+            for instance in site.instances:
+                reading = await _read_version(instance.settings["metrics_listen"])
+                if reading is None:
+                    continue
+                process, version = reading
+                former_process, former = seen.get(instance.name, reading)
+                if process == former_process:
+                    checker.version(instance.name, former, version)
+                seen[instance.name] = reading
+            await anyio.sleep(0.5)
+
+
+async def _read_version(address_text: str) -> tuple[int, int] | None:
+    host, _, port = address_text.rpartition(":")
+    text = b""
+    try:
+        with anyio.fail_after(1):
+            stream = await anyio.connect_tcp(host, int(port))
+            request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            await stream.send(request.encode())
+            while True:
+                text += await stream.receive()
+    except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+        pass  # the end of the answer, or a process that is away
+    readings = dict(
+        line.rsplit(" ", 1) for line in text.decode().splitlines() if " " in line
+    )
+    try:
+        process = int(readings["goldcrestpond_process"])
+        return process, int(readings["goldcrestpond_configuration_version"])
+    except KeyError:
+        return None
+
+
+def _check_recovery(
+    callers: list[SoakCaller],
+    checker: PromiseChecker,
+    clock: SystemClock,
+    duration_s: float,
+) -> None:
+    limit = min(RECOVERY_LIMIT, timedelta(seconds=duration_s * (1 - FAULT_PART)))
+    now = clock.now()
+    stuck = [caller.item for caller in callers if now - caller.last_success > limit]
+    if stuck:
+        checker.findings.append(f"recovery: no success for {limit} at {stuck}")
+
+
+def _check_logs(site: SoakSite, checker: PromiseChecker) -> None:
+    leader = site.group.primary
+    numbers: dict[str, list[int]] = {}
+    for entry in leader.log:
+        for item, data in entry.writes:
+            numbers.setdefault(item, []).append(int(data))
+    for item, held in numbers.items():
+        checker.kept(item, held)
+        for number, count in Counter(held).items():
+            if count > 1:
+                checker.findings.append(f"doubled: {item} holds {number} {count} times")
+    runs = Counter(
+        request for _, request, kind in site.group.executions if kind == "WRITE"
+    )
+    checker.executed(runs)
+    for entry in site.group.lost_acknowledged:
+        checker.findings.append(f"lost by a promotion: {entry.position}")
+
+
+def _remove(folder: Path) -> None:
+    for path in folder.iterdir():
+        path.unlink()
+    folder.rmdir()
--- /dev/null
+++ b/goldcrestpond/soak/soak_faults.py
@@ -0,0 +1,150 @@
+"""Draws faults in series and lets them overlap."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from ..group.role import Role
+from .fault_proxy import LinkFaults
+from .soak_site import DATABASES, GRACE_S, SoakSite
+
+DELAY_S = 0.05
+Fault = Callable[[SoakSite, random.Random], Awaitable[None]]
+
+
+async def kill_instance(site: SoakSite, rng: random.Random) -> None:
+    """Kill a process; it is started again."""
+    instance = rng.choice(site.instances)
+    instance.end()
+    await anyio.sleep(rng.uniform(0.1, 1))
+    instance.start()
+
+
+async def stop_instance(site: SoakSite, rng: random.Random) -> None:
+    """Stop a process gracefully; it is started again."""
+    instance = rng.choice(site.instances)
+    instance.send(signal.SIGTERM)
+    await anyio.sleep(GRACE_S + 0.5)
+    instance.end()
+    instance.start()
+
+
+async def pause_instance(site: SoakSite, rng: random.Random) -> None:
+    """Freeze a process for a while."""
+    instance = rng.choice(site.instances)
+    instance.send(signal.SIGSTOP)
+    await anyio.sleep(rng.uniform(0.5, 3))
+    instance.send(signal.SIGCONT)
+
+
+async def reload_instance(site: SoakSite, rng: random.Random) -> None:
+    """Tell a process that its settings changed."""
+    rng.choice(site.instances).send(signal.SIGHUP)
+
+
+async def crash_leader(site: SoakSite, rng: random.Random) -> None:
+    """Crash the leader; it comes back with its log."""
+    database = site.group.primary
+    await site.servers.crash(database.database_id)
+    site.register()
+    await anyio.sleep(rng.uniform(2, 5))
+    database.is_running = True
+    site.group.replicate()
+    site.register()
+
+
+async def drain_leader(site: SoakSite, rng: random.Random) -> None:
+    """Announce that the leader leaves, then let it stay."""
+    site.register(draining=site.group.primary.database_id)
+    await anyio.sleep(rng.uniform(2, 4))
+    site.register()
+
+
+async def lag_replica(site: SoakSite, rng: random.Random) -> None:
+    """Let a replica receive without applying."""
+    replicas = [d for d in site.group.databases.values() if d.role is Role.REPLICA]
+    replica = rng.choice(replicas)
+    replica.lags = True
+    await anyio.sleep(rng.uniform(0.5, 3))
+    replica.lags = False
+    site.group.replicate()
+
+
+async def harm_database_link(site: SoakSite, rng: random.Random) -> None:
+    """Delay, cut or break the connections to one database."""
+    link = site.database_links[rng.choice(DATABASES)]
+    await _harm(link, rng)
+
+
+async def harm_store_link(site: SoakSite, rng: random.Random) -> None:
+    """Delay, cut or break one instance's connections to the store."""
+    await _harm(site.store_links[rng.choice(site.instances).name], rng)
+
+
+async def stop_store(site: SoakSite, rng: random.Random) -> None:
+    """Let the store refuse everything for a while."""
+    site.platform.is_down = True
+    await anyio.sleep(rng.uniform(0.5, 3))
+    site.platform.is_down = False
+
+
+async def lose_store_answers(site: SoakSite, rng: random.Random) -> None:
+    """Carry out some calls without a usable answer, and forget the history."""
+    site.platform.loses_answer = lambda path: rng.random() < 0.3
+    await anyio.sleep(rng.uniform(0.5, 2))
+    site.platform.loses_answer = lambda path: False
+    site.platform.forget_history()
+
+
+async def lose_answers(site: SoakSite, rng: random.Random) -> None:
+    """Let databases run statements without answering."""
+    site.servers.loses_answer = lambda text: rng.random() < 0.05
+    await anyio.sleep(rng.uniform(0.5, 2))
+    site.servers.loses_answer = lambda text: False
+
+
+async def change_configuration(site: SoakSite, rng: random.Random) -> None:
+    """Put several versions in force in quick succession."""
+    for _ in range(rng.randint(1, 5)):
+        site.configure()
+        await anyio.sleep(0.1)
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_instance,
+    stop_instance,
+    pause_instance,
+    reload_instance,
+    crash_leader,
+    drain_leader,
+    lag_replica,
+    harm_database_link,
+    harm_store_link,
+    stop_store,
+    lose_store_answers,
+    lose_answers,
+    change_configuration,
+)
+
+
+async def _harm(link, rng: random.Random) -> None:
+    kind = rng.choice(["delay", "reset", "silence", "requests", "answers", "both"])
+    match kind:
+        case "reset":
+            await link.reset_connections()
+        case "silence":
+            link.silence_connections()
+        case "delay":
+            link.faults = LinkFaults(delay_s=DELAY_S)
+        case _:
+            link.faults = LinkFaults(
+                drops_requests=kind in ("requests", "both"),
+                drops_answers=kind in ("answers", "both"),
+            )
+    await anyio.sleep(rng.uniform(0.5, 3))
+    link.faults = LinkFaults()
+    if kind in ("requests", "answers", "both"):
+        # A stream that lacks bytes in the middle does not go on.
+        await link.reset_connections()
--- /dev/null
+++ b/goldcrestpond/soak/soak_site.py
@@ -0,0 +1,138 @@
+"""Stand-ins, fault proxies and instances of one soak."""
+
+import socket
+from pathlib import Path
+
+from anyio.abc import TaskGroup
+
+from ..settings.address import Address
+from ..standin.line_group import LineGroup
+from ..standin.line_platform import LinePlatform
+from ..standin.line_server import LineServer
+from .fault_proxy import LOOPBACK, FaultProxy
+from .instance_process import InstanceProcess
+
+SERVICE = "soak"
+DATABASES = ("d1", "d2", "d3")
+MAX_AGE_MS = 1500
+GRACE_S = 2.0
+_POLICIES = {
+    "current": "primary",
+    "aged": "bounded_staleness",
+    "own": "read_your_writes",
+}
+
+
+class SoakSite:
+    """Everything around the instances.
+
+    Attributes
+    ----------
+    platform, group, servers
+        The stand-ins.
+    database_links : dict of str to FaultProxy
+        Links of all instances to each database.
+    store_links : dict of str to FaultProxy
+        Link of each instance to the store.
+    instances : list of InstanceProcess
+        The programs.
+    """
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.platform = LinePlatform()
+        self.platform.promote = self._promote
+        self.group = LineGroup(SERVICE, list(DATABASES))
+        self.servers = LineServer(self.group)
+        self.database_links: dict[str, FaultProxy] = {}
+        self.store_links: dict[str, FaultProxy] = {}
+        self.instances: list[InstanceProcess] = []
+        self.version = 0
+
+    async def start(self, tasks: TaskGroup, store: Address, count: int) -> None:
+        """Start stand-ins, links and so many instances."""
+        await self.servers.start(tasks)
+        for database_id in DATABASES:
+            link = FaultProxy(self.servers.addresses[database_id])
+            await link.start(tasks)
+            self.database_links[database_id] = link
+        self.configure()
+        self.register()
+        for index in range(count):
+            await self._add_instance(tasks, f"i{index + 1}", store)
+
+    def configure(self) -> None:
+        """Put the next version of the configuration in force."""
+        self.version += 1
+        routes = [
+            {
+                "name": f"r-{name}",
+                "database": name,
+                "prefix": "/",
+                "routeType": policy,
+                "maxStalenessMs": MAX_AGE_MS,
+                "timeoutMs": 800,
+                "targetLatencyMs": 200,
+                "priority": 1,
+                "serviceName": SERVICE,
+            }
+            for name, policy in _POLICIES.items()
+        ]
+        body = {
+            "configVersion": self.version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "maxConns": 200, "syncReplicas": 1}],
+            "limits": {"txnIdleMs": 3000},
+        }
+        self.platform.put("op", "config", body)
+
+    def register(self, draining: str = "") -> None:
+        """Write the entries of the databases that run."""
+        for database_id, database in self.group.databases.items():
+            if not database.is_running:
+                self.platform.remove("servers", database_id)
+                continue
+            entry = {
+                "serviceName": SERVICE,
+                "address": str(self.database_links[database_id].address),
+                "zone": "z1",
+                "slots": 8,
+                "state": "draining" if database_id == draining else "ready",
+                "dbRole": str(database.role),
+                "sequence": 1,
+            }
+            self.platform.put("servers", database_id, entry)
+
+    def end(self) -> None:
+        """End every process."""
+        for instance in self.instances:
+            instance.end()
+
+    async def _add_instance(self, tasks: TaskGroup, name: str, store: Address) -> None:
+        link = FaultProxy(store)
+        address = await link.start(tasks)
+        self.store_links[name] = link
+        settings = {
+            "instance": name,
+            "availability_zone": "z1",
+            "listen": f"{LOOPBACK}:{_free_port()}",
+            "ready_listen": f"{LOOPBACK}:{_free_port()}",
+            "peer_listen": f"{LOOPBACK}:{_free_port()}",
+            "metrics_listen": f"{LOOPBACK}:{_free_port()}",
+            "store": str(address),
+            "duties": str(store),
+            "grace_s": GRACE_S,
+        }
+        instance = InstanceProcess(name, self.folder, settings)
+        instance.start()
+        self.instances.append(instance)
+
+    def _promote(self, service: str, database_id: str) -> None:
+        self.group.promote(database_id)
+        self.register()
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
