--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from datetime import timedelta
+from pathlib import Path
 
 import anyio
 from anyio.abc import SocketAttribute, SocketListener, TaskGroup
@@ -39,6 +40,7 @@
 # Databases write a heartbeat about once a second each; one call brings several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
 LAPSE_TICK_S = 0.5
+SETTINGS_TICK_S = 2.0  # a change without a signal is in force well within seconds
 BACKLOG = 512  # callers that come back all at once after a restart
 
 
@@ -60,23 +62,28 @@
         async with anyio.create_task_group() as tasks:
             instance = Instance(settings, clock, log, tasks)
             await instance.start()
+            tasks.start_soon(_watch_settings, path, instance)
             async for received in signals:
                 if received is signal.SIGTERM:
                     break
-                _check_settings(path, log)
+                instance.reload(path)
             await instance.stop()
             tasks.cancel_scope.cancel()
     log.decision("stop")
 
 
-def _check_settings(path: str, log: StructuredLog) -> None:
-    """Log what changed settings would do; none of them can change in a life."""
-    try:
-        load_instance_settings(path)
-    except CodedError as error:
-        log.decision("settings refused", detail=error.detail)
-    else:
-        log.decision("settings checked")
+async def _watch_settings(path: str, instance: "Instance") -> None:
+    """Reload a settings file that changes without a signal."""
+    read = Path(path).stat().st_mtime_ns
+    while True:
+        await anyio.sleep(SETTINGS_TICK_S)
+        try:
+            changed = Path(path).stat().st_mtime_ns
+        except OSError:
+            continue  # it is being replaced
+        if changed != read:
+            read = changed
+            instance.reload(path)
 
 
 class Instance:
@@ -119,6 +126,7 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
         )
+        self._serving = serving
         holders = Holders(settings.instance, clock, tasks)
         self.directory = Directory(
             serving, open_endpoint_link, clock, rng, log, metrics, tasks, holders
@@ -174,6 +182,24 @@
         self._listeners: list[SocketListener] = []
         self._rng = rng
 
+    def reload(self, path: str) -> None:
+        """Take in changed settings; keep the old ones if they are not valid.
+
+        Addresses and names stay as they are until the next start.
+        """
+        try:
+            settings = load_instance_settings(path)
+        except CodedError as error:
+            self._log.decision("settings refused", detail=error.detail)
+            return
+        self._settings = settings
+        self._serving.drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
+        self._log.decision(
+            "settings reloaded",
+            drain_limit_ms=settings.drain_limit_ms,
+            grace_s=settings.grace_s,
+        )
+
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         tasks = self._tasks
--- a/goldcrestpond/serving/serving_settings.py
+++ b/goldcrestpond/serving/serving_settings.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ServingSettings:
     """Time limits that do not depend on a route.
 
--- a/tests/platform/test_instance_stop.py
+++ b/tests/platform/test_instance_stop.py
@@ -1,9 +1,11 @@
 """A stop cuts no statement, and leaves transactions half of the grace period."""
 
+import json
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is, StartsWith
+from testtools.matchers import Contains, Equals, Is, StartsWith
 
 from ..line_world import GRACE_S, line_world
 
@@ -97,3 +99,29 @@
                 await caller.ask("READ a")
 
     _run(body)
+
+
+def test_changed_settings_are_taken_in_unless_they_are_not_valid(tmp_path):
+    async def body(world, tasks):
+        instance = world.instances[0]
+        path = tmp_path / "settings.json"
+        body = {
+            "instance": "i1",
+            "availability_zone": "z1",
+            "listen": "127.0.0.1:1",
+            "ready_listen": "127.0.0.1:1",
+            "peer_listen": "127.0.0.1:1",
+            "metrics_listen": "127.0.0.1:1",
+            "store": "127.0.0.1:1",
+            "drain_limit_ms": 1234,
+        }
+        path.write_text(json.dumps(body), encoding="utf-8")
+        instance.reload(str(path))
+        assert_that(world.logs[0].lines[-1][0], Equals("settings reloaded"))
+        assert_that(world.logs[0].lines[-1][1]["drain_limit_ms"], Equals(1234))
+        path.write_text(json.dumps({**body, "drain_limit_ms": "x"}), encoding="utf-8")
+        instance.reload(str(path))
+        assert_that(world.logs[0].lines[-1][0], Equals("settings refused"))
+        assert_that(world.logs[0].lines[-1][1]["detail"], Contains("drain_limit_ms"))
+
+    _run(body)
