--- a/goldcrestpond/root/instance_shutdown.py
+++ b/goldcrestpond/root/instance_shutdown.py
@@ -10,6 +10,9 @@
 
 # The platform asks once a second and moves on after two answers.
 MOVED_ON = timedelta(milliseconds=2300)
+# With a short grace period, what is left of its first half is for sessions to end
+# behind an answer.
+MOVED_ON_PART = 0.4
 TRANSACTION_PART = 0.5  # of the grace period is left to open transactions
 LAST_PART = 0.85  # of the grace period, after which the process ends
 _TICK_S = 0.02
@@ -33,7 +36,7 @@
     """
     began_at = clock.now()
     grace = timedelta(seconds=grace_s)
-    moved_on = min(MOVED_ON, grace * TRANSACTION_PART)
+    moved_on = min(MOVED_ON, grace * MOVED_ON_PART)
     while clock.now() - began_at < moved_on:
         await anyio.sleep(_TICK_S)
     callers.end_after_answers()
--- a/goldcrestpond/serving/run_on_link.py
+++ b/goldcrestpond/serving/run_on_link.py
@@ -30,11 +30,14 @@
     Raises
     ------
     CodedError
-        ANSWER_INTERRUPTED if no whole answer came by the deadline. The link is
-        broken then.
+        ANSWER_INTERRUPTED if no whole answer came by the deadline; the link is
+        broken then. QUEUE_DEADLINE if no time is left; nothing was sent.
     """
+    remaining = deadline - clock.now()
+    if remaining <= timedelta(0):
+        raise CodedError(ResultCode.QUEUE_DEADLINE, "no time is left; not run")
     try:
-        with anyio.fail_after(max(0.0, (deadline - clock.now()).total_seconds())):
+        with anyio.fail_after(remaining.total_seconds()):
             reply = await _run(link, session, statement, floor)
             if reply.error is ResultCode.STATEMENT_UNKNOWN:
                 link.prepared.clear()
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -125,7 +125,8 @@
         asked_at = self._clock.now()
         try:
             with self._service.tracking_commit():
-                reply = await self._run_at(leader, None, deadline, deadline)
+                limit = self._route.timeout
+                reply = await self._run_at(leader, None, deadline, limit)
         except CodedError as error:
             if error.code is ResultCode.ANSWER_INTERRUPTED:
                 detail = f"{leader.database_id}: {error.detail}"
@@ -160,9 +161,8 @@
                 detail = f"{self._service.name}: no database has {floor}"
                 raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
             asked_at = self._clock.now()
-            reply = await self._run_at(
-                served, floor, deadline, self._attempt_deadline(served, deadline)
-            )
+            limit = self._attempt_limit(served)
+            reply = await self._run_at(served, floor, deadline, limit)
             if reply.error is ResultCode.NO_FRESH_REPLICA:
                 self._service.lagged(served, floor)
                 excluded.add(served.database_id)
@@ -176,32 +176,32 @@
                 served.progress.answered(reply.position, epoch)
             return reply
 
-    def _attempt_deadline(
-        self, served: ServedDatabase, deadline: timedelta
-    ) -> timedelta:
+    def _attempt_limit(self, served: ServedDatabase) -> timedelta:
         load = served.pool.load(served.database.slots)
         usual = timedelta(milliseconds=load.service_ms)
-        limit = max(
-            self._route.objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES
-        )
-        return min(deadline, self._clock.now() + limit)
+        objective = self._route.objective
+        return max(objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES)
 
     async def _run_at(
         self,
         served: ServedDatabase,
         floor: LogPosition | None,
         deadline: timedelta,
-        answer_by: timedelta,
+        limit: timedelta,
     ) -> Reply:
+        """Run it at one database, which is given ``limit`` to answer."""
         link = await lend(
             served, self._session, self._key, self._route, deadline, self._clock
         )
+        # The wait for the connection says nothing about the database.
+        answer_by = min(deadline, self._clock.now() + limit)
         try:
             return await run_on_link(
                 link, self._session, self._statement, floor, answer_by, self._clock
             )
-        except CodedError:
-            served.health.failed(self._clock.now())
+        except CodedError as error:
+            if error.code is not ResultCode.QUEUE_DEADLINE:
+                served.health.failed(self._clock.now())
             raise
         finally:
             is_open = link.state is not TransactionState.IDLE
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -217,6 +217,8 @@
                     link, self._session, statement, None, deadline, self._clock
                 )
             except CodedError as error:
+                if error.code is ResultCode.QUEUE_DEADLINE:
+                    raise CodedError(ResultCode.ROLLED_BACK, error.detail) from error
                 transaction.served.health.failed(self._clock.now())
                 raise self._interrupted(statement, error) from error
             is_busy = reply.error is ResultCode.ENDPOINT_BUSY
--- /dev/null
+++ b/tests/serving/test_single_statement.py
@@ -0,0 +1,88 @@
+"""Attempts at one statement."""
+
+import random
+from datetime import timedelta
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.retry.retry_budget import RetryBudget
+from goldcrestpond.serving import single_statement
+from goldcrestpond.serving.metrics import Metrics
+from goldcrestpond.serving.reply import Reply
+from goldcrestpond.serving.route import ReadPolicy, Route
+from goldcrestpond.serving.session_state import SessionState
+from goldcrestpond.serving.single_statement import SingleStatement
+from goldcrestpond.serving.statement import Statement
+from goldcrestpond.serving.statement_kind import StatementKind
+from goldcrestpond.serving.transaction_state import TransactionState
+
+from ..line_world import ListLog
+from .test_leadership import ms
+from .test_load_patterns import _service
+
+
+class _Link:
+    def __init__(self):
+        self.values = {}
+        self.prepared = {}
+        self.state = TransactionState.IDLE
+        self.is_broken = False
+        self.runs = 0
+
+    async def execute(self, statement, shape, floor):
+        await anyio.sleep(0)
+        self.runs += 1
+        return Reply(receipt="r1", position=LogPosition(1, 10))
+
+
+@pytest.fixture
+def world(clock, monkeypatch):
+    """A read on a service whose connections are lent after a wait."""
+    service = _service(clock)
+    link = _Link()
+    for served in service.databases.values():
+        served.pool.release = lambda link: None
+    waits = SimpleNamespace(queue=ms(0))
+
+    async def lend(*args):
+        clock.advance(waits.queue)
+        return link
+
+    monkeypatch.setattr(single_statement, "lend", lend)
+    prover = SimpleNamespace(refresh=lambda: None)
+    directory = SimpleNamespace(
+        clock=clock,
+        rng=random.Random(1),
+        log=ListLog(),
+        metrics=Metrics(),
+        prover=lambda name: prover,
+        budget=lambda name: RetryBudget(clock.now()),
+    )
+    route = Route("d", "s", ReadPolicy.BOUNDED, ms(1500), ms(1000), ms(200), 1)
+    statement = Statement("q1", StatementKind.READ, "READ a")
+    single = SingleStatement("c1", statement, SessionState(), route, service, directory)
+    return SimpleNamespace(single=single, link=link, waits=waits, clock=clock)
+
+
+def test_wait_for_a_connection_is_not_taken_for_a_silent_database(world):
+    """Burst: a read that waited for half of its objective runs all the same."""
+    world.waits.queue = ms(300)
+    reply = anyio.run(world.single.run, world.clock.now(), None)
+    assert_that(reply.receipt, Equals("r1"))
+    assert_that(world.link.is_broken, Is(False))
+
+
+def test_statement_is_not_begun_after_its_time(world):
+    world.waits.queue = timedelta(seconds=2)
+    with pytest.raises(CodedError) as caught:
+        anyio.run(world.single.run, world.clock.now(), None)
+    assert_that(caught.value.code, Is(ResultCode.QUEUE_DEADLINE))
+    assert_that(world.link.runs, Equals(0))
+    assert_that(world.link.is_broken, Is(False))
