Let faults of a soak end and start an instance in turn

Cause: two overlapping faults could start the same instance; the object kept the second child only, so the first was never ended. A soak that was told to stop by SIGTERM left all its instances. Ruled out: a child that survives SIGKILL (end() waits for it). Now whoever restarts an instance holds its turn, a start beside a running child raises, and the program ends its children on SIGTERM and SIGINT.

--- a/goldcrestpond/cli/soak.py
+++ b/goldcrestpond/cli/soak.py
@@ -2,11 +2,10 @@
 
 import sys
 
-import anyio
 import msgspec
 
 from ..soak.run_soak import run_soak
-from .run_program import run_commands
+from .run_program import run_commands, run_program
 
 
 def run(seed: int = 1, duration_s: float = 30, processes: int = 4) -> None:
@@ -21,10 +20,14 @@
     processes : int, default=4
         Instances.
     """
-    report = anyio.run(run_soak, seed, duration_s, processes)
-    print(msgspec.json.encode(report).decode(), flush=True)
-    if report.findings:
-        sys.exit(1)
+
+    async def run_and_print() -> None:
+        report = await run_soak(seed, duration_s, processes)
+        print(msgspec.json.encode(report).decode(), flush=True)
+        if report.findings:
+            sys.exit(1)
+
+    run_program(run_and_print)
 
 
 def main() -> None:
--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -7,6 +7,8 @@
 import sys
 from pathlib import Path
 
+import anyio
+
 from ..platform.instance_settings import PATH_VARIABLE
 from ..settings.address import Address
 
@@ -24,6 +26,11 @@
         Takes settings and log.
     settings : dict
         Settings of the program.
+
+    Attributes
+    ----------
+    turn : anyio.Lock
+        Held by whoever ends and starts it again.
     """
 
     def __init__(self, name: str, folder: Path, settings: dict):
@@ -32,6 +39,7 @@
         self._path = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
         self._path.write_text(json.dumps(settings), encoding="utf-8")
+        self.turn = anyio.Lock()
         self._child: subprocess.Popen | None = None
 
     @property
@@ -46,7 +54,15 @@
         return self._child is not None and self._child.poll() is None
 
     def start(self) -> None:
-        """Start the program; its output is appended to its log."""
+        """Start the program; its output is appended to its log.
+
+        Raises
+        ------
+        RuntimeError
+            If it runs.
+        """
+        if self.is_running:
+            raise RuntimeError(f"{self.name} runs already")
         environment = {**os.environ, PATH_VARIABLE: str(self._path)}
         with self._log_path.open("ab") as log:
             self._child = subprocess.Popen(
--- a/goldcrestpond/soak/soak_faults.py
+++ b/goldcrestpond/soak/soak_faults.py
@@ -17,18 +17,20 @@
 async def kill_instance(site: SoakSite, rng: random.Random) -> None:
     """Kill a process; it is started again."""
     instance = rng.choice(site.instances)
-    instance.end()
-    await anyio.sleep(rng.uniform(0.1, 1))
-    instance.start()
+    async with instance.turn:
+        instance.end()
+        await anyio.sleep(rng.uniform(0.1, 1))
+        instance.start()
 
 
 async def stop_instance(site: SoakSite, rng: random.Random) -> None:
     """Stop a process gracefully; it is started again."""
     instance = rng.choice(site.instances)
-    instance.send(signal.SIGTERM)
-    await anyio.sleep(GRACE_S + 0.5)
-    instance.end()
-    instance.start()
+    async with instance.turn:
+        instance.send(signal.SIGTERM)
+        await anyio.sleep(GRACE_S + 0.5)
+        instance.end()
+        instance.start()
 
 
 async def pause_instance(site: SoakSite, rng: random.Random) -> None:
