Claim nothing as in force before a new member joined the others

Cause of the failure of test_any_proxy_can_serve_the_resource_api beside load: an instance that had the list of seeds but no answer yet was alone in its own view, was its own root, and told the API that 1 of 1 live instances had the route. A trace of a failing run beside ten busy processes showed just that: one member, one known, while proxy-1 lived. Ruled out: proxy-1 held for dead. A member that never reaches a listed seed claims after join_limit, 5 s.

--- a/goldcrestpond/distribution/force_tree.py
+++ b/goldcrestpond/distribution/force_tree.py
@@ -40,7 +40,8 @@
     of all below it. The root claims a result only if the instances counted are
     exactly those that it holds for live, compared by number and by the sum of
     their ids: whoever is missing, counted twice or no longer live prevents
-    the claim. As a process never lowers its revision, a late report can only
+    the claim. A process that knows of others and has not joined them claims
+    nothing. As a process never lowers its revision, a late report can only
     understate.
 
     A claim that all have revision R therefore means: each instance that the
@@ -184,6 +185,8 @@
         )
 
     def _claim_total(self, report: ForceReport, now: timedelta) -> list[Send]:
+        if self._membership.is_joining:
+            return []
         table = self._membership.table
         count = sum(entry.instance_count for entry in report.counts)
         if count != len(table.ring) or report.id_sum != table.id_sum:
--- a/goldcrestpond/membership/membership.py
+++ b/goldcrestpond/membership/membership.py
@@ -94,7 +94,8 @@
         self._number = rng.getrandbits(32)
         self._suspicions: dict[int, Suspicion] = {}
         self._heard: dict[int, timedelta] = {}
-        self._seeds: tuple[str, ...] = ()
+        self._seeds: tuple[str, ...] | None = None
+        self._join_until = now + settings.join_limit
         self._probe_at = now + settings.probe_period * rng.random()
         self._probe_ring = True
         self._contact_at = now
@@ -115,6 +116,12 @@
         """Count of updates that are still passed on."""
         return len(self._queue)
 
+    @property
+    def is_joining(self) -> bool:
+        """Whether there may be a fleet that this process is not yet part of."""
+        knows_alone = self._seeds == ()
+        return self._joining and not knows_alone and self._now < self._join_until
+
     def live(self) -> list[MemberUpdate]:
         """Return all live instances, this one included."""
         return self.table.live()
@@ -291,7 +298,8 @@
         dead = self.table.gone(MemberState.DEAD)
         if dead:
             self._probe(self.table.get(self._rng.choice(dead)), decides=False)
-        drawn = self._rng.sample(self._seeds, min(_SEEDS_DRAWN, len(self._seeds)))
+        seeds = self._seeds or ()
+        drawn = self._rng.sample(seeds, min(_SEEDS_DRAWN, len(seeds)))
         for seed in drawn:
             if not self.table.live_at(seed):
                 self._contact_seed(seed)
--- a/goldcrestpond/membership/membership_settings.py
+++ b/goldcrestpond/membership/membership_settings.py
@@ -39,6 +39,9 @@
         Pause between contacts to dead instances and to seeds.
     sync_period : timedelta
         Shortest pause between two comparisons of the whole table.
+    join_limit : timedelta
+        How long a new member that knows of others waits to be one of them before
+        it counts itself as a fleet of its own.
     tombstone_lifetime : timedelta
         How long a dead or left instance is remembered.
     pause_limit : timedelta
@@ -66,6 +69,7 @@
     heard_suspicion_timeout: timedelta = _ms(1500)
     contact_period: timedelta = _ms(1000)
     sync_period: timedelta = _ms(2000)
+    join_limit: timedelta = _ms(5000)
     tombstone_lifetime: timedelta = _ms(600_000)
     pause_limit: timedelta = _ms(500)
     eager_fanout: int = 4
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -267,3 +267,17 @@
     max_examples=12, stateful_step_count=12
 )
 test_members_are_level_after_faults = DistributionMachine.TestCase
+
+
+def test_newcomer_claims_nothing_before_it_joined():
+    """Alone in its own view, it would tell that all of one have a revision."""
+    fleet = _fleet(4)
+    fleet.run(1)
+    fleet.loss = 1.0
+    newcomer = fleet.distributions[fleet.start()]
+    fleet.run(2)
+    assert_that(newcomer.in_force(fleet.now), Equals([]))
+    fleet.loss = 0.0
+    fleet.run_until(
+        lambda: count_in_force(newcomer.in_force(fleet.now), 0) == (5, 5), HEALING_S
+    )
