Choose the holders of a service by the members alone

An instance that knew the members before all databases dealt them otherwise and was not asked again until the next configuration; the 20 instances of one zone asked holders that held nothing, 12,925 times in vain, and refused. Ruled out: members that differ (all 61 knew 61) and the holders' load. Now the zones are those of the members, and one that says that it holds nothing is not asked for the service for 1 s.

--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -68,6 +68,7 @@
 
     PEER_UNREACHABLE = (701, "08001", 503, "A peer does not answer.")
     PEER_MALFORMED = (702, "08P01", 400, "A peer's message cannot be read.")
+    PEER_HOLDS_NOTHING = (703, "08001", 503, "A peer holds no connections to it.")
 
     INTERNAL = (901, "XX000", 500, "An internal error.")
 
--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -12,10 +12,13 @@
 from ..settings.address import Address
 from ..settings.socket_timeouts import set_timeouts
 from .channel import Channel
-from .messages import Message, Response, Return
+from .messages import Lend, Message, Prove, Refused, Response, Return
 
 CONNECT_LIMIT = timedelta(milliseconds=300)  # many round trips between zones
 ANSWER_SLACK = timedelta(milliseconds=100)  # beyond what the holder may wait
+# One that says that it holds nothing is asked again after this time: views of the
+# members differ for no longer than their rows take to be read.
+DENIAL_MEMORY = timedelta(seconds=1)
 IDLE_CHANNELS_MAX = 8  # a burst opens more; they are closed after it
 
 
@@ -38,6 +41,7 @@
 
     __slots__ = (
         "_clock",
+        "_denied_at",
         "_idle",
         "_tasks",
         "address",
@@ -63,6 +67,12 @@
         self.outstanding = 0
         self._clock = clock
         self._idle: list[Channel] = []
+        self._denied_at: dict[str, timedelta] = {}
+
+    def denies(self, service: str) -> bool:
+        """Return whether it has said lately that it does not hold a service."""
+        denied_at = self._denied_at.get(service)
+        return denied_at is not None and self._clock.now() - denied_at < DENIAL_MEMORY
 
     async def take(self) -> Channel:
         """Return an unused channel.
@@ -118,8 +128,17 @@
             detail = f"{self.name}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         self.health.succeeded()
+        if isinstance(message, Lend | Prove):
+            self._note_denial(message.service, response)
         return response
 
+    def _note_denial(self, service: str, response: Response) -> None:
+        number = response.code if isinstance(response, Refused) else 0
+        if number == ResultCode.PEER_HOLDS_NOTHING.number:
+            self._denied_at[service] = self._clock.now()
+        else:
+            self._denied_at.pop(service, None)
+
     async def aclose(self) -> None:
         """Close unused channels."""
         while self._idle:
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -46,11 +46,13 @@
         self._by_service: dict[str, list[Holder]] = {}
         self._names_by_service: dict[str, list[str]] = {}
 
-    def assign(
-        self, service: str, members: list[Member], count: int, zones: list[str]
-    ) -> bool:
+    def assign(self, service: str, members: list[Member], count: int) -> bool:
         """Choose the holders of a service; return whether this instance is one.
 
+        They are spread over the availability zones of the members, so that the
+        outcome depends on nothing that instances learn at different times but the
+        members themselves.
+
         Parameters
         ----------
         service : str
@@ -59,9 +61,8 @@
             Live instances.
         count : int
             How many hold it.
-        zones : list of str
-            Availability zones of its databases.
         """
+        zones = [member.availability_zone for member in members]
         by_name = {member.name: member for member in members}
         candidates = [Candidate(m.name, m.availability_zone) for m in members]
         chosen = choose_holders(service, candidates, count, zones)
@@ -79,8 +80,12 @@
         return self._names_by_service.get(service, [])
 
     def of(self, service: str) -> list[Holder]:
-        """Return the holders of a service other than this instance."""
-        return self._by_service.get(service, [])
+        """Return the holders of a service other than this instance.
+
+        Those that denied it lately are left out, unless all did.
+        """
+        holders = self._by_service.get(service, [])
+        return [h for h in holders if not h.denies(service)] or holders
 
     async def prove(
         self, service: str, holder: Holder, wait: timedelta
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -169,7 +169,10 @@
             return RemoteLink(holder, channel, response)
         await holder.give_back(channel)
         if isinstance(response, messages.Refused):
-            raise messages.to_error(response)
+            error = messages.to_error(response)
+            if error.code is ResultCode.PEER_HOLDS_NOTHING:
+                raise _unreachable(error)
+            raise error
         detail = f"{holder.name}: unexpected {type(response).__name__}"
         raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_MS)
 
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -102,8 +102,9 @@
         await self._give_back(is_broken=False)
         service = self._directory.services.get(request.service)
         served = service and service.databases.get(request.database_id)
-        if served is None or not self._directory.holds(request.service):
-            detail = f"{request.service}/{request.database_id} is not held here"
+        self._check_held(request.service)
+        if served is None:
+            detail = f"{request.service}/{request.database_id} is not known here"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
         deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
         lane = Lane(request.lane)
@@ -112,9 +113,7 @@
         return messages.Lent(self._link.values, list(self._link.prepared))
 
     async def _prove(self, request: messages.Prove) -> messages.Response:
-        if not self._directory.holds(request.service):
-            detail = f"{request.service} is not held here"
-            raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
+        self._check_held(request.service)
         service = self._directory.service(request.service)
         now = self._directory.clock.now()
         prover = self._directory.prover(request.service)
@@ -124,6 +123,11 @@
             raise CodedError(ResultCode.NO_PRIMARY, request.service)
         return messages.Proved(leader.database_id, sample.position)
 
+    def _check_held(self, service: str) -> None:
+        if not self._directory.holds(service):
+            detail = f"{service} is not held here"
+            raise CodedError(ResultCode.PEER_HOLDS_NOTHING, detail)
+
     async def _run(self, link: Link, request: messages.Request) -> messages.Response:
         self._served.pool.resume(link)
         match request:
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -293,8 +293,7 @@
         if not self._members or limits is None:
             return
         count = holder_count(limits.connection_limit, len(self._members))
-        zones = [s.database.availability_zone for s in service.databases.values()]
-        is_held = self._holders.assign(service.name, self._members, count, zones)
+        is_held = self._holders.assign(service.name, self._members, count)
         self._holder_counts[service.name] = count
         if is_held != self.holds(service.name):
             self.log.decision(
--- /dev/null
+++ b/tests/serving/test_directory.py
@@ -0,0 +1,82 @@
+"""What an instance serves does not depend on the order in which it learned it."""
+
+import random
+from dataclasses import replace
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.relay.holders import Holders
+from goldcrestpond.serving.directory import Directory
+from goldcrestpond.serving.members import Member
+from goldcrestpond.serving.metrics import Metrics
+from goldcrestpond.serving.route_table import RouteTable, ServiceLimits
+from goldcrestpond.serving.serving_settings import ServingSettings
+from goldcrestpond.settings.address import Address
+
+from ..line_world import ListLog
+from .test_leadership import database, ms
+
+_ZONES = ("z1", "z2", "z3")
+_NAMES = [f"i{number}" for number in range(60)]
+_MEMBERS = [
+    Member(name, _ZONES[number % 3], Address("127.0.0.1", 1 + number))
+    for number, name in enumerate(_NAMES)
+]
+_TABLE = RouteTable(1, {}, {"s": ServiceLimits(48, 1)})
+_DATABASES = [
+    replace(database(f"d{number}"), availability_zone=zone)
+    for number, zone in enumerate(_ZONES)
+]
+
+
+async def _no_link(database):
+    raise AssertionError("nothing asks a database here")
+
+
+def _directory(name, tasks):
+    clock = SystemClock()
+    return Directory(
+        ServingSettings(name, "z1"),
+        _no_link,
+        clock,
+        random.Random(1),
+        ListLog(),
+        Metrics(),
+        tasks,
+        Holders(name, clock, tasks),
+    )
+
+
+def _listed(directory, databases):
+    for each in databases:
+        directory.registry.put(each, ms(0))
+    directory.apply_registry()
+
+
+@pytest.mark.parametrize("known_first", [0, 1, 2, 3])
+def test_instances_agree_on_holders_whatever_they_learned_first(known_first):
+    """Start of a large fleet: members are known before all databases are."""
+
+    async def body():
+        held_by = {}
+        async with anyio.create_task_group() as tasks:
+            for number, name in enumerate(_NAMES):
+                directory = _directory(name, tasks)
+                first = known_first if number % 2 else 3
+                _listed(directory, _DATABASES[:first])
+                directory.set_members(_MEMBERS)
+                directory.apply_table(_TABLE)
+                _listed(directory, _DATABASES)
+                held_by[name] = directory.holds("s")
+                views = directory.holder_names("s")
+                held_by.setdefault("", views)
+                assert_that(sorted(views), Equals(sorted(held_by[""])))
+            tasks.cancel_scope.cancel()
+        holders = held_by.pop("")
+        assert_that(sorted(n for n in held_by if held_by[n]), Equals(sorted(holders)))
+
+    anyio.run(body)
