Open nothing before the members are known, and hold a leader without room for alive

All leaders were then suspected, as proofs met CONNLIMIT and BUSY, successions failed for want of a connection, and one working leader was replaced. Ruled out: members unread at the restart (72 known after 70 ms). Now an instance holds nothing until it knows the members, asks for them every 0.2 s, closes its proof connection when it stops holding, closes idle connections after 5 s instead of 10 min, and a leader that has only no room is suspected after 3 s. The new tests failed before.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -34,8 +34,6 @@
 from .serving_settings import ServingSettings
 
 OpenLink = Callable[[Database], Awaitable[Link]]
-# Sites have 6 to 8 instances today; a small share is safe until the members are read.
-MEMBERS_UNTIL_KNOWN = 8
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
 
@@ -109,12 +107,16 @@
 
     @property
     def member_count(self) -> int:
-        """Live instances by which connections are shared."""
-        return len(self._members) or MEMBERS_UNTIL_KNOWN
+        """Live instances by which connections are shared; 0 while unknown."""
+        return len(self._members)
 
     def holds(self, service: str) -> bool:
-        """Return whether this instance holds connections to a service."""
-        return self._held.get(service, True)
+        """Return whether this instance holds connections to a service.
+
+        It holds none before it knows the members: all instances of a fleet that
+        start together would open more than a database takes.
+        """
+        return self._held.get(service, False)
 
     def holder_count(self, service: str) -> int:
         """Return how many instances hold connections to a service."""
@@ -300,6 +302,8 @@
                 "holder", service=service.name, holds=is_held, holders=count
             )
         self._held[service.name] = is_held
+        if not is_held:
+            self._tasks.start_soon(self._provers[service.name].aclose)
 
     async def _ask_holder(
         self, service: str, wait: timedelta
@@ -336,7 +340,9 @@
 
 
 # Opening a connection takes a slot, so it is kept while the endpoint keeps it.
-_IDLE_CLOSE = timedelta(minutes=10)
+# Of the connections that died with their instances a database counts some for
+# seconds; those that nobody needs are not kept to be counted then.
+_IDLE_CLOSE = timedelta(seconds=5)
 
 
 def _is_other(known: Database, present: Database) -> bool:
--- a/goldcrestpond/serving/leader_prover.py
+++ b/goldcrestpond/serving/leader_prover.py
@@ -23,7 +23,10 @@
 # must leave its caller time to come back.
 LEADERLESS_WAIT_PART = 0.5
 UNMET_MEMORY = timedelta(seconds=2)  # after that, nobody cares for the leader
+# A leader that answers only that it has no room for this long counts as silent.
+OVERLOAD_PATIENCE = timedelta(seconds=3)
 _RETRY_PAUSE = timedelta(milliseconds=20)
+_OVERLOADED = (ResultCode.ENDPOINT_FULL, ResultCode.ENDPOINT_BUSY)
 
 
 class LeaderProver:
@@ -59,6 +62,7 @@
         "_link",
         "_needed_since",
         "_open_link",
+        "_overloaded_at",
         "_service",
         "_settings",
         "_tasks",
@@ -88,6 +92,7 @@
         self._needed_since = timedelta.min
         self._deadline = timedelta.min
         self._unmet_since: timedelta | None = None
+        self._overloaded_at: timedelta | None = None
 
     def unmet_for(self, now: timedelta) -> timedelta | None:
         """Return for how long no database has proved that it leads.
@@ -98,6 +103,19 @@
             return None
         return now - self._unmet_since
 
+    def silent_for(self, now: timedelta) -> timedelta | None:
+        """Return for how long the leader has failed, other than by overload.
+
+        One that takes no more connections, or has no slot, is alive: replacing it
+        helps only if that does not pass. None as for `unmet_for`.
+        """
+        unmet_for = self.unmet_for(now)
+        if unmet_for is None or unmet_for >= OVERLOAD_PATIENCE:
+            return unmet_for
+        if self._overloaded_at is None:
+            return unmet_for
+        return min(unmet_for, now - self._overloaded_at)
+
     def look(self) -> None:
         """Find out whether the service has a leader now."""
         now = self._clock.now()
@@ -208,15 +226,16 @@
         except (CodedError, TimeoutError) as error:
             await self.aclose()
             self._service.doubt_leader(served)
-            self._failed(served, str(error) or "no answer")
+            self._failed(served, getattr(error, "code", None), str(error))
             return False
         if reply.error is ResultCode.PRIMARY_REPLACED:
             self._service.refused_to_lead(served)
             return False
         if reply.error is not None or reply.position is None:
-            self._failed(served, reply.detail)
+            self._failed(served, reply.error, reply.detail)
             return False
         self._unmet_since = None
+        self._overloaded_at = None
         self._service.proved(served, reply.position, asked_at)
         self._service.notify_sample()
         return True
@@ -243,13 +262,18 @@
         self._service.notify_sample()
         return True
 
-    def _failed(self, served: ServedDatabase, detail: str) -> None:
-        served.health.failed(self._clock.now())
+    def _failed(
+        self, served: ServedDatabase, code: ResultCode | None, detail: str
+    ) -> None:
+        now = self._clock.now()
+        served.health.failed(now)
+        if code in _OVERLOADED:
+            self._overloaded_at = now
         self._service.log.decision(
             "proof failed",
             service=self._service.name,
             database=served.database_id,
-            detail=detail,
+            detail=detail or "no answer",
         )
 
     async def _link_to(self, served: ServedDatabase) -> Link:
--- a/goldcrestpond/serving/member_keeper.py
+++ b/goldcrestpond/serving/member_keeper.py
@@ -14,6 +14,7 @@
 
 # At a start all instances write their rows within a second.
 FIRST_READS = (timedelta(seconds=1), timedelta(seconds=3))
+UNKNOWN_RETRY_S = 0.2  # a store that is back answers within milliseconds
 LEAVE_LIMIT_S = 0.5
 
 
@@ -74,7 +75,9 @@
 
     async def run(self) -> None:
         """Write heartbeats and read those of others until cancelled."""
-        await self._read()
+        while not await self._read():
+            # Without the members nothing can be served.
+            await anyio.sleep(UNKNOWN_RETRY_S * self._rng.uniform(0.5, 1))
         await self._beat()
         for pause in FIRST_READS:
             await anyio.sleep(pause.total_seconds())
@@ -104,11 +107,12 @@
         except CodedError as error:
             self._log.decision("heartbeat not written", detail=error.detail)
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         try:
             answer = await self._store.read(TABLE)
         except CodedError as error:
             self._log.decision("members not read", detail=error.detail)
-            return
+            return False
         self._members.replace(answer.rows, self._clock.now())
         self._directory.set_members(self.live)
+        return True
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -153,8 +153,8 @@
             self._tasks.start_soon(self._replace_leader, service, is_planned)
 
     def _is_suspect(self, service: Service, now: timedelta) -> bool:
-        unmet_for = self._directory.prover(service.name).unmet_for(now)
-        return unmet_for is not None and unmet_for >= SUSPECT_AFTER
+        silent_for = self._directory.prover(service.name).silent_for(now)
+        return silent_for is not None and silent_for >= SUSPECT_AFTER
 
     def _is_leader_leaving(self, service: Service, now: timedelta) -> bool:
         leader_id = service.leadership.leader_id
--- /dev/null
+++ b/tests/serving/test_member_keeper.py
@@ -0,0 +1,65 @@
+"""An instance takes part once it has read who else does."""
+
+import random
+
+import anyio
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.clock.manual_clock import ManualClock
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.serving.member_keeper import MemberKeeper
+from goldcrestpond.serving.members import Member
+from goldcrestpond.serving.row_store import FeedAnswer
+
+from ..line_world import ListLog
+
+
+class _Store:
+    """Fails so many readings, then has no rows."""
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.written = anyio.Event()
+
+    async def read(self, table):
+        if self.failures:
+            self.failures -= 1
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, "away")
+        return FeedAnswer([], 1, 0.0)
+
+    async def write(self, conditions, puts, removals=()):
+        self.written.set()
+
+
+class _Directory:
+    def __init__(self):
+        self.members = []
+
+    def set_members(self, members):
+        self.members.append([member.name for member in members])
+
+
+def test_members_are_asked_for_until_they_are_known():
+    """Start while the store is away: all instances of the fleet wait for it."""
+    store, directory = _Store(3), _Directory()
+
+    async def body():
+        keeper = MemberKeeper(
+            Member("i1", "z", None),
+            store,
+            directory,
+            ManualClock(),
+            random.Random(1),
+            ListLog(),
+        )
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper.run)
+                await store.written.wait()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(body)
+    assert_that(store.failures, Equals(0))
+    assert_that(directory.members, Equals([["i1"]]))
