Let few hold a database of a large fleet, and send few times what it runs at once

Ruled out: CONNLIMIT (none) and lost proofs (44). Now at most six hold a database, and together send at most four times its slots.

--- a/goldcrestpond/serving/connection_share.py
+++ b/goldcrestpond/serving/connection_share.py
@@ -1,5 +1,7 @@
 """Who opens connections to a database, and how many."""
 
+import math
+
 # Kept for a succession, which asks each database over a connection of its own,
 # and for the connections of instances that have just died.
 SUCCESSION_RESERVE = 3
@@ -9,6 +11,13 @@
 ALL_HOLD_MEMBERS = 16
 # What one holder of a larger fleet opens: enough for its neighbours to share.
 HOLDER_CONNECTIONS = 6
+# Each queue sees more of a database's slots if few hold it; of so many, two or three
+# zones and some instances may be lost.
+HOLDERS_MAX = 6
+# The holders together send so many times the statements that a database runs at
+# once: they are seldom busy together, and a database lets some wait.
+OVERBOOKING = 4
+STATEMENTS_LEAST = 2  # one that is slow does not stop the others
 
 
 def holder_count(connection_limit: int, member_count: int) -> int:
@@ -27,7 +36,7 @@
     if is_small and shared >= least * member_count:
         return member_count
     wanted = shared // (HOLDER_CONNECTIONS + LEADER_PROOF_CONNECTIONS)
-    return max(1, min(member_count, wanted))
+    return max(1, min(member_count, wanted, HOLDERS_MAX))
 
 
 def connection_share(connection_limit: int, holders: int) -> int:
@@ -35,3 +44,19 @@
     shared = connection_limit - SUCCESSION_RESERVE
     part = shared // max(1, holders) - LEADER_PROOF_CONNECTIONS
     return max(LEAST_SHARE, part)
+
+
+def statement_share(share: int, slots: int, holders: int) -> int:
+    """Return how many statements one holder may run at a database at once.
+
+    Parameters
+    ----------
+    share : int
+        Connections that the holder may open.
+    slots : int
+        Statements that the database runs at once.
+    holders : int
+        Instances that hold it.
+    """
+    part = math.ceil(OVERBOOKING * slots / max(1, holders))
+    return max(STATEMENTS_LEAST, min(share, part))
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -19,7 +19,7 @@
 from ..relay.relay_pool import RelayPool
 from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
-from .connection_share import connection_share, holder_count
+from .connection_share import connection_share, holder_count, statement_share
 from .database import Database
 from .decision_log import DecisionLog
 from .leader_prover import LeaderProver
@@ -286,9 +286,10 @@
         limits = self.table.services.get(database.service, _UNKNOWN_LIMITS)
         holders = self.holder_count(database.service)
         share = connection_share(limits.connection_limit, holders)
+        statements = statement_share(share, database.slots, holders)
         if not self.holds(database.service):
             share = 0
-        served.pool.set_limits(share, max(share, 2), 1)
+        served.pool.set_limits(share, statements, 1)
 
     def _assign(self, service: Service) -> None:
         limits = self.table.services.get(service.name)
