--- a/goldcrestpond/serving/link_loan.py
+++ b/goldcrestpond/serving/link_loan.py
@@ -15,6 +15,7 @@
 from .served_database import ServedDatabase
 from .session_state import SessionState
 
+_QUEUE_REFUSALS = (ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE)
 ROLLBACK_LIMIT_S = 1.0  # a rollback is one round trip without work
 
 
@@ -38,11 +39,17 @@
     CodedError
         A code that says that nothing was run.
     """
+    asked_at = clock.now()
     try:
         link = await served.pool.acquire(0, deadline, key, lane_of(route))
     except CodedError as error:
+        now = clock.now()
         if error.code is ResultCode.ENDPOINT_UNREACHABLE:
-            served.health.failed(clock.now())
+            served.health.failed(now)
+        if error.code in _QUEUE_REFUSALS:
+            # What it would have taken; nothing else shows a holder's queue.
+            retry_after = timedelta(milliseconds=error.retry_after_ms)
+            served.latency.observe(now - asked_at + retry_after, now)
         raise
     try:
         with anyio.fail_after((deadline - clock.now()).total_seconds()):
--- /dev/null
+++ b/tests/serving/test_link_loan.py
@@ -0,0 +1,43 @@
+"""What a refused loan tells about a database."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.serving.link_loan import lend
+from goldcrestpond.serving.route import ReadPolicy, Route
+from goldcrestpond.serving.session_state import SessionState
+
+from .test_leadership import ms
+from .test_load_patterns import _service, _spread
+
+_ROUTE = Route("d", "s", ReadPolicy.BOUNDED, ms(1500), ms(1000), ms(200), 1)
+
+
+def _refuse(served, code, clock):
+    async def acquire(term, deadline, key, lane):
+        raise CodedError(code, "", 300)
+
+    served.pool.acquire = acquire
+
+    async def body():
+        with pytest.raises(CodedError):
+            await lend(served, SessionState(), "c", _ROUTE, clock.now() + ms(9), clock)
+
+    anyio.run(body)
+
+
+@pytest.mark.parametrize("code", [ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE])
+def test_reads_go_elsewhere_while_holders_shed_work_of_a_database(clock, code):
+    """Backlog after a restart: the queue of one database is full at its holders."""
+    service = _service(clock)
+    clock.advance(ms(50))
+    for _ in range(4):
+        _refuse(service.databases["r1"], code, clock)
+    assert_that(_spread(service, LogPosition(1, 5))["r1"], Equals(0))
+    clock.advance(ms(10_000))
+    assert_that(_spread(service, LogPosition(1, 5))["r1"] > 50, Equals(True))
