--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -154,6 +154,7 @@
             self.services[name] = service
             self._provers[name] = self._make_prover(service)
             self._budgets[name] = RetryBudget(self.clock.now())
+            self._assign(service)
         return service
 
     def prover(self, service: str) -> LeaderProver:
@@ -195,7 +196,6 @@
                 present = listed.get(database_id)
                 if present is None or _is_other(served.database, present):
                     self._drop(service, served)
-        new_services = {d.service for d in listed.values()} - self.services.keys()
         for database in listed.values():
             service = self.service(database.service)
             served = service.databases.get(database.database_id)
@@ -204,10 +204,6 @@
             else:
                 served.database = database
             service.notify()
-        for name in new_services:
-            self._assign(self.services[name])
-            for served in self.services[name].databases.values():
-                self._share(served)
 
     def drop_lapsed(self) -> None:
         """Drop databases that lapsed and did not come back."""
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -1,5 +1,6 @@
 """What an instance serves does not depend on the order in which it learned it."""
 
+import itertools
 import random
 from dataclasses import replace
 
@@ -33,6 +34,9 @@
 ]
 
 
+_ORDERS = list(itertools.permutations(["members", "table", "databases", "asked"]))
+
+
 async def _no_link(database):
     raise AssertionError("nothing asks a database here")
 
@@ -80,3 +84,24 @@
         assert_that(sorted(n for n in held_by if held_by[n]), Equals(sorted(holders)))
 
     anyio.run(body)
+
+
+@pytest.mark.parametrize("order", _ORDERS, ids="-".join)
+def test_service_is_held_whatever_is_known_first(order):
+    """Start while the store fails now and then: its tables come in any order."""
+
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i1", tasks)
+            steps = {
+                "members": lambda: directory.set_members(_MEMBERS[1:2]),
+                "table": lambda: directory.apply_table(_TABLE),
+                "databases": lambda: _listed(directory, _DATABASES),
+                "asked": lambda: directory.service("s"),  # by a caller's statement
+            }
+            for step in order:
+                steps[step]()
+            assert_that(directory.holds("s"), Equals(True))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(body)
