--- a/goldcrestpond/platform/operator_configuration.py
+++ b/goldcrestpond/platform/operator_configuration.py
@@ -1,6 +1,11 @@
-"""Decodes the operator's configuration into routes."""
+"""Decodes the operator's configuration into routes.
+
+Lists come as tables of columns and rows (``deploy/wire.toml``), half as long or less:
+a large configuration otherwise fills the link of a small machine while callers wait.
+"""
 
 from datetime import timedelta
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -36,14 +41,20 @@
     txn_idle_ms: float = 10000
 
 
+class _Table(msgspec.Struct):
+    columns: list[str]
+    rows: list[list[Any]]
+
+
 class _ConfigurationBody(msgspec.Struct, rename="camel"):
     config_version: int
-    routes: list[_RouteBody]
-    services: list[_ServiceBody]
+    routes: _Table
+    services: _Table
     limits: _LimitsBody = _LimitsBody()
 
 
 _DECODER = msgspec.json.Decoder(_ConfigurationBody)
+_Record = TypeVar("_Record")
 
 
 def decode_configuration(value: bytes) -> RouteTable:
@@ -55,14 +66,29 @@
         If it cannot be read; nothing of it is to be used then.
     """
     body = _DECODER.decode(value)
+    routes = _records(body.routes, _RouteBody)
+    services = _records(body.services, _ServiceBody)
     return RouteTable(
         body.config_version,
-        {route.database: _to_route(route) for route in body.routes},
-        {s.name: ServiceLimits(s.max_conns, s.sync_replicas) for s in body.services},
+        {route.database: _to_route(route) for route in routes},
+        {s.name: ServiceLimits(s.max_conns, s.sync_replicas) for s in services},
         timedelta(milliseconds=body.limits.txn_idle_ms),
     )
 
 
+def _records(table: _Table, record_type: type[_Record]) -> list[_Record]:
+    """Return a record for each row; what is null takes its default."""
+    names, records = table.columns, []
+    for row in table.rows:
+        if len(row) != len(names):
+            detail = f"{len(row)} values for {len(names)} columns"
+            raise msgspec.ValidationError(detail)
+        pairs = zip(names, row, strict=True)
+        fields = {name: value for name, value in pairs if value is not None}
+        records.append(msgspec.convert(fields, record_type))
+    return records
+
+
 def _to_route(body: _RouteBody) -> Route:
     return Route(
         body.database,
--- a/goldcrestpond/standin/line_bodies.py
+++ b/goldcrestpond/standin/line_bodies.py
@@ -57,14 +57,21 @@
     ]
     return {
         "configVersion": version,
-        "routes": routes,
-        "services": [
-            {"name": service, "maxConns": connection_limit, "syncReplicas": 1}
-        ],
+        "routes": table_body(routes),
+        "services": table_body(
+            [{"name": service, "maxConns": connection_limit, "syncReplicas": 1}]
+        ),
         "limits": {"txnIdleMs": 3000},
     }
 
 
+def table_body(records: list[dict]) -> dict:
+    """Return records as columns and rows; what one of them lacks is null."""
+    columns = list(dict.fromkeys(name for record in records for name in record))
+    rows = [[record.get(name) for name in columns] for record in records]
+    return {"columns": columns, "rows": rows}
+
+
 def registry_entry(
     service: str,
     database: LineDatabase,
--- a/tests/platform/test_instance_path.py
+++ b/tests/platform/test_instance_path.py
@@ -279,7 +279,8 @@
         await anyio.sleep(0.5)
         version = world.instances[0].directory.table.version
         assert_that(set(world.instances[0].directory.table.routes), Equals({"own"}))
-        old = {"configVersion": 1, "routes": [], "services": []}
+        none = {"columns": [], "rows": []}
+        old = {"configVersion": 1, "routes": none, "services": none}
         world.platform.put("op", "config", old)
         await anyio.sleep(0.3)
         assert_that(world.instances[0].directory.table.version, Equals(version))
