Keep the ages of heard rows in one place

Members and Suspicions each kept when a row's last change was heard, and forgot and aged rows by the same rules. Behaviour is the same.

--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -8,6 +8,7 @@
 
 from ..errors.coded_error import CodedError
 from ..settings.address import Address, parse_address
+from .heard_rows import HeardRows
 from .row_store import StoredRow
 
 TABLE = "member"
@@ -64,28 +65,18 @@
 
 
 class Members:
-    """Members by the last change of their rows.
-
-    Ages are taken on this process's own clock, from when a change was heard.
-    """
+    """Members by the last change of their rows."""
 
     __slots__ = ("_heard",)
 
     def __init__(self) -> None:
-        self._heard: dict[str, tuple[StoredRow, timedelta]] = {}
+        self._heard = HeardRows()
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta) -> None:
         """Take in all rows."""
-        heard = {}
-        for row in rows:
-            known = self._heard.get(row.key)
-            is_same = known is not None and known[0].version == row.version
-            heard[row.key] = known if is_same else (row, now)
-        self._heard = heard
+        self._heard.replace(rows, now)
 
     def live(self, now: timedelta) -> list[Member]:
         """Return the live members."""
-        limit = HEARTBEAT * MISSED_HEARTBEATS
-        return [
-            decode_member(row) for row, at in self._heard.values() if now - at < limit
-        ]
+        lifetime = HEARTBEAT * MISSED_HEARTBEATS
+        return [decode_member(row) for row in self._heard.fresh(now, lifetime)]
--- a/goldcrestpond/serving/suspicions.py
+++ b/goldcrestpond/serving/suspicions.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
+from .heard_rows import HeardRows
 from .row_store import StoredRow
 
 TABLE = "suspicion"
@@ -26,33 +27,26 @@
 
 
 class Suspicions:
-    """Suspicions by service; ages are taken from when a row was heard."""
+    """Suspicions by service."""
 
     __slots__ = ("_heard",)
 
     def __init__(self) -> None:
-        self._heard: dict[str, tuple[int, timedelta]] = {}
+        self._heard = HeardRows()
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta) -> None:
         """Take in all rows."""
-        keys = {row.key for row in rows}
-        for key in self._heard.keys() - keys:
-            del self._heard[key]
-        self.update(rows, now)
+        self._heard.replace(rows, now)
 
     def update(self, rows: Sequence[StoredRow], now: timedelta) -> None:
         """Take in changed rows."""
-        for row in rows:
-            if row.value is None:
-                self._heard.pop(row.key, None)
-            elif row.key not in self._heard or self._heard[row.key][0] != row.version:
-                self._heard[row.key] = (row.version, now)
+        self._heard.update(rows, now)
 
     def by(self, service: str, now: timedelta) -> set[str]:
         """Return the instances that suspect the leader of a service."""
         prefix = f"{service}/"
         return {
-            key.removeprefix(prefix)
-            for key, (_, heard_at) in self._heard.items()
-            if key.startswith(prefix) and now - heard_at < LIFETIME
+            row.key.removeprefix(prefix)
+            for row in self._heard.fresh(now, LIFETIME)
+            if row.key.startswith(prefix)
         }
