--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -197,11 +197,8 @@
             await anyio.aclose_forcefully(self._stream)
 
     async def _connect(self) -> bool:
-        line = await self._read_line()
-        if line is None:
-            return False
-        message = codec.decode_caller_line(line)
-        if isinstance(message, codec.Quit):
+        message = await self._next_message()
+        if message is None:
             return False
         if not isinstance(message, codec.Connect):
             raise CodedError(ResultCode.MALFORMED_FRAME, "CONNECT comes first")
@@ -210,11 +207,8 @@
         return True
 
     async def _answer_next(self) -> bool:
-        line = await self._read_line()
-        if line is None:
-            return False
-        message = codec.decode_caller_line(line)
-        if isinstance(message, codec.Quit):
+        message = await self._next_message()
+        if message is None:
             return False
         if not isinstance(message, codec.Query):
             raise CodedError(ResultCode.MALFORMED_FRAME, "the session has begun")
@@ -230,6 +224,14 @@
             return Reply(error=error.code, detail=error.detail, state=state)
         return await self._session.run(statement)
 
+    async def _next_message(self) -> codec.Connect | codec.Query | None:
+        """Return the caller's next message; None if the session is to end."""
+        line = await self._read_line()
+        if line is None:
+            return None
+        message = codec.decode_caller_line(line)
+        return None if isinstance(message, codec.Quit) else message
+
     async def _read_line(self) -> str | None:
         """Return the next line; None if the session is to end."""
         while True:
