Close a proof connection only when the role of a holder ends

It was asked for at every assignment, thus at each version of the configuration, for services that were never held and have no such connection. Behaviour is the same.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -302,9 +302,9 @@
             self.log.decision(
                 "holder", service=service.name, holds=is_held, holders=count
             )
+            if not is_held:
+                self._tasks.start_soon(self._provers[service.name].aclose)
         self._held[service.name] = is_held
-        if not is_held:
-            self._tasks.start_soon(self._provers[service.name].aclose)
 
     async def _ask_holder(
         self, service: str, wait: timedelta
