--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -29,7 +29,14 @@
         Runs what nobody waits for.
     """
 
-    __slots__ = ("_by_service", "_clock", "_instance", "_known", "_tasks")
+    __slots__ = (
+        "_by_service",
+        "_clock",
+        "_instance",
+        "_known",
+        "_names_by_service",
+        "_tasks",
+    )
 
     def __init__(self, instance: str, clock: Clock, tasks: TaskGroup):
         self._instance = instance
@@ -37,6 +44,7 @@
         self._tasks = tasks
         self._known: dict[Member, Holder] = {}
         self._by_service: dict[str, list[Holder]] = {}
+        self._names_by_service: dict[str, list[str]] = {}
 
     def assign(
         self, service: str, members: list[Member], count: int, zones: list[str]
@@ -58,6 +66,7 @@
         candidates = [Candidate(m.name, m.availability_zone) for m in members]
         chosen = choose_holders(service, candidates, count, zones)
         names = [candidate.name for candidate in chosen]
+        self._names_by_service[service] = names
         self._by_service[service] = [
             self._holder(by_name[name])
             for name in names
@@ -65,6 +74,10 @@
         ]
         return self._instance in names
 
+    def names(self, service: str) -> list[str]:
+        """Return the names of all holders of a service; empty if unknown."""
+        return self._names_by_service.get(service, [])
+
     def of(self, service: str) -> list[Holder]:
         """Return the holders of a service other than this instance."""
         return self._by_service.get(service, [])
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -145,7 +145,6 @@
         self._succession = SuccessionKeeper(
             settings.instance,
             self.directory,
-            self._members,
             store,
             failover,
             open_endpoint_link,
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -120,6 +120,10 @@
         """Return how many instances hold connections to a service."""
         return self._holder_counts.get(service, self.member_count)
 
+    def holder_names(self, service: str) -> list[str]:
+        """Return who holds connections to a service, this instance included."""
+        return self._holders.names(service)
+
     def route(self, database: str) -> Route:
         """Return the route of a database name.
 
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -9,17 +9,16 @@
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
-from ..placement.rendezvous import weigh
 from .database import Database
 from .decision_log import DecisionLog
 from .directory import Directory
 from .failover import Failover
 from .link import Link
-from .member_keeper import MemberKeeper
 from .row_store import RowPut, RowStore, StoredRow
 from .service import Service
 from .succession_claim import ClaimKeeper
 from .succession_run import SuccessionRun
+from .succession_turn import turn_pause
 from .suspicions import (
     RENEWAL,
     TABLE,
@@ -32,8 +31,6 @@
 TICK_S = 0.1
 # Longer than a silent connection takes to be found and replaced.
 SUSPECT_AFTER = timedelta(milliseconds=600)
-# The members try in an order that differs by service, so that claims seldom race.
-RANK_PAUSE = timedelta(milliseconds=300)
 RETRY_PAUSE = timedelta(milliseconds=500)
 # How often one that suspects a leader reads who else does.
 LOOK_INTERVAL = timedelta(milliseconds=200)
@@ -55,8 +52,6 @@
         Name of this instance.
     directory : Directory
         The services.
-    members : MemberKeeper
-        Live instances.
     store : RowStore
         Holds claims and suspicions.
     failover : Failover or None
@@ -84,7 +79,6 @@
         "_log",
         "_looked_at",
         "_looking",
-        "_members",
         "_open_link",
         "_running",
         "_store",
@@ -97,7 +91,6 @@
         self,
         instance: str,
         directory: Directory,
-        members: MemberKeeper,
         store: RowStore,
         failover: Failover | None,
         open_link: OpenLink,
@@ -108,7 +101,6 @@
     ):
         self._instance = instance
         self._directory = directory
-        self._members = members
         self._store = store
         self._failover = failover
         self._open_link = open_link
@@ -154,7 +146,7 @@
             if not (is_suspect and agreed):
                 self._due.pop(service.name, None)
                 return
-        due = self._due.setdefault(service.name, now + self._rank(service) * RANK_PAUSE)
+        due = self._due.setdefault(service.name, now + self._turn_pause(service))
         if now >= due:
             self._due[service.name] = now + RETRY_PAUSE
             self._running.add(service.name)
@@ -175,10 +167,9 @@
         since = registry.leaving_since(leader_id)
         return since is not None and now - since >= LAPSE_PATIENCE
 
-    def _rank(self, service: Service) -> int:
-        names = [member.name for member in self._members.live]
-        names.sort(key=lambda name: weigh(service.name, name))
-        return names.index(self._instance)
+    def _turn_pause(self, service: Service) -> timedelta:
+        holders = self._directory.holder_names(service.name)
+        return turn_pause(service.name, self._instance, holders)
 
     def _tell(self, service: Service, is_suspect: bool, now: timedelta) -> None:
         """Write, renew or withdraw this instance's suspicion."""
--- /dev/null
+++ b/goldcrestpond/serving/succession_turn.py
@@ -0,0 +1,31 @@
+"""In which order the holders of a service try to replace its leader."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from ..placement.rendezvous import weigh
+
+# Time for the one before to claim: two calls to the store, which answers within
+# tens of milliseconds, and a tick of the watch.
+TURN_PAUSE = timedelta(milliseconds=300)
+# Further ones wait no longer: if the first are dead or frozen together, somebody
+# claims within about a second, and the store decides between those that race.
+PAUSES_MAX = 4
+
+
+def turn_pause(service: str, instance: str, holders: Iterable[str]) -> timedelta:
+    """Return how long an instance lets others try first.
+
+    The order differs by service, so that claims seldom race.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    instance : str
+        Name of the instance.
+    holders : iterable of str
+        Names of those that may claim; empty while they are unknown.
+    """
+    before = sum(weigh(service, name) < weigh(service, instance) for name in holders)
+    return min(before, PAUSES_MAX) * TURN_PAUSE
