--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -36,6 +36,8 @@
 from .instance_shutdown import shut_down
 from .structured_log import StructuredLog
 
+# With its slack below the 5 s in which a change must be in force everywhere.
+FEED_WAIT = timedelta(seconds=4)
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
 # Databases write a heartbeat about once a second each; one call brings several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
@@ -159,6 +161,7 @@
             store,
             operator_configuration.TABLE,
             CONFIGURATION_SPACING,
+            FEED_WAIT,
             configuration.take,
             configuration.take,
             clock,
@@ -169,6 +172,7 @@
             store,
             database_entry.TABLE,
             REGISTRY_SPACING,
+            FEED_WAIT,
             registry.replace,
             registry.update,
             clock,
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -39,6 +39,8 @@
 TAKE_OVER_LIMIT = timedelta(milliseconds=3500)
 TAKE_OVER_TICK = timedelta(milliseconds=50)
 FEED_SPACING = timedelta(milliseconds=50)
+# Whoever suspects a leader reads by itself; the feed only wakes those without work.
+FEED_WAIT = timedelta(seconds=12)
 
 OpenLink = Callable[[Database], Awaitable[Link]]
 
@@ -115,7 +117,15 @@
         self._looking = False
         self._looked_at: timedelta | None = None
         self._feed = TableFeed(
-            store, TABLE, FEED_SPACING, self._replace, self._update, clock, rng, log
+            store,
+            TABLE,
+            FEED_SPACING,
+            FEED_WAIT,
+            self._replace,
+            self._update,
+            clock,
+            rng,
+            log,
         )
 
     async def run(self) -> None:
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -11,7 +11,6 @@
 from .decision_log import DecisionLog
 from .row_store import FeedAnswer, HistoryLost, RowStore, StoredRow
 
-WAIT = timedelta(seconds=4)  # a silent connection is found within it and some more
 RETRY_FIRST = timedelta(milliseconds=100)
 RETRY_LIMIT = timedelta(milliseconds=800)  # well within what a change may take
 
@@ -27,6 +26,9 @@
         Name of the table.
     spacing : timedelta
         Least time between two calls, so that frequent changes share one.
+    wait : timedelta
+        How long a call without a change waits; a connection that has gone silent
+        is found within it and some more.
     replace : callable
         Given all rows of the table.
     update : callable
@@ -57,6 +59,7 @@
         "_table",
         "_update",
         "_version",
+        "_wait",
         "confirmed_at",
         "now_ms",
     )
@@ -66,6 +69,7 @@
         store: RowStore,
         table: str,
         spacing: timedelta,
+        wait: timedelta,
         replace: Callable[[Sequence[StoredRow]], None],
         update: Callable[[Sequence[StoredRow]], None],
         clock: Clock,
@@ -75,6 +79,7 @@
         self._store = store
         self._table = table
         self._spacing = spacing
+        self._wait = wait
         self._replace = replace
         self._update = update
         self._clock = clock
@@ -112,7 +117,7 @@
             answer = await self._store.read(self._table)
             self._replace(answer.rows)
         else:
-            answer = await self._store.follow(self._table, self._version, WAIT)
+            answer = await self._store.follow(self._table, self._version, self._wait)
             if answer.rows:
                 self._update(answer.rows)
         return answer
