--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -36,11 +36,14 @@
 from .instance_shutdown import shut_down
 from .structured_log import StructuredLog
 
-# With its slack below the 5 s in which a change must be in force everywhere.
-FEED_WAIT = timedelta(seconds=4)
+# An answer that got lost is given up after this and the store client's slack, within
+# the 7 s from the end of a disturbance until a change must be in force on the sites.
+FEED_WAIT = timedelta(seconds=5)
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
 # Databases write a heartbeat about once a second each; one call brings several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
+# Who leads is proved by the holders; the rest may come later, within a drain's time.
+BORROWER_REGISTRY_SPACING = timedelta(milliseconds=2000)
 LAPSE_TICK_S = 0.5
 SETTINGS_TICK_S = 2.0  # a change without a signal is in force well within seconds
 BACKLOG = 512  # callers that come back all at once after a restart
@@ -160,7 +163,7 @@
         self._configuration_feed = TableFeed(
             store,
             operator_configuration.TABLE,
-            CONFIGURATION_SPACING,
+            lambda: CONFIGURATION_SPACING,
             FEED_WAIT,
             configuration.take,
             configuration.take,
@@ -171,7 +174,7 @@
         self._registry_feed = TableFeed(
             store,
             database_entry.TABLE,
-            REGISTRY_SPACING,
+            self._registry_spacing,
             FEED_WAIT,
             registry.replace,
             registry.update,
@@ -185,6 +188,11 @@
         self._listeners: list[SocketListener] = []
         self._rng = rng
 
+    def _registry_spacing(self) -> timedelta:
+        if self.directory.holds_any():
+            return REGISTRY_SPACING
+        return BORROWER_REGISTRY_SPACING
+
     def reload(self, path: str) -> None:
         """Take in changed settings; keep the old ones if they are not valid.
 
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -118,6 +118,10 @@
         """
         return self._held.get(service, False)
 
+    def holds_any(self) -> bool:
+        """Return whether this instance holds connections to any service."""
+        return any(self._held.values())
+
     def holder_count(self, service: str) -> int:
         """Return how many instances hold connections to a service."""
         return self._holder_counts.get(service, self.member_count)
--- a/goldcrestpond/serving/succession_keeper.py
+++ b/goldcrestpond/serving/succession_keeper.py
@@ -119,7 +119,7 @@
         self._feed = TableFeed(
             store,
             TABLE,
-            FEED_SPACING,
+            lambda: FEED_SPACING,
             FEED_WAIT,
             self._replace,
             self._update,
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -24,8 +24,8 @@
         The store.
     table : str
         Name of the table.
-    spacing : timedelta
-        Least time between two calls, so that frequent changes share one.
+    spacing : callable
+        Returns the least time between two calls, so that frequent changes share one.
     wait : timedelta
         How long a call without a change waits; a connection that has gone silent
         is found within it and some more.
@@ -68,7 +68,7 @@
         self,
         store: RowStore,
         table: str,
-        spacing: timedelta,
+        spacing: Callable[[], timedelta],
         wait: timedelta,
         replace: Callable[[Sequence[StoredRow]], None],
         update: Callable[[Sequence[StoredRow]], None],
@@ -109,7 +109,7 @@
                 await self._pause_after(error)
                 continue
             self._answered(answer, sent_at)
-            pause = sent_at + self._spacing - self._clock.now()
+            pause = sent_at + self._spacing() - self._clock.now()
             await anyio.sleep(max(0.0, pause.total_seconds()))
 
     async def _next(self) -> FeedAnswer:
