--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -40,6 +40,8 @@
         Time after which a leaving database must get no new work.
     grace_s : float
         Time from the request to stop to the kill.
+    link_mbps : float
+        Width of the machine's link in megabits per second; 0 if unknown.
     """
 
     instance: str
@@ -52,6 +54,7 @@
     duties: str = ""
     drain_limit_ms: int = 7000
     grace_s: float = 6
+    link_mbps: float = 0
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -13,6 +13,7 @@
 from ..placement.rendezvous import choose_holders
 from ..serving.members import Member
 from . import messages
+from .eligible_members import eligible_members
 from .holder import Holder
 
 
@@ -62,9 +63,10 @@
         count : int
             How many hold it.
         """
-        zones = [member.availability_zone for member in members]
-        by_name = {member.name: member for member in members}
-        candidates = [Candidate(m.name, m.availability_zone) for m in members]
+        eligible = eligible_members(members, count)
+        zones = [member.availability_zone for member in eligible]
+        by_name = {member.name: member for member in eligible}
+        candidates = [Candidate(m.name, m.availability_zone) for m in eligible]
         chosen = choose_holders(service, candidates, count, zones)
         names = [candidate.name for candidate in chosen]
         self._names_by_service[service] = names
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -140,6 +140,7 @@
             settings.instance,
             settings.availability_zone,
             parse_address(settings.peer_listen),
+            settings.link_mbps,
         )
         failover = None
         if settings.duties:
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -28,11 +28,14 @@
         Its availability zone.
     address : Address or None
         Where it takes channels of other instances; None if its row does not say.
+    link_mbps : float
+        Width of its link in megabits per second; 0 if unknown.
     """
 
     name: str
     availability_zone: str
     address: Address | None
+    link_mbps: float = 0
 
 
 class MemberBody(msgspec.Struct, frozen=True):
@@ -40,12 +43,13 @@
 
     availability_zone: str
     address: str
+    link_mbps: float = 0
 
 
 def encode_member(member: Member) -> bytes:
     """Return the value of a member's row."""
     return msgspec.json.encode(
-        MemberBody(member.availability_zone, str(member.address))
+        MemberBody(member.availability_zone, str(member.address), member.link_mbps)
     )
 
 
@@ -53,7 +57,8 @@
     """Return the member of a row; one that cannot be read still counts."""
     try:
         body = msgspec.json.decode(row.value, type=MemberBody)
-        return Member(row.key, body.availability_zone, parse_address(body.address))
+        address = parse_address(body.address)
+        return Member(row.key, body.availability_zone, address, body.link_mbps)
     except (msgspec.MsgspecError, CodedError):
         return Member(row.key, "", None)
 
