Close kept connections to the store once a call over one is not answered

What callers saw: none yet; a change would come up to 0.8 s later for each connection that went silent together with the one of the feed, beyond the 4 s after which an instance is held to serve by it. Cause: kept connections were used one after the other, each until its call's limit. test_silent_connections_cost_one_call failed in 3 of 3 runs before and passed in 3 of 3 after. A new connection works, as only those that were open went silent.

--- a/goldcrestpond/platform/http_client.py
+++ b/goldcrestpond/platform/http_client.py
@@ -49,6 +49,8 @@
                 connection = await self._take()
                 return await connection.request(method, target, headers or [], body)
         except TimeoutError as error:
+            # What silenced one connection has likely silenced the kept ones, too.
+            await self.aclose()
             kind = "no" if connection is None else connection.kind
             detail = f"{method} {target.partition('?')[0]}: no answer in time"
             detail += f" over {kind} connection"
