Close a holder's unused channels that may be silent like one that was

Same class as the reported fault, elsewhere: what is kept is trusted until each piece of it has cost a request its whole wait. Channels that answered after the lost question was asked stay: a holder that is merely slow costs no new ones that work.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -66,7 +66,8 @@
         self.health = EndpointHealth()
         self.outstanding = 0
         self._clock = clock
-        self._idle: list[Channel] = []
+        # Unused channels, each with when it was last known to work.
+        self._idle: list[tuple[Channel, timedelta]] = []
         self._denied_at: dict[str, timedelta] = {}
 
     def denies(self, service: str) -> bool:
@@ -83,7 +84,7 @@
             PEER_UNREACHABLE if none can be opened; nothing was asked.
         """
         while self._idle:
-            channel = self._idle.pop()
+            channel, _ = self._idle.pop()
             if not channel.is_broken:
                 return channel
         return await self._open()
@@ -94,7 +95,7 @@
             with anyio.CancelScope(shield=True):
                 await channel.aclose()
         else:
-            self._idle.append(channel)
+            self._idle.append((channel, self._clock.now()))
 
     def end_loan(self, channel: Channel, is_intact: bool) -> None:
         """Return what was lent over a channel, without waiting."""
@@ -120,11 +121,13 @@
             PEER_UNREACHABLE if no answer comes.
         """
         limit = wait + ANSWER_SLACK
+        asked_at = self._clock.now()
         try:
             with anyio.fail_after(limit.total_seconds()):
                 response = await channel.ask(message)
         except (CodedError, TimeoutError) as error:
             self.health.failed(self._clock.now())
+            await self._close_unused_since(asked_at)
             detail = f"{self.name}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         self.health.succeeded()
@@ -142,7 +145,14 @@
     async def aclose(self) -> None:
         """Close unused channels."""
         while self._idle:
-            await self._idle.pop().aclose()
+            await self._idle.pop()[0].aclose()
+
+    async def _close_unused_since(self, asked_at: timedelta) -> None:
+        """Close the channels that may have gone silent with the one just lost."""
+        suspect = [channel for channel, at in self._idle if at <= asked_at]
+        self._idle = [pair for pair in self._idle if pair[1] > asked_at]
+        for channel in suspect:
+            await channel.aclose()
 
     async def _open(self) -> Channel:
         try:
