Leave out rows that are nested too deeply or hold numbers beyond any span

Seen on the code before, in tests: one row in a table that all instances read, with 20,000 nested brackets in a field that nobody knows, or a timeout of 1e300 ms, ends every instance: msgspec raises RecursionError, timedelta OverflowError, and only msgspec's errors were expected. 6 of 6 cases of tests/platform/test_store_tables.py failed; a database that reports an infinite lag ended whoever asked. Now what decoding may raise stands in one place and is used wherever bytes of another writer are decoded.

--- /dev/null
+++ b/goldcrestpond/errors/undecodable.py
@@ -0,0 +1,7 @@
+"""What decoding bytes of another writer may raise."""
+
+import msgspec
+
+# Nesting deeper than the interpreter's stack, and numbers beyond what a span of time
+# or an integer holds, are no errors of msgspec's.
+UNDECODABLE = (msgspec.MsgspecError, RecursionError, OverflowError)
--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -374,7 +374,7 @@
             int(paused),
             int(float(lag_ms)),
         )
-    except (ValueError, KeyError):
+    except (ValueError, KeyError, OverflowError):
         raise _unreadable(row) from None
 
 
--- a/goldcrestpond/platform/store_client.py
+++ b/goldcrestpond/platform/store_client.py
@@ -9,6 +9,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..errors.undecodable import UNDECODABLE
 from ..serving.row_store import (
     FeedAnswer,
     HistoryLost,
@@ -175,7 +176,7 @@
     def _decode(self, body: bytes) -> _RowsBody:
         try:
             return self._rows.decode(body)
-        except msgspec.MsgspecError as error:
+        except UNDECODABLE as error:
             detail = f"unreadable answer: {error}"
             raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
 
--- a/goldcrestpond/platform/store_tables.py
+++ b/goldcrestpond/platform/store_tables.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Sequence
 
-import msgspec
-
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
+from ..errors.undecodable import UNDECODABLE
 from ..serving.database import Database
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
@@ -13,7 +12,7 @@
 from ..serving.store_era import StoreEra
 from . import database_entry, operator_configuration
 
-_UNREADABLE = (msgspec.MsgspecError, KeyError, CodedError)
+_UNREADABLE = (*UNDECODABLE, KeyError, CodedError)
 
 
 class ConfigurationRows:
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors.coded_error import CodedError
+from ..errors.undecodable import UNDECODABLE
 from ..settings.address import Address, parse_address
 from .heard_rows import HeardRows
 from .row_store import StoredRow
@@ -64,7 +65,7 @@
         body = msgspec.json.decode(row.value, type=MemberBody)
         address = parse_address(body.address)
         return Member(row.key, body.availability_zone, address, body.link_mbps)
-    except (msgspec.MsgspecError, CodedError):
+    except (*UNDECODABLE, CodedError):
         return Member(row.key, "", None)
 
 
@@ -89,5 +90,5 @@
 def _era_of(row: StoredRow) -> int:
     try:
         return msgspec.json.decode(row.value, type=MemberBody).era
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         return 0  # it still counts, but a copy of it does not prove that it lives
--- a/goldcrestpond/serving/succession_claim.py
+++ b/goldcrestpond/serving/succession_claim.py
@@ -9,6 +9,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..errors.undecodable import UNDECODABLE
 from .row_store import FeedAnswer, RowConflict, RowPut, RowRevision, RowStore, StoredRow
 from .store_era import StoreEra
 
@@ -183,5 +184,5 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=ClaimBody)
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         return None  # a row of another writer is nobody's claim
--- a/goldcrestpond/serving/suspicions.py
+++ b/goldcrestpond/serving/suspicions.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..errors.undecodable import UNDECODABLE
 from .heard_rows import HeardRows
 from .row_store import StoredRow
 
@@ -69,5 +70,5 @@
 def _era_of(row: StoredRow) -> int:
     try:
         return msgspec.json.decode(row.value, type=SuspicionBody).era
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         return 0  # one that cannot be read says as much as one of a copy
