Give each further attempt at a read twice the time

Cause: an attempt ends after half of the objective, whatever the read takes; one whose work is longer never ends, and is begun anew on a database each time. Ruled out: a silent database, others were answered by the same ones meanwhile. The lines now name the database that did not answer. test_long_read_among_short_ones_is_given_longer_with_each_attempt failed before.

--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -7,6 +7,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..retry.evidence import Evidence
 from ..retry.request_attempts import RequestAttempts
 from .directory import Directory
 from .floor_finder import find_read_floor
@@ -30,6 +31,9 @@
 # or after so many usual times, whichever is later.
 READ_ATTEMPT_PART = 0.5
 READ_ATTEMPT_TIMES = 6
+# Each further attempt is given longer: a read that takes that long on any database
+# would otherwise be given up everywhere until its time is over.
+READ_ATTEMPT_GROWTH = 2
 
 
 class SingleStatement:
@@ -55,6 +59,7 @@
         "_arrived_at",
         "_clock",
         "_directory",
+        "_interrupted_count",
         "_is_write",
         "_key",
         "_route",
@@ -79,6 +84,7 @@
         self._service = service
         self._directory = directory
         self._arrived_at = timedelta(0)
+        self._interrupted_count = 0
         self._clock = directory.clock
         self._is_write = session.is_write(statement)
 
@@ -105,6 +111,7 @@
                 if error.code not in PASSING:
                     raise
                 evidence = evidence_of(error.code)
+                self._interrupted_count += evidence is Evidence.INTERRUPTED
                 pause = attempts.failed(evidence, self._clock.now())
                 if pause is None:
                     raise
@@ -133,8 +140,7 @@
             )
         except CodedError as error:
             if error.code is ResultCode.ANSWER_INTERRUPTED:
-                detail = f"{leader.database_id}: {error.detail}"
-                raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail) from error
+                raise CodedError(ResultCode.OUTCOME_UNKNOWN, error.detail) from error
             raise
         if reply.error is ResultCode.PRIMARY_REPLACED:
             self._service.refused_to_lead(leader)
@@ -184,7 +190,8 @@
         load = served.pool.load(served.database.slots)
         usual = timedelta(milliseconds=load.service_ms)
         objective = self._route.objective
-        return max(objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES)
+        limit = max(objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES)
+        return limit * READ_ATTEMPT_GROWTH**self._interrupted_count
 
     async def _run_at(
         self,
@@ -212,7 +219,8 @@
         except CodedError as error:
             if error.code is not ResultCode.QUEUE_DEADLINE:
                 served.health.failed(self._clock.now())
-            raise
+            detail = f"{served.database_id}: {error.detail}"
+            raise CodedError(error.code, detail, error.retry_after_ms) from error
         finally:
             is_open = link.state is not TransactionState.IDLE
             await give_back(served.pool, link, is_open)
--- a/tests/serving/test_single_statement.py
+++ b/tests/serving/test_single_statement.py
@@ -34,10 +34,13 @@
         self.prepared = {}
         self.state = TransactionState.IDLE
         self.is_broken = False
+        self.begun = 0
         self.runs = 0
+        self.work_s = 0.0
 
     async def execute(self, statement, shape, floor):
-        await anyio.sleep(0)
+        self.begun += 1
+        await anyio.sleep(self.work_s)
         self.runs += 1
         return Reply(receipt="r1", position=LogPosition(1, 10))
 
@@ -86,3 +89,17 @@
     assert_that(caught.value.code, Is(ResultCode.QUEUE_DEADLINE))
     assert_that(world.link.runs, Equals(0))
     assert_that(world.link.is_broken, Is(False))
+
+
+# Guards against: a read that takes longer than half of its objective on any database
+# is given up everywhere, until its time is over, and holds slots all along.
+def test_long_read_among_short_ones_is_given_longer_with_each_attempt(world):
+    world.link.work_s = 0.3  # an attempt begins with half of 200 ms
+
+    async def run():
+        with anyio.fail_after(3):
+            return await world.single.run(world.clock.now(), None)
+
+    reply = anyio.run(run)
+    assert_that(reply.receipt, Equals("r1"))
+    assert_that(world.link.begun, Equals(3))
