--- a/goldcrestpond/frames/frame_splitter.py
+++ b/goldcrestpond/frames/frame_splitter.py
@@ -20,10 +20,11 @@
         Largest frame that is taken, header included.
     """
 
-    __slots__ = ("_buffer", "_frame_limit_bytes")
+    __slots__ = ("_buffer", "_frame_limit_bytes", "_needed_bytes")
 
     def __init__(self, frame_limit_bytes: int):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._needed_bytes = HEADER_BYTES
         self._frame_limit_bytes = frame_limit_bytes
 
     @property
@@ -40,20 +41,30 @@
             MALFORMED_FRAME for an impossible length, FRAME_TOO_LARGE for one
             over the limit; the stream cannot be read any further.
         """
-        buffer = self._buffer + data if self._buffer else data
+        if not self._buffer:
+            return self._split(data)
+        self._buffer += data
+        # A large frame in many pieces is copied once, not with each of them.
+        if len(self._buffer) < self._needed_bytes:
+            return []
+        return self._split(bytes(self._buffer))
+
+    def _split(self, data: bytes) -> list[Frame]:
         frames = []
         start = 0
-        available = len(buffer)
+        available = len(data)
+        self._needed_bytes = HEADER_BYTES
         while available - start >= HEADER_BYTES:
-            (length,) = _LENGTH.unpack_from(buffer, start + 1)
+            (length,) = _LENGTH.unpack_from(data, start + 1)
             end = start + 1 + length
             if end - start > self._frame_limit_bytes or length < _LENGTH_FIELD_BYTES:
                 raise self._bad_length(length)
             if end > available:
+                self._needed_bytes = end - start
                 break
-            frames.append(Frame(buffer[start], buffer[start:end]))
+            frames.append(Frame(data[start], data[start:end]))
             start = end
-        self._buffer = buffer[start:] if start else buffer
+        self._buffer = bytearray(data[start:])
         return frames
 
     def _bad_length(self, length: int) -> CodedError:
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -13,6 +13,9 @@
 from goldcrestpond.wire.held_answer import HeldAnswer
 from goldcrestpond.wire.statement_kind import StatementKind, read_statement
 
+from .worst_text import assert_grows_with_length
+
+PIECE_BYTES = 64
 LIMIT_BYTES = 64
 
 
@@ -51,6 +54,22 @@
         assert_that(splitter.pending_bytes < LIMIT_BYTES, Equals(True))
 
 
+# Guards against: one frame that comes in many small pieces, each of which is paid with
+# a copy of all that came before it.
+def test_work_grows_with_the_size_of_a_frame_in_pieces():
+    def read(data):
+        splitter = FrameSplitter(len(data))
+        frames = []
+        for start in range(0, len(data), PIECE_BYTES):
+            frames += splitter.feed(data[start : start + PIECE_BYTES])
+        assert_that([frame.data == data for frame in frames], Equals([True]))
+
+    def make(size):
+        return make_frame(ord("d"), bytes(size * PIECE_BYTES))
+
+    assert_grows_with_length(read, make)
+
+
 @given(names, names, st.binary(max_size=20))
 def test_a_rewritten_name_leaves_the_rest_as_it_was(old, new, rest):
     frame = Frame(ord("B"), make_frame(ord("B"), b"p\0" + old.encode() + b"\0" + rest))
