--- a/goldcrestpond/peer/codec.py
+++ b/goldcrestpond/peer/codec.py
@@ -1,7 +1,6 @@
 """Messages between instances to and from bytes."""
 
 import capnp
-import msgspec
 
 from ..distribution.force_claim import ForceClaim
 from ..distribution.force_query import ForceQuery
@@ -12,6 +11,7 @@
 from ..distribution.update_request import UpdateRequest
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..errors.undecodable import UNDECODABLE
 from ..membership.gossip import Gossip
 from ..membership.message import Message as MembershipMessage
 from ..membership.probe import Probe
@@ -84,7 +84,7 @@
         return _READERS[kind](envelope.senderId, getattr(envelope, kind))
     except (
         capnp.KjException,
-        msgspec.DecodeError,
+        *UNDECODABLE,
         CodedError,
         ValueError,
         KeyError,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,14 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
+# Fresh examples, by hand; what fails is printed so that it can be kept as a case.
+settings.register_profile(
+    "fuzz",
+    deadline=None,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
--- /dev/null
+++ b/tests/platform/test_fuzz.py
@@ -0,0 +1,160 @@
+"""Untrusted bytes of callers, databases, the store and peers on the platform."""
+
+import time
+from datetime import timedelta
+
+import anyio
+import hypothesis.strategies as st
+from hypothesis import example, given
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan, StartsWith
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.undecodable import UNDECODABLE
+from goldcrestpond.platform import line_codec as codec
+from goldcrestpond.platform.database_entry import decode_entry
+from goldcrestpond.platform.line_buffer import LineBuffer
+from goldcrestpond.platform.operator_configuration import decode_configuration
+from goldcrestpond.relay import messages
+from goldcrestpond.serving.members import Members
+from goldcrestpond.serving.row_store import StoredRow
+from goldcrestpond.serving.suspicions import Suspicions
+
+from ..fuzz import JSON_VALUES, LINES, ON_A_RUNNING_SITE, ON_DECODERS, objects
+from ..line_world import line_world
+
+ENTRY = ["serviceName", "address", "state", "dbRole", "zone", "slots", "warmupLeftMs"]
+ENTRY += ["born", "sequence", "more"]
+CONFIGURATION = ["configVersion", "routes", "services", "limits", "more"]
+MEMBER = ["availability_zone", "address", "link_mbps", "era", "more"]
+NESTED = "[" * 3000
+BOUND_S = 1.0
+KNOWN_ERRORS = (*UNDECODABLE, KeyError, CodedError)
+
+
+def _decode(decode, *values):
+    try:
+        decode(*values)
+    except KNOWN_ERRORS:
+        pass
+
+
+@ON_DECODERS
+@given(LINES)
+@example("replica 3 3.1209 0 inf 2 17")
+@example("replica 3 3.1209 0 nan 2 17")
+def test_lines_are_read_or_refused(line):
+    def as_statement():
+        message = codec.decode_caller_line(line)
+        if isinstance(message, codec.Query):
+            codec.decode_statement(message)
+
+    _decode(as_statement)
+    _decode(codec.ReplyDecoder().feed, line)
+    _decode(codec.decode_report, line)
+    _decode(codec.decode_position, line)
+    codec.decode_connect_refusal(line)
+
+
+@ON_DECODERS
+@given(st.lists(st.binary(max_size=50)))
+def test_bytes_are_lines_whatever_their_pieces(pieces):
+    def lines(parts):
+        buffer = LineBuffer()
+        found = []
+        for part in parts:
+            buffer.feed(part)
+            while (line := buffer.next_line()) is not None:
+                found.append(line)
+        return found
+
+    assert_that(lines(pieces), Equals(lines([b"".join(pieces)])))
+
+
+@ON_DECODERS
+@given(objects(ENTRY), objects(CONFIGURATION))
+@example(b'{"more":' + NESTED.encode(), b'{"routes":' + NESTED.encode())
+def test_rows_are_read_or_known_to_be_unreadable(entry, configuration):
+    _decode(decode_entry, "k", entry)
+    _decode(decode_configuration, configuration)
+
+
+@ON_DECODERS
+@given(objects(MEMBER))
+@example(b'{"more":' + NESTED.encode() + b"}")
+def test_rows_of_members_and_suspicions_never_fail(value):
+    row = StoredRow("t", "", "service/instance", value, 1)
+    now = timedelta(seconds=1)
+    members, suspicions = Members(), Suspicions()
+    members.replace([row], now, 1)
+    members.live(now)
+    suspicions.replace([row], now, 1)
+    suspicions.by("service", now)
+
+
+@ON_DECODERS
+@given(st.binary(max_size=200))
+@example(b"\x91" * 3000)
+def test_messages_of_peers_are_read_or_refused(body):
+    _decode(messages.decode_request, body)
+    _decode(messages.decode_response, body)
+
+
+ROWS = st.one_of(
+    st.tuples(st.just("servers"), objects(ENTRY)),
+    st.tuples(st.just("op"), objects(CONFIGURATION)),
+    st.tuples(st.sampled_from(["member", "suspicion", "succession"]), objects(MEMBER)),
+    st.tuples(st.just("servers"), JSON_VALUES.map(lambda text: text.encode())),
+)
+
+
+# Guards against: any bytes of a caller or of a row that end an instance, stop its loop,
+# or reach another caller's session.
+@ON_A_RUNNING_SITE
+@given(st.lists(LINES, min_size=20, max_size=60), st.lists(ROWS, min_size=5))
+def test_others_are_served_beside_any_input(lines, rows):
+    async def send(address, text):
+        try:
+            stream = await anyio.connect_tcp(*address)
+            async with stream:
+                await stream.send(text.encode("latin-1", "replace"))
+                with anyio.move_on_after(0.02):
+                    while True:
+                        await stream.receive()
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            pass  # refused
+
+    async def ask_on(world, waits):
+        async with world.caller("own") as caller:
+            while True:
+                began = time.monotonic()
+                answer = await caller.ask("READ a")
+                waits.append(time.monotonic() - began)
+                assert_that(answer[-1], StartsWith("READY I"))
+                assert_that(answer[-2], StartsWith("COMPLETE r"))
+
+    async def run():
+        waits = []
+        with anyio.fail_after(60):
+            async with line_world() as world, anyio.create_task_group() as tasks:
+                address = world.instances[0].caller_address
+                await _served(world)
+                tasks.start_soon(ask_on, world, waits)
+                for number, (table, value) in enumerate(rows):
+                    key = "config" if table == "op" else f"fuzz{number}"
+                    world.platform.put(table, key, value)
+                for number, line in enumerate(lines):
+                    head = "CONNECT own x\r\n" if number % 3 else ""
+                    middle = "QUERY q " if number % 2 else ""
+                    await send(address, f"{head}{middle}{line}\r\n{line}")
+                tasks.cancel_scope.cancel()
+        assert_that(max(waits), LessThan(BOUND_S))
+
+    anyio.run(run)
+
+
+async def _served(world):
+    async with world.caller("own") as caller:
+        answer = await caller.ask("WRITE a 1")
+        while not answer[0].startswith("COMPLETE"):
+            answer = await caller.ask("WRITE a 1")
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,124 @@
+"""Untrusted bytes of PostgreSQL callers beside one that behaves."""
+
+import struct
+import time
+
+import anyio
+import hypothesis.strategies as st
+from hypothesis import example, given
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.session.token import parse_token
+from goldcrestpond.standin.database_error import DatabaseError
+from goldcrestpond.standin.result_columns import describe_columns, describe_parameters
+from goldcrestpond.standin.statement import split_statements
+from goldcrestpond.wire.declarations import PREFIX, Declarations
+from goldcrestpond.wire.statement_kind import read_statement
+
+from .fuzz import NUMBERS, ON_A_RUNNING_SITE, ON_DECODERS
+from .site import fuel_site, psycopg_connection
+
+BOUND_S = 1.0
+GAPS = st.sampled_from([" ", "  ", "\n", " " * 5000, ""])
+PIECES = st.sampled_from(
+    "select 1 insert into fuel_log values (1,'a',2) ( ) , ; ' '' \" $1 $2 $70000 ::int "
+    "as x where id = limit count( sum( cast( /* */ -- begin read only commit rollback "
+    "set show reset goldcrestpond.lane goldcrestpond.token = to 'aged' prepare copy "
+    "returning * + - / % null true from order by".split()
+)
+STATEMENTS = st.lists(
+    st.tuples(st.one_of(PIECES, NUMBERS, st.text(max_size=5)), GAPS), max_size=10
+).map(lambda pairs: "".join(text + gap for text, gap in pairs))
+NAMES = st.sampled_from(
+    ["lane", "max_age_ms", "token", "request_id", "repeatable", "x"]
+)
+
+
+@ON_DECODERS
+@given(STATEMENTS)
+@example("select $" + "9" * 5000)
+@example("select " + "f(" * 2000)
+def test_any_text_is_read_by_the_proxy_and_the_stand_in(text):
+    read_statement(text)
+    try:
+        for statement in split_statements(text):
+            given_types = describe_parameters(statement, [], {}, {})
+            describe_columns(statement, given_types, {}, {})
+    except DatabaseError:
+        pass
+
+
+@ON_DECODERS
+@given(NAMES, st.one_of(NUMBERS, st.text(max_size=12), st.just("x" * 5000)))
+def test_declarations_and_tokens_are_read_or_refused(name, value):
+    for read in (
+        lambda: Declarations().apply(PREFIX + name, value, "fuel"),
+        lambda: parse_token(value),
+    ):
+        try:
+            read()
+        except CodedError:
+            pass
+
+
+def _frame(kind, body):
+    return kind + struct.pack("!I", len(body) + 4) + body
+
+
+def _startup(options):
+    values = b"user\0demo\0database\0fuel\0options\0" + options + b"\0\0"
+    return struct.pack("!II", 8 + len(values), 196608) + values
+
+
+KINDS = st.sampled_from([bytes([letter]) for letter in b"QPBDESHCFdcfpX\0"])
+TEXT_FRAMES = STATEMENTS.map(lambda text: text.encode("utf-8", "replace") + b"\0")
+BODIES = st.one_of(
+    TEXT_FRAMES,
+    st.binary(max_size=30),
+    TEXT_FRAMES.map(lambda text: b"name\0" + text + b"\xff\xff"),
+)
+FRAMES = st.lists(st.builds(_frame, KINDS, BODIES), max_size=6)
+CALLERS = st.tuples(STATEMENTS.map(lambda t: t.encode("utf-8", "replace")), FRAMES)
+
+
+# Guards against: any bytes of a caller that end a proxy, stop its loop, or reach
+# another caller's session.
+@ON_A_RUNNING_SITE
+@given(st.lists(CALLERS, min_size=10, max_size=30))
+def test_others_are_served_beside_any_caller(callers):
+    async def send(address, data):
+        try:
+            async with await anyio.connect_tcp(address.host, address.port) as stream:
+                await stream.send(data)
+                with anyio.move_on_after(0.02):
+                    while True:
+                        await stream.receive()
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            pass  # refused
+
+    async def ask_on(caller, waits):
+        while True:
+            began = time.monotonic()
+            cursor = await caller.execute("SELECT 7")
+            waits.append(time.monotonic() - began)
+            assert_that([int(v) for (v,) in await cursor.fetchall()], Equals([7]))
+
+    async def run():
+        waits = []
+        with anyio.fail_after(60):
+            async with (
+                fuel_site(proxy_count=1) as site,
+                await psycopg_connection(site) as caller,
+                anyio.create_task_group() as tasks,
+            ):
+                tasks.start_soon(ask_on, caller, waits)
+                for options, frames in callers:
+                    options = options.replace(b"\0", b"")[:2000]
+                    data = _startup(options) + b"".join(frames)
+                    await send(site.proxies[0].address, data)
+                tasks.cancel_scope.cancel()
+        assert_that(max(waits), LessThan(BOUND_S))
+
+    anyio.run(run)
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -50,6 +50,19 @@
     return await create(client, "Route", "r", {"database": "d", "group": "g"})
 
 
+# Guards against: a body that no decoder follows to its depth, answered as an error of
+# the program's own.
+def test_body_that_is_nested_too_deeply_is_refused():
+    async def scenario(standin, client):
+        body = b'{"name":"p","spec":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+        response = await client.post("/v1/ReadPolicy", content=body)
+        assert_that(summary(response), has_status(422, code="RESOURCE_INVALID"))
+        created = await create(client, "ReadPolicy", "p", {"max_age_ms": 5})
+        assert_that(created.status_code, Equals(201))
+
+    run_with_apis(scenario)
+
+
 def test_create_read_replace_patch_delete():
     async def scenario(standin, client):
         created = await create(client, "ReadPolicy", "p", {"max_age_ms": 5})
