Bound the statements that a session of the PostgreSQL side keeps

Before, without a bound: a caller may prepare any number of statements of any size. Now 2,000 and 32 Mi characters, then SESSION_TOO_LARGE (GP117) before anything is sent.

--- a/goldcrestpond/wire/caller_statements.py
+++ b/goldcrestpond/wire/caller_statements.py
@@ -17,6 +17,9 @@
 
 UNNAMED = ""
 PREPARED_LIMIT = 200  # statements that one endpoint connection keeps
+# What one session may keep; drivers keep some hundred statements of usual size.
+SESSION_STATEMENTS_MAX = 2000
+SESSION_TEXT_LIMIT_CHARACTERS = 32 << 20
 _BODY = 5  # offset of a frame's payload
 _SHARED_PREFIX = "gp_"
 
@@ -47,10 +50,11 @@
     prepared again on each connection that has not seen it.
     """
 
-    __slots__ = ("_statements",)
+    __slots__ = ("_statements", "_text_characters")
 
     def __init__(self):
         self._statements: dict[str, PreparedStatement] = {}
+        self._text_characters = 0
 
     def rewrite(
         self,
@@ -72,7 +76,8 @@
         Raises
         ------
         CodedError
-            MALFORMED_FRAME if a frame cannot be read.
+            MALFORMED_FRAME if a frame cannot be read, SESSION_TOO_LARGE if the
+            session would keep too much; nothing was sent then.
         """
         work = _Rewriting(connection, script)
         for frame in frames:
@@ -95,7 +100,7 @@
     def _rewrite_parse(self, frame: Frame, work: "_Rewriting") -> None:
         name = read_text(frame)
         statement = _read_parse(frame)
-        self._statements[name] = statement
+        self._keep(name, statement)
         if name == UNNAMED:
             work.is_unnamed_ready = True
             work.script.parses.append(ParseStep(UNNAMED, True))
@@ -104,6 +109,23 @@
         work.prepare_again(statement.shared_name)
         work.out.append(rewrite_text(frame, _BODY, name, statement.shared_name).data)
 
+    def _keep(self, name: str, statement: PreparedStatement) -> None:
+        former = self._statements.get(name)
+        added = len(statement.query) - (len(former.query) if former else 0)
+        if former is None and len(self._statements) >= SESSION_STATEMENTS_MAX:
+            detail = f"{SESSION_STATEMENTS_MAX} prepared statements"
+            raise CodedError(ResultCode.SESSION_TOO_LARGE, detail)
+        if self._text_characters + added > SESSION_TEXT_LIMIT_CHARACTERS:
+            detail = f"more than {SESSION_TEXT_LIMIT_CHARACTERS} characters prepared"
+            raise CodedError(ResultCode.SESSION_TOO_LARGE, detail)
+        self._text_characters += added
+        self._statements[name] = statement
+
+    def _forget(self, name: str) -> None:
+        statement = self._statements.pop(name, None)
+        if statement is not None:
+            self._text_characters -= len(statement.query)
+
     def _rewrite_use(self, frame: Frame, start: int, work: "_Rewriting") -> None:
         name = read_text(frame, start)
         statement = self._statements.get(name)
@@ -124,7 +146,7 @@
             return
         # The shared statement stays for other callers; closing a name that
         # does not exist is answered like any other Close.
-        self._statements.pop(read_text(frame, _BODY + 1), None)
+        self._forget(read_text(frame, _BODY + 1))
         work.out.append(close_statement_frame(_SHARED_PREFIX + "none"))
 
 
--- a/tests/test_large_text.py
+++ b/tests/test_large_text.py
@@ -3,12 +3,14 @@
 import time
 
 import anyio
+import asyncpg
 import psycopg
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Contains, Equals, LessThan
 
 from goldcrestpond.settings.proxy_settings import MEBIBYTE
+from goldcrestpond.wire import caller_statements
 
 from .site import asyncpg_connection, fuel_site, psycopg_connection
 
@@ -87,3 +89,20 @@
         tasks.cancel_scope.cancel()
     assert_that(max(waits), LessThan(BOUND_S))
     assert_that(len(waits) > 5, Equals(True))
+
+
+# Guards against: a session that keeps statements without end, until the process is
+# killed for its memory.
+async def test_session_that_prepares_too_much_is_told_and_others_go_on(
+    site, monkeypatch
+):
+    monkeypatch.setattr(caller_statements, "SESSION_STATEMENTS_MAX", 5)
+    async with await psycopg_connection(site) as other:
+        caller = await asyncpg_connection(site)
+        with pytest.raises(asyncpg.PostgresError) as caught:
+            kept = [await caller.prepare(f"select {n}") for n in range(10)]
+            assert_that(kept, Equals([]))
+        assert_that(str(caught.value), Contains("GP117"))
+        caller.terminate()
+        cursor = await other.execute("SELECT 1")
+        assert_that(await cursor.fetchone(), Equals((1,)))
