--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -7,7 +7,6 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
-from ..retry.evidence import Evidence
 from ..retry.request_attempts import RequestAttempts
 from .directory import Directory
 from .floor_finder import find_read_floor
@@ -31,8 +30,8 @@
 # or after so many usual times, whichever is later.
 READ_ATTEMPT_PART = 0.5
 READ_ATTEMPT_TIMES = 6
-# Each further attempt is given longer: a read that takes that long on any database
-# would otherwise be given up everywhere until its time is over.
+# An attempt after one that took all its time is given longer: a read that takes that
+# long on any database would otherwise be given up everywhere until its time is over.
 READ_ATTEMPT_GROWTH = 2
 
 
@@ -59,9 +58,9 @@
         "_arrived_at",
         "_clock",
         "_directory",
-        "_interrupted_count",
         "_is_write",
         "_key",
+        "_outlasted_count",
         "_route",
         "_service",
         "_session",
@@ -84,7 +83,7 @@
         self._service = service
         self._directory = directory
         self._arrived_at = timedelta(0)
-        self._interrupted_count = 0
+        self._outlasted_count = 0
         self._clock = directory.clock
         self._is_write = session.is_write(statement)
 
@@ -111,7 +110,6 @@
                 if error.code not in PASSING:
                     raise
                 evidence = evidence_of(error.code)
-                self._interrupted_count += evidence is Evidence.INTERRUPTED
                 pause = attempts.failed(evidence, self._clock.now())
                 if pause is None:
                     raise
@@ -191,7 +189,7 @@
         usual = timedelta(milliseconds=load.service_ms)
         objective = self._route.objective
         limit = max(objective * READ_ATTEMPT_PART, usual * READ_ATTEMPT_TIMES)
-        return limit * READ_ATTEMPT_GROWTH**self._interrupted_count
+        return limit * READ_ATTEMPT_GROWTH**self._outlasted_count
 
     async def _run_at(
         self,
@@ -217,8 +215,11 @@
                 link, self._session, self._statement, floor, answer_by, self._clock
             )
         except CodedError as error:
+            now = self._clock.now()
             if error.code is not ResultCode.QUEUE_DEADLINE:
-                served.health.failed(self._clock.now())
+                served.health.failed(now)
+            is_interrupted = error.code is ResultCode.ANSWER_INTERRUPTED
+            self._outlasted_count += is_interrupted and now >= answer_by
             detail = f"{served.database_id}: {error.detail}"
             raise CodedError(error.code, detail, error.retry_after_ms) from error
         finally:
--- a/tests/serving/test_single_statement.py
+++ b/tests/serving/test_single_statement.py
@@ -29,18 +29,29 @@
 
 
 class _Link:
-    def __init__(self):
+    """Answers after some work, which the clock follows."""
+
+    def __init__(self, clock):
+        self._clock = clock
         self.values = {}
         self.prepared = {}
         self.state = TransactionState.IDLE
         self.is_broken = False
         self.begun = 0
+        self.failures = 0
         self.runs = 0
         self.work_s = 0.0
 
     async def execute(self, statement, shape, floor):
         self.begun += 1
-        await anyio.sleep(self.work_s)
+        began = anyio.current_time()
+        try:
+            if self.failures:
+                self.failures -= 1
+                raise CodedError(ResultCode.ANSWER_INTERRUPTED, "connection lost")
+            await anyio.sleep(self.work_s)
+        finally:
+            self._clock.advance(timedelta(seconds=anyio.current_time() - began))
         self.runs += 1
         return Reply(receipt="r1", position=LogPosition(1, 10))
 
@@ -49,7 +60,7 @@
 def world(clock, monkeypatch):
     """A read on a service whose connections are lent after a wait."""
     service = _service(clock)
-    link = _Link()
+    link = _Link(clock)
     for served in service.databases.values():
         served.pool.release = lambda link: None
     waits = SimpleNamespace(queue=ms(0))
@@ -103,3 +114,16 @@
     reply = anyio.run(run)
     assert_that(reply.receipt, Equals("r1"))
     assert_that(world.link.begun, Equals(3))
+
+
+def test_attempts_that_break_off_at_once_give_the_next_no_longer(world):
+    world.link.failures = 3
+    world.link.work_s = 0.15  # longer than one attempt, shorter than two
+
+    async def run():
+        with anyio.fail_after(3):
+            return await world.single.run(world.clock.now(), None)
+
+    reply = anyio.run(run)
+    assert_that(reply.receipt, Equals("r1"))
+    assert_that(world.link.begun, Equals(5))
