--- a/goldcrestpond/standin/result_columns.py
+++ b/goldcrestpond/standin/result_columns.py
@@ -164,7 +164,8 @@
 
 def _split_top_level(text: str) -> list[str]:
     masked = _mask(text)
-    cuts = [-1, *(at for at, letter in enumerate(masked) if letter == ","), len(text)]
+    commas = (comma.start() for comma in re.finditer(",", masked))
+    cuts = [-1, *commas, len(text)]
     pairs = zip(cuts, cuts[1:], strict=False)
     items = (text[start + 1 : end].strip() for start, end in pairs)
     return [item for item in items if item]
--- a/goldcrestpond/standin/statement.py
+++ b/goldcrestpond/standin/statement.py
@@ -13,7 +13,7 @@
 _LITERAL = rf"{TEXT_LITERAL}|{QUOTED_NAME}|--[^\n]*+|/\*.*?(?:\*/|\Z)"
 _PIECE = re.compile(rf"(?:{_LITERAL}|[^;'\"/-]++|[/-])++", re.S)
 _TOKEN = re.compile(
-    rf"(?P<literal>{_LITERAL})"
+    rf"(?P<literal>(?-i:{_LITERAL}))"  # the sets are many times faster with case
     r"|\$(?P<parameter>\d++)"
     r"|::\s*+(?P<type>double\s++precision|\w++)(?:\(\d++\))?"
     r"|(?P<lock>for\s++(?:update|share)\b)"
