--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -192,3 +192,14 @@
             yield world
             tasks.cancel_scope.cancel()
             world.platform.is_down = True  # feeds that wait end at once
+
+
+def run_in_world(body, instance_count=1, limit_s=30):
+    """Run ``body`` on a site; what takes longer than the limit fails."""
+
+    async def run():
+        with anyio.fail_after(limit_s):
+            async with line_world(instance_count) as world:
+                await body(world)
+
+    anyio.run(run)
