--- a/tests/test_large_text.py
+++ b/tests/test_large_text.py
@@ -24,7 +24,7 @@
 # What goes on to a database of the stand-in, which reads it on the same loop.
 PASSED_SIZE = MEBIBYTE
 GAP = " "
-# The first three took minutes at a hundredth of these sizes.
+# The first two took 36 to 40 s at 64,000 letters, the third minutes at 300,000.
 WORST = {
     "show": lambda: "show goldcrestpond.a" + GAP * PASSED_SIZE + "x",
     "set": lambda: "set goldcrestpond.x " + GAP * PASSED_SIZE + "= ",
