--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -9,19 +9,25 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan, StartsWith
 
+from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.errors.undecodable import UNDECODABLE
 from goldcrestpond.platform import line_codec as codec
 from goldcrestpond.platform.database_entry import decode_entry
+from goldcrestpond.platform.http_connection import HttpAnswer
 from goldcrestpond.platform.line_buffer import LineBuffer
 from goldcrestpond.platform.operator_configuration import decode_configuration
+from goldcrestpond.platform.store_client import StoreClient
 from goldcrestpond.relay import messages
 from goldcrestpond.serving.members import Members
+from goldcrestpond.serving.metrics import Metrics
 from goldcrestpond.serving.row_store import StoredRow
+from goldcrestpond.serving.store_era import StoreEra
 from goldcrestpond.serving.suspicions import Suspicions
 
 from ..fuzz import JSON_VALUES, LINES, ON_A_RUNNING_SITE, ON_DECODERS, objects
-from ..line_world import line_world
+from ..line_world import ListLog, line_world
 
 ENTRY = ["serviceName", "address", "state", "dbRole", "zone", "slots", "warmupLeftMs"]
 ENTRY += ["born", "sequence", "more"]
@@ -100,6 +106,37 @@
     _decode(messages.decode_response, body)
 
 
+ANSWER = ["rows", "ver", "nowMs", "hasMore", "more"]
+
+
+class _Http:
+    """Answers each call with the same body."""
+
+    def __init__(self, answer):
+        self._answer = answer
+
+    async def request(self, *call):
+        return self._answer
+
+
+@ON_DECODERS
+@given(objects(ANSWER), st.sampled_from(["1", "x", "9" * 30, "-1", "\u0661"]))
+@example(b'{"rows":' + NESTED.encode(), "1")
+@example(b'{"rows":[{"key":"k","value":"%%%","ver":2}]}', "1")
+def test_answers_of_the_store_are_read_or_failed_calls(body, era):
+    http = _Http(HttpAnswer(200, {"store-era": era}, body))
+    store = StoreClient(http, StoreEra(SystemClock(), ListLog(), Metrics()))
+
+    async def run():
+        for call in (store.follow("t", 1, timedelta(0)), store.write([], [])):
+            try:
+                await call
+            except CodedError as error:
+                assert_that(error.code, Equals(ResultCode.PLATFORM_UNAVAILABLE))
+
+    anyio.run(run)
+
+
 ROWS = st.one_of(
     st.tuples(st.just("servers"), objects(ENTRY)),
     st.tuples(st.just("op"), objects(CONFIGURATION)),
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,6 +9,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from goldcrestpond.api.change_body import read_change
+from goldcrestpond.configuration.change_action import ChangeAction
+from goldcrestpond.configuration.change_error import ChangeError
+from goldcrestpond.configuration.kind import Kind
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.session.token import parse_token
 from goldcrestpond.standin.database_error import DatabaseError
@@ -17,7 +21,7 @@
 from goldcrestpond.wire.declarations import PREFIX, Declarations
 from goldcrestpond.wire.statement_kind import read_statement
 
-from .fuzz import NUMBERS, ON_A_RUNNING_SITE, ON_DECODERS
+from .fuzz import NUMBERS, ON_A_RUNNING_SITE, ON_DECODERS, objects
 from .site import fuel_site, psycopg_connection
 
 BOUND_S = 1.0
@@ -63,6 +67,23 @@
             pass
 
 
+BODY = ["name", "spec", "kind", "resourceVersion", "generation", "status", "more"]
+SPEC = ["max_age_ms", "database", "group", "databases", "slot_limit", "user"]
+RESOURCES = st.one_of(
+    objects(BODY), objects(SPEC).map(lambda spec: b'{"name":"p","spec":' + spec + b"}")
+)
+
+
+@ON_DECODERS
+@given(st.sampled_from(ChangeAction), st.sampled_from(Kind), RESOURCES)
+@example(ChangeAction.CREATE, Kind.READ_POLICY, b'{"spec":' + b"[" * 3000)
+def test_bodies_of_resources_are_read_or_refused(action, kind, content):
+    try:
+        read_change(action, kind, "", content)
+    except ChangeError:
+        pass
+
+
 def _frame(kind, body):
     return kind + struct.pack("!I", len(body) + 4) + body
 
