--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -174,11 +174,8 @@
 
     def _lately(self, service: str) -> list[Holder]:
         """Return the other instances that hold a service or did so lately."""
-        now = self._clock.now()
-        held = self._held_at.get(service, {})
-        for holder in self._by_service.get(service, []):
-            held[holder] = now
-        return [h for h, at in held.items() if now - at < HELD_MEMORY]
+        self._note_held(service)
+        return list(self._held_at[service])
 
     def _note_held(self, service: str) -> None:
         """Remember who holds a service until now."""
--- a/goldcrestpond/serving/heard_rows.py
+++ b/goldcrestpond/serving/heard_rows.py
@@ -3,12 +3,30 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
+import msgspec
+
+from ..errors.undecodable import UNDECODABLE
 from .row_store import StoredRow
 
 # Returns the era of the store in which the writer of a row believed.
 EraOf = Callable[[StoredRow], int]
 
 
+def era_in(body_type: type[msgspec.Struct]) -> EraOf:
+    """Return how to tell the era of rows whose bodies have a field ``era``.
+
+    One that cannot be read counts as one of a copy: it proves nothing new.
+    """
+
+    def era_of(row: StoredRow) -> int:
+        try:
+            return msgspec.json.decode(row.value, type=body_type).era
+        except UNDECODABLE:
+            return 0
+
+    return era_of
+
+
 class HeardRows:
     """Rows that count only for a while after they were written.
 
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -9,7 +9,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.undecodable import UNDECODABLE
 from ..settings.address import Address, parse_address
-from .heard_rows import HeardRows
+from .heard_rows import HeardRows, era_in
 from .row_store import StoredRow
 
 TABLE = "member"
@@ -76,7 +76,7 @@
 
     def __init__(self) -> None:
         lifetime = HEARTBEAT * MISSED_HEARTBEATS
-        self._heard = HeardRows(lifetime, COPIED_LIFETIME, _era_of)
+        self._heard = HeardRows(lifetime, COPIED_LIFETIME, era_in(MemberBody))
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta, era: int) -> None:
         """Take in all rows of a store in an era."""
@@ -85,10 +85,3 @@
     def live(self, now: timedelta) -> list[Member]:
         """Return the live members."""
         return [decode_member(row) for row in self._heard.fresh(now)]
-
-
-def _era_of(row: StoredRow) -> int:
-    try:
-        return msgspec.json.decode(row.value, type=MemberBody).era
-    except UNDECODABLE:
-        return 0  # it still counts, but a copy of it does not prove that it lives
--- a/goldcrestpond/serving/suspicions.py
+++ b/goldcrestpond/serving/suspicions.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from ..errors.undecodable import UNDECODABLE
-from .heard_rows import HeardRows
+from .heard_rows import HeardRows, era_in
 from .row_store import StoredRow
 
 TABLE = "suspicion"
@@ -47,7 +46,7 @@
     __slots__ = ("_heard",)
 
     def __init__(self) -> None:
-        self._heard = HeardRows(LIFETIME, timedelta(0), _era_of)
+        self._heard = HeardRows(LIFETIME, timedelta(0), era_in(SuspicionBody))
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta, era: int) -> None:
         """Take in all rows of a store in an era."""
@@ -65,10 +64,3 @@
             for row in self._heard.fresh(now)
             if row.key.startswith(prefix)
         }
-
-
-def _era_of(row: StoredRow) -> int:
-    try:
-        return msgspec.json.decode(row.value, type=SuspicionBody).era
-    except UNDECODABLE:
-        return 0  # one that cannot be read says as much as one of a copy
