Put what a caller is told of an error in one place; account only for changes

The time to come back was appended in two places. An error without a detail that ends a session now says its meaning, as one that answers a statement did; none that is raised there has none. A connection within its free bytes no longer asks the budget thrice a message.

--- a/goldcrestpond/errors/coded_error.py
+++ b/goldcrestpond/errors/coded_error.py
@@ -27,3 +27,11 @@
         self.code = code
         self.detail = detail
         self.retry_after_ms = retry_after_ms
+
+    @property
+    def text(self) -> str:
+        """What a caller is told: what happened, and when it may ask again."""
+        text = self.detail or self.code.meaning
+        if self.retry_after_ms:
+            text += f"; retry after {self.retry_after_ms} ms"
+        return text
--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -218,10 +218,7 @@
             raise
 
     async def _say(self, error: CodedError) -> None:
-        detail = error.detail
-        if error.retry_after_ms:
-            detail += f"; retry after {error.retry_after_ms} ms"
-        await self._sender.send(codec.encode_error(error.code, detail))
+        await self._sender.send(codec.encode_error(error.code, error.text))
 
     def end_when_idle(self) -> None:
         """End the session as soon as no statement runs and none is to follow."""
--- a/goldcrestpond/platform/line_buffer.py
+++ b/goldcrestpond/platform/line_buffer.py
@@ -77,5 +77,6 @@
             return
         kept_bytes = len(self._data) + self._line_bytes
         wanted_bytes = max(0, kept_bytes - FREE_BYTES)
-        self._budget.take(wanted_bytes - self._taken_bytes)
-        self._taken_bytes = wanted_bytes
+        if wanted_bytes != self._taken_bytes:
+            self._budget.take(wanted_bytes - self._taken_bytes)
+            self._taken_bytes = wanted_bytes
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -222,7 +222,4 @@
             elapsed_ms=round(elapsed.total_seconds() * 1000),
             version=self._directory.table.version,
         )
-        detail = error.detail or error.code.meaning
-        if error.retry_after_ms:
-            detail += f"; retry after {error.retry_after_ms} ms"
-        return Reply(error=error.code, detail=detail)
+        return Reply(error=error.code, detail=error.text)
