--- a/goldcrestpond/standin/statement.py
+++ b/goldcrestpond/standin/statement.py
@@ -105,7 +105,14 @@
 
 
 def _parse(source: str) -> Statement:
-    sql = _TOKEN.sub(_translate, source).strip().rstrip(";")
+    parameters: set[str] = set()
+
+    def translate(match: re.Match) -> str:
+        if match["parameter"]:
+            parameters.add(match["parameter"])
+        return _translate(match)
+
+    sql = _TOKEN.sub(translate, source).strip().rstrip(";")
     words = sql.split(None, 1)
     keyword = words[0].upper().rstrip("(") if words else ""
     return Statement(
@@ -114,7 +121,7 @@
         keyword=keyword,
         writes=keyword not in _READS
         or (keyword == "WITH" and bool(_WRITE_WORD.search(sql))),
-        parameter_count=_count_parameters(source),
+        parameter_count=_highest(parameters),
         cast_types={
             int(match[1]): oid_of_type(match[2])
             for match in _CAST_PARAMETER.finditer(source)
@@ -125,8 +132,7 @@
 _parse_cached = lru_cache(maxsize=4096)(_parse)
 
 
-def _count_parameters(source: str) -> int:
-    digits = {match["parameter"] for match in _TOKEN.finditer(source)} - {None}
+def _highest(digits: set[str]) -> int:
     if any(len(text) > len(str(_PARAMETERS_MAX)) for text in digits):
         raise _too_many()
     count = max(map(int, digits), default=0)
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -5,16 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, MatchesListwise, StartsWith
 
-from ..line_world import line_world
-
-
-def _run(body, instance_count):
-    async def run():
-        async with line_world(instance_count) as world:
-            with anyio.fail_after(40):
-                await body(world)
-
-    anyio.run(run)
+from ..line_world import run_in_world
 
 
 async def _come_back(world, away_s=0.1, until_rewritten_s=0.3):
@@ -56,7 +47,7 @@
                 await anyio.sleep(0.02)
         assert_that(set(table.table.routes), Equals({"current"}))
 
-    _run(body, 1)
+    run_in_world(body, 1, limit_s=40)
 
 
 def test_two_returns_depose_no_leader_and_lose_no_member():
@@ -77,7 +68,7 @@
         assert_that(members, HasLength(3))
         assert_that(_count(world, "store came back from a copy"), Equals(6))
 
-    _run(body, 3)
+    run_in_world(body, 3, limit_s=40)
 
 
 @pytest.mark.parametrize("crash_after_s", [0.0, 0.7, 1.2])
@@ -98,7 +89,7 @@
         led = {database for _, database, _ in world.platform.promotions}
         assert_that(led, HasLength(1))
 
-    _run(body, 3)
+    run_in_world(body, 3, limit_s=40)
 
 
 def test_tokens_rise_over_a_return():
@@ -124,7 +115,7 @@
         eras = [token >> 40 for token in tokens]
         assert_that(eras, MatchesListwise([Equals(1), Equals(2)]))
 
-    _run(body, 3)
+    run_in_world(body, 3, limit_s=40)
 
 
 def test_instance_that_starts_amid_a_return_takes_part():
@@ -147,4 +138,4 @@
         led = {database for _, database, _ in world.platform.promotions}
         assert_that(led, HasLength(1))
 
-    _run(body, 3)
+    run_in_world(body, 3, limit_s=40)
