--- a/goldcrestpond/platform/http_client.py
+++ b/goldcrestpond/platform/http_client.py
@@ -49,7 +49,9 @@
                 connection = await self._take()
                 return await connection.request(method, target, headers or [], body)
         except TimeoutError as error:
+            kind = "no" if connection is None else connection.kind
             detail = f"{method} {target.partition('?')[0]}: no answer in time"
+            detail += f" over {kind} connection"
             raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
         finally:
             if connection is not None:
--- a/goldcrestpond/platform/http_connection.py
+++ b/goldcrestpond/platform/http_connection.py
@@ -37,14 +37,20 @@
 class HttpConnection:
     """Sends one request at a time; broken by anything but a whole answer."""
 
-    __slots__ = ("_connection", "_host", "_stream", "is_broken")
+    __slots__ = ("_answer_count", "_connection", "_host", "_stream", "is_broken")
 
     def __init__(self, stream: SocketStream, address: Address):
         self._stream = stream
         self._host = str(address)
         self._connection = h11.Connection(h11.CLIENT)
+        self._answer_count = 0
         self.is_broken = False
 
+    @property
+    def kind(self) -> str:
+        """Whether an answer has come over it before, in words for a log line."""
+        return "a kept" if self._answer_count else "a new"
+
     async def request(
         self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
     ) -> HttpAnswer:
@@ -73,6 +79,7 @@
             if self._connection.their_state is h11.DONE:
                 self._connection.start_next_cycle()
                 self.is_broken = False
+                self._answer_count += 1
         return answer
 
     async def aclose(self) -> None:
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -269,12 +269,17 @@
             f'store_reachable{{table="{name}"}}': int(feed.is_reachable)
             for name, feed in feeds.items()
         }
+        ages = {
+            f'store_confirmed_age_ms{{table="{name}"}}': age / timedelta(milliseconds=1)
+            for name, feed in feeds.items()
+            if (age := feed.confirmed_age()) is not None
+        }
         callers = {
             "process": os.getpid(),
             "callers": self._callers.caller_count,
             "open_transactions": self._callers.open_transactions,
         }
-        return {**self.directory.gauges(), **reached, **callers}
+        return {**self.directory.gauges(), **reached, **ages, **callers}
 
     async def _forget_lapsed(self) -> None:
         while True:
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -97,6 +97,12 @@
         """Whether the last call was answered."""
         return self._failures == 0 and self.confirmed_at is not None
 
+    def confirmed_age(self) -> timedelta | None:
+        """Return how old the last answered call is; None before the first one."""
+        if self.confirmed_at is None:
+            return None
+        return self._clock.now() - self.confirmed_at
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -108,7 +114,7 @@
                 self._version = None
                 continue
             except CodedError as error:
-                await self._pause_after(error)
+                await self._pause_after(error, sent_at)
                 continue
             self._answered(answer, sent_at)
             pause = sent_at + self._spacing() - self._clock.now()
@@ -134,16 +140,29 @@
     def _answered(self, answer: FeedAnswer, sent_at: timedelta) -> None:
         if self._failures:
             self._log.decision(
-                "store regained", table=self._table, failures=self._failures
+                "store regained",
+                table=self._table,
+                failures=self._failures,
+                confirmed_age_ms=_to_ms(self.confirmed_age()),
             )
         self._failures = 0
         self._version = max(answer.version, self._version or 0)
         self.confirmed_at = sent_at
         self.now_ms = answer.now_ms
 
-    async def _pause_after(self, error: CodedError) -> None:
+    async def _pause_after(self, error: CodedError, sent_at: timedelta) -> None:
         if not self._failures:
-            self._log.decision("store lost", table=self._table, detail=error.detail)
+            self._log.decision(
+                "store lost",
+                table=self._table,
+                detail=error.detail,
+                waited_ms=_to_ms(self._clock.now() - sent_at),
+                confirmed_age_ms=_to_ms(self.confirmed_age()),
+            )
         self._failures += 1
         ceiling = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self._failures, 10))
         await anyio.sleep(ceiling.total_seconds() * self._rng.uniform(0.5, 1))
+
+
+def _to_ms(span: timedelta | None) -> int | None:
+    return None if span is None else span // timedelta(milliseconds=1)
