--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -39,7 +39,7 @@
 
 # An answer that got lost is given up after this and the store client's slack: within
 # the 4 s after the end of a disturbance from which on changes must be in force in time.
-FEED_WAIT = timedelta(seconds=3)
+FEED_WAIT = timedelta(milliseconds=2500)
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
 # Databases write a heartbeat about once a second each; one call brings several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
