--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -20,6 +20,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
+from ..frames.accept_connections import accept_connections
 from ..membership.leave import Leave
 from ..membership.member_changed import MemberChanged
 from ..membership.member_state import MemberState
@@ -168,7 +169,9 @@
             tasks.start_soon(self._send_all, udp)
             tasks.start_soon(self._receive_all, udp)
             tasks.start_soon(self._refresh_seeds)
-            tasks.start_soon(listener.serve, self._serve_stream, tasks)
+            tasks.start_soon(
+                accept_connections, listener, self._serve_stream, tasks, _not_accepted
+            )
             task_status.started(self.address)
             try:
                 await self._tick_forever()
@@ -353,3 +356,7 @@
 
 def _in_use(address: Address, error: OSError) -> CodedError:
     return CodedError(ResultCode.ADDRESS_IN_USE, f"{address}: {error}")
+
+
+def _not_accepted(error: OSError) -> None:
+    _logger.warning("peer: no connection accepted: %s", error)
--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -22,6 +22,8 @@
 
 RECEIVE_BYTES = 4096  # several statements of usual size
 CONNECT_LIMIT = timedelta(seconds=2)  # callers wait so long for the first answer
+# A caller that is refused comes back to another instance; sessions end all the time.
+FULL_RETRY = timedelta(seconds=1)
 _LOST = (
     OSError,
     anyio.EndOfStream,
@@ -39,19 +41,30 @@
         Routes and services.
     open_session : callable
         Makes the session of a caller's key and database name.
+    limit : int
+        Callers that may be connected; 0 for any number.
     log : DecisionLog
         Sink of decisions.
     """
 
-    __slots__ = ("_directory", "_keys", "_log", "_open_session", "_connections")
+    __slots__ = (
+        "_connections",
+        "_directory",
+        "_keys",
+        "_limit",
+        "_log",
+        "_open_session",
+    )
 
     def __init__(
         self,
         directory: Directory,
         open_session: Callable[[str, str], CallerSession],
+        limit: int,
         log: DecisionLog,
     ):
         self._directory = directory
+        self._limit = limit
         self._open_session = open_session
         self._log = log
         self._keys = itertools.count(1)
@@ -71,8 +84,11 @@
         """Serve one caller until either side ends the session."""
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
         connection = _CallerConnection(stream, f"c{next(self._keys)}", self)
-        self._connections.add(connection)
         try:
+            if self._limit and len(self._connections) >= self._limit:
+                await connection.refuse(self._full())
+                return
+            self._connections.add(connection)
             await connection.run()
         except _LOST:
             pass  # the caller left; its transaction is rolled back below
@@ -106,6 +122,14 @@
         self._directory.route(connect.database)
         return self._open_session(key, connect.database)
 
+    def _full(self) -> CodedError:
+        count = len(self._connections)
+        self._log.decision("caller refused", callers=count, limit=self._limit)
+        retry_after_ms = FULL_RETRY // timedelta(milliseconds=1)
+        return CodedError(
+            ResultCode.TOO_MANY_CALLERS, f"{count} callers", retry_after_ms
+        )
+
     @property
     def idle_limit(self) -> timedelta:
         """Longest pause inside a transaction."""
@@ -167,6 +191,14 @@
         """Whether nothing that could still be kept is cut by an end."""
         return self._transaction_state is not TransactionState.OPEN
 
+    async def refuse(self, error: CodedError) -> None:
+        """Say why the caller is not served."""
+        # A close before its message was read would take the answer with it.
+        with anyio.move_on_after(CONNECT_LIMIT.total_seconds()):
+            await self._next_message()
+        detail = f"{error.detail}; retry after {error.retry_after_ms} ms"
+        await self._sender.send(codec.encode_error(error.code, detail))
+
     async def run(self) -> None:
         """Answer the caller's messages in order."""
         try:
--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -42,6 +42,9 @@
         Time from the request to stop to the kill.
     link_mbps : float
         Width of the machine's link in megabits per second; 0 if unknown.
+    descriptor_limit : int
+        Descriptors that the process may have open; 0 if unknown, callers are not
+        limited then.
     """
 
     instance: str
@@ -55,6 +58,7 @@
     drain_limit_ms: int = 7000
     grace_s: float = 6
     link_mbps: float = 0
+    descriptor_limit: int = 0
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -12,6 +12,7 @@
 from ..clock.clock import Clock
 from ..clock.system_clock import SystemClock
 from ..errors.coded_error import CodedError
+from ..frames.accept_connections import accept_connections
 from ..platform import database_entry, operator_configuration
 from ..platform.caller_server import CallerServer
 from ..platform.endpoint_link import open_endpoint_link
@@ -47,6 +48,9 @@
 BORROWER_REGISTRY_SPACING = timedelta(milliseconds=2000)
 LAPSE_TICK_S = 0.5
 SETTINGS_TICK_S = 2.0  # a change without a signal is in force well within seconds
+# Of a process's descriptors, what files (200 by the platform), connections to
+# databases, holders and the store, and probes may need.
+RESERVED_DESCRIPTORS = 800
 BACKLOG = 512  # callers that come back all at once after a restart
 
 
@@ -188,7 +192,12 @@
             rng,
             log,
         )
-        self._callers = CallerServer(self.directory, self._open_session, log)
+        self._callers = CallerServer(
+            self.directory,
+            self._open_session,
+            max(0, settings.descriptor_limit - RESERVED_DESCRIPTORS),
+            log,
+        )
         self._ready = ReadyServer(self.is_ready, metrics)
         metrics.set_gauges(self._gauges)
         self._listeners: list[SocketListener] = []
@@ -249,7 +258,16 @@
             local_host=address.host, local_port=address.port, backlog=BACKLOG
         )
         self._listeners.append(listener)
-        self._tasks.start_soon(listener.serve, handle)
+        self._tasks.start_soon(
+            accept_connections, listener, handle, self._tasks, self._not_accepted
+        )
+
+    def _not_accepted(self, error: OSError) -> None:
+        self._log.decision(
+            "connection not accepted",
+            detail=str(error),
+            callers=self._callers.caller_count,
+        )
 
     def _open_session(self, key: str, database: str) -> CallerSession:
         return CallerSession(
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -11,6 +11,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..events.recorder import EventRecorder
+from ..frames.accept_connections import accept_connections
 from ..frames.build import error_frame
 from .caller_entry import CallerEntry
 from .caller_session import CallerSession
@@ -127,7 +128,7 @@
         )
         with self._accepting:
             async with listener:
-                await listener.serve(self._handle, tasks)
+                await accept_connections(listener, self._handle, tasks, _not_accepted)
 
     def _end_overdue(self, session: CallerSession) -> None:
         self._overdue.add(session)
@@ -257,3 +258,7 @@
     if is_answer_due:
         return CodedError(ResultCode.OUTCOME_UNKNOWN, "cut at the shutdown's deadline")
     return CodedError(ResultCode.SHUTTING_DOWN, "cut at the shutdown's deadline")
+
+
+def _not_accepted(error: OSError) -> None:
+    _log.warning("wire: no connection accepted: %s", error)
