--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -27,6 +27,7 @@
     IDLE_TRANSACTION = (114, "25P03", 408, "Rolled back: its caller kept it waiting.")
     TRANSACTION_FAILED = (115, "25P02", 409, "The transaction failed; end it.")
     STATEMENT_UNKNOWN = (116, "26000", 404, "No prepared statement has this name.")
+    SESSION_TOO_LARGE = (117, "54000", 413, "The session keeps too much.")
 
     NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
     ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint was reached; not run.")
--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -19,6 +19,7 @@
 from ..settings.socket_timeouts import set_timeouts
 from . import line_codec as codec
 from .line_buffer import LineBuffer
+from .receive_budget import ReceiveBudget
 
 RECEIVE_BYTES = 4096  # several statements of usual size
 CONNECT_LIMIT = timedelta(seconds=2)  # callers wait so long for the first answer
@@ -45,6 +46,11 @@
         Callers that may be connected; 0 for any number.
     log : DecisionLog
         Sink of decisions.
+
+    Attributes
+    ----------
+    budget : ReceiveBudget
+        Memory that messages of callers may take.
     """
 
     __slots__ = (
@@ -54,6 +60,7 @@
         "_limit",
         "_log",
         "_open_session",
+        "budget",
     )
 
     def __init__(
@@ -65,6 +72,7 @@
     ):
         self._directory = directory
         self._limit = limit
+        self.budget = ReceiveBudget()
         self._open_session = open_session
         self._log = log
         self._keys = itertools.count(1)
@@ -168,7 +176,7 @@
     def __init__(self, stream: SocketStream, key: str, server: CallerServer):
         self._stream = stream
         self._sender = DirectSender(stream)
-        self._lines = LineBuffer()
+        self._lines = LineBuffer(server.budget)
         self._server = server
         self._session: CallerSession | None = None
         self._reading: anyio.CancelScope | None = None
@@ -196,8 +204,7 @@
         # A close before its message was read would take the answer with it.
         with anyio.move_on_after(CONNECT_LIMIT.total_seconds()):
             await self._next_message()
-        detail = f"{error.detail}; retry after {error.retry_after_ms} ms"
-        await self._sender.send(codec.encode_error(error.code, detail))
+        await self._say(error)
 
     async def run(self) -> None:
         """Answer the caller's messages in order."""
@@ -207,9 +214,15 @@
             while await self._answer_next():
                 pass
         except CodedError as error:
-            await self._sender.send(codec.encode_error(error.code, error.detail))
+            await self._say(error)
             raise
 
+    async def _say(self, error: CodedError) -> None:
+        detail = error.detail
+        if error.retry_after_ms:
+            detail += f"; retry after {error.retry_after_ms} ms"
+        await self._sender.send(codec.encode_error(error.code, detail))
+
     def end_when_idle(self) -> None:
         """End the session as soon as no statement runs and none is to follow."""
         self.is_ending = True
@@ -223,6 +236,7 @@
 
     async def aclose(self) -> None:
         """Roll back and close."""
+        self._lines.close()
         with anyio.CancelScope(shield=True):
             if self._session is not None:
                 await self._session.aclose()
--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -45,6 +45,7 @@
     ResultCode.MALFORMED_FRAME: "MALFORMED",
     ResultCode.TRANSACTION_FAILED: "MALFORMED",
     ResultCode.FRAME_TOO_LARGE: "TOOBIG",
+    ResultCode.SESSION_TOO_LARGE: "TOOBIG",
     ResultCode.STATEMENT_UNKNOWN: "NOSTMT",
     ResultCode.ENDPOINT_FULL: "BUSY",
     ResultCode.ENDPOINT_BUSY: "BUSY",
@@ -65,6 +66,8 @@
     ResultCode.ENDPOINT_TIMEOUT: "TIMEOUT",
     ResultCode.ANSWER_INTERRUPTED: "TIMEOUT",
 }
+# An answer is kept whole until its end shows that it is one.
+REPLY_LIMIT_CHARACTERS = 16 << 20
 _UNKNOWN_OUTCOME = "INDOUBT"  # the only word that promises nothing about any run
 
 
@@ -290,10 +293,11 @@
 class ReplyDecoder:
     """Collects the lines of one answer of a database."""
 
-    __slots__ = ("_reply",)
+    __slots__ = ("_reply", "_row_characters")
 
     def __init__(self) -> None:
         self._reply = Reply()
+        self._row_characters = 0
 
     def feed(self, line: str) -> Reply | None:
         """Take in a line; return the answer once it is whole.
@@ -301,12 +305,17 @@
         Raises
         ------
         CodedError
-            ENDPOINT_MALFORMED if the line belongs to no answer.
+            ENDPOINT_MALFORMED if the line belongs to no answer, or the answer is
+            too large.
         """
         word, _, rest = line.partition(" ")
         reply = self._reply
         match word:
             case "ROW":
+                self._row_characters += len(line)
+                if self._row_characters > REPLY_LIMIT_CHARACTERS:
+                    detail = f"more than {REPLY_LIMIT_CHARACTERS} characters of rows"
+                    raise CodedError(ResultCode.ENDPOINT_MALFORMED, detail)
                 reply.rows.append(rest)
             case "COMPLETE":
                 reply.receipt = "" if rest == OWN_ID else rest
@@ -321,6 +330,7 @@
                 reply.state = _STATES[state]
                 reply.position = decode_position(position)
                 self._reply = Reply()
+                self._row_characters = 0
                 return reply
             case _:
                 raise _unreadable(line)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -114,6 +114,8 @@
     ----------
     directory : Directory
         Routes and services in force.
+    callers : CallerServer
+        Callers that are connected.
     """
 
     def __init__(
@@ -192,7 +194,7 @@
             rng,
             log,
         )
-        self._callers = CallerServer(
+        self.callers = CallerServer(
             self.directory,
             self._open_session,
             max(0, settings.descriptor_limit - RESERVED_DESCRIPTORS),
@@ -237,14 +239,14 @@
         await self._listen(self._settings.ready_listen, self._ready.handle)
         await self._listen(self._settings.metrics_listen, self._ready.handle)
         await self._listen(self._settings.peer_listen, self._relay.handle)
-        await self._listen(self._settings.listen, self._callers.handle)
+        await self._listen(self._settings.listen, self.callers.handle)
 
     async def stop(self) -> None:
         """Let what runs end, within the grace period."""
         self._is_stopping = True
-        self._log.decision("stopping", callers=self._callers.caller_count)
+        self._log.decision("stopping", callers=self.callers.caller_count)
         await self._members.leave()
-        await shut_down(self._callers, self._settings.grace_s, self._clock, self._log)
+        await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
 
     @property
@@ -266,7 +268,7 @@
         self._log.decision(
             "connection not accepted",
             detail=str(error),
-            callers=self._callers.caller_count,
+            callers=self.callers.caller_count,
         )
 
     def _open_session(self, key: str, database: str) -> CallerSession:
@@ -294,8 +296,9 @@
         }
         callers = {
             "process": os.getpid(),
-            "callers": self._callers.caller_count,
-            "open_transactions": self._callers.open_transactions,
+            "callers": self.callers.caller_count,
+            "message_bytes": self.callers.budget.used_bytes,
+            "open_transactions": self.callers.open_transactions,
         }
         return {**self.directory.gauges(), **reached, **ages, **callers}
 
--- a/goldcrestpond/serving/align_link.py
+++ b/goldcrestpond/serving/align_link.py
@@ -6,6 +6,9 @@
 from .statement import Statement
 from .statement_kind import StatementKind
 
+# Names of all sessions that a link was lent to; beyond it, it starts anew.
+LINK_SHAPES_MAX = 512
+
 
 def values_to_set(
     present: dict[str, str], wanted: dict[str, str]
@@ -25,6 +28,8 @@
         If the link breaks or refuses; it must not be lent then.
     """
     missing = values_to_set(link.values, session.values)
+    if len(link.prepared) >= LINK_SHAPES_MAX:
+        missing = None
     if missing is None:
         await link.reset()
         missing = session.values
--- /dev/null
+++ b/tests/platform/test_line_buffer.py
@@ -0,0 +1,106 @@
+"""What callers may have kept for them, by size and by number."""
+
+import anyio
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan, StartsWith
+
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+from goldcrestpond.platform.line_buffer import FREE_BYTES, LineBuffer
+from goldcrestpond.platform.receive_budget import ReceiveBudget
+from goldcrestpond.serving.session_state import VALUES_MAX
+
+from ..line_world import LineCaller, line_world
+
+MESSAGE_BYTES = 1 << 19
+BUDGET_BYTES = 4 << 20
+CALLER_COUNT = 40  # together five times the budget
+
+
+@given(st.lists(st.binary(max_size=40000).map(lambda b: b.replace(b"\n", b""))))
+def test_budget_holds_what_is_kept_and_is_whole_at_the_end(pieces):
+    budget = ReceiveBudget()
+    buffer = LineBuffer(budget)
+    for piece in pieces:
+        buffer.feed(piece)
+        buffer.feed(b"\r\n")
+        while buffer.next_line() is not None:
+            pass
+    buffer.feed(b"x" * (FREE_BYTES + 10))
+    assert_that(budget.used_bytes, Equals(10))
+    buffer.close()
+    assert_that(budget.used_bytes, Equals(0))
+
+
+def test_line_counts_until_the_next_one_is_asked_for():
+    budget = ReceiveBudget()
+    buffer = LineBuffer(budget)
+    buffer.feed(b"x" * (2 * FREE_BYTES) + b"\r\n")
+    buffer.next_line()
+    assert_that(budget.used_bytes, Equals(FREE_BYTES))
+    buffer.next_line()
+    assert_that(budget.used_bytes, Equals(0))
+
+
+def test_buffer_beyond_the_budget_is_refused():
+    budget = ReceiveBudget(limit_bytes=100)
+    LineBuffer(budget).feed(b"x" * (FREE_BYTES + 100))
+    with pytest.raises(CodedError) as caught:
+        LineBuffer(budget).feed(b"x" * (FREE_BYTES + 1))
+    assert_that(caught.value.code, Equals(ResultCode.OVERLOADED))
+    assert_that(caught.value.retry_after_ms > 0, Equals(True))
+
+
+def _run(body):
+    async def run():
+        with anyio.fail_after(30):
+            async with line_world() as world:
+                await body(world)
+
+    anyio.run(run)
+
+
+# Guards against: many callers that send large messages without their ends, until the
+# process is killed for its memory and all sessions with it.
+def test_unfinished_messages_of_many_callers_harm_no_other():
+    async def body(world):
+        instance = world.instances[0]
+        budget = instance.callers.budget
+        budget.limit_bytes = BUDGET_BYTES
+        async with world.caller("own") as caller:
+            others = []
+            for _ in range(CALLER_COUNT):
+                stream = await anyio.connect_tcp(*instance.caller_address)
+                others.append(LineCaller(stream))
+                try:
+                    await others[-1].connect("own")
+                    await others[-1].send(b"x" * MESSAGE_BYTES)
+                except (anyio.BrokenResourceError, anyio.EndOfStream):
+                    pass  # refused
+                answer = await caller.ask("WRITE a 1")
+                assert_that(answer[0], StartsWith("COMPLETE r"))
+                assert_that(budget.used_bytes, LessThan(BUDGET_BYTES + 1))
+            for other in others:
+                await other.aclose()
+        await anyio.sleep(0.2)
+        assert_that(budget.used_bytes, Equals(0))
+
+    _run(body)
+
+
+# Guards against: a session that keeps values without end, which are all set on each
+# connection that it is lent.
+def test_session_that_keeps_too_much_is_told_and_goes_on():
+    async def body(world):
+        async with world.caller("own") as caller:
+            for number in range(VALUES_MAX):
+                answer = await caller.ask(f"SET v{number} 1")
+                assert_that(answer[0], Equals("COMPLETE -"))
+            answer = await caller.ask("SET more 1")
+            assert_that(answer[0], StartsWith("ERROR TOOBIG GP117"))
+            assert_that((await caller.ask("READ a"))[-1], Equals("READY I -"))
+
+    _run(body)
