--- a/goldcrestpond/errors/coded_error.py
+++ b/goldcrestpond/errors/coded_error.py
@@ -2,6 +2,9 @@
 
 from .result_code import ResultCode
 
+# Texts of callers are quoted in details; what is longer says no more.
+DETAIL_LIMIT_CHARACTERS = 1000
+
 
 class CodedError(Exception):
     """An error with a numbered result code.
@@ -11,7 +14,7 @@
     code : ResultCode
         The numbered result.
     detail : str, default=""
-        What happened, in one short sentence.
+        What happened, in one short sentence; cut at `DETAIL_LIMIT_CHARACTERS`.
     retry_after_ms : int, default=0
         When the caller may ask again; 0 means that no time is known.
     """
@@ -19,6 +22,7 @@
     __slots__ = ("code", "detail", "retry_after_ms")
 
     def __init__(self, code: ResultCode, detail: str = "", retry_after_ms: int = 0):
+        detail = detail[:DETAIL_LIMIT_CHARACTERS]
         super().__init__(f"GP{code.number} {detail or code.meaning}")
         self.code = code
         self.detail = detail
--- a/goldcrestpond/root/structured_log.py
+++ b/goldcrestpond/root/structured_log.py
@@ -10,6 +10,8 @@
 
 LINES_PER_S = 100.0  # a busy instance makes a few dozen decisions a second
 LINES_BURST = 400.0
+# A line holds ids that callers choose; a longer one names no request that is served.
+TEXT_LIMIT_CHARACTERS = 1000
 _STDOUT = 1
 
 
@@ -48,7 +50,7 @@
             "time": self._clock.wall().isoformat(timespec="milliseconds"),
             "instance": self._instance,
             "event": event,
-            **fields,
+            **{name: _shortened(value) for name, value in fields.items()},
         }
         if self._dropped:
             line["dropped_lines"] = self._dropped
@@ -71,3 +73,8 @@
             return False
         self._tokens -= 1
         return True
+
+
+def _shortened(value: object) -> object:
+    is_long = isinstance(value, str) and len(value) > TEXT_LIMIT_CHARACTERS
+    return value[:TEXT_LIMIT_CHARACTERS] if is_long else value
--- a/goldcrestpond/wire/declarations.py
+++ b/goldcrestpond/wire/declarations.py
@@ -133,19 +133,11 @@
 
 
 def _read_lane(value: str) -> str:
-    if value not in tuple(Lane):
-        raise CodedError(ResultCode.BAD_PARAMETER, f"no lane {value!r}")
-    return value
-
-
-def _read_lane(value: str) -> str:
-    try:
-        return Lane(value)
-    except ValueError as error:
-        known = ", ".join(Lane)
-        raise CodedError(
-            ResultCode.BAD_PARAMETER, f"lane takes one of {known}"
-        ) from error
+    known = tuple(Lane)
+    if value not in known:
+        detail = f"lane takes one of {', '.join(known)}"
+        raise CodedError(ResultCode.BAD_PARAMETER, detail)
+    return Lane(value)
 
 
 def _read_request_id(value: str) -> str:
--- a/tests/platform/test_line_buffer.py
+++ b/tests/platform/test_line_buffer.py
@@ -5,12 +5,14 @@
 import pytest
 from hypothesis import given
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan, StartsWith
+from testtools.matchers import Contains, Equals, LessThan, StartsWith
 
-from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.errors.coded_error import DETAIL_LIMIT_CHARACTERS, CodedError
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.platform.line_buffer import FREE_BYTES, LineBuffer
 from goldcrestpond.platform.receive_budget import ReceiveBudget
+from goldcrestpond.root.structured_log import TEXT_LIMIT_CHARACTERS, StructuredLog
 from goldcrestpond.serving.session_state import VALUES_MAX
 
 from ..line_world import LineCaller, run_in_world
@@ -95,3 +97,23 @@
             assert_that((await caller.ask("READ a"))[-1], Equals("READY I -"))
 
     run_in_world(body)
+
+
+# Guards against: ids and names of 1 MiB that are written to the log, and sent back,
+# with each error.
+def test_long_names_are_cut_in_errors():
+    async def body(world):
+        async with world.caller("own") as caller:
+            answer = await caller.ask("EXECUTE " + "x" * MESSAGE_BYTES)
+            assert_that(answer[0], StartsWith("ERROR NOSTMT GP116 xxx"))
+            assert_that(len(answer[0]), LessThan(2 * DETAIL_LIMIT_CHARACTERS))
+
+    run_in_world(body)
+
+
+def test_long_texts_are_cut_in_lines(capfd):
+    log = StructuredLog("i1", SystemClock())
+    log.decision("statement failed", request="q" * MESSAGE_BYTES, elapsed_ms=3)
+    line = capfd.readouterr().out
+    assert_that(line, Contains('"elapsed_ms":3'))
+    assert_that(len(line), LessThan(2 * TEXT_LIMIT_CHARACTERS))
