Keep the higher of two samples that were requested at one clock reading

Cause: of two samples with the same request time the first was kept, also if a commit was acknowledged between them; the promise (a sample covers each commit acknowledged before its request) was right and the sample wrong. The test stays as strict, with the example that failed.

--- a/goldcrestpond/serving/leadership.py
+++ b/goldcrestpond/serving/leadership.py
@@ -144,7 +144,13 @@
     def _add_sample(self, sample: VerifiedSample) -> None:
         if self._samples:
             last = self._samples[-1]
-            if sample.sampled_after <= last.sampled_after:
+            if sample.sampled_after < last.sampled_after:
+                return
+            if sample.sampled_after == last.sampled_after:
+                # Requested at one reading of the clock; a commit between the two is
+                # covered only by the higher position.
+                if sample.position > last.position:
+                    self._samples[-1] = sample
                 return
             spaced = sample.sampled_after - last.sampled_after >= SAMPLE_SPACING
             if not spaced and len(self._samples) > 1:
--- a/tests/serving/test_leadership.py
+++ b/tests/serving/test_leadership.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 import hypothesis.strategies as st
-from hypothesis import given
+from hypothesis import example, given
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
 
@@ -82,6 +82,7 @@
 
 
 @given(st.lists(st.tuples(st.integers(0, 40), st.integers(0, 3)), max_size=60))
+@example([(0, 0), (0, 1)])
 def test_a_sample_covers_every_commit_acknowledged_before_it(steps):
     """Samples are dropped for their spacing; the remaining ones stay correct."""
     leadership = Leadership()
