--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -5,6 +5,8 @@
 in order.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from ..errors.coded_error import CodedError
@@ -21,6 +23,13 @@
 MESSAGE_LIMIT_BYTES = 2 << 20  # twice the limit of a caller's message
 
 _Position = tuple[int, int]
+_SPAN_LIMIT_MS = 1e9  # a day is 8.6e7
+_BANDWIDTH_LIMIT_MBPS = 1e9
+# Limits that also exclude what is not a number, so that no computation with a value of
+# another instance fails.
+_SpanMs = Annotated[float, msgspec.Meta(ge=-_SPAN_LIMIT_MS, le=_SPAN_LIMIT_MS)]
+_Bandwidth = Annotated[float, msgspec.Meta(ge=0, le=_BANDWIDTH_LIMIT_MBPS)]
+_Version = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
 class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -51,7 +60,7 @@
     database_id: str
     caller: str
     lane: Lane
-    wait_ms: float
+    wait_ms: _SpanMs
     priority: int = 0
 
 
@@ -178,7 +187,7 @@
     """
 
     service: str
-    wait_ms: float
+    wait_ms: _SpanMs
 
 
 class Proved(Message, frozen=True):
@@ -203,7 +212,7 @@
 
     service: str
     previous_leader: str
-    wait_ms: float
+    wait_ms: _SpanMs
 
 
 class Sealed(Message, frozen=True):
@@ -234,15 +243,15 @@
     name: str
     availability_zone: str
     address: str
-    link_mbps: float
+    link_mbps: _Bandwidth
 
 
 class KnownTable(msgspec.Struct, array_like=True, frozen=True):
     """What a follower knows of one table; version None if it knows nothing."""
 
     table: str
-    era: int
-    version: int | None
+    era: _Version
+    version: _Version | None
 
 
 class Follow(Message, frozen=True):
@@ -265,7 +274,7 @@
     follower: Peer
     followers: list[Peer] | None
     tables: list[KnownTable]
-    wait_ms: float
+    wait_ms: _SpanMs
     is_leaving: bool = False
 
 
@@ -275,7 +284,7 @@
     part: str
     key: str
     value: bytes | None
-    version: int
+    version: _Version
 
 
 class ChangedTable(msgspec.Struct, array_like=True, frozen=True):
@@ -296,11 +305,11 @@
     """
 
     table: str
-    era: int
-    version: int
+    era: _Version
+    version: _Version
     rows: list[ChangedRow]
     is_whole: bool
-    age_ms: float
+    age_ms: _SpanMs
 
 
 class Followed(Message, frozen=True):
@@ -319,7 +328,7 @@
 
     tables: list[ChangedTable]
     reader: str
-    held_ms: float
+    held_ms: _SpanMs
 
 
 class Answer(Message, frozen=True):
