--- a/tests/tables/test_fuzz.py
+++ b/tests/tables/test_fuzz.py
@@ -4,7 +4,7 @@
 import hypothesis.strategies as st
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, StartsWith
 
@@ -13,6 +13,7 @@
 from goldcrestpond.pool.lane import Lane
 from goldcrestpond.relay import messages
 
+from ..fuzz import ON_A_RUNNING_SITE
 from ..line_world import line_world
 
 _KNOWN_TEXTS = st.sampled_from(["op", "member", "i1", "", "/followers/0"])
@@ -95,7 +96,7 @@
 
 
 # One malformed message of another instance took a process down.
-@settings(max_examples=3)
+@ON_A_RUNNING_SITE
 @given(st.lists(_FRAMES, min_size=30, max_size=60))
 def test_whatever_is_sent_to_the_peer_port_callers_are_served(frames):
     async def run():
