Keep a leaving instance out of the members until it ends

Cause: it told its source that it leaves, and then asked on for changes, by which it was recorded as a follower again for 12 s; its holders' places moved back and forth. Now each of its requests says so. The new test failed before.

--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -268,7 +268,8 @@
     wait_ms : float
         How long to wait for a change.
     is_leaving : bool
-        Whether it leaves the fleet and is no longer a member.
+        Whether it leaves the fleet: it is no longer a member, but is still answered
+        until it ends.
     """
 
     follower: Peer
--- a/goldcrestpond/serving/follower_list.py
+++ b/goldcrestpond/serving/follower_list.py
@@ -45,14 +45,15 @@
             reported = () if known is None else known.reported
         self._followers[member.name] = _Follower(member, tuple(reported), now)
 
-    def remove(self, name: str) -> None:
-        """Remove a follower that leaves the fleet."""
-        self._followers.pop(name, None)
+    def remove(self, name: str) -> bool:
+        """Remove a follower that leaves the fleet; return whether it was known."""
+        is_known = self._followers.pop(name, None) is not None
         for key, follower in list(self._followers.items()):
             reported = tuple(m for m in follower.reported if m.name != name)
             self._followers[key] = _Follower(
                 follower.member, reported, follower.heard_at
             )
+        return is_known
 
     def live(self, now: timedelta) -> list[Member]:
         """Return the followers and theirs, sorted by name."""
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -373,7 +373,8 @@
             for feed in self._feeds.values()
         ]
         peer = to_peer(self._member())
-        return messages.Follow(peer, reported, tables, wait / _MILLISECOND)
+        wait_ms = wait / _MILLISECOND
+        return messages.Follow(peer, reported, tables, wait_ms, self._is_leaving)
 
     def _apply(self, answer: messages.Followed, sent_at: timedelta) -> bool:
         """Apply the rows; return whether all limited tables are fresh now."""
--- a/goldcrestpond/tables/table_server.py
+++ b/goldcrestpond/tables/table_server.py
@@ -72,8 +72,6 @@
         """
         arrived_at = self._clock.now()
         self._record(request)
-        if request.is_leaving:
-            return messages.Followed([], self._get_reader(), 0.0)
         wait = min(WAIT_MAX, max(0.0, request.wait_ms) * _MILLISECOND)
         with anyio.move_on_after(wait.total_seconds()):
             while self._get_reader() and not self._knows_more(request):
@@ -90,8 +88,8 @@
         if request.followers is not None:
             reported = [to_member(peer) for peer in request.followers]
         if request.is_leaving:
-            self._followers.remove(member.name)
-            self._log.decision("follower left", follower=member.name)
+            if self._followers.remove(member.name):
+                self._log.decision("follower left", follower=member.name)
         else:
             self._followers.record(member, reported, self._clock.now())
 
--- a/tests/tables/test_table_follower.py
+++ b/tests/tables/test_table_follower.py
@@ -109,6 +109,19 @@
     run(body, 24, 5)
 
 
+# A stopping instance asked on until it ended, and counted as a member again.
+def test_leaving_follower_is_no_member_and_is_still_told_changes():
+    async def body(world):
+        name = next(n for n in world.names if n not in world.readers())
+        await world.instances[name].follower.leave()
+        await anyio.sleep(3)
+        assert_that(await change_is_in_force(world), LessThan(0.5))
+        others = {tuple(i.members) for n, i in world.instances.items() if n != name}
+        assert_that(others, Equals({tuple(sorted(set(world.names) - {name}))}))
+
+    run(body, 6, 3)
+
+
 # The loss of all readers: no herd of hundreds that read the store.
 def test_loss_of_all_readers_is_survived_in_time():
     async def body(world):
