--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -362,6 +362,9 @@
                 connection = await self._open_connection()
             except CodedError as error:
                 failure = error
+            except Exception as error:
+                _log.exception("pool: %s: opening a connection failed", self._name)
+                failure = CodedError(ResultCode.INTERNAL, repr(error))
         self._opening_scopes.pop(connection_id, None)
         now = self._clock.now()
         if connection is not None:
@@ -395,9 +398,11 @@
         self._tasks.start_soon(self._finish_close, connection)
 
     async def _finish_close(self, connection: PooledLink) -> None:
-        await connection.aclose()
-        connection_id = connection.pool_connection_id
-        self._apply(self._decisions.record_closed(connection_id, self._clock.now()))
+        try:
+            await connection.aclose()
+        finally:
+            connection_id = connection.pool_connection_id
+            self._apply(self._decisions.record_closed(connection_id, self._clock.now()))
 
     async def _check(self, connection_id: int) -> None:
         connection = self._connections.get(connection_id)
@@ -409,6 +414,9 @@
                 await connection.check()
             except CodedError:
                 is_healthy = False
+            except Exception:
+                _log.exception("pool: %s: checking a connection failed", self._name)
+                is_healthy = False
         self._apply(
             self._decisions.record_check_result(
                 connection_id, is_healthy, self._clock.now()
@@ -426,6 +434,8 @@
                     is_answered = True
                 except CodedError as error:
                     _log.info("pool: %s: probe failed: %s", self._name, error)
+                except Exception:
+                    _log.exception("pool: %s: probe failed", self._name)
         self._record_progress()
         now = self._clock.now()
         if is_answered:
--- a/goldcrestpond/endpoint/share_updater.py
+++ b/goldcrestpond/endpoint/share_updater.py
@@ -157,7 +157,7 @@
 
     async def release(self) -> None:
         """Release all shares; call it only after every connection has been closed."""
-        for key, database in self._databases.items():
+        for key, database in list(self._databases.items()):
             proposal = database.holder.release()
             if proposal is not None:
                 await self._write_row(key, database, proposal)
--- a/goldcrestpond/frames/accept_connections.py
+++ b/goldcrestpond/frames/accept_connections.py
@@ -3,16 +3,18 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketListener, SocketStream
 from anyio.streams.stapled import MultiListener
 
+from ..tasks.supervised_tasks import SupervisedTasks
+
 ACCEPT_RETRY_S = 0.1  # time for other connections to close and free descriptors
 
 
 async def accept_connections(
     listener: MultiListener[SocketStream],
     serve_connection: Callable[[SocketStream], Awaitable[None]],
-    tasks: TaskGroup,
+    tasks: SupervisedTasks,
     report_error: Callable[[OSError], None],
 ) -> None:
     """Run ``serve_connection`` for each accepted connection until cancelled.
@@ -26,7 +28,7 @@
         Listening sockets.
     serve_connection : callable
         Serves one connection.
-    tasks : TaskGroup
+    tasks : SupervisedTasks
         Runs ``serve_connection``.
     report_error : callable
         Receives the error when a connection could not be accepted.
--- a/goldcrestpond/peer/peer_node.py
+++ b/goldcrestpond/peer/peer_node.py
@@ -4,7 +4,7 @@
 import random
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from ..clock.clock import Clock
 from ..configuration.revision_count import RevisionCount
@@ -31,6 +31,7 @@
 from ..membership.seeds_listed import SeedsListed
 from ..membership.tick import TICK_MS, Tick
 from ..settings.address import Address, parse_address
+from ..tasks.supervised_tasks import SupervisedTasks
 from .codec import (
     DATAGRAM_LIMIT_BYTES,
     PeerMessage,
@@ -109,7 +110,7 @@
         ](_MAX_QUEUED_DATAGRAMS)
         self._addresses: dict[str, tuple[str, int]] = {}
         self._live_names: dict[int, str] = {}
-        self._tasks: TaskGroup | None = None
+        self._tasks: SupervisedTasks | None = None
         self.address: Address | None = None
         self.malformed_count = 0
         self.dropped_count = 0
@@ -165,13 +166,14 @@
             ADDRESS_IN_USE if the address cannot be bound.
         """
         listener, udp = await self._bind()
-        async with listener, udp, anyio.create_task_group() as tasks:
+        async with listener, udp, anyio.create_task_group() as task_group:
+            tasks = SupervisedTasks(task_group)
             self._tasks = tasks
             self._create_state_machines()
-            tasks.start_soon(self._send_datagrams, udp)
-            tasks.start_soon(self._receive_datagrams, udp)
-            tasks.start_soon(self._refresh_seeds)
-            tasks.start_soon(
+            tasks.start_loop(self._send_datagrams, udp)
+            tasks.start_loop(self._receive_datagrams, udp)
+            tasks.start_loop(self._refresh_seeds)
+            tasks.start_loop(
                 accept_connections,
                 listener,
                 self._serve_connection,
@@ -233,14 +235,18 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            now = self._clock.now()
-            self._perform_actions(self._membership.handle_event(Tick(), now))
-            self._perform_actions(self._distribution.handle_event(Tick(), now))
+            self._tasks.call(self._handle_tick)
             await anyio.sleep(TICK_MS / 1000)
 
+    def _handle_tick(self) -> None:
+        now = self._clock.now()
+        self._perform_actions(self._membership.handle_event(Tick(), now))
+        self._perform_actions(self._distribution.handle_event(Tick(), now))
+
     async def _receive_datagrams(self, udp: anyio.abc.UDPSocket) -> None:
         async for data, (host, port) in udp:
-            self._receive_datagram(data, str(Address(host, port)))
+            source = str(Address(host, port))
+            self._tasks.call(self._receive_datagram, data, source)
 
     def _receive_datagram(self, data: bytes, source: str) -> None:
         try:
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -11,6 +11,7 @@
 from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..pool.lane import Lane
 from ..serving.reply import Reply
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
@@ -38,7 +39,7 @@
         Name of the service and id of the database.
     caller : str
         Key by which connections are shared out fairly between callers.
-    lane : str
+    lane : Lane
         Class of work.
     wait_ms : float
         Time after which the requester no longer waits.
@@ -49,7 +50,7 @@
     service: str
     database_id: str
     caller: str
-    lane: str
+    lane: Lane
     wait_ms: float
     priority: int = 0
 
@@ -76,8 +77,8 @@
     ----------
     request_id : str
         Id that the caller gave the statement.
-    kind : int
-        Value of its ``StatementKind``.
+    kind : StatementKind
+        Kind of the statement.
     text : str
         Text of the statement.
     name : str
@@ -93,7 +94,7 @@
     """
 
     request_id: str
-    kind: int
+    kind: StatementKind
     text: str
     name: str
     argument: str
@@ -230,8 +231,8 @@
         Number of the result code with which the statement failed; 0 if it succeeded.
     detail : str
         Text that goes with ``error``.
-    state : int
-        Value of the ``TransactionState`` after the statement.
+    state : TransactionState
+        Whether a transaction is open after the statement.
     position : tuple of int and int or None
         Position of the database's log after the statement.
     """
@@ -240,7 +241,7 @@
     receipt: str
     error: int
     detail: str
-    state: int
+    state: TransactionState
     position: _Position | None
 
 
@@ -340,7 +341,7 @@
         reply.receipt,
         0 if reply.error is None else reply.error.number,
         reply.detail,
-        reply.state.value,
+        reply.state,
         reply.position,
     )
 
@@ -355,7 +356,7 @@
         answer.receipt,
         error,
         answer.detail,
-        TransactionState(answer.state),
+        answer.state,
         to_position(answer.position),
     )
 
@@ -369,7 +370,7 @@
     """Return the statement that a message carries."""
     return Statement(
         message.request_id,
-        StatementKind(message.kind),
+        message.kind,
         message.text,
         message.name,
         message.argument,
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -7,7 +7,6 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..pool.lane import Lane
 from ..serving.directory import Directory
 from ..serving.link import Link
 from ..serving.link_checkout import return_link
@@ -121,9 +120,8 @@
             )
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
         deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
-        lane = Lane(request.lane)
         self._link = await served.pool.acquire(
-            0, deadline, request.caller, lane, request.priority
+            0, deadline, request.caller, request.lane, request.priority
         )
         self._served = served
         return messages.Lent(self._link.values, list(self._link.prepared))
--- a/goldcrestpond/root/drain_reconciler.py
+++ b/goldcrestpond/root/drain_reconciler.py
@@ -18,6 +18,7 @@
 from ..events.recorder import EventRecorder
 from ..store.platform import Platform
 from ..store.platform_conflict import PlatformConflict
+from ..tasks.supervised_tasks import SupervisedTasks
 from .group_services import GroupServices
 
 _TICK_INTERVAL_S = 0.1  # delay until the end of the last statement is noticed
@@ -70,6 +71,7 @@
         "_instance",
         "_listed_addresses",
         "_platform",
+        "_reporting",
         "_services",
         "_withdrawn_drains",
     )
@@ -91,6 +93,7 @@
         self._drains: dict[str, _Drain] = {}
         self._listed_addresses: frozenset[str] = frozenset()
         self._withdrawn_drains: list[_Drain] = []
+        self._reporting: _Drain | None = None  # its progress is being written
 
     def apply(self, configuration: Configuration) -> None:
         """Apply the drain orders of a configuration."""
@@ -100,7 +103,7 @@
     async def run(self) -> None:
         """Run the drains until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._poll_instance_list)
+            SupervisedTasks(tasks).start_loop(self._poll_instance_list)
             while True:
                 if self._drains:
                     self._update_monitors()  # for monitors started since the last tick
@@ -160,7 +163,7 @@
             pool = self._services.find_pool(drain.group, drain.database)
             if pool is not None:
                 pool.stop_draining()
-        if drain.reported_progress is not None:
+        if drain.reported_progress is not None and drain is not self._reporting:
             self._withdrawn_drains.append(drain)
 
     def _advance_all(self) -> None:
@@ -185,15 +188,26 @@
 
     async def _report_all_progress(self) -> None:
         try:
-            for drain in self._drains.values():
-                if drain.order:
-                    await self._report_progress(drain)
+            for key, drain in list(self._drains.items()):
+                if drain.order and self._drains.get(key) is drain:
+                    await self._report_unless_withdrawn(key, drain)
             while self._withdrawn_drains:
                 await self._delete_progress(self._withdrawn_drains[0])
                 self._withdrawn_drains.pop(0)
         except CodedError as error:
             _log.info("drain: progress could not be written: %s", error)
 
+    async def _report_unless_withdrawn(self, key: str, drain: _Drain) -> None:
+        """Write a drain's progress; it may be withdrawn while that is written."""
+        self._reporting = drain
+        try:
+            await self._report_progress(drain)
+        finally:
+            self._reporting = None
+            is_withdrawn = self._drains.get(key) is not drain
+            if is_withdrawn and drain.revision:
+                self._withdrawn_drains.append(drain)
+
     async def _report_progress(self, drain: _Drain) -> None:
         pool = self._services.find_pool(drain.group, drain.database)
         running_count = pool.running_count if pool is not None else 0
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -5,7 +5,6 @@
 from types import MappingProxyType
 
 import anyio
-from anyio.abc import TaskGroup
 
 from ..clock.clock import Clock
 from ..configuration.configuration import Configuration
@@ -27,6 +26,7 @@
 from ..settings.address import Address, parse_address
 from ..settings.proxy_settings import ProxySettings
 from ..store.platform import Platform
+from ..tasks.supervised_tasks import SupervisedTasks
 from ..wire.group_service import GroupService, WaitConfiguration
 
 # Time for which a removed service waits for running statements, before it interrupts
@@ -55,7 +55,7 @@
         Source of randomness.
     events : EventRecorder
         Recorder of the process's events.
-    tasks : TaskGroup
+    tasks : SupervisedTasks
         Runs the monitors, the pools and the updates of connection shares.
     """
 
@@ -83,7 +83,7 @@
         clock: Clock,
         rng: random.Random,
         events: EventRecorder,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ):
         self._settings = settings
         self._platform = platform
@@ -93,10 +93,10 @@
         self._events = events
         self._tasks = tasks
         self._shares = ShareUpdater(settings.instance, platform, clock, rng)
-        tasks.start_soon(self._shares.run)
+        tasks.start_loop(self._shares.run)
         self._configured_specs: dict[str, DatabaseGroupSpec] = {}
         self._group_use = GroupUse()
-        tasks.start_soon(self._review_periodically)
+        tasks.start_loop(self._review_periodically)
         self._services: dict[str, GroupService] = {}
         self._monitor_scopes: dict[str, anyio.CancelScope] = {}
         self._running_specs: dict[str, DatabaseGroupSpec] = {}
@@ -212,7 +212,7 @@
         """Stop all services, then release their shares of connections."""
         for scope in self._monitor_scopes.values():
             scope.cancel()
-        for service in self._services.values():
+        for service in list(self._services.values()):
             await service.aclose()
         await self._shares.release()
 
@@ -240,7 +240,7 @@
         self, monitor: GroupMonitor, scope: anyio.CancelScope
     ) -> None:
         with scope:
-            await monitor.run()
+            await self._tasks.run_loop(monitor.run)
 
     def _make_pool(
         self, group: str, spec: DatabaseGroupSpec, database: str, address: Address
@@ -261,7 +261,7 @@
                 silent_connection, address, login
             ),
         )
-        self._tasks.start_soon(pool.run)
+        self._tasks.start_loop(pool.run)
         self._add_shares(group, spec, database, pool)
         return pool
 
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -3,11 +3,12 @@
 import os
 import random
 import signal
+import traceback
 from datetime import timedelta
 from pathlib import Path
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener, TaskGroup
+from anyio.abc import SocketAttribute, TaskGroup
 
 from ..clock.clock import Clock
 from ..clock.system_clock import SystemClock
@@ -34,7 +35,8 @@
 from ..serving.serving_settings import ServingSettings
 from ..serving.store_era import StoreEra
 from ..serving.table_feed import TableFeed
-from ..settings.address import parse_address
+from ..settings.address import Address, parse_address
+from ..tasks.supervised_tasks import SupervisedTasks
 from .instance_shutdown import shut_down
 from .structured_log import StructuredLog
 
@@ -54,6 +56,7 @@
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
 RESERVED_DESCRIPTORS = 800
+TRACE_LINES = 4  # the innermost calls and the error itself
 BACKLOG = 512  # callers that reconnect at the same time after a restart
 
 
@@ -75,7 +78,7 @@
         async with anyio.create_task_group() as tasks:
             instance = Instance(settings, clock, log, tasks)
             await instance.start()
-            tasks.start_soon(_watch_settings, path, instance)
+            instance.watch_settings(path)
             async for received_signal in signals:
                 if received_signal is signal.SIGTERM:
                     break
@@ -119,6 +122,10 @@
         Routes, services and databases that this instance knows.
     callers : CallerServer
         Server of the connected callers.
+    caller_address : tuple of str and int
+        Host and port to which callers connect, once it listens.
+    peer_address : Address
+        Where other instances connect.
     """
 
     def __init__(
@@ -133,6 +140,8 @@
         self._settings = settings
         self._clock = clock
         self._log = log
+        self._metrics = metrics
+        tasks = SupervisedTasks(tasks, self._report_task_error)
         self._tasks = tasks
         self._is_stopping = False
         era = StoreEra(clock, log, metrics)
@@ -212,7 +221,8 @@
         )
         self._ready_server = ReadyServer(self.is_ready, metrics)
         metrics.set_gauges(self._read_gauges)
-        self._listeners: list[SocketListener] = []
+        self.peer_address = parse_address(settings.peer_listen)
+        self.caller_address = ("", 0)
         self._rng = rng
 
     def _registry_spacing(self) -> timedelta:
@@ -240,24 +250,32 @@
             grace_s=settings.grace_s,
         )
 
+    def watch_settings(self, path: str) -> None:
+        """Reload the settings file whenever it changes without SIGHUP."""
+        self._tasks.start_loop(_watch_settings, path, self)
+
     async def start(self) -> None:
         """Start listening and start following the store."""
         tasks = self._tasks
+        self.peer_address = await self._listen(
+            self._settings.peer_listen, self._relay_server.serve_connection
+        )
+        self._member_updater.set_address(self.peer_address)
         for feed in (self._configuration_feed, self._registry_feed):
-            tasks.start_soon(feed.run)
-        tasks.start_soon(self._member_updater.run)
-        tasks.start_soon(self._leader_monitor.run)
-        tasks.start_soon(self._remove_unlisted_periodically)
+            tasks.start_loop(feed.run)
+        tasks.start_loop(self._member_updater.run)
+        tasks.start_loop(self._leader_monitor.run)
+        tasks.start_loop(self._remove_unlisted_periodically)
         await self._listen(
             self._settings.ready_listen, self._ready_server.serve_connection
         )
         await self._listen(
             self._settings.metrics_listen, self._ready_server.serve_connection
         )
-        await self._listen(
-            self._settings.peer_listen, self._relay_server.serve_connection
+        address = await self._listen(
+            self._settings.listen, self.callers.serve_connection
         )
-        await self._listen(self._settings.listen, self.callers.serve_connection)
+        self.caller_address = (address.host, address.port)
 
     async def stop(self) -> None:
         """Let running work end within the grace period, then close all connections."""
@@ -267,24 +285,30 @@
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
 
-    @property
-    def caller_address(self) -> tuple[str, int]:
-        """Address and port to which callers connect."""
-        return self._listeners[-1].extra(SocketAttribute.local_address)
-
-    async def _listen(self, address_text: str, serve_connection) -> None:
+    async def _listen(self, address_text: str, serve_connection) -> Address:
+        """Serve connections; return the address, with the port if it was 0."""
         address = parse_address(address_text)
         listener = await anyio.create_tcp_listener(
             local_host=address.host, local_port=address.port, backlog=BACKLOG
         )
-        self._listeners.append(listener)
-        self._tasks.start_soon(
+        self._tasks.start_loop(
             accept_connections,
             listener,
             serve_connection,
             self._tasks,
             self._log_accept_error,
         )
+        return Address(*listener.extra(SocketAttribute.local_address)[:2])
+
+    def _report_task_error(self, task: str, task_input: str, error: Exception) -> None:
+        self._log.decision(
+            "task failed",
+            task=task,
+            input=task_input,
+            error=repr(error),
+            trace="".join(traceback.format_exception(error)[-TRACE_LINES:]),
+        )
+        self._metrics.count("task_errors_total", task=task)
 
     def _log_accept_error(self, error: OSError) -> None:
         self._log.decision(
@@ -298,6 +322,10 @@
             key, database, self.directory, self._clock, self._rng, self._log
         )
 
+    def render_metrics(self) -> bytes:
+        """Return the metrics as text."""
+        return self._metrics.render()
+
     def is_ready(self) -> bool:
         """Return whether the instance is ready to serve new callers."""
         return not self._is_stopping and self.directory.table.version > 0
--- a/goldcrestpond/root/local_site.py
+++ b/goldcrestpond/root/local_site.py
@@ -144,7 +144,7 @@
     }
     async with HttpPlatform(platform.address) as client:
         await _create_resource(client, Kind.DATABASE_GROUP, settings.group, spec)
-        for name, policy in settings.read_policies.items():
+        for name, policy in list(settings.read_policies.items()):
             await _create_resource(client, Kind.READ_POLICY, name, policy)
         revision = 0
         for name, route in routes.items():
--- a/goldcrestpond/root/proxy.py
+++ b/goldcrestpond/root/proxy.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 
 import anyio
-from anyio.abc import SocketAttribute, TaskGroup
+from anyio.abc import SocketAttribute
 
 from ..clock.clock import Clock
 from ..clock.system_clock import SystemClock
@@ -22,6 +22,11 @@
 from ..store.configuration_source import ConfigurationSource
 from ..store.http_platform import HttpPlatform
 from ..store.platform import Platform
+from ..tasks.supervised_tasks import (
+    ReportTaskError,
+    SupervisedTasks,
+    log_task_error,
+)
 from ..wire.caller_server import CallerServer
 from ..wire.checkout import Checkout
 from ..wire.session_limits import SessionLimits
@@ -105,7 +110,9 @@
     slow_platform = HttpPlatform(platform_address, _TABLE_READ_TIMEOUT)
     with open_event_sink(settings.events_file) as write_line:
         events = EventRecorder(settings.instance, clock, write_line)
-        async with platform, slow_platform, anyio.create_task_group() as tasks:
+        stats = make_stats(settings.statsd, settings.instance)
+        async with platform, slow_platform, anyio.create_task_group() as task_group:
+            tasks = SupervisedTasks(task_group, _make_task_error_report(stats))
             source = ConfigurationSource(
                 slow_platform,
                 clock,
@@ -120,19 +127,18 @@
                 settings, platform, source.wait_confirmed, clock, rng, events, tasks
             )
             source.subscribe(services.apply)
-            stats = make_stats(settings.statsd, settings.instance)
             drain_reconciler = DrainReconciler(
                 settings.instance, services, platform, clock, events
             )
             source.subscribe(drain_reconciler.apply)
-            tasks.start_soon(drain_reconciler.run)
+            tasks.start_loop(drain_reconciler.run)
             proxy = await _listen(
                 settings, clock, rng, stats, events, source, services, peers, tasks
             )
             if settings.peer_listen:
-                await tasks.start(peers.run)
-            await tasks.start(source.run)
-            tasks.start_soon(report_gauges, stats, _make_gauges(proxy))
+                await task_group.start(peers.run)
+            await task_group.start(source.run)
+            tasks.start_loop(report_gauges, stats, _make_gauges(proxy))
             events.record("root", "started", address=proxy.address)
             async with _serve_api_in_process(
                 settings, slow_platform, proxy, rng
@@ -176,7 +182,7 @@
     source: ConfigurationSource,
     services: GroupServices,
     peers: PeerNode,
-    tasks: TaskGroup,
+    tasks: SupervisedTasks,
 ) -> Proxy:
     metrics = SessionMetrics(stats, settings.metrics_sample_rate)
     callers = CallerServer(
@@ -213,6 +219,14 @@
     ]
 
 
+def _make_task_error_report(stats: StatsClient) -> ReportTaskError:
+    def report(task: str, task_input: str, error: Exception) -> None:
+        stats.incr("task_errors")
+        log_task_error(task, task_input, error)
+
+    return report
+
+
 async def _open_listener(address: Address) -> anyio.abc.Listener:
     try:
         return await anyio.create_tcp_listener(
@@ -222,7 +236,7 @@
         raise CodedError(ResultCode.ADDRESS_IN_USE, f"{address}: {error}") from error
 
 
-def _start_cancel_statement(tasks: TaskGroup, checkout: Checkout) -> None:
+def _start_cancel_statement(tasks: SupervisedTasks, checkout: Checkout) -> None:
     tasks.start_soon(cancel_statement, checkout.connection)
 
 
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 
 import anyio
-from anyio.abc import TaskGroup
 
 from ..clock.clock import Clock
 from ..endpoint.connection_pool import ConnectionPool
@@ -19,6 +18,7 @@
 from ..relay.relay_pool import RelayPool
 from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
+from ..tasks.supervised_tasks import SupervisedTasks
 from .connection_share import connection_share, holder_count, statement_share
 from .database import Database
 from .decision_log import DecisionLog
@@ -88,7 +88,7 @@
         rng: random.Random,
         log: DecisionLog,
         metrics: Metrics,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
         holders: Holders,
     ):
         self.table = RouteTable()
@@ -281,7 +281,7 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        for leader_verifier in self._leader_verifiers.values():
+        for leader_verifier in list(self._leader_verifiers.values()):
             await leader_verifier.aclose()
         for service in self.services.values():
             for served in service.databases.values():
@@ -315,7 +315,7 @@
         )
         pool = SwitchedPool(own, borrowed, lambda: self.holds(name))
         served = ServedDatabase(database, pool)
-        self._tasks.start_soon(served.pool.run)
+        self._tasks.start_loop(served.pool.run)
         self._apply_share(served)
         self.log.decision(
             "database listed",
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -6,10 +6,10 @@
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
+from ..tasks.supervised_tasks import SupervisedTasks
 from .database import Database
 from .decision_log import DecisionLog
 from .directory import Directory
@@ -77,7 +77,7 @@
         Source of jitter.
     log : DecisionLog
         Receives log events.
-    tasks : TaskGroup
+    tasks : SupervisedTasks
         Runs the failovers and the writes of suspicions.
     """
 
@@ -114,7 +114,7 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ):
         self._instance = instance
         self._directory = directory
@@ -151,13 +151,12 @@
         """Monitor the leaders until cancelled."""
         if self._failover is None:
             return
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._feed.run)
-            while True:
-                self._clear_writes_of_earlier_era()
-                for service in list(self._directory.services.values()):
-                    self._check_service(service)
-                await anyio.sleep(CHECK_INTERVAL_S)
+        self._tasks.start_loop(self._feed.run)
+        while True:
+            self._clear_writes_of_earlier_era()
+            for service in list(self._directory.services.values()):
+                self._tasks.call(self._check_service, service)
+            await anyio.sleep(CHECK_INTERVAL_S)
 
     def _clear_writes_of_earlier_era(self) -> None:
         if self._written_era != self._era.current:
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -1,12 +1,14 @@
 """Writes this instance's heartbeat row and reads the rows of the other members."""
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
+from ..settings.address import Address
 from .decision_log import DecisionLog
 from .directory import Directory
 from .members import HEARTBEAT_INTERVAL, TABLE, Member, Members, encode_member
@@ -77,6 +79,10 @@
         self._is_leaving = False
         self._written_era = 0  # era in which the row was last written
 
+    def set_address(self, address: Address) -> None:
+        """Set where this instance accepts channels, known once its port is bound."""
+        self._member = replace(self._member, address=address)
+
     @property
     def live(self) -> list[Member]:
         """Live members, sorted by name; always includes this instance."""
--- a/goldcrestpond/store/configuration_source.py
+++ b/goldcrestpond/store/configuration_source.py
@@ -25,6 +25,7 @@
 )
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..tasks.supervised_tasks import SupervisedTasks
 from .changes import Changes
 from .platform import Platform
 from .read_all_changes import read_all_changes
@@ -204,13 +205,14 @@
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Read the table periodically, less often in a larger fleet."""
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as task_group:
+            tasks = SupervisedTasks(task_group)
             task_status.started()
             while True:
                 self._start_due_read(tasks)
                 await self._sleep()
 
-    def _start_due_read(self, tasks: anyio.abc.TaskGroup) -> None:
+    def _start_due_read(self, tasks: SupervisedTasks) -> None:
         now = self._clock.now()
         interval = self._read_interval()
         self._next_read_at = min(
--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import SocketStream
 from pygwire.messages import CancelRequest, StartupMessage
 
 from ..clock.clock import Clock
@@ -13,6 +13,7 @@
 from ..events.recorder import EventRecorder
 from ..frames.accept_connections import accept_connections
 from ..frames.build import error_frame
+from ..tasks.supervised_tasks import SupervisedTasks
 from .build_greeting import build_greeting
 from .caller_access import CallerAccess
 from .caller_session import CallerSession
@@ -121,10 +122,10 @@
         self.caller_count = 0
 
     async def serve(
-        self, listener: anyio.abc.Listener[SocketStream], tasks: TaskGroup
+        self, listener: anyio.abc.Listener[SocketStream], tasks: SupervisedTasks
     ) -> None:
         """Accept callers until ``stop_accepting``; run their sessions in ``tasks``."""
-        tasks.start_soon(
+        tasks.start_loop(
             end_idle_transactions,
             lambda: self._sessions,
             self._end_idle_session,
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -213,7 +213,7 @@
 
     async def aclose(self) -> None:
         """Close all connections that are not checked out."""
-        for pool in self._pools.values():
+        for pool in list(self._pools.values()):
             await pool.aclose()
 
     async def report_primary_replaced(self, database: str, deadline: timedelta) -> None:
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -17,6 +17,7 @@
 from goldcrestpond.serving.route_table import RouteTable, ServiceLimits
 from goldcrestpond.serving.serving_settings import ServingSettings
 from goldcrestpond.settings.address import Address
+from goldcrestpond.tasks.supervised_tasks import SupervisedTasks
 
 from ..line_world import ListLog
 from .test_leadership import database, ms
@@ -43,6 +44,7 @@
 
 def _directory(name, tasks):
     clock = SystemClock()
+    tasks = SupervisedTasks(tasks)
     return Directory(
         ServingSettings(name, "z1"),
         _no_link,
