--- a/goldcrestpond/platform/database_entry.py
+++ b/goldcrestpond/platform/database_entry.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..errors.decode_errors import DECODE_ERRORS
 from ..group.role import Role
 from ..serving.database import Database
 from ..settings.address import parse_address
@@ -50,6 +51,16 @@
 _DECODER = msgspec.json.Decoder(_EntryBody)
 
 
+def is_heartbeat(old: bytes, new: bytes) -> bool:
+    """Return whether two values of an entry differ in their sequence at most."""
+    try:
+        entry = _DECODER.decode(new)
+        entry.sequence = _DECODER.decode(old).sequence
+        return entry == _DECODER.decode(old)
+    except DECODE_ERRORS:
+        return False
+
+
 def decode_entry(key: str, value: bytes) -> Database:
     """Decode the registry entry of one database.
 
--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -38,6 +38,8 @@
         ``IP:PORT`` of the platform's failover call; empty if there is none.
     drain_limit_ms : int
         Time after which a draining database must get no new work.
+    apply_limit_ms : int
+        Time within which a change of the configuration must be in force.
     grace_s : float
         Time in seconds from SIGTERM until the platform kills the process.
     link_mbps : float
@@ -56,6 +58,7 @@
     store: str
     duties: str = ""
     drain_limit_ms: int = 7000
+    apply_limit_ms: int = 3000
     grace_s: float = 6
     link_mbps: float = 0
     descriptor_limit: int = 0
--- a/goldcrestpond/platform/operator_configuration.py
+++ b/goldcrestpond/platform/operator_configuration.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..errors.decode_errors import DECODE_ERRORS
 from ..serving.route import ReadPolicy, Route
 from ..serving.route_table import RouteTable, ServiceLimits
 
@@ -58,6 +59,25 @@
 _Record = TypeVar("_Record")
 
 
+class _VersionBody(msgspec.Struct, rename="camel"):
+    config_version: int
+
+
+def is_older(known: bytes, value: bytes) -> bool:
+    """Return whether a value contains an older version than the known one.
+
+    One that cannot be decoded is not older: it is reported when it is applied.
+    """
+    try:
+        versions = [
+            msgspec.json.decode(each, type=_VersionBody).config_version
+            for each in (known, value)
+        ]
+    except DECODE_ERRORS:
+        return False
+    return versions[1] < versions[0]
+
+
 def decode_configuration(value: bytes) -> RouteTable:
     """Decode one version of the configuration.
 
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -92,6 +92,10 @@
         ]
         return self._instance in holder_names
 
+    def peer(self, member: Member) -> Holder:
+        """Return another member, to send requests to it."""
+        return self._get_or_create_holder(member)
+
     def holder_names(self, service: str) -> list[str]:
         """Return the names of all holders of a service; empty if unknown."""
         return self._names_by_service.get(service, [])
@@ -124,7 +128,7 @@
             it refused.
         """
         request = messages.Prove(service, wait / _MILLISECOND)
-        response = await _send_request(holder, request, wait, messages.Proved)
+        response = await send_request(holder, request, wait, messages.Proved)
         return response.database_id, LogPosition(*response.position)
 
     async def block_commits(
@@ -154,7 +158,7 @@
         async def block(holder: Holder) -> None:
             position = None
             try:
-                sealed = await _send_request(holder, request, limit, messages.Sealed)
+                sealed = await send_request(holder, request, limit, messages.Sealed)
                 position = messages.to_position(sealed.position)
             except CodedError as error:
                 self._log.decision(
@@ -175,7 +179,7 @@
 
         async def unblock(holder: Holder) -> None:
             try:
-                await _send_request(
+                await send_request(
                     holder, messages.Release(service), limit, messages.Done
                 )
             except CodedError as error:
@@ -216,9 +220,17 @@
         return holder
 
 
-async def _send_request(
+async def send_request(
     holder: Holder, request: messages.Message, wait: timedelta, kind: type[_Response]
 ) -> _Response:
+    """Send a request over a channel of its own and return the response.
+
+    Raises
+    ------
+    CodedError
+        PEER_UNREACHABLE if there is no response in time, PEER_MALFORMED if it is of
+        another kind, or the error with which the request was refused.
+    """
     channel = await holder.acquire_channel()
     try:
         response = await holder.send_request(channel, request, wait)
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -218,6 +218,110 @@
     service: str
 
 
+class Peer(msgspec.Struct, array_like=True, frozen=True):
+    """An instance that takes part.
+
+    Attributes
+    ----------
+    name, availability_zone : str
+        Its name and availability zone.
+    address : str
+        ``IP:PORT`` at which it accepts channels.
+    link_mbps : float
+        Bandwidth of its network link in megabits per second; 0 if unknown.
+    """
+
+    name: str
+    availability_zone: str
+    address: str
+    link_mbps: float
+
+
+class KnownTable(msgspec.Struct, array_like=True, frozen=True):
+    """What a follower knows of one table; version None if it knows nothing."""
+
+    table: str
+    era: int
+    version: int | None
+
+
+class Follow(Message, frozen=True):
+    """Asks for the changes of the store's tables; waits if there are none.
+
+    Attributes
+    ----------
+    follower : Peer
+        The instance that asks.
+    followers : list of Peer or None
+        Instances that follow it in turn; None if they are those of its last request.
+    tables : list of KnownTable
+        What it knows.
+    wait_ms : float
+        How long to wait for a change.
+    is_leaving : bool
+        Whether it leaves the fleet and is no longer a member.
+    """
+
+    follower: Peer
+    followers: list[Peer] | None
+    tables: list[KnownTable]
+    wait_ms: float
+    is_leaving: bool = False
+
+
+class ChangedRow(msgspec.Struct, array_like=True, frozen=True):
+    """A changed row; its value is None if it was removed."""
+
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class ChangedTable(msgspec.Struct, array_like=True, frozen=True):
+    """Changes of one table.
+
+    Attributes
+    ----------
+    table : str
+        Name of the table.
+    era, version : int
+        Era and version of the store up to which the rows are complete.
+    rows : list of ChangedRow
+        The changed rows, or all rows.
+    is_whole : bool
+        Whether these are all rows of the table.
+    age_ms : float
+        Time since the rows were known to be complete.
+    """
+
+    table: str
+    era: int
+    version: int
+    rows: list[ChangedRow]
+    is_whole: bool
+    age_ms: float
+
+
+class Followed(Message, frozen=True):
+    """The changes that a follower asked for.
+
+    Attributes
+    ----------
+    tables : list of ChangedTable
+        The changes of each table that the sender knows.
+    reader : str
+        Name of the instance that read the tables from the store; empty if the sender
+        reaches neither the store nor an instance that does.
+    held_ms : float
+        Time from the arrival of the request to this answer.
+    """
+
+    tables: list[ChangedTable]
+    reader: str
+    held_ms: float
+
+
 class Answer(Message, frozen=True):
     """The complete reply of a database.
 
@@ -279,8 +383,9 @@
     | Prove
     | Seal
     | Release
+    | Follow
 )
-Response = Lent | Answer | Done | Refused | Proved | Sealed
+Response = Lent | Answer | Done | Refused | Proved | Sealed | Followed
 
 _ENCODER = msgspec.msgpack.Encoder()
 _REQUESTS = msgspec.msgpack.Decoder(Request)
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -1,5 +1,6 @@
 """Serves requests of other instances on the connections that this one holds."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import anyio
@@ -23,6 +24,7 @@
 # connection without traffic is detected as lost before this time.
 REQUEST_TIMEOUT_S = 15.0
 _MILLISECOND = timedelta(milliseconds=1)
+AnswerFollower = Callable[[messages.Follow], Awaitable[messages.Followed]]
 
 
 class RelayServer:
@@ -32,17 +34,22 @@
     ----------
     directory : Directory
         Services and leader verifiers of this instance.
+    answer_follower : callable
+        Answers a request for the changes of the store's tables.
     """
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_answer_follower", "_directory")
 
-    def __init__(self, directory: Directory):
+    def __init__(self, directory: Directory, answer_follower: AnswerFollower):
         self._directory = directory
+        self._answer_follower = answer_follower
 
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve one channel until it is closed or fails."""
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
-        session = _ChannelSession(Channel(stream), self._directory)
+        session = _ChannelSession(
+            Channel(stream), self._directory, self._answer_follower
+        )
         try:
             await session.serve()
         except CodedError as error:
@@ -56,9 +63,12 @@
 class _ChannelSession:
     """One channel and the connection checked out over it, if any."""
 
-    __slots__ = ("_channel", "_directory", "_link", "_served")
+    __slots__ = ("_answer_follower", "_channel", "_directory", "_link", "_served")
 
-    def __init__(self, channel: Channel, directory: Directory):
+    def __init__(
+        self, channel: Channel, directory: Directory, answer_follower: AnswerFollower
+    ):
+        self._answer_follower = answer_follower
         self._channel = channel
         self._directory = directory
         self._link: Link | None = None
@@ -95,6 +105,8 @@
                     request.service
                 ).commit_tracker.unblock_commits()
                 return messages.Done()
+            case messages.Follow():
+                return await self._answer_follower(request)
         if self._link is None:
             raise CodedError(ResultCode.PEER_MALFORMED, "no connection is checked out")
         try:
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -23,34 +23,41 @@
 from ..platform.ready_server import ReadyServer
 from ..platform.store_client import StoreClient
 from ..platform.store_tables import ConfigurationRowHandler, RegistryRowHandler
-from ..relay.holders import Holders
+from ..relay import messages
+from ..relay.holders import Holders, send_request
 from ..relay.relay_server import RelayServer
 from ..serving.caller_session import CallerSession
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
+from ..serving.follower_list import FollowerList
 from ..serving.leader_monitor import LeaderMonitor
 from ..serving.member_updater import MemberUpdater
+from ..serving.members import TABLE as MEMBER_TABLE
 from ..serving.members import Member
 from ..serving.metrics import Metrics
+from ..serving.row_store import RowStore
 from ..serving.serving_settings import ServingSettings
 from ..serving.store_era import StoreEra
+from ..serving.table_copy import TableCopy
 from ..serving.table_feed import TableFeed
 from ..settings.address import Address, parse_address
+from ..tables.table_follower import TableFollower
+from ..tables.table_server import TableServer
+from ..tables.table_times import make_table_times
 from ..tasks.supervised_tasks import SupervisedTasks
 from .instance_shutdown import shut_down
 from .structured_log import StructuredLog
 
-# Maximum wait of a long poll of the store. A lost answer is detected after this time
-# plus the store client's slack. The sum is below 4 s, because changes must be in force
-# in time again from 4 s after a disturbance.
-FEED_WAIT = timedelta(milliseconds=2500)
+# The members of a fleet change seldom, and nothing is limited by the age of this table.
+MEMBER_FEED_WAIT = timedelta(seconds=4)
 # Minimum time between two reads of a feed.
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
+# Minimum time between two reads of the members.
+MEMBER_SPACING = timedelta(milliseconds=250)
 # Each database writes a heartbeat about once a second; one call returns several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
-# For an instance that holds no connections. The holders verify the leaders; all other
-# changes may arrive later, within the time limit of a drain.
-NON_HOLDER_REGISTRY_SPACING = timedelta(milliseconds=2000)
+# Of the time after which a draining database must get no new work.
+REGISTRY_AGE_FRACTION = 1 / 2
 UNLISTED_CHECK_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
 # File descriptors that callers may not use: for files (200 according to the platform),
@@ -173,9 +180,17 @@
         if settings.duties:
             http = HttpClient(parse_address(settings.duties))
             failover = FailoverClient(http, settings.instance)
-        self._relay_server = RelayServer(self.directory)
+        followers = self._followers = FollowerList()
         self._member_updater = MemberUpdater(
-            member, store, era, self.directory, clock, rng, log
+            member,
+            store,
+            era,
+            self._set_members,
+            followers,
+            lambda: self._table_follower.is_reading,
+            clock,
+            rng,
+            log,
         )
         self._leader_monitor = LeaderMonitor(
             settings.instance,
@@ -191,28 +206,66 @@
         )
         configuration_handler = ConfigurationRowHandler(self.directory, log)
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
-        self._configuration_feed = TableFeed(
-            store,
+        drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
+        times = make_table_times(timedelta(milliseconds=settings.apply_limit_ms))
+        copies = {
+            "configuration": TableCopy(
+                operator_configuration.TABLE,
+                configuration_handler.apply_rows,
+                configuration_handler.apply_rows,
+                offer=configuration_handler.apply_rows,
+                is_older=operator_configuration.is_older,
+            ),
+            "registry": TableCopy(
+                database_entry.TABLE,
+                registry_handler.replace,
+                registry_handler.update,
+                is_same=database_entry.is_heartbeat,
+            ),
+            "members": TableCopy(
+                MEMBER_TABLE, self._member_updater.replace, self._member_updater.update
+            ),
+        }
+        feed_times = {
+            "configuration": (CONFIGURATION_SPACING, times.store_wait),
+            "registry": (REGISTRY_SPACING, times.store_wait),
+            "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
+        }
+        self._feeds = {
+            name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
+            for name in copies
+        }
+        self._table_follower = TableFollower(
+            lambda: self._member_updater.member,
+            lambda: self._member_updater.live,
+            list(self._feeds.values()),
+            {
+                operator_configuration.TABLE: times.max_age,
+                database_entry.TABLE: drain_limit * REGISTRY_AGE_FRACTION,
+            },
             operator_configuration.TABLE,
-            lambda: CONFIGURATION_SPACING,
-            FEED_WAIT,
-            configuration_handler.apply_rows,
-            configuration_handler.apply_rows,
+            MEMBER_TABLE,
+            lambda peer, request, limit: send_request(
+                holders.peer(peer), request, limit, messages.Followed
+            ),
+            followers,
+            era,
+            times,
             clock,
             rng,
             log,
+            metrics,
+            tasks,
         )
-        self._registry_feed = TableFeed(
-            store,
-            database_entry.TABLE,
-            self._registry_spacing,
-            FEED_WAIT,
-            registry_handler.replace,
-            registry_handler.update,
+        table_server = TableServer(
+            list(copies.values()),
+            followers,
+            lambda: self._table_follower.reader,
             clock,
-            rng,
             log,
         )
+        self._table_follower.on_reader_change = table_server.notify
+        self._relay_server = RelayServer(self.directory, table_server.answer)
         self.callers = CallerServer(
             self.directory,
             self._open_session,
@@ -225,10 +278,9 @@
         self.caller_address = ("", 0)
         self._rng = rng
 
-    def _registry_spacing(self) -> timedelta:
-        if self.directory.holds_any():
-            return REGISTRY_SPACING
-        return NON_HOLDER_REGISTRY_SPACING
+    def _set_members(self, members: list[Member]) -> None:
+        self.directory.set_members(members)
+        self._table_follower.notify_members()
 
     def reload(self, path: str) -> None:
         """Apply changed settings; keep the present ones if the new ones are invalid.
@@ -261,8 +313,7 @@
             self._settings.peer_listen, self._relay_server.serve_connection
         )
         self._member_updater.set_address(self.peer_address)
-        for feed in (self._configuration_feed, self._registry_feed):
-            tasks.start_loop(feed.run)
+        tasks.start_loop(self._table_follower.run)
         tasks.start_loop(self._member_updater.run)
         tasks.start_loop(self._leader_monitor.run)
         tasks.start_loop(self._remove_unlisted_periodically)
@@ -281,6 +332,7 @@
         """Let running work end within the grace period, then close all connections."""
         self._is_stopping = True
         self._log.decision("stopping", callers=self.callers.caller_count)
+        await self._table_follower.leave()
         await self._member_updater.leave()
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
@@ -328,24 +380,26 @@
 
     def is_ready(self) -> bool:
         """Return whether the instance is ready to serve new callers."""
-        return not self._is_stopping and self.directory.table.version > 0
+        if self._is_stopping or not self._table_follower.is_started:
+            return False
+        return self.directory.table.version > 0
 
     def _read_gauges(self) -> dict[str, float]:
-        feeds = {
-            "configuration": self._configuration_feed,
-            "registry": self._registry_feed,
-        }
+        is_reading = self._table_follower.is_reading
         reached = {
             f'store_reachable{{table="{name}"}}': int(feed.is_reachable)
-            for name, feed in feeds.items()
+            for name, feed in self._feeds.items()
+            if is_reading
         }
         ages = {
             f'store_confirmed_age_ms{{table="{name}"}}': age / timedelta(milliseconds=1)
-            for name, feed in feeds.items()
+            for name, feed in self._feeds.items()
             if (age := feed.confirmed_age()) is not None
         }
         callers = {
             "process": os.getpid(),
+            "reads_store": int(is_reading),
+            "followers": len(self._followers.live(self._clock.now())),
             "callers": self.callers.caller_count,
             "message_bytes": self.callers.budget.used_bytes,
             "open_transactions": self.callers.open_transaction_count,
@@ -356,3 +410,15 @@
         while True:
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
             self.directory.remove_unlisted()
+
+
+def _make_feed(
+    store: RowStore,
+    copy: TableCopy,
+    spacing: timedelta,
+    wait: timedelta,
+    clock: Clock,
+    rng: random.Random,
+    log: DecisionLog,
+) -> TableFeed:
+    return TableFeed(store, copy, lambda: spacing, wait, clock, rng, log)
--- a/goldcrestpond/serving/expiring_rows.py
+++ b/goldcrestpond/serving/expiring_rows.py
@@ -84,6 +84,10 @@
         """Return the rows that have not expired."""
         return [row for row, at in self._rows.values() if now - at < self._lifetime]
 
+    def unchanged_for(self, span: timedelta, now: timedelta) -> list[StoredRow]:
+        """Return the rows that have not changed for a time."""
+        return [row for row, at in self._rows.values() if now - at >= span]
+
     def _is_change(self, known: StoredRow, row: StoredRow) -> bool:
         # A later era reuses versions of the earlier ones.
         known_revision = (self._read_era(known), known.version)
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -29,9 +29,13 @@
     quorum,
     suspicion_key,
 )
+from .table_copy import TableCopy
 from .table_feed import TableFeed
 
-CHECK_INTERVAL_S = 0.05
+# Half of the time after which a leader is suspected: a failure is noticed before.
+CHECK_INTERVAL_S = 0.2
+ALERT_CHECK_INTERVAL_S = 0.05  # while a leader fails, is suspected or leaves
+NON_HOLDER_CHECK_INTERVAL_S = 0.5
 # Time for one check without an answer and a second one over a new connection.
 SUSPECT_AFTER = timedelta(milliseconds=400)
 RETRY_PAUSE = timedelta(milliseconds=500)
@@ -89,6 +93,8 @@
         "_failover",
         "_feed",
         "_instance",
+        "_feed_scope",
+        "_is_alert",
         "_is_reading",
         "_log",
         "_lossy_since",
@@ -134,14 +140,14 @@
         # Epoch of the leadership, and since when failovers in it could lose commits.
         self._lossy_since: dict[str, tuple[int, timedelta]] = {}
         self._is_reading = False
+        self._is_alert = False
+        self._feed_scope: anyio.CancelScope | None = None
         self._read_at: timedelta | None = None
         self._feed = TableFeed(
             store,
-            TABLE,
+            TableCopy(TABLE, self._replace_suspicions, self._update_suspicions),
             lambda: FEED_SPACING,
             FEED_WAIT,
-            self._replace_suspicions,
-            self._update_suspicions,
             clock,
             rng,
             log,
@@ -151,12 +157,30 @@
         """Monitor the leaders until cancelled."""
         if self._failover is None:
             return
-        self._tasks.start_loop(self._feed.run)
+        self._tasks.start_loop(self._follow_suspicions)
         while True:
             self._clear_writes_of_earlier_era()
+            self._is_alert = False
             for service in list(self._directory.services.values()):
                 self._tasks.call(self._check_service, service)
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await anyio.sleep(self._check_interval_s())
+
+    def _check_interval_s(self) -> float:
+        if not self._directory.holds_any():
+            if self._feed_scope is not None:
+                self._feed_scope.cancel()
+            return NON_HOLDER_CHECK_INTERVAL_S
+        return ALERT_CHECK_INTERVAL_S if self._is_alert else CHECK_INTERVAL_S
+
+    async def _follow_suspicions(self) -> None:
+        """Follow the suspicions while this instance holds any service."""
+        while True:
+            if not self._directory.holds_any():
+                await anyio.sleep(NON_HOLDER_CHECK_INTERVAL_S)
+                continue
+            with anyio.CancelScope() as self._feed_scope:
+                await self._feed.run()
+            self._feed_scope = None
 
     def _clear_writes_of_earlier_era(self) -> None:
         if self._written_era != self._era.current:
@@ -170,12 +194,16 @@
         if not self._directory.holds(service.name):
             return
         is_planned = self._is_leader_leaving(service, now)
+        verifier = self._directory.leader_verifier(service.name)
         is_suspect = self._is_suspect(service, now)
+        if is_planned or is_suspect or verifier.failing_for(now) is not None:
+            self._is_alert = True
         self._update_suspicion(service, is_suspect, now)
         if not is_planned:
             suspects = self._suspicions.suspecting_instances(service.name, now)
             if suspects and not is_suspect:
-                self._directory.leader_verifier(service.name).check_now()
+                self._is_alert = True
+                verifier.check_now()
             has_quorum = len(suspects) >= quorum(
                 self._directory.holder_count(service.name)
             )
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -1,6 +1,7 @@
-"""Writes this instance's heartbeat row and reads the rows of the other members."""
+"""Writes this instance's rows among the members, and applies those of all others."""
 
 import random
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
 
@@ -10,22 +11,34 @@
 from ..errors.coded_error import CodedError
 from ..settings.address import Address
 from .decision_log import DecisionLog
-from .directory import Directory
-from .members import HEARTBEAT_INTERVAL, TABLE, Member, Members, encode_member
+from .follower_list import FollowerList
+from .members import (
+    FOLLOWERS_PER_ROW,
+    HEARTBEAT_INTERVAL,
+    TABLE,
+    Member,
+    Members,
+    encode_followers,
+    encode_member,
+    followers_key,
+)
 from .row_store import RowPut, RowStore, StoredRow
 from .store_era import StoreEra
 
-# When a fleet starts, all instances write their rows within a second; these reads
-# follow soon after.
-STARTUP_READ_PAUSES = (timedelta(seconds=1), timedelta(seconds=3))
-# When the store was restored, all instances rewrite their rows, spread over this time.
+# When the store was restored, all writers rewrite their rows, spread over this time.
 REWRITE_SPREAD_S = 1.0
-READ_RETRY_PAUSE_S = 0.2  # a reachable store answers within milliseconds
+# Changed followers are written at most this often.
+CHECK_INTERVAL = timedelta(seconds=1)
+# An instance that no longer reads the store removes its rows after this time, within
+# which its former followers are listed by others.
+ROWS_RETENTION = timedelta(seconds=6)
 LEAVE_TIMEOUT_S = 0.5
 
+SetMembers = Callable[[list[Member]], None]
+
 
 class MemberUpdater:
-    """Writes heartbeats and updates the directory's list of live members.
+    """Writes heartbeats and lists of followers, and tells the live members.
 
     Parameters
     ----------
@@ -34,28 +47,50 @@
     store : RowStore
         The store.
     era : StoreEra
-        Its era; the row is rewritten in each new one.
-    directory : Directory
-        Receives the live members, among which it shares the connections.
+        Its era; the rows are rewritten in each new one.
+    set_members : callable
+        Receives the live members whenever they change.
+    followers : FollowerList
+        The instances that follow this one.
+    is_writer : callable
+        Returns whether this instance writes rows; the others are listed by the
+        instance that they follow.
     clock : Clock
         Source of the time.
     rng : random.Random
-        Spreads the heartbeats of several instances.
+        Spreads the writes of several instances.
     log : DecisionLog
         Receives log events.
+
+    Attributes
+    ----------
+    member : Member
+        This instance.
+    live : list of Member
+        Live members, sorted by name; always includes this instance.
+    is_known : bool
+        Whether the rows were read.
     """
 
     __slots__ = (
         "_clock",
-        "_directory",
         "_era",
+        "_followers",
+        "_heartbeat_due_at",
         "_is_leaving",
+        "_is_told",
+        "_is_writer",
         "_log",
-        "_member",
         "_members",
         "_rng",
+        "_rows_kept_until",
+        "_set_members",
         "_store",
+        "_written",
         "_written_era",
+        "is_known",
+        "live",
+        "member",
     )
 
     def __init__(
@@ -63,85 +98,167 @@
         member: Member,
         store: RowStore,
         era: StoreEra,
-        directory: Directory,
+        set_members: SetMembers,
+        followers: FollowerList,
+        is_writer: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
     ):
-        self._member = member
+        self.member = member
         self._store = store
         self._era = era
-        self._directory = directory
+        self._set_members = set_members
+        self._followers = followers
+        self._is_writer = is_writer
         self._clock = clock
         self._rng = rng
         self._log = log
         self._members = Members()
         self._is_leaving = False
-        self._written_era = 0  # era in which the row was last written
+        self._is_told = False
+        self._written: list[list[Member]] | None = None  # followers by row
+        self._heartbeat_due_at = timedelta.min
+        self._written_era = 0
+        self._rows_kept_until = timedelta.min
+        self.is_known = False
+        self.live: list[Member] = [member]
 
     def set_address(self, address: Address) -> None:
         """Set where this instance accepts channels, known once its port is bound."""
-        self._member = replace(self._member, address=address)
+        self.member = replace(self.member, address=address)
+        self.live = [self.member]
 
-    @property
-    def live(self) -> list[Member]:
-        """Live members, sorted by name; always includes this instance."""
-        members = {m.name: m for m in self._members.live(self._clock.now())}
-        members[self._member.name] = self._member
-        return [members[name] for name in sorted(members)]
+    def replace(self, rows: Sequence[StoredRow]) -> None:
+        """Apply all rows of the table."""
+        now = self._clock.now()
+        self._members.replace(rows, now, self._era.current)
+        if not self.is_known:
+            # Those of an earlier run of this instance count as live until they had
+            # time to ask it; else its first write would remove them all.
+            for follower in self._members.followers_of(self.member.name):
+                self._followers.record(follower, None, now)
+        self.is_known = True
+        self._refresh()
+
+    def update(self, rows: Sequence[StoredRow]) -> None:
+        """Apply changed rows; the value of a removed one is None."""
+        self._members.update(rows, self._clock.now(), self._era.current)
+        self._refresh()
 
     async def run(self) -> None:
-        """Write heartbeats and read those of others until cancelled."""
-        while not await self._read():
-            # No service can be served before the members are known.
-            await anyio.sleep(READ_RETRY_PAUSE_S * self._rng.uniform(0.5, 1))
-        await self._write_heartbeat()
-        for pause in STARTUP_READ_PAUSES:
-            if await self._wait(pause):
-                await self._write_heartbeat()
-            await self._read()
+        """Write rows when they are due until this instance leaves."""
         while not self._is_leaving:
-            await self._wait(HEARTBEAT_INTERVAL * self._rng.uniform(0.8, 1))
-            if not self._is_leaving:
-                await self._write_heartbeat()
-                await self._read()
+            await self._write_if_due()
+            await self._wait()
+            self._refresh()
 
     async def leave(self) -> None:
-        """Remove this instance's row, so that it is no longer a member."""
+        """Remove this instance from its rows, so that it is no longer a member.
+
+        Its followers stay listed until they are listed by others.
+        """
         self._is_leaving = True
-        row = StoredRow(TABLE, "", self._member.name, None, 0)
+        if self._written is None:
+            return
+        row = StoredRow(TABLE, "", self.member.name, None, 0)
+        # Without a heartbeat the lists of followers would not count.
+        value = encode_member(self.member, self._era.current, is_leaving=True)
+        has_followers = any(self._written)
+        puts = [RowPut(TABLE, "", self.member.name, value)] if has_followers else []
+        removals = [] if has_followers else [row]
         with anyio.move_on_after(LEAVE_TIMEOUT_S):
             try:
-                await self._store.write([], [], [row])
+                await self._store.write([], puts, removals)
             except CodedError as error:
                 # The row expires when its heartbeats are missing.
                 self._log.decision("member not removed", detail=error.detail)
 
-    async def _wait(self, limit: timedelta) -> bool:
-        """Wait for ``limit`` or a new era of the store; return True in a new era.
-
-        The row must be rewritten then; the extra pause spreads the instances' writes.
-        """
-        is_new_era = await self._era.wait_for_change(self._written_era, limit)
-        if is_new_era:
+    async def _wait(self) -> None:
+        """Wait until rows may be due, or a new era of the store has begun."""
+        known = self._written_era if self._written is not None else self._era.current
+        if await self._era.wait_for_change(known, CHECK_INTERVAL):
             await anyio.sleep(REWRITE_SPREAD_S * self._rng.random())
-        return is_new_era
 
-    async def _write_heartbeat(self) -> None:
-        self._written_era = self._era.current
-        value = encode_member(self._member, self._era.current)
-        put = RowPut(TABLE, "", self._member.name, value)
+    def _refresh(self) -> None:
+        if not self.is_known:
+            return
+        now = self._clock.now()
+        members = {m.name: m for m in self._members.live(now)}
+        members[self.member.name] = self.member
+        live = [members[name] for name in sorted(members)]
+        if live != self.live or not self._is_told:
+            self.live = live
+            self._is_told = True
+            self._set_members(live)
+
+    async def _write_if_due(self) -> None:
+        now = self._clock.now()
+        if not self.is_known:
+            return
+        if self._is_writer():
+            self._rows_kept_until = now + ROWS_RETENTION
+            followers = self._split_followers(now)
+            is_new_era = self._written_era != self._era.current
+            is_changed = is_new_era or followers != self._written
+            if is_changed or now >= self._heartbeat_due_at:
+                await self._write(followers, is_changed)
+                await self._remove_expired_rows(now)
+        elif self._written is not None and now >= self._rows_kept_until:
+            await self._remove_rows()
+
+    def _split_followers(self, now: timedelta) -> list[list[Member]]:
+        followers = [m for m in self._followers.live(now) if m.name != self.member.name]
+        starts = range(0, len(followers), FOLLOWERS_PER_ROW)
+        return [followers[start : start + FOLLOWERS_PER_ROW] for start in starts]
+
+    async def _write(self, followers: list[list[Member]], is_changed: bool) -> None:
+        era, name = self._era.current, self.member.name
+        puts = [RowPut(TABLE, "", name, encode_member(self.member, era))]
+        if is_changed:
+            puts += [
+                RowPut(TABLE, "", followers_key(name, i), encode_followers(part, era))
+                for i, part in enumerate(followers)
+            ]
+        written_count = len(self._written or ())
+        obsolete = range(len(followers), written_count)
+        removals = [_row(followers_key(name, i)) for i in obsolete]
+        self._heartbeat_due_at = self._clock.now() + HEARTBEAT_INTERVAL
         try:
-            await self._store.write([], [put])
+            await self._store.write([], puts, removals)
         except CodedError as error:
             self._log.decision("heartbeat not written", detail=error.detail)
+            # It may have been written; the rows are written anew in any case.
+            self._written_era = -1
+            self._written = (
+                followers if len(followers) > written_count else self._written
+            )
+            return
+        self._written, self._written_era = followers, era
+
+    async def _remove_expired_rows(self, now: timedelta) -> None:
+        """Remove the rows of instances that have long gone, which newcomers would use.
+
+        A row that is written again at this moment stays.
+        """
+        for row in self._members.long_expired(now):
+            try:
+                await self._store.write([row], [], [row])
+            except CodedError as error:
+                self._log.decision(
+                    "expired member not removed", member=row.key, detail=error.detail
+                )
 
-    async def _read(self) -> bool:
+    async def _remove_rows(self) -> None:
+        name = self.member.name
+        keys = [name, *(followers_key(name, i) for i in range(len(self._written)))]
         try:
-            answer = await self._store.read(TABLE)
+            await self._store.write([], [], [_row(key) for key in keys])
         except CodedError as error:
-            self._log.decision("members not read", detail=error.detail)
-            return False
-        self._members.replace(answer.rows, self._clock.now(), answer.era)
-        self._directory.set_members(self.live)
-        return True
+            self._log.decision("member rows not removed", detail=error.detail)
+            return
+        self._written = None
+
+
+def _row(key: str) -> StoredRow:
+    return StoredRow(TABLE, "", key, None, 0)
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -1,8 +1,13 @@
-"""The live instances of the fleet, by the heartbeat rows that they write."""
+"""The live instances of the fleet, by the rows that a few of them write.
+
+An instance that reads the store writes a row with its heartbeat, and rows that list
+the instances that follow it. The latter change only when the followers do.
+"""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import NamedTuple
 
 import msgspec
 
@@ -21,6 +26,23 @@
 COPIED_LIFETIME = timedelta(seconds=4)
 
 
+_FOLLOWERS_INFIX = "/followers/"
+# Members in one row; a row has at most 64 KiB on the users' platform.
+FOLLOWERS_PER_ROW = 400
+
+
+class _Followers(NamedTuple):
+    """Decoded row that lists followers, ordered by its time."""
+
+    era: int
+    version: int
+    members: tuple["Member", ...]
+
+
+# Rows of members without a heartbeat for this time are removed from the store.
+EXPIRED_RETENTION = 2 * HEARTBEAT_INTERVAL * MISSED_HEARTBEATS
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A live instance.
@@ -44,18 +66,43 @@
 
 
 class MemberBody(msgspec.Struct, frozen=True):
-    """JSON value of a member's row."""
+    """JSON value of a member's row.
+
+    One that is leaving is no longer a member, but its followers still are.
+    """
 
     availability_zone: str
     address: str
     link_mbps: float = 0
     era: int = 0
+    is_leaving: bool = False
+
+
+class FollowersBody(msgspec.Struct, frozen=True):
+    """JSON value of a row with followers: their names and member bodies."""
+
+    followers: dict[str, MemberBody]
+    era: int = 0
+
+
+def followers_key(writer: str, index: int) -> str:
+    """Return the key of one of the rows that list an instance's followers."""
+    return f"{writer}{_FOLLOWERS_INFIX}{index}"
+
 
+def encode_followers(members: Sequence[Member], era: int) -> bytes:
+    """Return the value of a row that lists followers."""
+    bodies = {
+        m.name: MemberBody(m.availability_zone, str(m.address), m.link_mbps)
+        for m in members
+    }
+    return msgspec.json.encode(FollowersBody(bodies, era))
 
-def encode_member(member: Member, era: int) -> bytes:
+
+def encode_member(member: Member, era: int, is_leaving: bool = False) -> bytes:
     """Return the value of a member's row that is written in ``era`` of the store."""
     zone = member.availability_zone
-    body = MemberBody(zone, str(member.address), member.link_mbps, era)
+    body = MemberBody(zone, str(member.address), member.link_mbps, era, is_leaving)
     return msgspec.json.encode(body)
 
 
@@ -70,11 +117,15 @@
 
 
 class Members:
-    """Members whose rows have not expired."""
+    """Members that heartbeats, or the lists of an instance that they follow, tell.
+
+    Rows that list followers are valid for as long as the heartbeat of their writer.
+    """
 
-    __slots__ = ("_rows",)
+    __slots__ = ("_followers", "_rows")
 
     def __init__(self) -> None:
+        self._followers: dict[str, _Followers] = {}
         lifetime = HEARTBEAT_INTERVAL * MISSED_HEARTBEATS
         self._rows = ExpiringRows(
             lifetime, COPIED_LIFETIME, make_era_reader(MemberBody)
@@ -82,8 +133,81 @@
 
     def replace(self, rows: Sequence[StoredRow], now: timedelta, era: int) -> None:
         """Replace the rows by all member rows that the store has in ``era``."""
-        self._rows.replace(rows, now, era)
+        keys = {row.key for row in rows}
+        for key, known in list(self._followers.items()):
+            # A store that was restored from a copy may lack rows of an earlier era.
+            if key not in keys and known.era >= era:
+                del self._followers[key]
+        heartbeats = [row for row in rows if _FOLLOWERS_INFIX not in row.key]
+        self._rows.replace(heartbeats, now, era)
+        self._apply_followers(rows, era)
+
+    def update(self, rows: Sequence[StoredRow], now: timedelta, era: int) -> None:
+        """Apply changed rows; the value of a removed one is None."""
+        heartbeats = [row for row in rows if _FOLLOWERS_INFIX not in row.key]
+        self._rows.update(heartbeats, now, era)
+        self._apply_followers(rows, era)
 
     def live(self, now: timedelta) -> list[Member]:
         """Return the live members."""
-        return [decode_member(row) for row in self._rows.unexpired(now)]
+        members: dict[str, Member] = {}
+        rows = self._rows.unexpired(now)
+        names = {row.key for row in rows}
+        writers = [decode_member(row) for row in rows if not _is_leaving(row)]
+        # Of two rows that list the same instance, the later one is right.
+        for key, known in sorted(self._followers.items(), key=_by_time):
+            if key.partition(_FOLLOWERS_INFIX)[0] in names:
+                members |= {member.name: member for member in known.members}
+        members |= {writer.name: writer for writer in writers}
+        return list(members.values())
+
+    def followers_of(self, writer: str) -> list[Member]:
+        """Return the followers that the rows of a writer list."""
+        prefix = writer + _FOLLOWERS_INFIX
+        listed = [f for key, f in self._followers.items() if key.startswith(prefix)]
+        return [member for known in listed for member in known.members]
+
+    def long_expired(self, now: timedelta) -> list[StoredRow]:
+        """Return the heartbeats that expired long ago."""
+        return self._rows.unchanged_for(EXPIRED_RETENTION, now)
+
+    def _apply_followers(self, rows: Sequence[StoredRow], era: int) -> None:
+        for row in rows:
+            if _FOLLOWERS_INFIX not in row.key:
+                continue
+            if row.value is None:
+                self._followers.pop(row.key, None)
+                continue
+            decoded = _decode_followers(row)
+            known = self._followers.get(row.key)
+            # A row of an earlier era comes from a copy and may be older than the known.
+            if decoded is not None and (known is None or decoded.era >= known.era):
+                self._followers[row.key] = decoded
+
+
+def _by_time(item: tuple[str, _Followers]) -> tuple[int, int]:
+    return item[1].era, item[1].version
+
+
+def _is_leaving(row: StoredRow) -> bool:
+    try:
+        return msgspec.json.decode(row.value, type=MemberBody).is_leaving
+    except DECODE_ERRORS:
+        return False
+
+
+def _decode_followers(row: StoredRow) -> _Followers | None:
+    try:
+        body = msgspec.json.decode(row.value, type=FollowersBody)
+        members = tuple(
+            Member(
+                name,
+                each.availability_zone,
+                parse_address(each.address),
+                each.link_mbps,
+            )
+            for name, each in body.followers.items()
+        )
+        return _Followers(body.era, row.version, members)
+    except (*DECODE_ERRORS, CodedError):
+        return None  # its followers write rows of their own once nobody serves them
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -1,7 +1,7 @@
 """Follows the changes of one table of the store."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from datetime import timedelta
 
 import anyio
@@ -9,7 +9,8 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from .decision_log import DecisionLog
-from .row_store import FeedAnswer, HistoryLost, RowStore, StoredRow
+from .row_store import HistoryLost, RowStore
+from .table_copy import TableCopy
 
 RETRY_PAUSE_FIRST = timedelta(milliseconds=100)
 # Well below the time within which a change must take effect.
@@ -26,18 +27,14 @@
     ----------
     store : RowStore
         The store.
-    table : str
-        Name of the table.
+    copy : TableCopy
+        Receives the rows.
     spacing : callable
         Returns the minimum time between two calls, so that one call returns several
         frequent changes.
     wait : timedelta
         How long the store may wait for a change before it answers a call. A silent
         connection is detected somewhat later than that.
-    replace : callable
-        Called with all rows of the table.
-    update : callable
-        Called with the changed rows; the value of a removed one is None.
     clock : Clock
         Source of the time.
     rng : random.Random
@@ -47,127 +44,138 @@
 
     Attributes
     ----------
-    confirmed_at : timedelta or None
-        Time at which the last answered call was sent.
-    now_ms : float
-        Time on the store's clock at the last answer.
+    copy : TableCopy
+        The rows that were read.
+    is_reachable : bool
+        Whether the last call was answered; False before the first.
     """
 
     __slots__ = (
         "_clock",
-        "_era",
         "_failures",
+        "_is_history_lost",
         "_log",
-        "_replace",
         "_rng",
         "_spacing",
         "_store",
-        "_table",
-        "_update",
-        "_version",
         "_wait",
-        "confirmed_at",
-        "now_ms",
+        "copy",
+        "is_reachable",
+        "on_reachable",
     )
 
     def __init__(
         self,
         store: RowStore,
-        table: str,
+        copy: TableCopy,
         spacing: Callable[[], timedelta],
         wait: timedelta,
-        replace: Callable[[Sequence[StoredRow]], None],
-        update: Callable[[Sequence[StoredRow]], None],
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
     ):
         self._store = store
-        self._table = table
+        self.copy = copy
         self._spacing = spacing
         self._wait = wait
-        self._replace = replace
-        self._update = update
         self._clock = clock
         self._rng = rng
         self._log = log
-        self._version: int | None = None
-        self._era = 0
+        self._is_history_lost = False
         self._failures = 0
-        self.confirmed_at: timedelta | None = None
-        self.now_ms = 0.0
-
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the last call was answered."""
-        return self._failures == 0 and self.confirmed_at is not None
+        self.is_reachable = False
+        self.on_reachable: Callable[[], None] = lambda: None
 
     def confirmed_age(self) -> timedelta | None:
-        """Return the time since the last answered call was sent; None before it."""
-        if self.confirmed_at is None:
-            return None
-        return self._clock.now() - self.confirmed_at
+        """Return the time since the rows were known to be complete."""
+        return self.copy.age(self._clock.now())
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled, from what the copy contains."""
+        self._set_reachable(False)
         while True:
             sent_at = self._clock.now()
             try:
-                answer = await self._next()
+                known_at = await self._next()
             except HistoryLost:
-                self._log.decision("history lost", table=self._table)
-                self._version = None
+                self._log.decision("history lost", table=self.copy.table)
+                self._is_history_lost = True
                 continue
             except CodedError as error:
                 await self._pause_after(error, sent_at)
                 continue
-            self._record_answer(answer, sent_at)
+            self._record_answer(known_at)
             pause = sent_at + self._spacing() - self._clock.now()
             await anyio.sleep(max(0.0, pause.total_seconds()))
 
-    async def _next(self) -> FeedAnswer:
-        if self._version is None:
-            answer = await self._store.read(self._table)
-            self._era = answer.era
-            self._replace(answer.rows)
-            return answer
+    async def read_once(self) -> bool:
+        """Read the table or its changes once; return whether the store answered."""
+        sent_at = self._clock.now()
+        try:
+            known_at = await self._next()
+        except HistoryLost:
+            self._is_history_lost = True
+            return False
+        except CodedError as error:
+            self._record_failure(error, sent_at)
+            return False
+        self._record_answer(known_at)
+        return True
+
+    async def _next(self) -> timedelta:
+        """Make the next call; return a time at which the rows were complete."""
+        sent_at = self._clock.now()
+        copy = self.copy
+        if copy.version is None or self._is_history_lost:
+            answer = await self._store.read(copy.table)
+            copy.replace(answer.rows, answer.era, answer.version)
+            self._is_history_lost = False
+            return sent_at
         # A call that is sent while the store is unreachable gets no answer. A long one
         # would delay the detection of the store's return by up to ``wait``, so calls
         # don't wait for a change until one has been answered.
         wait = timedelta(0) if self._failures else self._wait
-        answer = await self._store.wait_for_changes(self._table, self._version, wait)
-        if answer.era != self._era:
+        answer = await self._store.wait_for_changes(copy.table, copy.version, wait)
+        if not copy.update(answer.rows, answer.era, answer.version):
             # The new era may reuse the version for other changes than those read.
             raise HistoryLost
-        if answer.rows:
-            self._update(answer.rows)
-        return answer
+        # A call that returned nothing has waited for a change all the time.
+        has_waited = not answer.rows and self._clock.now() - sent_at >= wait
+        return sent_at + wait if has_waited else sent_at
+
+    def _set_reachable(self, is_reachable: bool) -> None:
+        if is_reachable != self.is_reachable:
+            self.is_reachable = is_reachable
+            self.on_reachable()
 
-    def _record_answer(self, answer: FeedAnswer, sent_at: timedelta) -> None:
+    def _record_answer(self, known_at: timedelta) -> None:
         if self._failures:
             self._log.decision(
                 "store regained",
-                table=self._table,
+                table=self.copy.table,
                 failures=self._failures,
                 confirmed_age_ms=_to_ms(self.confirmed_age()),
             )
         self._failures = 0
-        self._version = max(answer.version, self._version or 0)
-        self.confirmed_at = sent_at
-        self.now_ms = answer.now_ms
+        self.copy.confirm(known_at)
+        self._set_reachable(True)
 
     async def _pause_after(self, error: CodedError, sent_at: timedelta) -> None:
+        self._record_failure(error, sent_at)
+        ceiling = min(RETRY_PAUSE_MAX, RETRY_PAUSE_FIRST * 2 ** min(self._failures, 10))
+        await anyio.sleep(ceiling.total_seconds() * self._rng.uniform(0.5, 1))
+
+    def _record_failure(self, error: CodedError, sent_at: timedelta) -> None:
         if not self._failures:
             self._log.decision(
                 "store lost",
-                table=self._table,
+                table=self.copy.table,
                 detail=error.detail,
                 waited_ms=_to_ms(self._clock.now() - sent_at),
                 confirmed_age_ms=_to_ms(self.confirmed_age()),
             )
         self._failures += 1
-        ceiling = min(RETRY_PAUSE_MAX, RETRY_PAUSE_FIRST * 2 ** min(self._failures, 10))
-        await anyio.sleep(ceiling.total_seconds() * self._rng.uniform(0.5, 1))
+        self._set_reachable(False)
 
 
 def _to_ms(span: timedelta | None) -> int | None:
--- a/tests/serving/test_store_era.py
+++ b/tests/serving/test_store_era.py
@@ -17,6 +17,7 @@
 from goldcrestpond.serving.metrics import Metrics
 from goldcrestpond.serving.store_era import StoreEra
 from goldcrestpond.serving.suspicions import SuspicionBody, Suspicions
+from goldcrestpond.serving.table_copy import TableCopy
 from goldcrestpond.serving.table_feed import TableFeed
 
 from ..line_world import ListLog
@@ -99,11 +100,13 @@
     async def body():
         feed = TableFeed(
             FakeRowStore(rows, era),
-            "t",
+            TableCopy(
+                "t",
+                lambda rows: received.append(("all", [r.key for r in rows])),
+                lambda rows: received.append(("some", [r.key for r in rows])),
+            ),
             lambda: ms(1),
             ms(1),
-            lambda rows: received.append(("all", [r.key for r in rows])),
-            lambda rows: received.append(("some", [r.key for r in rows])),
             clock,
             random.Random(1),
             ListLog(),
