--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -54,6 +54,8 @@
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
 # Minimum time between two reads of the members.
 MEMBER_SPACING = timedelta(milliseconds=250)
+SUSPICION_SPACING = timedelta(milliseconds=50)
+SUSPICION_FEED_WAIT = timedelta(seconds=12)
 # Each database writes a heartbeat about once a second; one call returns several.
 REGISTRY_SPACING = timedelta(milliseconds=1000)
 # Of the time after which a draining database must get no new work.
@@ -200,7 +202,6 @@
             failover,
             open_endpoint_link,
             clock,
-            rng,
             log,
             tasks,
         )
@@ -225,11 +226,13 @@
             "members": TableCopy(
                 MEMBER_TABLE, self._member_updater.replace, self._member_updater.update
             ),
+            "suspicions": self._leader_monitor.suspicions_copy,
         }
         feed_times = {
             "configuration": (CONFIGURATION_SPACING, times.store_wait),
             "registry": (REGISTRY_SPACING, times.store_wait),
             "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
+            "suspicions": (SUSPICION_SPACING, SUSPICION_FEED_WAIT),
         }
         self._feeds = {
             name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -1,6 +1,5 @@
 """Monitors the leaders of all services and starts failovers and switchovers."""
 
-import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -30,7 +29,6 @@
     suspicion_key,
 )
 from .table_copy import TableCopy
-from .table_feed import TableFeed
 
 # Half of the time after which a leader is suspected: a failure is noticed before.
 CHECK_INTERVAL_S = 0.2
@@ -50,10 +48,6 @@
 LOSSLESS_FAILOVER_WAIT = timedelta(seconds=30)
 TAKEOVER_TIMEOUT = timedelta(milliseconds=3500)
 TAKEOVER_POLL_INTERVAL = timedelta(milliseconds=50)
-FEED_SPACING = timedelta(milliseconds=50)
-# How long a feed call waits for a change. An instance that suspects a leader also reads
-# the table directly, so the feed only informs the instances that don't.
-FEED_WAIT = timedelta(seconds=12)
 
 OpenLink = Callable[[Database], Awaitable[Link]]
 
@@ -77,12 +71,16 @@
         Opens a connection.
     clock : Clock
         Source of the time.
-    rng : random.Random
-        Source of jitter.
     log : DecisionLog
         Receives log events.
     tasks : SupervisedTasks
         Runs the failovers and the writes of suspicions.
+
+    Attributes
+    ----------
+    suspicions_copy : TableCopy
+        The table of the suspicions. An instance that suspects a leader also reads the
+        table directly, so this copy only informs the instances that don't.
     """
 
     __slots__ = (
@@ -91,9 +89,7 @@
         "_directory",
         "_era",
         "_failover",
-        "_feed",
         "_instance",
-        "_feed_scope",
         "_is_alert",
         "_is_reading",
         "_log",
@@ -107,6 +103,7 @@
         "_tasks",
         "_written_at",
         "_written_era",
+        "suspicions_copy",
     )
 
     def __init__(
@@ -118,7 +115,6 @@
         failover: Failover | None,
         open_link: OpenLink,
         clock: Clock,
-        rng: random.Random,
         log: DecisionLog,
         tasks: SupervisedTasks,
     ):
@@ -141,23 +137,15 @@
         self._lossy_since: dict[str, tuple[int, timedelta]] = {}
         self._is_reading = False
         self._is_alert = False
-        self._feed_scope: anyio.CancelScope | None = None
         self._read_at: timedelta | None = None
-        self._feed = TableFeed(
-            store,
-            TableCopy(TABLE, self._replace_suspicions, self._update_suspicions),
-            lambda: FEED_SPACING,
-            FEED_WAIT,
-            clock,
-            rng,
-            log,
+        self.suspicions_copy = TableCopy(
+            TABLE, self._replace_suspicions, self._update_suspicions
         )
 
     async def run(self) -> None:
         """Monitor the leaders until cancelled."""
         if self._failover is None:
             return
-        self._tasks.start_loop(self._follow_suspicions)
         while True:
             self._clear_writes_of_earlier_era()
             self._is_alert = False
@@ -167,21 +155,9 @@
 
     def _check_interval_s(self) -> float:
         if not self._directory.holds_any():
-            if self._feed_scope is not None:
-                self._feed_scope.cancel()
             return NON_HOLDER_CHECK_INTERVAL_S
         return ALERT_CHECK_INTERVAL_S if self._is_alert else CHECK_INTERVAL_S
 
-    async def _follow_suspicions(self) -> None:
-        """Follow the suspicions while this instance holds any service."""
-        while True:
-            if not self._directory.holds_any():
-                await anyio.sleep(NON_HOLDER_CHECK_INTERVAL_S)
-                continue
-            with anyio.CancelScope() as self._feed_scope:
-                await self._feed.run()
-            self._feed_scope = None
-
     def _clear_writes_of_earlier_era(self) -> None:
         if self._written_era != self._era.current:
             self._written_era = self._era.current
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -96,7 +96,11 @@
         while True:
             sent_at = self._clock.now()
             try:
-                known_at = await self._next()
+                # A call that is sent while the store is unreachable gets no answer. A
+                # long one would delay the detection of the store's return by up to
+                # ``wait``, so calls don't wait until one has been answered.
+                wait = timedelta(0) if self._failures else self._wait
+                known_at = await self._next(wait)
             except HistoryLost:
                 self._log.decision("history lost", table=self.copy.table)
                 self._is_history_lost = True
@@ -112,7 +116,7 @@
         """Read the table or its changes once; return whether the store answered."""
         sent_at = self._clock.now()
         try:
-            known_at = await self._next()
+            known_at = await self._next(timedelta(0))
         except HistoryLost:
             self._is_history_lost = True
             return False
@@ -122,7 +126,7 @@
         self._record_answer(known_at)
         return True
 
-    async def _next(self) -> timedelta:
+    async def _next(self, wait: timedelta) -> timedelta:
         """Make the next call; return a time at which the rows were complete."""
         sent_at = self._clock.now()
         copy = self.copy
@@ -131,10 +135,6 @@
             copy.replace(answer.rows, answer.era, answer.version)
             self._is_history_lost = False
             return sent_at
-        # A call that is sent while the store is unreachable gets no answer. A long one
-        # would delay the detection of the store's return by up to ``wait``, so calls
-        # don't wait for a change until one has been answered.
-        wait = timedelta(0) if self._failures else self._wait
         answer = await self._store.wait_for_changes(copy.table, copy.version, wait)
         if not copy.update(answer.rows, answer.era, answer.version):
             # The new era may reuse the version for other changes than those read.
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -23,6 +23,8 @@
 # At its start an instance asks others for this long before it reads the store, and is
 # not ready before: they may know a newer configuration than a store that was restored.
 START_ASK_S = 0.15
+# Instances that find no others at their start begin to read spread over this time.
+FIRST_START_SPREAD_S = 0.4
 START_RETRY_S = 0.2  # a reachable store answers within milliseconds
 # A source that reaches no reader is passed over for this time: it may soon read itself.
 NO_READER_AVOIDANCE = timedelta(milliseconds=200)
@@ -213,8 +215,11 @@
         self._wake = anyio.Event()
 
     async def _start(self) -> None:
-        while not await self._feeds[self._member_table].read_once():
-            await anyio.sleep(START_RETRY_S * self._rng.uniform(0.5, 1))
+        await self._read_members()
+        if len(self._get_members()) == 1:
+            # All instances start at once: the first ones serve the others.
+            await anyio.sleep(FIRST_START_SPREAD_S * self._rng.random())
+            await self._read_members()
         is_served = False
         with anyio.move_on_after(START_ASK_S):
             is_served = await self._follow_any(self._current_plan())
@@ -222,6 +227,10 @@
             self._start_reading("start")
         self.is_started = True
 
+    async def _read_members(self) -> None:
+        while not await self._feeds[self._member_table].read_once():
+            await anyio.sleep(START_RETRY_S * self._rng.uniform(0.5, 1))
+
     async def _step(self) -> None:
         plan = self._current_plan()
         if plan.rank == 0 and not self.is_reading:
