--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -335,8 +335,9 @@
         """Let running work end within the grace period, then close all connections."""
         self._is_stopping = True
         self._log.decision("stopping", callers=self.callers.caller_count)
-        await self._table_follower.leave()
-        await self._member_updater.leave()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._table_follower.leave)
+            tasks.start_soon(self._member_updater.leave)
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
 
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -105,6 +105,7 @@
         "_followed",
         "_followed_reader",
         "_followers",
+        "_is_leaving",
         "_get_members",
         "_log",
         "_lost_since",
@@ -165,6 +166,7 @@
         self._plan_members: list[Member] = []
         self._reported: list[messages.Peer] = []
         self._report_due_at = timedelta.min
+        self._is_leaving = False
         self._scope: anyio.CancelScope | None = None
         self._wake = anyio.Event()
         self.is_started = False
@@ -179,7 +181,12 @@
 
     @property
     def reader(self) -> str:
-        """Name of the instance that reads the store for this one; empty if none."""
+        """Name of the instance that reads the store for this one; empty if none.
+
+        Also empty while this instance leaves, so that its followers turn to others.
+        """
+        if self._is_leaving:
+            return ""
         if self.is_reading and self._is_store_reachable():
             return self._member().name
         return self._followed_reader
@@ -195,7 +202,9 @@
             await self._step()
 
     async def leave(self) -> None:
-        """Tell the source that this instance leaves the fleet."""
+        """Tell the source and the followers that this instance leaves the fleet."""
+        self._is_leaving = True
+        self.on_reader_change()
         source = next(
             (m for m in self._get_members() if m.name == self._followed), None
         )
--- a/tests/tables/test_table_follower.py
+++ b/tests/tables/test_table_follower.py
@@ -94,6 +94,21 @@
     run(body, 24, 5)
 
 
+# A planned stop: the reader still runs for seconds, and nobody follows it any more.
+def test_leaving_reader_hands_over_while_it_still_runs():
+    async def body(world):
+        [first] = world.readers()
+        before = world.total_calls()
+        await world.instances[first].follower.leave()
+        await anyio.sleep(1)
+        readers = {i.follower.reader for n, i in world.instances.items() if n != first}
+        assert_that(len(readers), Equals(1))
+        assert_that(readers & {"", first}, Equals(set()))
+        assert_that(world.total_calls() - before, LessThan(30))
+
+    run(body, 24, 5)
+
+
 # The loss of all readers: no herd of hundreds that read the store.
 def test_loss_of_all_readers_is_survived_in_time():
     async def body(world):
