--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -65,7 +65,7 @@
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
 RESERVED_DESCRIPTORS = 800
-TRACE_LINES = 4  # the innermost calls and the error itself
+TRACE_LINE_LIMIT = 4  # the innermost calls and the error itself
 BACKLOG = 512  # callers that reconnect at the same time after a restart
 
 
@@ -362,7 +362,7 @@
             task=task,
             input=task_input,
             error=repr(error),
-            trace="".join(traceback.format_exception(error)[-TRACE_LINES:]),
+            trace="".join(traceback.format_exception(error)[-TRACE_LINE_LIMIT:]),
         )
         self._metrics.count("task_errors_total", task=task)
 
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -13,8 +13,8 @@
 from .decision_log import DecisionLog
 from .follower_list import FollowerList
 from .members import (
-    FOLLOWERS_PER_ROW,
     HEARTBEAT_INTERVAL,
+    ROW_FOLLOWER_LIMIT,
     TABLE,
     Member,
     Members,
@@ -209,8 +209,8 @@
 
     def _split_followers(self, now: timedelta) -> list[list[Member]]:
         followers = [m for m in self._followers.live(now) if m.name != self.member.name]
-        starts = range(0, len(followers), FOLLOWERS_PER_ROW)
-        return [followers[start : start + FOLLOWERS_PER_ROW] for start in starts]
+        starts = range(0, len(followers), ROW_FOLLOWER_LIMIT)
+        return [followers[start : start + ROW_FOLLOWER_LIMIT] for start in starts]
 
     async def _write(self, followers: list[list[Member]], is_changed: bool) -> None:
         era, name = self._era.current, self.member.name
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -29,7 +29,7 @@
 _FOLLOWERS_INFIX = "/followers/"
 # A member takes 163 bytes with names of the usual length, so that a row also fits the
 # limit of 64 KiB when it is encoded in base64.
-FOLLOWERS_PER_ROW = 200
+ROW_FOLLOWER_LIMIT = 200
 
 
 class _Followers(NamedTuple):
--- a/goldcrestpond/tables/reader_plan.py
+++ b/goldcrestpond/tables/reader_plan.py
@@ -10,13 +10,13 @@
 
 # Instances that may read the store, in this order: the first one does, the others take
 # over. Two may fail, or be refused by the store, at the same time.
-READERS = 3
+READER_COUNT = 3
 # In a fleet of up to this size all others follow the readers directly.
-DIRECT_FOLLOWERS_MAX = 48
+DIRECT_FOLLOWER_LIMIT = 48
 # In a larger one, this many instances of each availability zone follow the readers;
 # the others of the zone follow them in turn, so that a change crosses each zone's
 # links once and no instance answers the whole fleet.
-RELAYS_PER_ZONE = 2
+ZONE_RELAY_COUNT = 2
 _READER_KEY = "table readers"
 
 
@@ -54,11 +54,11 @@
         All live members, with or without the instance itself.
     """
     reachable = [member for member in members if member.address is not None]
-    readers = _choose(_READER_KEY, reachable, READERS)
+    readers = _choose(_READER_KEY, reachable, READER_COUNT)
     names = [member.name for member in readers]
     rank = names.index(instance) if instance in names else None
     sources = readers if rank is None else readers[:rank]
-    if rank is None and len(reachable) > DIRECT_FOLLOWERS_MAX:
+    if rank is None and len(reachable) > DIRECT_FOLLOWER_LIMIT:
         sources = _zone_relays(instance, reachable) + sources
     others = [m for m in reachable if m.name != instance and m not in sources]
     return ReaderPlan(rank, tuple(dict.fromkeys(sources)), tuple(others))
@@ -80,7 +80,7 @@
     zones = {m.name: m.availability_zone for m in members}
     zone = zones.get(instance)
     in_zone = [m for m in members if m.availability_zone == zone]
-    relays = _choose(f"{_READER_KEY} {zone}", in_zone, RELAYS_PER_ZONE)
+    relays = _choose(f"{_READER_KEY} {zone}", in_zone, ZONE_RELAY_COUNT)
     names = [member.name for member in relays]
     if instance in names:
         return relays[: names.index(instance)]
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -397,6 +397,8 @@
         return answered >= self._age_limits.keys() and self._is_fresh()
 
     def _start_reading(self, reason: str) -> None:
+        if self.is_reading:
+            return  # started again after an unexpected error
         self._log.decision(
             "store read",
             reason=reason,
--- a/tests/tables/test_table_follower.py
+++ b/tests/tables/test_table_follower.py
@@ -122,6 +122,19 @@
     run(body, 6, 3)
 
 
+# An unexpected error starts the loop again; it read every table twice from then on.
+def test_reader_that_starts_again_after_an_error_reads_once():
+    async def body(world):
+        [first] = world.readers()
+        follower = world.instances[first].follower
+        await follower._start()
+        before = world.total_calls()
+        await anyio.sleep(20)
+        assert_that((world.total_calls() - before) / 20, LessThan(2.5))
+
+    run(body, 6, 3)
+
+
 # The loss of all readers: no herd of hundreds that read the store.
 def test_loss_of_all_readers_is_survived_in_time():
     async def body(world):
