--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -189,6 +189,7 @@
             era,
             self._set_members,
             followers,
+            lambda: self._table_follower.lists_followers,
             lambda: self._table_follower.is_reading,
             clock,
             rng,
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -52,6 +52,8 @@
         Receives the live members whenever they change.
     followers : FollowerList
         The instances that follow this one.
+    lists_followers : callable
+        Returns whether the rows of this instance list its followers.
     is_writer : callable
         Returns whether this instance writes rows; the others are listed by the
         instance that they follow.
@@ -80,6 +82,7 @@
         "_is_leaving",
         "_is_told",
         "_is_writer",
+        "_lists_followers",
         "_log",
         "_members",
         "_rng",
@@ -100,6 +103,7 @@
         era: StoreEra,
         set_members: SetMembers,
         followers: FollowerList,
+        lists_followers: Callable[[], bool],
         is_writer: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
@@ -110,6 +114,7 @@
         self._era = era
         self._set_members = set_members
         self._followers = followers
+        self._lists_followers = lists_followers
         self._is_writer = is_writer
         self._clock = clock
         self._rng = rng
@@ -208,6 +213,8 @@
             await self._remove_rows()
 
     def _split_followers(self, now: timedelta) -> list[list[Member]]:
+        if not self._lists_followers():
+            return []
         followers = [m for m in self._followers.live(now) if m.name != self.member.name]
         starts = range(0, len(followers), ROW_FOLLOWER_LIMIT)
         return [followers[start : start + ROW_FOLLOWER_LIMIT] for start in starts]
--- a/goldcrestpond/serving/table_copy.py
+++ b/goldcrestpond/serving/table_copy.py
@@ -139,8 +139,15 @@
         known, self._rows = self._rows, {}
         for row in rows:
             self._rows[row.part, row.key] = self._keep_newer(known, row, era)
-        self._removed = {}
-        self._removed_before = version
+        if era == self.era:
+            # Followers of this era need only what differs, also after lost history.
+            for key in known.keys() - self._rows.keys():
+                self._removed[key] = replace(known[key], value=None, version=version)
+            for key in self._rows.keys() & self._removed.keys():
+                del self._removed[key]
+        else:
+            self._removed = {}
+            self._removed_before = version
         self.era, self.version = era, version
         self._deliver(self._replace, rows)
         return True
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -179,6 +179,15 @@
         """Whether this instance reads the store."""
         return self._scope is not None
 
+    @property
+    def lists_followers(self) -> bool:
+        """Whether this instance is one of the readers, which list their followers.
+
+        Others that read the store for a while are asked by many that look for a source;
+        if each listed these, the members would take hundreds of long rows.
+        """
+        return self._current_plan().rank is not None
+
     @property
     def reader(self) -> str:
         """Name of the instance that reads the store for this one; empty if none.
--- a/tests/serving/test_member_updater.py
+++ b/tests/serving/test_member_updater.py
@@ -49,6 +49,7 @@
             self.era,
             lambda members: self.told.append([m.name for m in members]),
             self.followers,
+            lambda: True,
             lambda: self.is_writer,
             clock,
             random.Random(1),
@@ -143,6 +144,15 @@
     assert_that(len(first.told[-1]), Equals(1001))
 
 
+# An instance that reads the store for lack of a source is asked by many others; each
+# such instance listed hundreds of followers, which were sent to all.
+async def test_instance_that_is_no_reader_lists_no_followers(first, rows, clock):
+    first.updater._lists_followers = lambda: False
+    first.followers.record(member("i2"), [], clock.now())
+    await first.step()
+    assert_that(_keys(rows), Equals(["i1"]))
+
+
 async def test_silent_follower_stays_a_member_for_some_seconds(first, clock):
     first.followers.record(member("i2"), [], clock.now())
     await first.step()
--- a/tests/serving/test_table_copy.py
+++ b/tests/serving/test_table_copy.py
@@ -194,3 +194,17 @@
         for source, follower in zip(copies, copies[1:], strict=False):
             follower.follow(source)
             assert_that(follower.rows, Equals(store.values()))
+
+
+# The reader lost the store's history and read the table again: all followers were sent
+# whole tables, also those that lacked nothing.
+def test_table_read_again_in_its_era_is_passed_on_as_changes():
+    source, follower = Follower(), Follower()
+    source.copy.replace([row("a", 1), row("b", 2)], 1, 2)
+    follower.follow(source)
+    source.copy.replace([row("a", 1), row("c", 5)], 1, 6)
+    changes = source.copy.changes_after(1, 2, ms(0))
+    assert_that([each.key for each in changes.rows], Equals(["c", "b"]))
+    assert_that(changes.is_whole, Is(False))
+    follower.follow(source)
+    assert_that(set(follower.rows), Equals({"a", "c"}))
--- a/tests/tables/fleet_world.py
+++ b/tests/tables/fleet_world.py
@@ -98,6 +98,7 @@
             era,
             self._set_members,
             followers,
+            lambda: self.follower.lists_followers,
             lambda: self.follower.is_reading,
             self.clock,
             rng,
