Name for whom a connection is requested, and say how organisations will be served

Cause: nothing in the product knows organisations; pools, queues and relays pass a bare session key. Requester carries the session with its organisation and weight, so that the parts can be built side by side. No behaviour changes: pool, serving, relay and wire tests pass.

--- a/bench/pool_costs.py
+++ b/bench/pool_costs.py
@@ -19,6 +19,7 @@
 from goldcrestpond.pool.open_connection import OpenConnection
 from goldcrestpond.pool.pool_action import PoolAction
 from goldcrestpond.pool.pool_settings import PoolSettings
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
 
 # Connections of the pool, and requests that wait for one.
@@ -65,7 +66,7 @@
         self._now += _TIME_STEP
         number = next(self._ids)
         caller = f"caller-{number % 50}"
-        request = SlotRequest(number, caller, Lane.SHORT, _DEADLINE)
+        request = SlotRequest(number, Requester(caller), Lane.SHORT, _DEADLINE)
         self._apply_actions(self._pool.request(request, self._now))
 
     def release(self) -> None:
--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -21,6 +21,7 @@
 from ..pool.pool_action import PoolAction
 from ..pool.probe_endpoint import ProbeEndpoint
 from ..pool.refuse_request import RefuseRequest
+from ..pool.requester import Requester
 from ..pool.slot_request import SlotRequest
 from ..routing.database_load import DatabaseLoad
 from .pooled_link import PooledLink
@@ -147,7 +148,7 @@
         self,
         term: int,
         deadline: timedelta,
-        caller: str,
+        requester: Requester,
         lane: Lane,
         priority: int = 0,
     ) -> PooledLink:
@@ -160,8 +161,8 @@
             one, connections of earlier terms are closed when free.
         deadline : timedelta
             Monotonic time at which the wait ends.
-        caller : str
-            Identifies the caller; waiting callers are served fairly.
+        requester : Requester
+            For whom the connection is; waiting sessions are served fairly.
         lane : Lane
             Class of work.
         priority : int, default=0
@@ -176,7 +177,9 @@
         self.set_term(term)
         if not self._decisions.demand:
             self._wake.set()
-        request = SlotRequest(next(self._request_ids), caller, lane, deadline, priority)
+        request = SlotRequest(
+            next(self._request_ids), requester, lane, deadline, priority
+        )
         waiter = _Waiter(request, anyio.Event())
         self._waiters[request.request_id] = waiter
         now = self._clock.now()
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -51,7 +51,7 @@
     def submit(self, request: SlotRequest, now: timedelta) -> RefuseRequest | None:
         """Queue a request, or refuse it if it is not expected to start in time."""
         ahead_count = self._queues[request.lane].count_ahead(
-            request.caller, request.priority
+            request.requester.session, request.priority
         )
         wait = self.estimate_wait(request.lane, ahead_count)
         start_by = self._compute_latest_start(request, now)
--- a/goldcrestpond/pool/request_queue.py
+++ b/goldcrestpond/pool/request_queue.py
@@ -20,7 +20,7 @@
 
     def push(self, request: SlotRequest) -> None:
         """Append a request after the others of its caller."""
-        self._by_caller.setdefault(request.caller, deque()).append(request)
+        self._by_caller.setdefault(request.requester.session, deque()).append(request)
         self._size += 1
 
     def pop(self) -> SlotRequest:
--- /dev/null
+++ b/goldcrestpond/pool/requester.py
@@ -0,0 +1,24 @@
+"""For whom a connection is requested."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Requester:
+    """Session that requests a connection, and the organisation that it acts for.
+
+    Attributes
+    ----------
+    session : str
+        Key of the session; the queues share connections fairly between sessions.
+    organisation : str
+        Name of the organisation; empty if the deployment or the route has none. A
+        connection is opened for one organisation and serves only that one.
+    weight : float
+        Part of a database's room that the organisation may claim, relative to others
+        that wait.
+    """
+
+    session: str
+    organisation: str = ""
+    weight: float = 1.0
--- a/goldcrestpond/pool/slot_request.py
+++ b/goldcrestpond/pool/slot_request.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from .lane import Lane
+from .requester import Requester
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,9 +15,9 @@
     ----------
     request_id : int
         Number that is unique within the process.
-    caller : str
-        Key by which the queue is fair: requests of the same key wait for one another
-        before they delay those of other keys.
+    requester : Requester
+        For whom it is to run. Requests of the same session wait for one another before
+        they delay those of others.
     lane : Lane
         Class of work.
     deadline : timedelta
@@ -26,7 +27,7 @@
     """
 
     request_id: int
-    caller: str
+    requester: Requester
     lane: Lane
     deadline: timedelta
     priority: int = 0
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -10,6 +10,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
+from ..pool.requester import Requester
 from ..pool.service_estimate import ServiceEstimate
 from ..routing.database_load import DatabaseLoad
 from ..serving.transaction_state import TransactionState
@@ -91,7 +92,7 @@
         self,
         term: int,
         deadline: timedelta,
-        caller: str,
+        requester: Requester,
         lane: Lane,
         priority: int,
     ) -> RemoteLink:
@@ -111,7 +112,9 @@
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
         holder.checkout_count += 1
         try:
-            link = await self._check_out_from(holder, deadline, caller, lane, priority)
+            link = await self._check_out_from(
+                holder, deadline, requester, lane, priority
+            )
         except BaseException:
             holder.checkout_count -= 1
             raise
@@ -154,7 +157,7 @@
         self,
         holder: Holder,
         deadline: timedelta,
-        caller: str,
+        requester: Requester,
         lane: Lane,
         priority: int,
     ) -> RemoteLink:
@@ -165,7 +168,12 @@
         wait = max(timedelta(0), deadline - self._clock.now())
         wait_ms = wait / timedelta(milliseconds=1)
         request = messages.Lend(
-            self._service, self._database_id, caller, lane.value, wait_ms, priority
+            self._service,
+            self._database_id,
+            requester.session,
+            lane.value,
+            wait_ms,
+            priority,
         )
         try:
             response = await holder.send_request(channel, request, wait)
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -8,6 +8,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..pool.requester import Requester
 from ..serving.directory import Directory
 from ..serving.link import Link
 from ..serving.link_checkout import return_link
@@ -133,7 +134,7 @@
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
         deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
         self._link = await served.pool.acquire(
-            0, deadline, request.caller, request.lane, request.priority
+            0, deadline, Requester(request.caller), request.lane, request.priority
         )
         self._served = served
         return messages.Lent(self._link.values, list(self._link.prepared))
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -5,6 +5,7 @@
 
 from ..endpoint.connection_pool import ConnectionPool
 from ..pool.lane import Lane
+from ..pool.requester import Requester
 from ..routing.database_load import DatabaseLoad
 from ..serving.link import Link
 from .relay_pool import RelayPool
@@ -62,13 +63,13 @@
         self,
         term: int,
         deadline: timedelta,
-        caller: str,
+        requester: Requester,
         lane: Lane,
         priority: int,
     ) -> Link:
         """Check out a connection."""
         pool = self._local_pool if self._is_holder() else self._relay_pool
-        return await pool.acquire(term, deadline, caller, lane, priority)
+        return await pool.acquire(term, deadline, requester, lane, priority)
 
     def release(self, link: Link) -> None:
         """Return a connection."""
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -8,6 +8,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..pool.requester import Requester
 from .decision_log import DecisionLog
 from .directory import Directory
 from .min_position import SessionCommit
@@ -55,6 +56,7 @@
         "_directory",
         "_last_commits",
         "_log",
+        "_requester",
         "_rng",
         "_state",
         "_transaction",
@@ -70,6 +72,7 @@
         log: DecisionLog,
     ):
         self._caller_key = caller_key
+        self._requester = Requester(caller_key)
         self._database = database
         self._directory = directory
         self._clock = clock
@@ -134,7 +137,7 @@
             )
         service = self._directory.service(route.service)
         single = SingleStatement(
-            self._caller_key, statement, self._state, route, service, self._directory
+            self._requester, statement, self._state, route, service, self._directory
         )
         reply = await single.run(arrived_at, self._last_commits.get(route.service))
         if self._state.is_write(statement):
@@ -200,7 +203,7 @@
 
     def _make_runner(self, transaction: OpenTransaction) -> TransactionRunner:
         return TransactionRunner(
-            self._caller_key,
+            self._requester,
             transaction,
             self._state,
             self._last_commits.get(transaction.route.service),
--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -8,6 +8,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
+from ..pool.requester import Requester
 from ..relay.switched_pool import SwitchedPool
 from .apply_session_values import apply_session_values
 from .link import Link
@@ -56,7 +57,7 @@
 async def check_out_link(
     served: ServedDatabase,
     session: SessionState,
-    caller_key: str,
+    requester: Requester,
     route: Route,
     arrived_at: timedelta,
     deadline: timedelta,
@@ -73,7 +74,7 @@
     acquire_by = compute_queue_deadline(route, arrived_at, deadline, asked_at)
     try:
         link = await served.pool.acquire(
-            0, acquire_by, caller_key, choose_lane(route), route.priority
+            0, acquire_by, requester, choose_lane(route), route.priority
         )
     except CodedError as error:
         now = clock.now()
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -7,6 +7,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..pool.requester import Requester
 from ..retry.request_attempts import RequestAttempts
 from .await_min_position import await_min_position
 from .directory import Directory
@@ -40,8 +41,8 @@
 
     Parameters
     ----------
-    caller_key : str
-        Identity of the caller, by which the pools share connections fairly.
+    requester : Requester
+        For whom the statements run.
     statement : Statement
         Statement to run.
     session : SessionState
@@ -56,10 +57,10 @@
 
     __slots__ = (
         "_arrived_at",
-        "_caller_key",
         "_clock",
         "_directory",
         "_is_write",
+        "_requester",
         "_route",
         "_service",
         "_session",
@@ -69,14 +70,14 @@
 
     def __init__(
         self,
-        caller_key: str,
+        requester: Requester,
         statement: Statement,
         session: SessionState,
         route: Route,
         service: Service,
         directory: Directory,
     ):
-        self._caller_key = caller_key
+        self._requester = requester
         self._statement = statement
         self._session = session
         self._route = route
@@ -219,7 +220,7 @@
         link = await check_out_link(
             served,
             self._session,
-            self._caller_key,
+            self._requester,
             self._route,
             self._arrived_at,
             deadline,
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -6,6 +6,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..pool.requester import Requester
 from ..retry.request_attempts import RequestAttempts
 from .await_min_position import await_min_position
 from .directory import Directory
@@ -32,8 +33,8 @@
 
     Parameters
     ----------
-    caller_key : str
-        Identity of the caller, by which the pools share connections fairly.
+    requester : Requester
+        For whom the statements run.
     transaction : OpenTransaction
         State of the transaction.
     session : SessionState
@@ -45,23 +46,23 @@
     """
 
     __slots__ = (
-        "_caller_key",
         "_clock",
         "_directory",
         "_last_commit",
+        "_requester",
         "_session",
         "_transaction",
     )
 
     def __init__(
         self,
-        caller_key: str,
+        requester: Requester,
         transaction: OpenTransaction,
         session: SessionState,
         last_commit: SessionCommit | None,
         directory: Directory,
     ):
-        self._caller_key = caller_key
+        self._requester = requester
         self._transaction = transaction
         self._session = session
         self._last_commit = last_commit
@@ -186,7 +187,7 @@
         transaction.link = await check_out_link(
             served,
             self._session,
-            self._caller_key,
+            self._requester,
             transaction.route,
             arrived_at,
             deadline,
--- a/goldcrestpond/wire/group_service.py
+++ b/goldcrestpond/wire/group_service.py
@@ -9,6 +9,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..pool.lane import Lane
+from ..pool.requester import Requester
 from ..routing.replica_choice import ReplicaChoice
 from ..settings.address import Address
 from ..term.primary_view import PrimaryView
@@ -163,7 +164,9 @@
         """
         pool = self._find_or_make_pool(chosen.database, chosen.address, chosen.term)
         try:
-            connection = await pool.acquire(chosen.term, deadline, caller, lane)
+            connection = await pool.acquire(
+                chosen.term, deadline, Requester(caller), lane
+            )
         except CodedError as error:
             await self._report_and_wait(chosen.database, error, deadline)
             return None
--- a/tests/pool/pool_machine.py
+++ b/tests/pool/pool_machine.py
@@ -19,6 +19,7 @@
 from goldcrestpond.pool.pool_settings import PoolSettings
 from goldcrestpond.pool.probe_endpoint import ProbeEndpoint
 from goldcrestpond.pool.refuse_request import RefuseRequest
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
 
 SETTINGS = PoolSettings(slot_limit=4, report_slot_limit=2, connection_limit=6)
@@ -125,7 +126,7 @@
     def send_request(self, caller, lane, wait_ms):
         self.next_request += 1
         deadline = self.now + timedelta(milliseconds=wait_ms)
-        request = SlotRequest(self.next_request, caller, lane, deadline)
+        request = SlotRequest(self.next_request, Requester(caller), lane, deadline)
         self.waiting[request.request_id] = request
         self.apply(self.pool.request(request, self.now))
 
--- a/tests/pool/test_database_pool.py
+++ b/tests/pool/test_database_pool.py
@@ -16,6 +16,7 @@
 from goldcrestpond.pool.lane_queues import LaneQueues
 from goldcrestpond.pool.lane_slots import LaneSlots
 from goldcrestpond.pool.refuse_request import RefuseRequest
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
 
 from .pool_machine import SETTINGS, PoolMachine
@@ -127,7 +128,7 @@
 
 
 def _request(number, caller="a", lane=Lane.SHORT, deadline_ms=10_000):
-    return SlotRequest(number, caller, lane, _ms(deadline_ms))
+    return SlotRequest(number, Requester(caller), lane, _ms(deadline_ms))
 
 
 def test_caller_with_one_request_does_not_wait_behind_one_with_many():
--- a/tests/pool/test_priority_queue.py
+++ b/tests/pool/test_priority_queue.py
@@ -6,13 +6,14 @@
 
 from goldcrestpond.pool.lane import Lane
 from goldcrestpond.pool.priority_queue import PriorityQueue
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
 
 from ..serving.test_leadership import ms
 
 
 def _request(number, priority, caller="c"):
-    return SlotRequest(number, caller, Lane.SHORT, ms(1000), priority)
+    return SlotRequest(number, Requester(caller), Lane.SHORT, ms(1000), priority)
 
 
 def _filled_queue():
--- a/tests/serving/test_load_patterns.py
+++ b/tests/serving/test_load_patterns.py
@@ -11,6 +11,7 @@
 from goldcrestpond.pool.lane import Lane
 from goldcrestpond.pool.lane_queues import LaneQueues
 from goldcrestpond.pool.lane_slots import LaneSlots
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
 from goldcrestpond.routing.database_load import DatabaseLoad
 from goldcrestpond.serving.link_checkout import compute_queue_deadline
@@ -154,7 +155,7 @@
             arrived[now_ms] = now_ms
             priority = 2 - (urgent > 0 and is_counted(now_ms))
             request = SlotRequest(
-                now_ms, "c", Lane.SHORT, get_queue_deadline(now), priority
+                now_ms, Requester("c"), Lane.SHORT, get_queue_deadline(now), priority
             )
             if queues.submit(request, now) is not None:
                 refused.append(now_ms)
