--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -15,6 +15,9 @@
 PATH_VARIABLE = "GOLDCRESTPOND_SETTINGS"
 
 
+_NOT_NEGATIVE = ("revoke_limit_ms", "rate_window_s", "rate_overage", "rate_slack")
+
+
 class InstanceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one instance.
 
@@ -47,6 +50,16 @@
     descriptor_limit : int
         Maximum number of open file descriptors of the process; 0 if unknown, in
         which case the number of callers is not limited.
+    revoke_limit_ms : int
+        Time after which a withdrawn key of an organisation must be out of use, also
+        on an instance that is out of touch; 0 if such an instance may go on.
+    rate_window_s : float
+        Length of the windows in which the rates of organisations are judged; 0 if
+        rates are not limited.
+    rate_overage : float
+        Part of a rate by which it may be exceeded in a window.
+    rate_slack : float
+        Operations by which a rate may be exceeded in a window besides.
     """
 
     instance: str
@@ -62,6 +75,10 @@
     grace_s: float = 6
     link_mbps: float = 0
     descriptor_limit: int = 0
+    revoke_limit_ms: int = 0
+    rate_window_s: float = 0
+    rate_overage: float = 0
+    rate_slack: float = 0
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
@@ -82,6 +99,9 @@
             parse_address(getattr(settings, key))
         if settings.duties:
             parse_address(settings.duties)
+        for key in _NOT_NEGATIVE:
+            if getattr(settings, key) < 0:
+                raise msgspec.ValidationError(f"{key} is negative")
     except msgspec.DecodeError as error:
         raise CodedError(ResultCode.SETTINGS_INVALID, f"{path}: {error}") from error
     return settings
