--- a/goldcrestpond/serving/organisation.py
+++ b/goldcrestpond/serving/organisation.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+# An organisation of the next lower priority gets this part of the weight.
+WEIGHT_BASE = 1 / 2
+# Priorities beyond this one weigh the same, so that no weight is nearly zero.
+LOWEST_PRIORITY = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
@@ -24,3 +29,19 @@
     priority: int = 1
     rate_per_s: float = float("inf")
     burst: float = float("inf")
+
+
+def compute_weight(priority: int) -> float:
+    """Return the weight of an organisation's requests relative to others.
+
+    Parameters
+    ----------
+    priority : int
+        Priority of the organisation; 0 is the highest and gives the most weight.
+
+    Returns
+    -------
+    float
+        From ``WEIGHT_BASE ** LOWEST_PRIORITY`` to 1.
+    """
+    return WEIGHT_BASE ** min(max(priority, 0), LOWEST_PRIORITY)
--- a/goldcrestpond/serving/route.py
+++ b/goldcrestpond/serving/route.py
@@ -38,6 +38,8 @@
         Latency objective of one statement, waits included.
     priority : int
         Priority in the queues; 0 is the highest.
+    is_open : bool
+        Whether callers need no key of an organisation.
     """
 
     database: str
@@ -47,3 +49,4 @@
     timeout: timedelta
     objective: timedelta
     priority: int
+    is_open: bool = False
--- a/goldcrestpond/serving/route_table.py
+++ b/goldcrestpond/serving/route_table.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from .organisations import Organisations
 from .route import Route
 
 
@@ -36,9 +37,13 @@
         Limits by service.
     transaction_idle_limit : timedelta
         Longest time that a transaction may be idle between statements.
+    organisations : Organisations or None
+        The organisations, of one of which callers need a key unless their route is
+        open; None if the configuration has none, so that no caller needs a key.
     """
 
     version: int = 0
     routes: dict[str, Route] = field(default_factory=dict)
     services: dict[str, ServiceLimits] = field(default_factory=dict)
     transaction_idle_limit: timedelta = timedelta(seconds=10)
+    organisations: Organisations | None = None
--- a/goldcrestpond/standin/line_bodies.py
+++ b/goldcrestpond/standin/line_bodies.py
@@ -23,6 +23,8 @@
     timeout_ms: int,
     names: tuple[str, ...] = tuple(ROUTE_KINDS),
     objective_ms: int = 200,
+    organisations: list[dict] | None = None,
+    open_names: tuple[str, ...] = (),
 ) -> dict:
     """Return a version of the configuration with one route for each name.
 
@@ -42,6 +44,11 @@
         Database names that have a route.
     objective_ms : int
         Latency objective of an operation.
+    organisations : list of dict or None
+        Organisations with their keys, made by `make_organisation_body`; None for a
+        configuration without organisations.
+    open_names : tuple of str
+        Database names whose routes need no key.
     """
     routes = [
         {
@@ -55,9 +62,13 @@
             "priority": 1,
             "serviceName": service,
             "attempts": 2,
+            **({"noAuth": True} if name in open_names else {}),
         }
         for name in names
     ]
+    tenants = {}
+    if organisations is not None:
+        tenants["tenants"] = make_table_body(organisations)
     return {
         "configVersion": version,
         "routes": make_table_body(routes),
@@ -65,9 +76,15 @@
             [{"name": service, "maxConns": connection_limit, "syncReplicas": 1}]
         ),
         "limits": {"txnIdleMs": 3000},
+        **tenants,
     }
 
 
+def make_organisation_body(name: str, keys: list[str], **more: object) -> dict:
+    """Return an organisation of a configuration; ``more`` are further fields."""
+    return {"name": name, "apiKeys": keys, **more}
+
+
 def make_table_body(records: list[dict]) -> dict:
     """Return records as columns and rows; fields that a record lacks are null."""
     columns = list(dict.fromkeys(name for record in records for name in record))
