Keep the tables of an instance in touch younger than the proof lasts

Where the limit is set, the waits follow the smaller limit, the members' age is limited too, and an instance whose tables are too old reads the store at once, without waiting for a change.

--- a/goldcrestpond/serving/serving_settings.py
+++ b/goldcrestpond/serving/serving_settings.py
@@ -25,6 +25,9 @@
         reached them.
     drain_limit : timedelta
         Time for which a draining database may still get new work.
+    proof_limit : timedelta or None
+        Age from which on the configuration and the members prove nothing about
+        organisations; None if their age is not limited.
     """
 
     instance: str
@@ -33,3 +36,4 @@
     leader_check_timeout: timedelta = timedelta(milliseconds=250)
     sample_interval: timedelta = timedelta(milliseconds=300)
     drain_limit: timedelta = timedelta(seconds=7)
+    proof_limit: timedelta | None = None
--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -9,7 +9,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from .decision_log import DecisionLog
-from .row_store import HistoryLost, RowStore
+from .row_store import FeedAnswer, HistoryLost, RowStore, StoredRow
 from .table_copy import TableCopy
 
 RETRY_PAUSE_FIRST = timedelta(milliseconds=100)
@@ -41,6 +41,11 @@
         Source of jitter.
     log : DecisionLog
         Receives an event when the store becomes unreachable or reachable.
+    translate : callable
+        Returns the row that is kept and passed on for a row of the store.
+    confirms_first : bool
+        Whether the first call of each `run` is answered at once, so that rows that are
+        nearly too old are confirmed without the wait for a change.
 
     Attributes
     ----------
@@ -52,12 +57,14 @@
 
     __slots__ = (
         "_clock",
+        "_confirms_first",
         "_failures",
         "_is_history_lost",
         "_log",
         "_rng",
         "_spacing",
         "_store",
+        "_translate",
         "_wait",
         "copy",
         "is_reachable",
@@ -73,8 +80,12 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
+        translate: Callable[[StoredRow], StoredRow] = lambda row: row,
+        confirms_first: bool = False,
     ):
+        self._confirms_first = confirms_first
         self._store = store
+        self._translate = translate
         self.copy = copy
         self._spacing = spacing
         self._wait = wait
@@ -93,13 +104,15 @@
     async def run(self) -> None:
         """Follow the table until cancelled, from what the copy contains."""
         self._set_reachable(False)
+        is_confirmed = not self._confirms_first
         while True:
             sent_at = self._clock.now()
             try:
                 # A call that is sent while the store is unreachable gets no answer. A
                 # long one would delay the detection of the store's return by up to
                 # ``wait``, so calls don't wait until one has been answered.
-                wait = timedelta(0) if self._failures else self._wait
+                must_wait = is_confirmed and not self._failures
+                wait = self._wait if must_wait else timedelta(0)
                 known_at = await self._next(wait)
             except HistoryLost:
                 self._log.decision("history lost", table=self.copy.table)
@@ -109,6 +122,7 @@
                 await self._pause_after(error, sent_at)
                 continue
             self._record_answer(known_at)
+            is_confirmed = True
             pause = sent_at + self._spacing() - self._clock.now()
             await anyio.sleep(max(0.0, pause.total_seconds()))
 
@@ -132,17 +146,25 @@
         copy = self.copy
         if copy.version is None or self._is_history_lost:
             answer = await self._store.read(copy.table)
-            copy.replace(answer.rows, answer.era, answer.version)
+            copy.replace(self._translated(answer), answer.era, answer.version)
             self._is_history_lost = False
             return sent_at
         answer = await self._store.wait_for_changes(copy.table, copy.version, wait)
-        if not copy.update(answer.rows, answer.era, answer.version):
+        if not copy.update(self._translated(answer), answer.era, answer.version):
             # The new era may reuse the version for other changes than those read.
             raise HistoryLost
         # A call that returned nothing has waited for a change all the time.
         has_waited = not answer.rows and self._clock.now() - sent_at >= wait
         return sent_at + wait if has_waited else sent_at
 
+    def set_wait(self, wait: timedelta, confirms_first: bool) -> None:
+        """Change how long the store may wait for a change, from the next call on."""
+        self._wait = wait
+        self._confirms_first = confirms_first
+
+    def _translated(self, answer: FeedAnswer) -> list[StoredRow]:
+        return [self._translate(row) for row in answer.rows]
+
     def _set_reachable(self, is_reachable: bool) -> None:
         if is_reachable != self.is_reachable:
             self.is_reachable = is_reachable
--- a/goldcrestpond/tables/table_follower.py
+++ b/goldcrestpond/tables/table_follower.py
@@ -204,6 +204,11 @@
         """Return the age of the configuration; None if it is not known."""
         return self._feeds[self._configuration_table].copy.age(self._clock.now())
 
+    def set_times(self, times: TableTimes, age_limits: dict[str, timedelta]) -> None:
+        """Replace the time limits and the limits of the tables' ages."""
+        self._times = times
+        self._age_limits = age_limits
+
     async def run(self) -> None:
         """Keep the tables fresh until cancelled."""
         await self._start()
@@ -307,6 +312,8 @@
             if await self._follow(member):
                 self._lost_since = None
                 return True
+            if self._times.is_proof_limited and not self._is_fresh():
+                break  # several more may be silent, and the store is read next
         if self._followed_reader:
             self._followed, self._followed_reader = "", ""
             self.on_reader_change()
--- a/goldcrestpond/tables/table_times.py
+++ b/goldcrestpond/tables/table_times.py
@@ -32,20 +32,38 @@
         store, well before its call fails.
     max_age : timedelta
         Age of the configuration at which an instance reads the store itself.
+    is_proof_limited : bool
+        Whether the tables prove nothing beyond an age. An instance then reads the store
+        at `max_age` without trying its remaining sources, which may all be silent.
     """
 
     store_wait: timedelta
     follow_wait: timedelta
     late_age: timedelta
     max_age: timedelta
+    is_proof_limited: bool = False
 
 
-def make_table_times(apply_limit: timedelta) -> TableTimes:
-    """Return the times for a configuration that must be in force within a limit."""
+def make_table_times(
+    apply_limit: timedelta, proof_limit: timedelta | None = None
+) -> TableTimes:
+    """Return the times for a configuration that must be in force within a limit.
+
+    Parameters
+    ----------
+    apply_limit : timedelta
+        Time within which a change of the configuration must be in force.
+    proof_limit : timedelta or None
+        Age at which the tables prove nothing any more; an instance in touch must never
+        reach it. None if the age is not limited.
+    """
+    if proof_limit is not None:
+        apply_limit = min(apply_limit, proof_limit)
     store_wait = min(FEED_WAIT_MAX, apply_limit * STORE_WAIT_FRACTION)
     return TableTimes(
         store_wait,
         apply_limit * FOLLOW_WAIT_FRACTION,
         store_wait + LATE_ANSWER,
         apply_limit * MAX_AGE_FRACTION,
+        proof_limit is not None,
     )
--- a/tests/tables/fleet_world.py
+++ b/tests/tables/fleet_world.py
@@ -112,7 +112,12 @@
             is_older=lambda known, value: int(value) < int(known),
         )
         members = TableCopy(MEMBER_TABLE, self.updater.replace, self.updater.update)
-        times = make_table_times(APPLY_LIMIT)
+        self.member_copy = members
+        times = make_table_times(world.apply_limit, world.proof_limit)
+        member_wait = times.store_wait if world.proof_limit else _MEMBER_WAIT
+        age_limits = {TABLE: times.max_age}
+        if world.proof_limit:
+            age_limits[MEMBER_TABLE] = times.max_age
         feeds = [
             TableFeed(
                 store,
@@ -122,14 +127,15 @@
                 self.clock,
                 rng,
                 self.log,
+                confirms_first=times.is_proof_limited,
             )
-            for copy, wait in [(self.copy, times.store_wait), (members, _MEMBER_WAIT)]
+            for copy, wait in [(self.copy, times.store_wait), (members, member_wait)]
         ]
         self.follower = TableFollower(
             lambda: self.updater.member,
             lambda: self.updater.live,
             feeds,
-            {TABLE: times.max_age},
+            age_limits,
             TABLE,
             MEMBER_TABLE,
             self._ask,
@@ -190,7 +196,9 @@
 class FleetWorld:
     """The store, the instances, and which paths between them are cut."""
 
-    def __init__(self, count, zones, tasks):
+    def __init__(self, count, zones, tasks, proof_limit=None, apply_limit=APPLY_LIMIT):
+        self.apply_limit = apply_limit
+        self.proof_limit = proof_limit
         self.rows = FakeRows()
         self.changed = anyio.Event()
         self.calls = {}
@@ -261,10 +269,10 @@
             self.instances[name] = Instance(self, name, self._names[name], tasks)
 
 
-async def run_fleet(count, zones, body):
+async def run_fleet(count, zones, body, *limits):
     """Run ``body(world)`` with a fleet that has started at once and settled."""
     async with anyio.create_task_group() as tasks:
-        world = FleetWorld(count, zones, tasks)
+        world = FleetWorld(count, zones, tasks, *limits)
         for name in world.names:
             world.start(name)
         await anyio.sleep(8)
