Tell no age that a suspension while answering makes too young

A source measured how long it held a question after it had looked up the ages. One that was suspended in between told its follower of rows that were younger by that time than they were, and a follower would have believed withdrawn keys for longer than the limit. The time is measured first; a test with a suspension at each look at the clock fails before. A refusal inside a transaction says that it was rolled back.

--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -201,7 +201,7 @@
         except CodedError as error:
             if error.code is ResultCode.IDENTITY_UNPROVEN:
                 raise CodedError(ResultCode.ROLLED_BACK, str(error)) from error
-            raise
+            raise CodedError(error.code, f"{error.detail}; rolled back") from error
         current = self._requester.organisation
         if transaction.link is not None and current != former:
             # The database was told of the former one.
--- a/goldcrestpond/tables/table_server.py
+++ b/goldcrestpond/tables/table_server.py
@@ -76,11 +76,11 @@
         with anyio.move_on_after(wait.total_seconds()):
             while self._get_reader() and not self._knows_more(request):
                 await self._changed.wait()
-        return messages.Followed(
-            [_to_message(changes) for changes in self._find_changes(request)],
-            self._get_reader(),
-            (self._clock.now() - arrived_at) / _MILLISECOND,
-        )
+        # Taken before the ages, so that a suspension in between makes the rows seem
+        # older, never younger.
+        held = self._clock.now() - arrived_at
+        tables = [_to_message(changes) for changes in self._find_changes(request)]
+        return messages.Followed(tables, self._get_reader(), held / _MILLISECOND)
 
     def _record(self, request: messages.Follow) -> None:
         member = to_member(request.follower)
