Add the meter of rates: token buckets for shares that the members' table gave

An organisation's rate must hold over all instances without contact. Each instance spends the share that the members' table gave it proof_limit ago, from a token bucket that begins empty.

--- /dev/null
+++ b/goldcrestpond/rates/rate_meter.py
@@ -0,0 +1,471 @@
+"""Counts the operations of organisations against their rates at one instance."""
+
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import NoReturn
+
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..serving.decision_log import DecisionLog
+from ..serving.organisation import Organisation
+from .charge import Charge
+from .handover import Handover, TableVersion
+from .never import NEVER
+from .organisation_rate import OrganisationRate
+from .rate_bound import RateBound
+from .rate_role import RateRole
+from .refusal_count import RefusalCount
+
+_MILLISECOND = timedelta(milliseconds=1)
+_NO_ROLE = RateRole()
+# Shares that begin or end are logged when they are spent or at most this much later.
+SETTLE_INTERVAL = timedelta(milliseconds=100)
+# Organisations that one log line names.
+LOGGED_NAMES_LIMIT_COUNT = 5
+
+
+class RateMeter:
+    """What this instance may spend of the organisations' rates, and has spent.
+
+    The rules, and why they bound the sum over all instances, are in
+    ``docs/design/rates.md``. The time passed must include suspension of the machine
+    and be read after the call's other inputs were received.
+
+    Parameters
+    ----------
+    bound : RateBound
+        What must hold in any window.
+    proof_limit : timedelta
+        Greatest age of the configuration and of the members' table by which anybody
+        spends.
+    is_proven : callable
+        Returns whether both are younger than that.
+    log : DecisionLog
+        Receives log events.
+    read_age : callable
+        Returns the greater of their ages; None if unknown. Roles and limits of newer
+        tables must be set before the age falls.
+
+    Attributes
+    ----------
+    refused_count : int
+        Operations that were refused.
+    reserve_spent_count : int
+        Operations that were taken from a reserve.
+    """
+
+    __slots__ = (
+        "_bound",
+        "_changing",
+        "_has_lapsed",
+        "_is_proven",
+        "_log",
+        "_pending",
+        "_proof_limit",
+        "_rates",
+        "_read_age",
+        "_roles",
+        "_seen_until",
+        "_settled_at",
+        "_unknown_refusals",
+        "_version",
+        "refused_count",
+        "reserve_spent_count",
+    )
+
+    def __init__(
+        self,
+        bound: RateBound,
+        proof_limit: timedelta,
+        is_proven: Callable[[], bool],
+        log: DecisionLog,
+        read_age: Callable[[], timedelta | None],
+    ):
+        self._bound = bound
+        self._proof_limit = proof_limit
+        self._is_proven = is_proven
+        self._log = log
+        self._read_age = read_age
+        self._rates: dict[str, OrganisationRate] = {}
+        self._roles: Mapping[str, RateRole] | None = None
+        self._version: TableVersion | None = None
+        # Handovers that arrived before the role, with the time until they are kept.
+        self._pending: dict[str, tuple[Handover, timedelta]] = {}
+        # Organisations whose shares depend on the time, with those last logged.
+        self._changing: dict[str, tuple[float, float]] = {}
+        self._settled_at = NEVER
+        # Time as of which the tables in force were last known to be complete.
+        self._seen_until = NEVER
+        self._has_lapsed = False
+        self._unknown_refusals = RefusalCount()
+        self.refused_count = 0
+        self.reserve_spent_count = 0
+
+    @property
+    def organisation_count(self) -> int:
+        """Organisations with a limit."""
+        return sum(rate.is_limited for rate in self._rates.values())
+
+    def set_limits(
+        self, organisations: Mapping[str, Organisation], now: timedelta
+    ) -> None:
+        """Set all known organisations by name; those not named are forgotten.
+
+        Parameters
+        ----------
+        organisations : mapping of str to Organisation
+            Organisations of the configuration in force. One without a limit is known
+            but not counted.
+        now : timedelta
+            Current time.
+        """
+        for name in self._rates.keys() - organisations.keys():
+            del self._rates[name]
+            self._changing.pop(name, None)
+            self._pending.pop(name, None)
+        roles = self._roles or {}
+        for name, organisation in organisations.items():
+            rate = self._rates.get(name)
+            if rate is None:
+                rate = self._rates[name] = OrganisationRate()
+                role = roles.get(name, _NO_ROLE)
+                self._set_role(name, rate, role, self._seen_until, now)
+            rate.set_limit(organisation, self._bound, now)
+
+    def set_roles(
+        self,
+        roles: Mapping[str, RateRole],
+        now: timedelta,
+        version: TableVersion | None = None,
+        is_complete: bool = False,
+        is_resumed: bool = False,
+    ) -> None:
+        """Set the roles by a new state of the members' table.
+
+        To be called for each state that changes a role. A lower share holds at once
+        or, as long as others still count on it, for at most ``proof_limit``; a higher
+        one is spent ``proof_limit`` later.
+
+        Parameters
+        ----------
+        roles : mapping of str to RateRole
+            This instance's roles by organisation; those not named have none.
+        now : timedelta
+            Current time.
+        version : tuple of (int, int) or None
+            The state of the table. Without it no handover is made or accepted.
+        is_complete : bool, default=False
+            Whether no state of the table since the last call gave a lower share than
+            both, also if the table was too old in between. Shares then go on; else
+            they begin anew after the table was too old.
+        is_resumed : bool, default=False
+            Whether the table gave these roles to this instance for at least
+            ``proof_limit``, and an earlier run of it spent them. Counts in the first
+            call only; the shares then begin at once, and empty.
+        """
+        after = self._seen_until
+        is_resumed = is_resumed and self._roles is None
+        self._roles = dict(roles)
+        self._version = version
+        if is_complete or is_resumed:
+            self._keep_through_lapse(now)
+        for name, rate in self._rates.items():
+            role = roles.get(name, _NO_ROLE)
+            self._set_role(name, rate, role, after, now)
+            if is_resumed:
+                rate.main.history.begin(role.main_share)
+                rate.reserve.history.begin(role.standby_share)
+        if self._observe(now):
+            self._settle(now)
+            self._accept_pending(now)
+
+    def observe(self, now: timedelta) -> None:
+        """Note the age of the tables, and begin and end shares.
+
+        To be called at least a few times in ``proof_limit``: after a longer pause it
+        is unknown whether the tables were too old, and the shares begin anew.
+        """
+        if self._observe(now):
+            self._settle(now)
+
+    def charge(self, organisation: str, is_standby: bool, now: timedelta) -> Charge:
+        """Count an operation, to be called between its arrival and its sending.
+
+        Parameters
+        ----------
+        organisation : str
+            Name of the organisation.
+        is_standby : bool
+            Whether the requester takes this instance for the standby; only logged.
+        now : timedelta
+            Current time.
+
+        Returns
+        -------
+        Charge
+            For `refund`.
+
+        Raises
+        ------
+        CodedError
+            RATE_EXCEEDED if there is no token; IDENTITY_UNPROVEN if the tables are too
+            old, or the organisation is unknown, or this instance has no share of it
+            that has begun. With the delay after which to retry.
+        """
+        rate = self._rates.get(organisation)
+        if rate is None:
+            self._refuse_unknown(organisation, now)
+        if not self._observe(now):
+            self._refuse(organisation, rate, is_standby, now, "tables too old")
+        if not rate.is_limited:
+            return Charge(organisation, now, None)
+        if organisation in self._changing:
+            rate.settle(*self._bounds(now), now)
+            if now - self._settled_at >= SETTLE_INTERVAL:
+                self._settle(now)
+        if rate.main.take(now):
+            return Charge(organisation, now, rate.main)
+        if rate.reserve.take(now):
+            self.reserve_spent_count += 1
+            return Charge(organisation, now, rate.reserve)
+        if rate.main.share or rate.reserve.share:
+            self._refuse(organisation, rate, is_standby, now, "")
+        has_role = rate.main.history.current or rate.reserve.history.current
+        reason = "share not begun" if has_role else "no share"
+        self._refuse(organisation, rate, is_standby, now, reason)
+
+    def refund(self, charge: Charge, now: timedelta) -> None:
+        """Take back the charge of an operation that certainly did not run.
+
+        Nothing is given back if the charge is some seconds old, or if the token would
+        have been lost meanwhile because there were as many as there may be. A charge
+        is taken back once.
+        """
+        if charge.pot is not None:
+            charge.pot.refund(charge.charged_at, now)
+            charge.pot = None
+
+    def release(self, organisations: Iterable[str], now: timedelta) -> list[Handover]:
+        """Stop to spend the main shares of organisations.
+
+        To be called after `set_roles` took them away. Whoever is home by that state of
+        the table may `accept` the result.
+
+        Returns
+        -------
+        list of Handover
+            One for each share that this instance could still spend.
+        """
+        is_proven = self._observe(now)
+        handovers = []
+        for name in organisations:
+            rate = self._rates.get(name)
+            if rate is None:
+                continue
+            rate.settle(*self._bounds(now), now)
+            share, kept_by_table = rate.main.share, rate.main.history.current
+            millionths = rate.main.stop(now)
+            self._note_changing(name, rate)
+            may_hand_over = is_proven and share > 0 and not kept_by_table
+            if may_hand_over and rate.is_limited and self._version is not None:
+                handovers.append(Handover(name, share, millionths, self._version))
+        if handovers:
+            self._log_names(
+                "rate shares handed over", [h.organisation for h in handovers]
+            )
+        return handovers
+
+    def accept(self, handovers: Iterable[Handover], now: timedelta) -> None:
+        """Begin main shares at once that former homes have stopped to spend.
+
+        One that arrives before this instance has learned of its role is kept for up to
+        ``proof_limit``. One of an earlier state of the table than that by which this
+        instance became home is ignored.
+        """
+        is_proven = self._observe(now)
+        if is_proven:
+            self._settle(now)
+        for handover in handovers:
+            name = handover.organisation
+            if name not in self._rates:
+                self._ignore(handover, "unknown organisation")
+            elif not is_proven:
+                self._ignore(handover, "tables too old")
+            elif not self._rates[name].main.history.current:
+                self._pending[name] = handover, now + self._proof_limit
+            else:
+                self._accept(handover, now)
+
+    def _set_role(
+        self,
+        name: str,
+        rate: OrganisationRate,
+        role: RateRole,
+        after: timedelta,
+        now: timedelta,
+    ) -> None:
+        rate.set_role(role, after, now, self._version)
+        self._note_changing(name, rate)
+
+    def _note_changing(self, name: str, rate: OrganisationRate) -> None:
+        shares = rate.main.share, rate.reserve.share
+        self._changing.setdefault(name, shares)
+
+    def _bounds(self, now: timedelta) -> tuple[timedelta, timedelta]:
+        """Return between which times the table must have given a share."""
+        latest = now - self._proof_limit
+        return min(self._seen_until - self._proof_limit, latest), latest
+
+    def _keep_through_lapse(self, now: timedelta) -> None:
+        self._has_lapsed = False
+        age = self._age()
+        if age is not None:
+            self._seen_until = max(self._seen_until, now - age)
+
+    def _age(self) -> timedelta | None:
+        """Return the age of the tables; None if they are too old."""
+        age = self._read_age() if self._is_proven() else None
+        if age is None or age > self._proof_limit:
+            return None
+        return max(age, timedelta(0))
+
+    def _observe(self, now: timedelta) -> bool:
+        """Return whether the tables prove what may be spent."""
+        age = self._age()
+        if age is None:
+            if not self._has_lapsed and self._roles is not None:
+                self._log.decision("rates unproven", age=self._read_age())
+            self._has_lapsed = self._roles is not None
+            return False
+        if self._seen_until != NEVER:
+            is_seen = now <= self._seen_until + self._proof_limit
+            self._has_lapsed = self._has_lapsed or not is_seen
+        if self._has_lapsed:
+            self._restart(now)
+        self._seen_until = max(self._seen_until, now - age)
+        return True
+
+    def _restart(self, now: timedelta) -> None:
+        self._has_lapsed = False
+        self._pending.clear()
+        for name, rate in self._rates.items():
+            self._note_changing(name, rate)
+            rate.restart(now)
+        self._log.decision("rate shares begin anew", organisations=len(self._rates))
+
+    def _settle(self, now: timedelta) -> None:
+        """Begin and end shares that depend on the time."""
+        self._settled_at = now
+        begun, ended = [], []
+        for name, logged in list(self._changing.items()):
+            rate = self._rates[name]
+            rate.settle(*self._bounds(now), now)
+            shares = rate.main.share, rate.reserve.share
+            if any(new > old for new, old in zip(shares, logged, strict=True)):
+                begun.append(name)
+            if any(new < old for new, old in zip(shares, logged, strict=True)):
+                ended.append(name)
+            if rate.is_settled:
+                del self._changing[name]
+            else:
+                self._changing[name] = shares
+        if begun:
+            self._log_names("rate shares begun", begun)
+        if ended:
+            self._log_names("rate shares ended", ended)
+        for name, (handover, kept_until) in list(self._pending.items()):
+            if now >= kept_until:
+                del self._pending[name]
+                self._ignore(handover, "not home")
+
+    def _accept_pending(self, now: timedelta) -> None:
+        for name, (handover, _) in list(self._pending.items()):
+            if self._rates[name].main.history.current:
+                del self._pending[name]
+                self._accept(handover, now)
+
+    def _accept(self, handover: Handover, now: timedelta) -> None:
+        name = handover.organisation
+        rate = self._rates[name]
+        history = rate.main.history
+        if rate.main.share > 0:
+            self._ignore(handover, "share begun")
+        elif history.gained_version is None:
+            self._ignore(handover, "share begins anew")
+        elif history.gained_version > handover.version:
+            self._ignore(handover, "share of a later state")
+        else:
+            share = min(max(handover.share, 0), history.current)
+            rate.main.begin(share, max(handover.tokens_millionths, 0), now)
+            self._note_changing(name, rate)
+            self._log.decision(
+                "rate share accepted",
+                organisation=name,
+                share=share,
+                tokens_millionths=handover.tokens_millionths,
+                version=handover.version,
+            )
+
+    def _ignore(self, handover: Handover, reason: str) -> None:
+        self._log.decision(
+            "rate share not accepted",
+            organisation=handover.organisation,
+            version=handover.version,
+            reason=reason,
+        )
+
+    def _refuse_unknown(self, organisation: str, now: timedelta) -> NoReturn:
+        self.refused_count += 1
+        refused = self._unknown_refusals.add(now)
+        if refused:
+            self._log.decision(
+                "rate of unknown organisation refused",
+                organisation=organisation,
+                refused=refused,
+            )
+        detail = "the organisation is not in the configuration in force here; not run"
+        raise CodedError(ResultCode.IDENTITY_UNPROVEN, detail)
+
+    def _refuse(
+        self,
+        organisation: str,
+        rate: OrganisationRate,
+        is_standby: bool,
+        now: timedelta,
+        reason: str,
+    ) -> NoReturn:
+        """Refuse an operation; without a reason because of the rate itself."""
+        delay = timedelta(0)  # unknown
+        if reason in ("", "share not begun"):
+            delay = rate.promise(self._begins_at(rate, now), now)
+        retry_after_ms = -(-delay // _MILLISECOND)
+        self.refused_count += 1
+        refused = rate.refusals.add(now)
+        if refused:
+            self._log.decision(
+                "rate refused",
+                organisation=organisation,
+                reason=reason or "rate exceeded",
+                refused=refused,
+                main_share=rate.main.share,
+                standby_share=rate.reserve.share,
+                is_standby=is_standby,
+                age=self._read_age(),
+                retry_after_ms=retry_after_ms,
+            )
+        if not reason:
+            raise CodedError(ResultCode.RATE_EXCEEDED, "", retry_after_ms)
+        detail = (
+            f"the instance may not spend the organisation's rate, {reason}; not run"
+        )
+        raise CodedError(ResultCode.IDENTITY_UNPROVEN, detail, retry_after_ms)
+
+    def _begins_at(self, rate: OrganisationRate, now: timedelta) -> timedelta:
+        """Return when the newest shares begin, if the tables stay as fresh."""
+        learned_at = max(pot.history.begins_at() for pot in rate.pots)
+        age = max(now - self._seen_until, timedelta(0))
+        return max(learned_at + self._proof_limit + age, now)
+
+    def _log_names(self, event: str, names: list[str]) -> None:
+        named = sorted(names)[:LOGGED_NAMES_LIMIT_COUNT]
+        self._log.decision(event, organisations=len(names), names=named)
