--- a/goldcrestpond/rates/handover.py
+++ b/goldcrestpond/rates/handover.py
@@ -10,6 +10,8 @@
 class Handover:
     """A main share that its sender has stopped to spend.
 
+    It is for one instance only: two that accept it would spend it twice.
+
     Attributes
     ----------
     organisation : str
--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -58,6 +58,7 @@
         "_bound",
         "_changing",
         "_has_lapsed",
+        "_is_forgiven",
         "_is_proven",
         "_log",
         "_pending",
@@ -97,6 +98,8 @@
         # Time as of which the tables in force were last known to be complete.
         self._seen_until = NEVER
         self._has_lapsed = False
+        # Whether shares go on although the tables were too old.
+        self._is_forgiven = False
         self._unknown_refusals = RefusalCount()
         self.refused_count = 0
         self.reserve_spent_count = 0
@@ -142,9 +145,10 @@
     ) -> None:
         """Set the roles by a new state of the members' table.
 
-        To be called for each state that changes a role. A lower share holds at once
-        or, as long as others still count on it, for at most ``proof_limit``; a higher
-        one is spent ``proof_limit`` later.
+        To be called for each state that changes a role, in the step in which the age
+        of the tables falls. The states of one answer are all set before anything else
+        is called. A higher share is spent ``proof_limit`` after the call. A lower one
+        holds as soon as the former state is ``proof_limit`` old, or at `release`.
 
         Parameters
         ----------
@@ -156,28 +160,25 @@
             The state of the table. Without it no handover is made or accepted.
         is_complete : bool, default=False
             Whether no state of the table since the last call gave a lower share than
-            both, also if the table was too old in between. Shares then go on; else
-            they begin anew after the table was too old.
+            both. If the table was too old in between, and its age fell before the
+            call, the shares then go on; else they begin anew.
         is_resumed : bool, default=False
             Whether the table gave these roles to this instance for at least
             ``proof_limit``, and an earlier run of it spent them. Counts in the first
-            call only; the shares then begin at once, and empty.
+            call only, for the organisations that `set_limits` named before; their
+            shares then begin at once, and empty.
         """
         after = self._seen_until
         is_resumed = is_resumed and self._roles is None
         self._roles = dict(roles)
         self._version = version
-        if is_complete or is_resumed:
-            self._keep_through_lapse(now)
+        self._is_forgiven = is_complete and self._age() is not None
         for name, rate in self._rates.items():
             role = roles.get(name, _NO_ROLE)
             self._set_role(name, rate, role, after, now)
             if is_resumed:
                 rate.main.history.begin(role.main_share)
                 rate.reserve.history.begin(role.standby_share)
-        if self._observe(now):
-            self._settle(now)
-            self._accept_pending(now)
 
     def observe(self, now: timedelta) -> None:
         """Note the age of the tables, and begin and end shares.
@@ -220,9 +221,11 @@
         if not rate.is_limited:
             return Charge(organisation, now, None)
         if organisation in self._changing:
-            rate.settle(*self._bounds(now), now)
-            if now - self._settled_at >= SETTLE_INTERVAL:
+            is_due = now - self._settled_at >= SETTLE_INTERVAL
+            if is_due or organisation in self._pending:
                 self._settle(now)
+            else:
+                rate.settle(*self._bounds(now), now)
         if rate.main.take(now):
             return Charge(organisation, now, rate.main)
         if rate.reserve.take(now):
@@ -316,12 +319,6 @@
         latest = now - self._proof_limit
         return min(self._seen_until - self._proof_limit, latest), latest
 
-    def _keep_through_lapse(self, now: timedelta) -> None:
-        self._has_lapsed = False
-        age = self._age()
-        if age is not None:
-            self._seen_until = max(self._seen_until, now - age)
-
     def _age(self) -> timedelta | None:
         """Return the age of the tables; None if they are too old."""
         age = self._read_age() if self._is_proven() else None
@@ -329,24 +326,28 @@
             return None
         return max(age, timedelta(0))
 
+    def _read_age_ms(self) -> int | None:
+        age = self._read_age()
+        return None if age is None else age // _MILLISECOND
+
     def _observe(self, now: timedelta) -> bool:
         """Return whether the tables prove what may be spent."""
         age = self._age()
         if age is None:
             if not self._has_lapsed and self._roles is not None:
-                self._log.decision("rates unproven", age=self._read_age())
+                self._log.decision("rates unproven", age_ms=self._read_age_ms())
             self._has_lapsed = self._roles is not None
+            self._is_forgiven = False
             return False
-        if self._seen_until != NEVER:
-            is_seen = now <= self._seen_until + self._proof_limit
-            self._has_lapsed = self._has_lapsed or not is_seen
-        if self._has_lapsed:
+        if self._seen_until != NEVER and now > self._seen_until + self._proof_limit:
+            self._has_lapsed = True
+        if self._has_lapsed and not self._is_forgiven:
             self._restart(now)
+        self._has_lapsed = False
         self._seen_until = max(self._seen_until, now - age)
         return True
 
     def _restart(self, now: timedelta) -> None:
-        self._has_lapsed = False
         self._pending.clear()
         for name, rate in self._rates.items():
             self._note_changing(name, rate)
@@ -356,6 +357,8 @@
     def _settle(self, now: timedelta) -> None:
         """Begin and end shares that depend on the time."""
         self._settled_at = now
+        if self._pending:
+            self._accept_pending(now)
         begun, ended = [], []
         for name, logged in list(self._changing.items()):
             rate = self._rates[name]
@@ -373,16 +376,15 @@
             self._log_names("rate shares begun", begun)
         if ended:
             self._log_names("rate shares ended", ended)
-        for name, (handover, kept_until) in list(self._pending.items()):
-            if now >= kept_until:
-                del self._pending[name]
-                self._ignore(handover, "not home")
 
     def _accept_pending(self, now: timedelta) -> None:
-        for name, (handover, _) in list(self._pending.items()):
+        for name, (handover, kept_until) in list(self._pending.items()):
             if self._rates[name].main.history.current:
                 del self._pending[name]
                 self._accept(handover, now)
+            elif now >= kept_until:
+                del self._pending[name]
+                self._ignore(handover, "not home")
 
     def _accept(self, handover: Handover, now: timedelta) -> None:
         name = handover.organisation
@@ -450,7 +452,7 @@
                 main_share=rate.main.share,
                 standby_share=rate.reserve.share,
                 is_standby=is_standby,
-                age=self._read_age(),
+                age_ms=self._read_age_ms(),
                 retry_after_ms=retry_after_ms,
             )
         if not reason:
--- a/goldcrestpond/rates/token_bucket.py
+++ b/goldcrestpond/rates/token_bucket.py
@@ -67,6 +67,7 @@
             # An overflow before this moment was one of the lower capacity.
             for peak in self._peaks:
                 peak[1] += capacity - self._capacity
+            self._peaks.append([now, self._tokens])
         self._capacity = capacity
         self._tokens = min(self._tokens, capacity)
 
