--- a/goldcrestpond/rates/organisation_rate.py
+++ b/goldcrestpond/rates/organisation_rate.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from ..serving.organisation import Organisation
+from .handover import TableVersion
 from .never import NEVER
 from .rate_bound import RateBound
 from .rate_pot import RatePot
@@ -87,7 +88,7 @@
         role: RateRole,
         after: timedelta,
         now: timedelta,
-        version: tuple[int, int] | None,
+        version: TableVersion | None,
     ) -> None:
         """Record the shares by a new state of the members' table."""
         self.main.history.record(role.main_share, after, now, version)
--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -44,7 +44,11 @@
         Receives log events.
     read_age : callable
         Returns the greater of their ages; None if unknown. Roles and limits of newer
-        tables must be set before the age falls.
+        tables must be set in the step in which the age falls.
+    read_version : callable
+        Returns the state of the tables, which differs after each change of a row, and
+        after the tables were read as a whole; None if unknown. If it is the same after
+        the tables were too old, shares go on at once.
 
     Attributes
     ----------
@@ -58,15 +62,16 @@
         "_bound",
         "_changing",
         "_has_lapsed",
-        "_is_forgiven",
         "_is_proven",
         "_log",
         "_pending",
         "_proof_limit",
         "_rates",
         "_read_age",
+        "_read_version",
         "_roles",
         "_seen_until",
+        "_seen_version",
         "_settled_at",
         "_unknown_refusals",
         "_version",
@@ -81,12 +86,14 @@
         is_proven: Callable[[], bool],
         log: DecisionLog,
         read_age: Callable[[], timedelta | None],
+        read_version: Callable[[], TableVersion | None] = lambda: None,
     ):
         self._bound = bound
         self._proof_limit = proof_limit
         self._is_proven = is_proven
         self._log = log
         self._read_age = read_age
+        self._read_version = read_version
         self._rates: dict[str, OrganisationRate] = {}
         self._roles: Mapping[str, RateRole] | None = None
         self._version: TableVersion | None = None
@@ -98,8 +105,8 @@
         # Time as of which the tables in force were last known to be complete.
         self._seen_until = NEVER
         self._has_lapsed = False
-        # Whether shares go on although the tables were too old.
-        self._is_forgiven = False
+        # The tables as of then; None if unknown.
+        self._seen_version: TableVersion | None = None
         self._unknown_refusals = RefusalCount()
         self.refused_count = 0
         self.reserve_spent_count = 0
@@ -140,7 +147,6 @@
         roles: Mapping[str, RateRole],
         now: timedelta,
         version: TableVersion | None = None,
-        is_complete: bool = False,
         is_resumed: bool = False,
     ) -> None:
         """Set the roles by a new state of the members' table.
@@ -156,12 +162,8 @@
             This instance's roles by organisation; those not named have none.
         now : timedelta
             Current time.
-        version : tuple of (int, int) or None
+        version : tuple of int or None
             The state of the table. Without it no handover is made or accepted.
-        is_complete : bool, default=False
-            Whether no state of the table since the last call gave a lower share than
-            both. If the table was too old in between, and its age fell before the
-            call, the shares then go on; else they begin anew.
         is_resumed : bool, default=False
             Whether the table gave these roles to this instance for at least
             ``proof_limit``, and an earlier run of it spent them. Counts in the first
@@ -172,11 +174,11 @@
         is_resumed = is_resumed and self._roles is None
         self._roles = dict(roles)
         self._version = version
-        self._is_forgiven = is_complete and self._age() is not None
         for name, rate in self._rates.items():
             role = roles.get(name, _NO_ROLE)
             self._set_role(name, rate, role, after, now)
             if is_resumed:
+                self._note_changing(name, rate)
                 rate.main.history.begin(role.main_share)
                 rate.reserve.history.begin(role.standby_share)
 
@@ -267,8 +269,8 @@
                 continue
             rate.settle(*self._bounds(now), now)
             share, kept_by_table = rate.main.share, rate.main.history.current
-            millionths = rate.main.stop(now)
             self._note_changing(name, rate)
+            millionths = rate.main.stop(now)
             may_hand_over = is_proven and share > 0 and not kept_by_table
             if may_hand_over and rate.is_limited and self._version is not None:
                 handovers.append(Handover(name, share, millionths, self._version))
@@ -308,7 +310,8 @@
         now: timedelta,
     ) -> None:
         rate.set_role(role, after, now, self._version)
-        self._note_changing(name, rate)
+        if not rate.is_settled:
+            self._note_changing(name, rate)
 
     def _note_changing(self, name: str, rate: OrganisationRate) -> None:
         shares = rate.main.share, rate.reserve.share
@@ -337,22 +340,32 @@
             if not self._has_lapsed and self._roles is not None:
                 self._log.decision("rates unproven", age_ms=self._read_age_ms())
             self._has_lapsed = self._roles is not None
-            self._is_forgiven = False
             return False
         if self._seen_until != NEVER and now > self._seen_until + self._proof_limit:
             self._has_lapsed = True
-        if self._has_lapsed and not self._is_forgiven:
-            self._restart(now)
-        self._has_lapsed = False
+        version = self._read_version()
+        if self._has_lapsed:
+            self._end_lapse(version, now)
+        self._seen_version = version
         self._seen_until = max(self._seen_until, now - age)
         return True
 
-    def _restart(self, now: timedelta) -> None:
+    def _end_lapse(self, version: TableVersion | None, now: timedelta) -> None:
+        """Go on if the tables did not change while they were too old."""
+        self._has_lapsed = False
+        is_same = version is not None and version == self._seen_version
+        self._log.decision(
+            "rates proven again",
+            age_ms=(now - self._seen_until) // _MILLISECOND,
+            begins_anew=not is_same,
+            organisations=len(self._rates),
+        )
+        if is_same:
+            return
         self._pending.clear()
         for name, rate in self._rates.items():
             self._note_changing(name, rate)
             rate.restart(now)
-        self._log.decision("rate shares begin anew", organisations=len(self._rates))
 
     def _settle(self, now: timedelta) -> None:
         """Begin and end shares that depend on the time."""
@@ -394,7 +407,7 @@
             self._ignore(handover, "share begun")
         elif history.gained_version is None:
             self._ignore(handover, "share begins anew")
-        elif history.gained_version > handover.version:
+        elif not _includes(handover.version, history.gained_version):
             self._ignore(handover, "share of a later state")
         else:
             share = min(max(handover.share, 0), history.current)
@@ -471,3 +484,9 @@
     def _log_names(self, event: str, names: list[str]) -> None:
         named = sorted(names)[:LOGGED_NAMES_LIMIT_COUNT]
         self._log.decision(event, organisations=len(names), names=named)
+
+
+def _includes(version: TableVersion, earlier: TableVersion) -> bool:
+    """Return whether the first state is the second one or a later one."""
+    pairs = zip(version, earlier, strict=False)
+    return len(version) == len(earlier) and all(new >= old for new, old in pairs)
--- a/goldcrestpond/rates/rate_pot.py
+++ b/goldcrestpond/rates/rate_pot.py
@@ -37,8 +37,13 @@
         self._limit_bucket(now)
 
     def settle(self, earliest: timedelta, latest: timedelta, now: timedelta) -> None:
-        """Apply the share that the table gave between two times."""
+        """Apply the share that the table gave between two times.
+
+        One that was lost before it began never begins: those who missed that it was
+        given away may have gone on.
+        """
         share = self.history.share_between(earliest, latest)
+        share = min(share, max(self.share, self.history.current))
         if share != self.share:
             self._apply(share, now)
 
--- a/goldcrestpond/rates/share_history.py
+++ b/goldcrestpond/rates/share_history.py
@@ -35,7 +35,7 @@
     ----------
     current : float
         Share by the newest state.
-    gained_version : tuple of (int, int) or None
+    gained_version : tuple of int or None
         First observed state of the table that gave the current share, if the one
         before gave a lower one and both are known to belong together.
     """
@@ -69,7 +69,7 @@
             Time at which the former state was still known to be current.
         learned_at : timedelta
             Time at which the new state was learned.
-        version : tuple of (int, int) or None
+        version : tuple of int or None
             The new state; None if unknown.
         """
         if share == self.current:
