--- a/bench/rate_costs.py
+++ b/bench/rate_costs.py
@@ -46,6 +46,10 @@
         self.meter.set_limits(limits, self.now)
         self.roles = {name: RateRole(main_share=1) for name in self.names}
         self.meter.set_roles(self.roles, self.now, (1, 1), is_resumed=True)
+        self.settle()
+
+    def settle(self) -> None:
+        """Wait until all shares have begun."""
         for _ in range(20):
             self.now += _PROOF_LIMIT / 4
             self.meter.observe(self.now)
@@ -95,6 +99,7 @@
         flooded = _Home(count, 0)
         flooded.charge(charges + 10 * count)
         changes_us = _time_us(home.change_roles, repetitions) / 2
+        home.settle()
         unchanged_us = _time_us(home.set_same_roles, repetitions)
         home = _Home(count, 1e6)
         step = {"organisations": count}
--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -37,9 +37,9 @@
         What must hold in any window.
     proof_limit : timedelta
         Greatest age of the configuration and of the members' table by which anybody
-        spends.
+        spends; the same at all instances.
     is_proven : callable
-        Returns whether both are younger than that.
+        Returns whether both may be believed, if that needs more than their age.
     log : DecisionLog
         Receives log events.
     read_age : callable
@@ -53,7 +53,9 @@
     Attributes
     ----------
     refused_count : int
-        Operations that were refused.
+        Operations that were refused because of a rate.
+    unproven_count : int
+        Operations that were refused because this instance might not spend the rate.
     reserve_spent_count : int
         Operations that were taken from a reserve.
     """
@@ -77,6 +79,7 @@
         "_version",
         "refused_count",
         "reserve_spent_count",
+        "unproven_count",
     )
 
     def __init__(
@@ -109,12 +112,18 @@
         self._seen_version: TableVersion | None = None
         self._unknown_refusals = RefusalCount()
         self.refused_count = 0
+        self.unproven_count = 0
         self.reserve_spent_count = 0
 
-    @property
-    def organisation_count(self) -> int:
-        """Organisations with a limit."""
-        return sum(rate.is_limited for rate in self._rates.values())
+    def gauges(self) -> dict[str, float]:
+        """Return values for the metrics."""
+        return {
+            "rate_organisations": sum(r.is_limited for r in self._rates.values()),
+            "rate_shares": sum(r.main.share > 0 for r in self._rates.values()),
+            "rate_refused": self.refused_count,
+            "rate_unproven": self.unproven_count,
+            "rate_reserve_spent": self.reserve_spent_count,
+        }
 
     def set_limits(
         self, organisations: Mapping[str, Organisation], now: timedelta
@@ -430,7 +439,7 @@
         )
 
     def _refuse_unknown(self, organisation: str, now: timedelta) -> NoReturn:
-        self.refused_count += 1
+        self.unproven_count += 1
         refused = self._unknown_refusals.add(now)
         if refused:
             self._log.decision(
@@ -454,7 +463,6 @@
         if reason in ("", "share not begun"):
             delay = rate.promise(self._begins_at(rate, now), now)
         retry_after_ms = -(-delay // _MILLISECOND)
-        self.refused_count += 1
         refused = rate.refusals.add(now)
         if refused:
             self._log.decision(
@@ -469,7 +477,9 @@
                 retry_after_ms=retry_after_ms,
             )
         if not reason:
+            self.refused_count += 1
             raise CodedError(ResultCode.RATE_EXCEEDED, "", retry_after_ms)
+        self.unproven_count += 1
         detail = (
             f"the instance may not spend the organisation's rate, {reason}; not run"
         )
--- a/tests/rates/test_rate_meter.py
+++ b/tests/rates/test_rate_meter.py
@@ -246,7 +246,7 @@
     for _ in range(1000):
         charge = world.charge("free")
     world.meter.refund(charge, world.now)
-    assert_that(world.meter.organisation_count, Equals(0))
+    assert_that(world.meter.gauges()["rate_organisations"], Equals(0))
 
 
 # Nobody may be served whose keys cannot be proven to be current.
@@ -266,7 +266,7 @@
     world = _World(role=_HOME)
     world.set_limits()
     assert_that(world.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
-    assert_that(world.meter.organisation_count, Equals(0))
+    assert_that(world.meter.gauges()["rate_organisations"], Equals(0))
     world.set_limits(_MILL)
     world.wait(_milliseconds(1000))
     assert_that(world.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
@@ -429,3 +429,21 @@
     lines = world.log.named("rate shares begun")
     assert_that([line["organisations"] for line in lines], Equals([3000]))
     assert_that(lines[0]["names"], HasLength(5))
+
+
+def test_gauges_tell_what_was_spent_and_refused():
+    world = _World([_MILL, Organisation("free")], _HOME)
+    world.charge_all()
+    world.refusal("other")
+    assert_that(
+        world.meter.gauges(),
+        Equals(
+            {
+                "rate_organisations": 1,
+                "rate_shares": 1,
+                "rate_refused": 1,
+                "rate_unproven": 1,
+                "rate_reserve_spent": 0,
+            }
+        ),
+    )
