Queue requests fairly between organisations

Cause: within a priority the queue of a database shared only between sessions, so an organisation with many sessions took the room of all others. Change: start-time fair queueing between organisations by weight, round robin between the sessions of each, as before. count_ahead follows that order; lanes can pass over organisations that cannot start. Result: with one organisation the order is the same as before.

--- /dev/null
+++ b/goldcrestpond/pool/fair_queue.py
@@ -0,0 +1,226 @@
+"""Queue of one priority: weighted fair queueing between organisations."""
+
+import heapq
+from collections.abc import Container, Iterator
+from dataclasses import dataclass, field
+from math import ceil, floor
+
+from .request_queue import RequestQueue
+from .requester import Requester
+from .slot_request import SlotRequest
+
+# Virtual time that one request takes of an organisation with a weight of 1.
+QUANTUM = 1.0
+# A weight of zero or less would keep an organisation from ever being served.
+_MIN_WEIGHT = 1e-3
+# Virtual times that differ by less than this are equal but for rounding.
+_ROUNDING = 1e-9
+
+
+@dataclass(slots=True, eq=False)
+class _Backlog:
+    """Waiting requests of one organisation.
+
+    Attributes
+    ----------
+    start : float
+        Virtual time at which its next request starts.
+    step : float
+        Virtual time from the start of one of its requests to that of the next.
+    requests : RequestQueue
+        The requests, in order.
+    """
+
+    start: float
+    step: float
+    requests: RequestQueue = field(default_factory=RequestQueue)
+
+
+class FairQueue:
+    """Start-time fair queueing between organisations, round robin within each.
+
+    Each organisation has a virtual start time, which a request advances by ``QUANTUM``
+    divided by the organisation's weight; the earliest goes first. An organisation that
+    begins to wait starts at the present virtual time: it neither saves up room that it
+    has not used nor waits for others to use up theirs. When the queue is empty, what
+    was served before is forgotten.
+    """
+
+    __slots__ = ("_backlogs", "_next_starts", "_size", "_virtual_time")
+
+    def __init__(self) -> None:
+        self._backlogs: dict[str, _Backlog] = {}
+        # Starts of organisations that do not wait, where later than the virtual time.
+        self._next_starts: dict[str, float] = {}
+        self._virtual_time = 0.0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def push(self, request: SlotRequest) -> None:
+        """Append a request after the others of its session."""
+        requester = request.requester
+        backlog = self._backlogs.get(requester.organisation)
+        if backlog is None:
+            backlog = self._add_backlog(requester)
+        backlog.step = _step(requester)
+        backlog.requests.push(request)
+        self._size += 1
+
+    def put_back(self, request: SlotRequest) -> None:
+        """Put a request that was popped and did not run before the others again."""
+        requester = request.requester
+        backlog = self._backlogs.get(requester.organisation)
+        if backlog is None:
+            backlog = self._add_backlog(requester)
+            # Before those that start at the same time.
+            self._backlogs = {requester.organisation: backlog, **self._backlogs}
+        backlog.start -= backlog.step
+        backlog.requests.put_back(request)
+        self._size += 1
+
+    def peek(self, skipped: Container[str] = ()) -> SlotRequest | None:
+        """Return the next request of an organisation that is not skipped, or None."""
+        name = self._next_organisation(skipped)
+        return None if name is None else self._backlogs[name].requests.peek()
+
+    def pop(self) -> SlotRequest:
+        """Remove and return the next request.
+
+        Raises
+        ------
+        KeyError
+            If the queue is empty.
+        """
+        name = self._next_organisation(())
+        if name is None:
+            raise KeyError("the queue is empty")
+        return self.pop_of(name)
+
+    def pop_of(self, name: str) -> SlotRequest:
+        """Remove and return the next request of an organisation.
+
+        Raises
+        ------
+        KeyError
+            If it has none.
+        """
+        backlog = self._backlogs[name]
+        request = backlog.requests.pop()
+        self._virtual_time = max(self._virtual_time, backlog.start)
+        backlog.start += backlog.step
+        self._size -= 1
+        if not len(backlog.requests):
+            self._end_backlog(name, backlog)
+        return request
+
+    def remove(self, request_id: int) -> SlotRequest | None:
+        """Remove and return a request, or return None if it is not in the queue."""
+        for name, backlog in self._backlogs.items():
+            request = backlog.requests.remove(request_id)
+            if request is None:
+                continue
+            self._size -= 1
+            if not len(backlog.requests):
+                self._end_backlog(name, backlog)
+            return request
+        return None
+
+    def waits(self, organisation: str) -> bool:
+        """Return whether a request of an organisation waits."""
+        return organisation in self._backlogs
+
+    def count_ahead(self, requester: Requester) -> int:
+        """Count the requests that would be served before a new one of ``requester``."""
+        organisation = requester.organisation
+        own = self._backlogs.get(organisation)
+        if own is None:
+            own_count = 0
+            start = self._first_start(organisation)
+        else:
+            own_count = own.requests.count_ahead(requester.session)
+            start = own.start + own_count * _step(requester)
+        ahead_count = own_count
+        goes_first = True
+        for name, backlog in self._backlogs.items():
+            if name == organisation:
+                goes_first = False
+                continue
+            turns = (start - backlog.start) / backlog.step
+            # Of equal start times, that of the organisation listed first goes first.
+            is_first = goes_first
+            count = (
+                floor(turns + _ROUNDING) + 1 if is_first else ceil(turns - _ROUNDING)
+            )
+            ahead_count += max(0, min(len(backlog.requests), count))
+        return ahead_count
+
+    def in_order(self) -> Iterator[SlotRequest]:
+        """Yield all requests in the order in which they would be removed."""
+        if len(self._backlogs) == 1:
+            for backlog in self._backlogs.values():
+                yield from backlog.requests.in_order()
+            return
+        streams = [
+            _numbered(backlog, rank)
+            for rank, backlog in enumerate(self._backlogs.values())
+        ]
+        for _, _, _, request in heapq.merge(*streams):
+            yield request
+
+    def last(self) -> SlotRequest | None:
+        """Return the request that is served last, or None if the queue is empty.
+
+        It is one of the organisation that is furthest over its part.
+        """
+        if not self._backlogs:
+            return None
+        # Of equal start times, that of the organisation listed last goes last.
+        backlogs = reversed(self._backlogs.values())
+        return max(backlogs, key=_last_start).requests.last()
+
+    def _next_organisation(self, skipped: Container[str]) -> str | None:
+        backlogs = self._backlogs
+        if len(backlogs) == 1:
+            for name in backlogs:
+                return None if name in skipped else name
+        earliest = None
+        least = 0.0
+        for name, backlog in backlogs.items():
+            if (earliest is None or backlog.start < least) and name not in skipped:
+                earliest, least = name, backlog.start
+        return earliest
+
+    def _first_start(self, organisation: str) -> float:
+        return max(self._virtual_time, self._next_starts.get(organisation, 0.0))
+
+    def _add_backlog(self, requester: Requester) -> _Backlog:
+        name = requester.organisation
+        backlog = _Backlog(self._first_start(name), _step(requester))
+        self._next_starts.pop(name, None)
+        self._backlogs[name] = backlog
+        return backlog
+
+    def _end_backlog(self, name: str, backlog: _Backlog) -> None:
+        del self._backlogs[name]
+        if not self._backlogs:
+            self._virtual_time = 0.0
+            self._next_starts.clear()
+        elif backlog.start > self._virtual_time:
+            self._next_starts[name] = backlog.start
+
+
+def _step(requester: Requester) -> float:
+    return QUANTUM / max(_MIN_WEIGHT, requester.weight)
+
+
+def _last_start(backlog: _Backlog) -> float:
+    return backlog.start + (len(backlog.requests) - 1) * backlog.step
+
+
+def _numbered(
+    backlog: _Backlog, rank: int
+) -> Iterator[tuple[float, int, int, SlotRequest]]:
+    for index, request in enumerate(backlog.requests.in_order()):
+        yield (backlog.start + index * backlog.step, rank, index, request)
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -1,5 +1,6 @@
 """Queues of the requests that wait for a slot of one database."""
 
+from collections.abc import Callable, Container
 from dataclasses import replace
 from datetime import timedelta
 
@@ -17,6 +18,7 @@
 # this, so that requests that always take long may still wait for most of that time.
 _RESERVED_TIME_DIVISOR = 4
 _MILLISECOND = timedelta(milliseconds=1)
+_NO_TIME = timedelta(0)
 
 
 class LaneQueues:
@@ -28,12 +30,13 @@
         The slots that the lanes share.
     """
 
-    __slots__ = ("_estimates", "_queues", "_slots")
+    __slots__ = ("_estimates", "_opening_cost", "_queues", "_slots")
 
     def __init__(self, slots: LaneSlots):
         self._slots = slots
         self._queues = {lane: PriorityQueue() for lane in Lane}
         self._estimates = {lane: ServiceEstimate() for lane in Lane}
+        self._opening_cost = ServiceEstimate(_NO_TIME)
 
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
@@ -48,18 +51,51 @@
         """Return the number of requests that wait in a lane."""
         return len(self._queues[lane])
 
-    def submit(self, request: SlotRequest, now: timedelta) -> RefuseRequest | None:
-        """Queue a request, or refuse it if it is not expected to start in time."""
+    def waits(self, organisation: str) -> bool:
+        """Return whether a request of an organisation waits in any lane."""
+        return any(queue.waits(organisation) for queue in self._queues.values())
+
+    def submit(
+        self, request: SlotRequest, now: timedelta, opening_time: timedelta = _NO_TIME
+    ) -> RefuseRequest | None:
+        """Queue a request, or refuse it if it is not expected to start in time.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            The request.
+        now : timedelta
+            Monotonic time.
+        opening_time : timedelta, optional
+            Time that it takes to open a connection for it; 0 if there is one.
+        """
         ahead_count = self._queues[request.lane].count_ahead(
-            request.requester.session, request.priority
+            request.requester, request.priority
         )
-        wait = self.estimate_wait(request.lane, ahead_count)
+        wait = self.estimate_wait(request.lane, ahead_count) + opening_time
         start_by = self._compute_latest_start(request, now)
         if now + wait > start_by:
-            return self._make_refusal(request, ResultCode.OVERLOADED, wait)
+            return self.refuse(request, ResultCode.OVERLOADED, wait)
         self._queues[request.lane].push(replace(request, deadline=start_by))
         return None
 
+    def refuse_displaced(self, lane: Lane, now: timedelta) -> list[RefuseRequest]:
+        """Refuse the request at the end of a lane if a newer one has made it late.
+
+        The one at the end is of the lowest priority and, within that, of the
+        organisation that is furthest over its part. It is told at once, rather than
+        when `refuse_late` finds it.
+        """
+        queue = self._queues[lane]
+        last = queue.last()
+        if last is None:
+            return []
+        wait = self.estimate_wait(lane, len(queue) - 1)
+        if now + wait < last.deadline:
+            return []
+        queue.remove(last.request_id)
+        return [self.refuse(last, ResultCode.OVERLOADED, wait)]
+
     def _compute_latest_start(self, request: SlotRequest, now: timedelta) -> timedelta:
         """Return the time by which a request must start to be answered in time."""
         time_left = request.deadline - now
@@ -71,7 +107,42 @@
         running_count = self._slots.running(lane)
         capacity = max(1, self._slots.capacity(lane))
         turn_count = max(0, ahead_count + running_count + 1 - capacity)
-        return self._estimates[lane].mean * turn_count / capacity
+        turn_time = self._estimates[lane].mean + self._opening_cost.mean
+        return turn_time * turn_count / capacity
+
+    def record_opening_cost(self, duration: timedelta) -> None:
+        """Record for how long a slot was occupied to get a request its connection."""
+        self._opening_cost.add(duration)
+
+    def find_next(self, skipped: Container[str]) -> SlotRequest | None:
+        """Return the next request that may start, without removing it.
+
+        Requests of the organisations ``skipped`` are passed over.
+        """
+        for lane in self._offer_order():
+            queue = self._queues[lane]
+            if len(queue) and self._slots.admits(lane):
+                request = queue.peek(skipped)
+                if request is not None:
+                    return request
+        return None
+
+    def start(self, request: SlotRequest) -> None:
+        """Remove a request that ``find_next`` has returned; occupy a slot for it."""
+        self._queues[request.lane].pop_peeked(request)
+        self._slots.start(request.lane)
+
+    def put_back(self, request: SlotRequest) -> None:
+        """Put a request that was started and has not run before the others again."""
+        self._queues[request.lane].put_back(request)
+
+    def refuse(
+        self, request: SlotRequest, code: ResultCode, wait: timedelta
+    ) -> RefuseRequest:
+        """Return the refusal of a request that no longer waits in a queue."""
+        min_wait = self._estimates[request.lane].mean
+        retry_after_ms = -(-max(wait, min_wait) // _MILLISECOND)
+        return RefuseRequest(request.request_id, code, max(1, retry_after_ms))
 
     def next_request(self) -> SlotRequest | None:
         """Remove the next request, occupy a slot for it and return it.
@@ -113,41 +184,57 @@
                 return request
         return None
 
-    def refuse_late(self, now: timedelta) -> list[RefuseRequest]:
-        """Remove and refuse the requests that cannot start before their deadline."""
+    def refuse_late(
+        self,
+        now: timedelta,
+        get_opening_time: Callable[[str], timedelta] | None = None,
+    ) -> list[RefuseRequest]:
+        """Remove and refuse the requests that cannot start before their deadline.
+
+        Parameters
+        ----------
+        now : timedelta
+            Monotonic time.
+        get_opening_time : callable, optional
+            Returns for an organisation how long it takes to open the connection that
+            its next request needs.
+        """
         refusals = []
         for lane, queue in self._queues.items():
             kept_count = 0
             for request in list(queue.in_order()):
                 wait = self.estimate_wait(lane, kept_count)
+                if get_opening_time is not None:
+                    wait += get_opening_time(request.requester.organisation)
                 if now + wait < request.deadline:
                     kept_count += 1
                     continue
                 queue.remove(request.request_id)
                 is_late = now >= request.deadline
                 code = ResultCode.QUEUE_DEADLINE if is_late else ResultCode.OVERLOADED
-                refusals.append(self._make_refusal(request, code, wait))
+                refusals.append(self.refuse(request, code, wait))
         return refusals
 
     def refuse_all(
-        self, code: ResultCode, retry_after: timedelta
+        self,
+        code: ResultCode,
+        retry_after: timedelta,
+        organisation: str | None = None,
     ) -> list[RefuseRequest]:
-        """Remove and refuse every waiting request."""
+        """Remove and refuse every waiting request, or all of one organisation."""
         waiting = [r for queue in self._queues.values() for r in queue.in_order()]
+        if organisation is not None:
+            waiting = [r for r in waiting if r.requester.organisation == organisation]
         for request in waiting:
             self.remove(request.request_id)
-        return [self._make_refusal(r, code, retry_after) for r in waiting]
+        return [self.refuse(r, code, retry_after) for r in waiting]
 
-    def _next_lane(self) -> Lane | None:
+    def _offer_order(self) -> tuple[Lane, ...]:
         others_wait = len(self._queues[Lane.AGED]) + len(self._queues[Lane.REPORT])
-        for lane in self._slots.offer_order(others_wait > 0):
+        return self._slots.offer_order(others_wait > 0)
+
+    def _next_lane(self) -> Lane | None:
+        for lane in self._offer_order():
             if len(self._queues[lane]) and self._slots.admits(lane):
                 return lane
         return None
-
-    def _make_refusal(
-        self, request: SlotRequest, code: ResultCode, wait: timedelta
-    ) -> RefuseRequest:
-        min_wait = self._estimates[request.lane].mean
-        retry_after_ms = -(-max(wait, min_wait) // _MILLISECOND)
-        return RefuseRequest(request.request_id, code, max(1, retry_after_ms))
--- a/goldcrestpond/pool/priority_queue.py
+++ b/goldcrestpond/pool/priority_queue.py
@@ -1,15 +1,16 @@
-"""Queue of one lane: by priority, and fair between callers of equal priority."""
+"""Queue of one lane: by priority, and fair between organisations of equal priority."""
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
-from .request_queue import RequestQueue
+from .fair_queue import FairQueue
+from .requester import Requester
 from .slot_request import SlotRequest
 
 
 class PriorityQueue:
     """Requests ordered by priority; the lowest number goes first.
 
-    Within a priority the order is that of `RequestQueue`. The owner of the queue
+    Within a priority the order is that of `FairQueue`. The owner of the queue
     refuses requests that have waited too long: under lasting overload these are the
     requests with the highest numbers.
     """
@@ -17,18 +18,27 @@
     __slots__ = ("_by_priority",)
 
     def __init__(self) -> None:
-        self._by_priority: dict[int, RequestQueue] = {}
+        self._by_priority: dict[int, FairQueue] = {}
 
     def __len__(self) -> int:
         return sum(map(len, self._by_priority.values()))
 
     def push(self, request: SlotRequest) -> None:
         """Append a request after the others of its priority and caller."""
-        queue = self._by_priority.get(request.priority)
-        if queue is None:
-            self._by_priority[request.priority] = queue = RequestQueue()
-            self._by_priority = dict(sorted(self._by_priority.items()))
-        queue.push(request)
+        self._queue(request.priority).push(request)
+
+    def put_back(self, request: SlotRequest) -> None:
+        """Put a request that was popped and did not run before the others again."""
+        self._queue(request.priority).put_back(request)
+
+    def peek(self, skipped: Container[str] = ()) -> SlotRequest | None:
+        """Return the next request of an organisation that is not skipped, or None."""
+        for queue in self._by_priority.values():
+            if len(queue):
+                request = queue.peek(skipped)
+                if request is not None:
+                    return request
+        return None
 
     def pop(self) -> SlotRequest:
         """Remove and return the next request.
@@ -43,6 +53,10 @@
                 return queue.pop()
         raise KeyError("the queue is empty")
 
+    def pop_peeked(self, request: SlotRequest) -> None:
+        """Remove a request that ``peek`` has returned."""
+        self._by_priority[request.priority].pop_of(request.requester.organisation)
+
     def remove(self, request_id: int) -> SlotRequest | None:
         """Remove and return a request, or return None if it is not in the queue."""
         for queue in self._by_priority.values():
@@ -51,13 +65,31 @@
                 return request
         return None
 
-    def count_ahead(self, caller: str, priority: int) -> int:
+    def waits(self, organisation: str) -> bool:
+        """Return whether a request of an organisation waits."""
+        return any(queue.waits(organisation) for queue in self._by_priority.values())
+
+    def last(self) -> SlotRequest | None:
+        """Return the request that is served last, or None if the queue is empty."""
+        for queue in reversed(self._by_priority.values()):
+            if len(queue):
+                return queue.last()
+        return None
+
+    def count_ahead(self, requester: Requester, priority: int) -> int:
         """Count the requests that would be served before a new one."""
         ahead_count = sum(len(q) for p, q in self._by_priority.items() if p < priority)
         queue = self._by_priority.get(priority)
-        return ahead_count + (0 if queue is None else queue.count_ahead(caller))
+        return ahead_count + (0 if queue is None else queue.count_ahead(requester))
 
     def in_order(self) -> Iterator[SlotRequest]:
         """Yield all requests in the order in which they would be removed."""
         for queue in self._by_priority.values():
             yield from queue.in_order()
+
+    def _queue(self, priority: int) -> FairQueue:
+        queue = self._by_priority.get(priority)
+        if queue is None:
+            self._by_priority[priority] = queue = FairQueue()
+            self._by_priority = dict(sorted(self._by_priority.items()))
+        return queue
--- a/goldcrestpond/pool/request_queue.py
+++ b/goldcrestpond/pool/request_queue.py
@@ -1,4 +1,4 @@
-"""Queue of one lane that is fair between callers."""
+"""Queue of one organisation that is fair between its callers."""
 
 from collections import OrderedDict, deque
 from collections.abc import Iterator
@@ -23,6 +23,35 @@
         self._by_caller.setdefault(request.requester.session, deque()).append(request)
         self._size += 1
 
+    def put_back(self, request: SlotRequest) -> None:
+        """Put a request that was popped before the others again."""
+        caller = request.requester.session
+        self._by_caller.setdefault(caller, deque()).appendleft(request)
+        self._by_caller.move_to_end(caller, last=False)
+        self._size += 1
+
+    def peek(self) -> SlotRequest:
+        """Return the next request.
+
+        Raises
+        ------
+        StopIteration
+            If the queue is empty.
+        """
+        return next(iter(self._by_caller.values()))[0]
+
+    def last(self) -> SlotRequest:
+        """Return the request that would be removed last.
+
+        Raises
+        ------
+        ValueError
+            If the queue is empty.
+        """
+        max_length = max(map(len, self._by_caller.values()))
+        queues = reversed(self._by_caller.values())
+        return next(q for q in queues if len(q) == max_length)[-1]
+
     def pop(self) -> SlotRequest:
         """Remove and return the next request.
 
--- a/goldcrestpond/pool/service_estimate.py
+++ b/goldcrestpond/pool/service_estimate.py
@@ -1,4 +1,4 @@
-"""Estimate of the time for which a request occupies a slot."""
+"""Estimate of a time that requests take."""
 
 from datetime import timedelta
 
@@ -9,12 +9,23 @@
 
 
 class ServiceEstimate:
-    """Moving average of the time for which requests of one lane occupy a slot."""
+    """Moving average, such as of the time for which requests occupy a slot.
+
+    Parameters
+    ----------
+    initial_mean : timedelta, optional
+        Mean before the first request has finished.
+
+    Attributes
+    ----------
+    mean : timedelta
+        The average.
+    """
 
     __slots__ = ("mean",)
 
-    def __init__(self) -> None:
-        self.mean = _INITIAL_MEAN
+    def __init__(self, initial_mean: timedelta = _INITIAL_MEAN) -> None:
+        self.mean = initial_mean
 
     def add(self, duration: timedelta) -> None:
         """Add the duration of one finished request."""
--- a/tests/pool/test_priority_queue.py
+++ b/tests/pool/test_priority_queue.py
@@ -37,10 +37,10 @@
 
 def test_only_requests_that_would_be_served_earlier_are_counted_ahead():
     queue = _filled_queue()
-    assert_that(queue.count_ahead("b", 1), Equals(2))
-    assert_that(queue.count_ahead("x", 1), Equals(1))
-    assert_that(queue.count_ahead("x", 2), Equals(4))
-    assert_that(queue.count_ahead("x", 0), Equals(0))
+    assert_that(queue.count_ahead(Requester("b"), 1), Equals(2))
+    assert_that(queue.count_ahead(Requester("x"), 1), Equals(1))
+    assert_that(queue.count_ahead(Requester("x"), 2), Equals(4))
+    assert_that(queue.count_ahead(Requester("x"), 0), Equals(0))
 
 
 def test_request_is_removed_from_any_place_in_the_queue():
