--- a/goldcrestpond/pool/service_estimate.py
+++ b/goldcrestpond/pool/service_estimate.py
@@ -1,4 +1,4 @@
-"""Estimate of the time for which a request occupies a slot."""
+"""Estimate of a time that requests take."""
 
 from datetime import timedelta
 
@@ -9,13 +9,31 @@
 
 
 class ServiceEstimate:
-    """Moving average of the time for which requests of one lane occupy a slot."""
+    """Moving average, such as of the time for which requests occupy a slot.
 
-    __slots__ = ("mean",)
+    Parameters
+    ----------
+    initial_mean : timedelta, optional
+        Mean before the first request has finished.
+    smoothing_factor : float, optional
+        Weight of each further request.
 
-    def __init__(self) -> None:
-        self.mean = _INITIAL_MEAN
+    Attributes
+    ----------
+    mean : timedelta
+        The average.
+    """
+
+    __slots__ = ("_smoothing_factor", "mean")
+
+    def __init__(
+        self,
+        initial_mean: timedelta = _INITIAL_MEAN,
+        smoothing_factor: float = _SMOOTHING_FACTOR,
+    ) -> None:
+        self.mean = initial_mean
+        self._smoothing_factor = smoothing_factor
 
     def add(self, duration: timedelta) -> None:
         """Add the duration of one finished request."""
-        self.mean += (duration - self.mean) * _SMOOTHING_FACTOR
+        self.mean += (duration - self.mean) * self._smoothing_factor
