--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -28,6 +28,13 @@
     TRANSACTION_FAILED = (115, "25P02", 409, "The transaction failed; roll it back.")
     STATEMENT_UNKNOWN = (116, "26000", 404, "No prepared statement has this name.")
     SESSION_TOO_LARGE = (117, "54000", 413, "The session state is too large.")
+    RATE_EXCEEDED = (118, "53000", 429, "The organisation's rate is exceeded; not run.")
+    IDENTITY_UNPROVEN = (
+        119,
+        "57P03",
+        503,
+        "The instance cannot prove that its keys are current; not run.",
+    )
 
     NO_PRIMARY = (201, "57P03", 503, "The group has no primary; not run.")
     ENDPOINT_UNREACHABLE = (202, "08001", 503, "No endpoint is reachable; not run.")
--- a/goldcrestpond/serving/error_outcome.py
+++ b/goldcrestpond/serving/error_outcome.py
@@ -17,15 +17,25 @@
         ResultCode.COMMITS_STALLED,
         ResultCode.ENDPOINT_LEAVING,
         ResultCode.ENDPOINT_UNREACHABLE,
+        ResultCode.IDENTITY_UNPROVEN,
         ResultCode.NO_PRIMARY,
         ResultCode.OVERLOADED,
         ResultCode.QUEUE_DEADLINE,
+        ResultCode.RATE_EXCEEDED,
     }
 )
-# Errors after which another attempt may succeed. NO_PRIMARY and COMMITS_STALLED are
-# raised only after a wait for a leader, or for commits to go on, so that they are not
-# retried.
-RETRYABLE = (NOT_RUN - {ResultCode.NO_PRIMARY, ResultCode.COMMITS_STALLED}) | {
+# Raised only after a wait for a leader, or for commits to go on, or for reasons that
+# last for longer than an attempt: not retried.
+_NOT_RETRIED = frozenset(
+    {
+        ResultCode.COMMITS_STALLED,
+        ResultCode.IDENTITY_UNPROVEN,
+        ResultCode.NO_PRIMARY,
+        ResultCode.RATE_EXCEEDED,
+    }
+)
+# Errors after which another attempt may succeed.
+RETRYABLE = (NOT_RUN - _NOT_RETRIED) | {
     ResultCode.ANSWER_INTERRUPTED,
     ResultCode.ENDPOINT_REFUSED,
 }
