Divide a database's connections by the rates that are homed on each holder

Holders with large organisations ran out of connections while others left theirs unused. A part that grows is taken half a second after one that falls. Without organisations the parts are even, as before.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -22,7 +22,15 @@
 from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
 from ..tasks.supervised_tasks import SupervisedTasks
-from .connection_share import connection_share, holder_count, statement_share
+from .connection_share import (
+    MIN_SHARE_CONNECTIONS,
+    connection_share,
+    divide_connections,
+    holder_count,
+    statement_share,
+    weigh_holders,
+    weighted_statement_share,
+)
 from .database import Database
 from .decision_log import DecisionLog
 from .highest_acknowledged import HighestAcknowledged, combine_acknowledged
@@ -42,6 +50,9 @@
 
 # Commits in flight are answered within milliseconds unless the leader is silent.
 BLOCK_TIMEOUT = timedelta(milliseconds=300)
+# A share of connections that grows is taken this much later: changes of the members
+# and of the configuration reach all instances within about this time.
+SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
 # A log line names at most this many organisations.
 LOGGED_NAMES_MAX = 10
 OpenLink = Callable[[Database], Awaitable[Link]]
@@ -78,6 +89,7 @@
         "_holder_counts",
         "_holders",
         "_is_held",
+        "_growth_due_at",
         "_has_left",
         "_leader_verifiers",
         "_members",
@@ -85,6 +97,7 @@
         "_open_link",
         "_retry_budgets",
         "_settings",
+        "_shares",
         "_tasks",
         "admission",
         "clock",
@@ -125,6 +138,9 @@
         self._members_by_name: dict[str, Member] = {}
         self._is_held: dict[str, bool] = {}
         self._holder_counts: dict[str, int] = {}
+        # Connections that this instance may open, by database id.
+        self._shares: dict[str, int] = {}
+        self._growth_due_at: dict[str, timedelta] = {}
         self._absent: frozenset[str] = frozenset()
         self._has_left = False
         self.homes = HomeTable(settings.instance)
@@ -413,6 +429,7 @@
 
     def _remove_database(self, service: Service, served: ServedDatabase) -> None:
         del service.databases[served.database_id]
+        self._shares.pop(served.database_id, None)
         service.unlisted.append((served.database, self.clock.now()))
         self.log.decision(
             "database gone", database=served.database_id, service=service.name
@@ -420,7 +437,16 @@
         served.pool.start_draining()
         self._tasks.start_soon(served.pool.aclose)
 
-    def _apply_share(self, served: ServedDatabase) -> None:
+    def _apply_share(self, served: ServedDatabase, is_due: bool = False) -> None:
+        """Set the limits of the own connections to a database.
+
+        Parameters
+        ----------
+        served : ServedDatabase
+            The database.
+        is_due : bool, default=False
+            Whether a share that grows may be taken now.
+        """
         database = served.database
         limits = self.table.services.get(database.service, _UNKNOWN_LIMITS)
         holders = self.holder_count(database.service)
@@ -428,8 +454,50 @@
         statements = statement_share(share, database.slots, holders)
         if not self.holds(database.service):
             share = 0
+        elif self.homes.organisations is not None:
+            target, statements = self._compute_home_share(database, limits)
+            present = self._shares.get(database.database_id, 0)
+            share = target
+            if target > present and not is_due:
+                # Other holders, whose share falls, close their connections first.
+                share = max(present, MIN_SHARE_CONNECTIONS)
+                self._grow_share_later(served)
+        self._shares[database.database_id] = share
         served.pool.set_limits(share, statements, 1)
 
+    def _compute_home_share(
+        self, database: Database, limits: ServiceLimits
+    ) -> tuple[int, int]:
+        """Return the connections and statements of this holder at a database.
+
+        They follow the part of the organisations' rates that has its home here.
+        """
+        service, own = database.service, self._settings.instance
+        weights = weigh_holders(
+            self._holders.holder_names(service), self.homes.holder_parts(service)
+        )
+        share = divide_connections(limits.connection_limit, weights)[own]
+        return share, weighted_statement_share(share, database.slots, weights[own])
+
+    def _grow_share_later(self, served: ServedDatabase) -> None:
+        database_id = served.database_id
+        is_scheduled = database_id in self._growth_due_at
+        self._growth_due_at[database_id] = self.clock.now() + SHARE_GROWTH_DELAY
+        if not is_scheduled:
+            self._tasks.start_soon(self._grow_share, served)
+
+    async def _grow_share(self, served: ServedDatabase) -> None:
+        try:
+            while (
+                wait := self._growth_due_at[served.database_id] - self.clock.now()
+            ) > timedelta(0):
+                await anyio.sleep(wait.total_seconds())
+        finally:
+            del self._growth_due_at[served.database_id]
+        service = self.services[served.database.service]
+        if service.databases.get(served.database_id) is served:
+            self._apply_share(served, is_due=True)
+
     def _assign_holders(self, service: Service) -> None:
         limits = self.table.services.get(service.name)
         if not self._members or limits is None:
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -2,7 +2,8 @@
 
 import itertools
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -11,9 +12,15 @@
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.relay.holders import Holders
+from goldcrestpond.serving import directory as directory_module
+from goldcrestpond.serving.connection_share import (
+    FAILOVER_RESERVE_CONNECTIONS,
+    connection_share,
+)
 from goldcrestpond.serving.directory import Directory
 from goldcrestpond.serving.members import Member
 from goldcrestpond.serving.metrics import Metrics
+from goldcrestpond.serving.organisation import Organisation
 from goldcrestpond.serving.route_table import RouteTable, ServiceLimits
 from goldcrestpond.serving.serving_settings import ServingSettings
 from goldcrestpond.settings.address import Address
@@ -88,6 +95,71 @@
     anyio.run(body)
 
 
+@dataclass(frozen=True, slots=True)
+class _OrganisationTable(RouteTable):
+    organisations: object = None
+
+
+def _organisation_table(version, rates):
+    organisations = {name: Organisation(name, 1, r, 5) for name, r in rates.items()}
+    return _OrganisationTable(
+        version,
+        {},
+        {"s": ServiceLimits(48, 1)},
+        organisations=SimpleNamespace(by_name=organisations),
+    )
+
+
+def _shares(directory):
+    return [
+        served.pool._local_pool._decisions._limit._share
+        for served in directory.services["s"].databases.values()
+    ]
+
+
+# Failure: a large organisation moves to a holder that takes its connections while the
+# former home still has them open; the database refuses.
+def test_share_that_grows_is_taken_after_those_that_fall(monkeypatch):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directories = {m.name: _directory(m.name, tasks) for m in _MEMBERS[:3]}
+            even = {f"o{n}": 5.0 for n in range(30)}
+            for directory in directories.values():
+                _list_databases(directory, _DATABASES)
+                directory.set_members(_MEMBERS[:3])
+                directory.apply_table(_organisation_table(1, even))
+            await anyio.sleep(0.1)
+            before = {name: _shares(d)[0] for name, d in directories.items()}
+            total = 48 - FAILOVER_RESERVE_CONNECTIONS - 3
+            assert_that(sum(before.values()), Equals(total))
+            uneven = even | {"o1": 60.0, "o2": 40.0}
+            for directory in directories.values():
+                directory.apply_table(_organisation_table(2, uneven))
+            during = {name: _shares(d)[0] for name, d in directories.items()}
+            assert_that(all(during[n] <= before[n] for n in before), Equals(True))
+            await anyio.sleep(0.1)
+            after = {name: _shares(d)[0] for name, d in directories.items()}
+            assert_that(sum(after.values()), Equals(total))
+            assert_that(any(after[n] > before[n] for n in before), Equals(True))
+            tasks.cancel_scope.cancel()
+
+    monkeypatch.setattr(directory_module, "SHARE_GROWTH_DELAY", ms(20))
+    anyio.run(body)
+
+
+def test_deployment_without_organisations_shares_evenly_at_once():
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i1", tasks)
+            _list_databases(directory, _DATABASES)
+            directory.set_members(_MEMBERS[:3])
+            directory.apply_table(_TABLE)
+            assert_that(_shares(directory), Equals([connection_share(48, 3)] * 3))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(body)
+
+
 @pytest.mark.parametrize("order", _ORDERS, ids="-".join)
 def test_service_is_held_for_any_order_of_updates(order):
     """Start while the store fails at times: its tables are read in any order."""
