Give up a request to a home that answers no probe, and go on to the standby

A request waits legitimately in the home's queue, so silence proves nothing, and a frozen home cost each request its whole deadline. Only requests that name an organisation are watched.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -12,7 +12,8 @@
 from ..settings.address import Address
 from ..settings.socket_timeouts import set_timeouts
 from .channel import Channel
-from .messages import Lend, Message, Prove, Refused, Response, Return
+from .holder_watch import PROBE_TIMEOUT, HolderWatch
+from .messages import Lend, Message, Probe, Prove, Refused, Response, Return
 
 CONNECT_TIMEOUT = timedelta(milliseconds=300)  # several cross-zone round trips
 RESPONSE_SLACK = timedelta(milliseconds=100)  # added to the holder's own timeout
@@ -45,6 +46,8 @@
         Outcomes of the requests to it.
     checkout_count : int
         Connections of the holder that are checked out or being requested.
+    watch : HolderWatch
+        Whether it answers; used for requests that name an organisation.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "checkout_count",
         "health",
         "name",
+        "watch",
     )
 
     def __init__(
@@ -76,6 +80,7 @@
         self._clock = clock
         # Idle channels, each with the time of its release, when it last worked.
         self._idle: list[tuple[Channel, timedelta]] = []
+        self.watch = HolderWatch(self._probe, clock, tasks)
         # By service and organisation.
         self._denied_at: dict[tuple[str, str], timedelta] = {}
 
@@ -159,6 +164,7 @@
             detail = f"{self.name}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         self.health.record_success()
+        self.watch.record_heard()
         if isinstance(message, Lend):
             self._record_denial((message.service, message.organisation), response)
         elif isinstance(message, Prove):
@@ -172,6 +178,25 @@
         else:
             self._denied_at.pop(denied, None)
 
+    async def _probe(self) -> bool:
+        """Return whether the instance answers over a new connection.
+
+        An idle one may have lost its state on the way, while the instance answers.
+        """
+        with anyio.move_on_after(PROBE_TIMEOUT.total_seconds()):
+            try:
+                channel = await self._open()
+            except CodedError:
+                return False
+            try:
+                await channel.send_request(Probe())
+                return True
+            except CodedError:
+                return False
+            finally:
+                await self.release_channel(channel)
+        return False
+
     async def aclose(self) -> None:
         """Close the idle channels."""
         while self._idle:
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+from functools import partial
 from typing import TypeVar
 
 import anyio
@@ -238,9 +239,14 @@
                 self._clock,
                 self._tasks,
             )
+            holder.watch.on_change = partial(self._log_silence, member.name)
             self._holder_by_member[member] = holder
         return holder
 
+    def _log_silence(self, name: str, is_silent: bool, span: timedelta) -> None:
+        event = "holder silent" if is_silent else "holder answers again"
+        self._log.decision(event, holder=name, silent_ms=round(span / _MILLISECOND))
+
 
 def choose_holder_names(
     service: str, members: Sequence[Member], count: int
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -360,6 +360,10 @@
     organisation: str
 
 
+class Probe(Message, frozen=True):
+    """Asks whether the instance answers; the response is ``Done``, at once."""
+
+
 class HandOver(Message, frozen=True):
     """Passes on what a former home has left of the main shares of organisations."""
 
@@ -430,6 +434,7 @@
     | Follow
     | Charge
     | HandOver
+    | Probe
 )
 Response = Lent | Answer | Done | Refused | Proved | Sealed | Followed
 
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
+import anyio
+
 from ..clock.clock import Clock
 from ..endpoint.connection_pool import ConnectionPool
 from ..errors.coded_error import CodedError
@@ -111,7 +113,7 @@
         self._clock = clock
         self._rng = rng
         self._log = log
-        self._elsewhere_failed_at = timedelta.min
+        self._elsewhere_failed_at: timedelta | None = None
         self._on_standby: set[str] = set()
 
     async def acquire(
@@ -195,7 +197,8 @@
             if holder is None:
                 return True
             is_denied = holder.denies_service(self._service, organisation)
-            return not is_denied and not holder.health.is_avoided(now)
+            is_avoided = holder.health.is_avoided(now) or holder.watch.is_silent()
+            return not is_denied and not is_avoided
 
         return own + order_homes(homes.homes, standbys, is_usable, self._rng)
 
@@ -215,7 +218,7 @@
                     term, deadline, requester, lane, priority
                 )
             else:
-                link = await self._relay_pool.check_out(
+                link = await self._check_out_watched(
                     target, deadline, requester, lane, priority
                 )
         except CodedError as error:
@@ -229,6 +232,30 @@
         self._record_use(requester.organisation, target, is_home)
         return link
 
+    async def _check_out_watched(
+        self,
+        holder: Holder,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        """Check out at a holder; give up as soon as it answers no probe."""
+        try:
+            with anyio.CancelScope() as scope:
+                holder.watch.add_waiting(scope)
+                try:
+                    return await self._relay_pool.check_out(
+                        holder, deadline, requester, lane, priority
+                    )
+                finally:
+                    holder.watch.remove_waiting(scope)
+        except CodedError as error:
+            if error.code is ResultCode.PEER_UNREACHABLE:
+                holder.watch.suspect()
+            raise
+        raise CodedError(ResultCode.PEER_UNREACHABLE, "it answers no probe")
+
     async def _acquire_own(
         self,
         term: int,
@@ -262,7 +289,9 @@
         that attempts at a database that is down use up no rate.
         """
         now = self._clock.now()
-        if now >= deadline or now - self._elsewhere_failed_at < ELSEWHERE_PAUSE:
+        failed_at = self._elsewhere_failed_at
+        has_failed = failed_at is not None and now - failed_at < ELSEWHERE_PAUSE
+        if now >= deadline or has_failed:
             raise error
         try:
             if home is not None and self._is_holder():
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -110,6 +110,8 @@
                 return await self._answer_follower(request)
             case messages.Charge():
                 return self._charge(request)
+            case messages.Probe():
+                return messages.Done()
             case messages.HandOver():
                 self._directory.admission.accept(request.handovers)
                 return messages.Done()
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -3,6 +3,7 @@
 import random
 from datetime import timedelta
 
+import anyio
 import msgspec
 import pytest
 from testtools.assertions import assert_that
@@ -44,6 +45,25 @@
         self.is_broken = True
 
 
+class _Watch:
+    def __init__(self):
+        self.silent = False
+        self.scopes = []
+        self.is_suspected = False
+
+    def is_silent(self):
+        return self.silent
+
+    def suspect(self):
+        self.is_suspected = True
+
+    def add_waiting(self, scope):
+        self.scopes.append(scope)
+
+    def remove_waiting(self, scope):
+        self.scopes.remove(scope)
+
+
 class _Holder:
     """Holder whose responses are set by the test; an error is raised."""
 
@@ -51,6 +71,7 @@
         self.name = name
         self.availability_zone = availability_zone
         self.health = EndpointHealth()
+        self.watch = _Watch()
         self.checkout_count = 0
         self.lend = LENT
         self.charge = messages.Done()
@@ -156,6 +177,7 @@
 
 @pytest.fixture
 def world(clock):
+    clock.advance(timedelta(days=40))  # as on a machine up for weeks
     return _World(clock)
 
 
@@ -230,6 +252,30 @@
     assert_that((await world.acquire()).holder, Is(world.home))
 
 
+# Failure: the home is frozen: it accepts the request, and answers no probe.
+async def test_standby_is_asked_as_soon_as_the_home_answers_no_probe(world):
+    async def hang(channel, message, wait):
+        world.home.watch.scopes[0].cancel()  # as after a probe
+        await anyio.sleep_forever()
+
+    world.home.send_request = hang
+    link = await world.acquire()
+    assert_that(link.holder, Is(world.standby))
+    assert_that(world.home.checkout_count, Equals(0))
+    assert_that(world.home.watch.scopes, Equals([]))
+    world.home.watch.silent = True
+    for _ in range(5):
+        assert_that((await world.acquire()).holder, Is(world.standby))
+
+
+# Failure: home unreachable; the next request must not find that out once more.
+async def test_home_that_fails_is_probed(world):
+    world.home.lend = None
+    await world.acquire()
+    assert_that(world.home.watch.is_suspected, Is(True))
+    assert_that(world.standby.watch.is_suspected, Is(False))
+
+
 # Failure: home and standby unreachable: bounded, and known as not run.
 async def test_request_fails_as_not_run_if_nobody_responds(world):
     world.home.lend = world.standby.lend = None
