Begin shares anew that changed while the tables were too old

Members expire by each instance's clock also while the store is away, without a change of any row. A share gained in this way began as soon as the tables were proven again.

--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -360,7 +360,11 @@
         return True
 
     def _end_lapse(self, version: TableVersion | None, now: timedelta) -> None:
-        """Go on if the tables did not change while they were too old."""
+        """Go on if the tables did not change while they were too old.
+
+        Shares that changed without a change of the tables, such as by members that
+        expired on this instance's clock, begin anew.
+        """
         self._has_lapsed = False
         is_same = version is not None and version == self._seen_version
         self._log.decision(
@@ -369,12 +373,11 @@
             begins_anew=not is_same,
             organisations=len(self._rates),
         )
-        if is_same:
-            return
         self._pending.clear()
         for name, rate in self._rates.items():
-            self._note_changing(name, rate)
-            rate.restart(now)
+            if not is_same or not rate.is_settled:
+                self._note_changing(name, rate)
+                rate.restart(now)
 
     def _settle(self, now: timedelta) -> None:
         """Begin and end shares that depend on the time."""
--- a/tests/rates/test_rate_meter.py
+++ b/tests/rates/test_rate_meter.py
@@ -219,6 +219,26 @@
     assert_that(world.charge_all(), Equals(26))
 
 
+# A member expired by this instance's clock while nobody could write heartbeats.
+def test_roles_that_were_learned_from_old_tables_begin_anew():
+    other = Organisation("other", 1, 10, 20)
+    world = _World([_MILL, other])
+    world.version = (1, 1)
+    world.set_role(_HOME, 1)
+    world.wait(_LONG)
+    world.age = _PROOF_LIMIT * 2
+    assert_that(world.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.meter.set_roles({"mill": _HOME, "other": _HOME}, world.now, (1, 1))
+    world.now += timedelta(seconds=30)
+    world.age = timedelta(0)
+    assert_that(world.charge_all(), Equals(26))
+    assert_that(world.refusal("other").code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.wait(_PROOF_LIMIT)
+    assert_that(world.refusal("other").code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.wait(timedelta(seconds=1))
+    world.charge("other")
+
+
 # The machine was frozen, and nothing changed meanwhile.
 def test_shares_go_on_after_a_pause_without_changes():
     world = _World()
