--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -415,14 +415,16 @@
         name = handover.organisation
         rate = self._rates[name]
         history = rate.main.history
-        if rate.main.share > 0:
+        if not handover.share > 0:  # also if it is not a number
+            self._ignore(handover, "no share")
+        elif rate.main.share > 0:
             self._ignore(handover, "share begun")
         elif history.gained_version is None:
             self._ignore(handover, "share begins anew")
         elif not _includes(handover.version, history.gained_version):
             self._ignore(handover, "share of a later state")
         else:
-            share = min(max(handover.share, 0), history.current)
+            share = min(handover.share, history.current)
             rate.main.begin(share, max(handover.tokens_millionths, 0), now)
             self._note_changing(name, rate)
             self._log.decision(
--- a/tests/rates/test_rate_meter.py
+++ b/tests/rates/test_rate_meter.py
@@ -421,6 +421,16 @@
     assert_that(successor.charge_all(), Equals(13))
 
 
+# A message of a faulty instance.
+@pytest.mark.parametrize("share", [0, -1, float("nan")])
+def test_a_handover_without_a_share_is_ignored(share):
+    successor = _World()
+    successor.set_role(_HOME, 7)
+    handover = Handover("mill", share, 3_000_000, (1, 7))
+    successor.meter.accept([handover], successor.now)
+    assert_that(successor.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
+
+
 def test_a_home_that_releases_begins_anew_and_hands_nothing_over():
     world = _World(role=_HOME)
     assert_that(world.meter.release(["mill"], world.now), Equals([]))
