--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -360,7 +360,11 @@
         return True
 
     def _end_lapse(self, version: TableVersion | None, now: timedelta) -> None:
-        """Go on if the tables did not change while they were too old."""
+        """Go on if the tables did not change while they were too old.
+
+        Shares that changed without a change of the tables, such as by members that
+        expired on this instance's clock, begin anew.
+        """
         self._has_lapsed = False
         is_same = version is not None and version == self._seen_version
         self._log.decision(
@@ -369,12 +373,11 @@
             begins_anew=not is_same,
             organisations=len(self._rates),
         )
-        if is_same:
-            return
         self._pending.clear()
         for name, rate in self._rates.items():
-            self._note_changing(name, rate)
-            rate.restart(now)
+            if not is_same or not rate.is_settled:
+                self._note_changing(name, rate)
+                rate.restart(now)
 
     def _settle(self, now: timedelta) -> None:
         """Begin and end shares that depend on the time."""
@@ -412,14 +415,16 @@
         name = handover.organisation
         rate = self._rates[name]
         history = rate.main.history
-        if rate.main.share > 0:
+        if not handover.share > 0:  # also if it is not a number
+            self._ignore(handover, "no share")
+        elif rate.main.share > 0:
             self._ignore(handover, "share begun")
         elif history.gained_version is None:
             self._ignore(handover, "share begins anew")
         elif not _includes(handover.version, history.gained_version):
             self._ignore(handover, "share of a later state")
         else:
-            share = min(max(handover.share, 0), history.current)
+            share = min(handover.share, history.current)
             rate.main.begin(share, max(handover.tokens_millionths, 0), now)
             self._note_changing(name, rate)
             self._log.decision(
--- a/tests/rates/test_rate_meter.py
+++ b/tests/rates/test_rate_meter.py
@@ -219,6 +219,26 @@
     assert_that(world.charge_all(), Equals(26))
 
 
+# A member expired by this instance's clock while nobody could write heartbeats.
+def test_roles_that_were_learned_from_old_tables_begin_anew():
+    other = Organisation("other", 1, 10, 20)
+    world = _World([_MILL, other])
+    world.version = (1, 1)
+    world.set_role(_HOME, 1)
+    world.wait(_LONG)
+    world.age = _PROOF_LIMIT * 2
+    assert_that(world.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.meter.set_roles({"mill": _HOME, "other": _HOME}, world.now, (1, 1))
+    world.now += timedelta(seconds=30)
+    world.age = timedelta(0)
+    assert_that(world.charge_all(), Equals(26))
+    assert_that(world.refusal("other").code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.wait(_PROOF_LIMIT)
+    assert_that(world.refusal("other").code, Is(ResultCode.IDENTITY_UNPROVEN))
+    world.wait(timedelta(seconds=1))
+    world.charge("other")
+
+
 # The machine was frozen, and nothing changed meanwhile.
 def test_shares_go_on_after_a_pause_without_changes():
     world = _World()
@@ -401,6 +421,16 @@
     assert_that(successor.charge_all(), Equals(13))
 
 
+# A message of a faulty instance.
+@pytest.mark.parametrize("share", [0, -1, float("nan")])
+def test_a_handover_without_a_share_is_ignored(share):
+    successor = _World()
+    successor.set_role(_HOME, 7)
+    handover = Handover("mill", share, 3_000_000, (1, 7))
+    successor.meter.accept([handover], successor.now)
+    assert_that(successor.refusal().code, Is(ResultCode.IDENTITY_UNPROVEN))
+
+
 def test_a_home_that_releases_begins_anew_and_hands_nothing_over():
     world = _World(role=_HOME)
     assert_that(world.meter.release(["mill"], world.now), Equals([]))
