Look at each waiting organisation at most once in a pass

Cause: passing over an organisation that could not be served searched the queue again from its start: a turn with 100 connections and 200 requests of 80 organisations took 1.1 ms. Change: the queues yield the next request of each organisation in order; room is made for no more requests than there are free slots.

--- a/goldcrestpond/pool/fair_queue.py
+++ b/goldcrestpond/pool/fair_queue.py
@@ -1,7 +1,7 @@
 """Queue of one priority: weighted fair queueing between organisations."""
 
 import heapq
-from collections.abc import Container, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import ceil, floor
 
@@ -97,10 +97,20 @@
         backlog.requests.put_back(request)
         self._size += 1
 
-    def peek(self, skipped: Container[str] = ()) -> SlotRequest | None:
-        """Return the next request of an organisation that is not skipped, or None."""
-        name = self._next_organisation(skipped)
-        return None if name is None else self._backlogs[name].requests.peek()
+    def candidates(self) -> Iterator[SlotRequest]:
+        """Yield the next request of each organisation, in the order of their starts.
+
+        The queue is not to be changed while they are yielded.
+        """
+        first = self._next_organisation()
+        if first is None:
+            return
+        yield self._backlogs[first].requests.peek()
+        if len(self._backlogs) == 1:
+            return
+        for name in sorted(self._backlogs, key=lambda each: self._backlogs[each].start):
+            if name != first:
+                yield self._backlogs[name].requests.peek()
 
     def pop(self) -> SlotRequest:
         """Remove and return the next request.
@@ -110,7 +120,7 @@
         KeyError
             If the queue is empty.
         """
-        name = self._next_organisation(())
+        name = self._next_organisation()
         if name is None:
             raise KeyError("the queue is empty")
         return self.pop_of(name)
@@ -165,18 +175,20 @@
             own_count = own.requests.count_ahead(requester.session)
             start = own.start + own_count * _step(requester)
         ahead_count = own_count
-        goes_first = True
+        is_listed_before = True
         for name, backlog in self._backlogs.items():
             if name == organisation:
-                goes_first = False
+                is_listed_before = False
                 continue
             turns = (start - backlog.start) / backlog.step
             # Of equal start times, that of the organisation listed first goes first.
-            is_first = goes_first
-            count = (
-                floor(turns + _ROUNDING) + 1 if is_first else ceil(turns - _ROUNDING)
-            )
-            ahead_count += max(0, min(len(backlog.requests), count))
+            if is_listed_before:
+                count = floor(turns + _ROUNDING) + 1
+            else:
+                count = ceil(turns - _ROUNDING)
+            if count > 0:
+                waiting_count = len(backlog.requests)
+                ahead_count += count if count < waiting_count else waiting_count
         return ahead_count
 
     def estimate_ahead(self, requester: Requester) -> int:
@@ -221,15 +233,11 @@
         backlogs = reversed(self._backlogs.values())
         return max(backlogs, key=_last_start).requests.last()
 
-    def _next_organisation(self, skipped: Container[str]) -> str | None:
-        backlogs = self._backlogs
-        if len(backlogs) == 1:
-            for name in backlogs:
-                return None if name in skipped else name
+    def _next_organisation(self) -> str | None:
         earliest = None
         least = 0.0
-        for name, backlog in backlogs.items():
-            if (earliest is None or backlog.start < least) and name not in skipped:
+        for name, backlog in self._backlogs.items():
+            if earliest is None or backlog.start < least:
                 earliest, least = name, backlog.start
         return earliest
 
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -1,6 +1,6 @@
 """Queues of the requests that wait for a slot of one database."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from datetime import timedelta
 
@@ -121,22 +121,19 @@
         """Record for how long a slot was occupied to get a request its connection."""
         self._opening_cost.add(duration)
 
-    def find_next(self, skipped: Container[str]) -> SlotRequest | None:
-        """Return the next request that may start, without removing it.
+    def candidates(self) -> Iterator[SlotRequest]:
+        """Yield the next requests of the organisations that have a slot, in order.
 
-        Requests of the organisations ``skipped`` are passed over.
+        The queues and slots are not to be changed while they are yielded.
         """
         for lane in self._offer_order():
             queue = self._queues[lane]
             if len(queue) and self._slots.admits(lane):
-                request = queue.peek(skipped)
-                if request is not None:
-                    return request
-        return None
+                yield from queue.candidates()
 
     def start(self, request: SlotRequest) -> None:
-        """Remove a request that ``find_next`` has returned; occupy a slot for it."""
-        self._queues[request.lane].pop_peeked(request)
+        """Remove a request that ``candidates`` has yielded; occupy a slot for it."""
+        self._queues[request.lane].pop_candidate(request)
         self._slots.start(request.lane)
 
     def put_back(self, request: SlotRequest) -> None:
--- a/goldcrestpond/pool/lane_slots.py
+++ b/goldcrestpond/pool/lane_slots.py
@@ -38,6 +38,11 @@
         """Number of statements that may run at once."""
         return self._total
 
+    @property
+    def free_count(self) -> int:
+        """Number of further statements that may start, lanes aside."""
+        return max(0, self._total - sum(self._running.values()))
+
     def resize(self, slot_limit: int, report_slot_limit: int) -> None:
         """Set the limits; running statements continue."""
         self._total = max(_MIN_SLOTS, slot_limit)
--- a/goldcrestpond/pool/opening_room.py
+++ b/goldcrestpond/pool/opening_room.py
@@ -17,12 +17,15 @@
         Connections that are being closed and leave room.
     may_close : bool
         Whether connections may be closed to make room for others.
+    claimed_count : int
+        Requests that wait for the room of connections that are being closed.
     """
 
     limit: int
     free_count: int
     closing_count: int
     may_close: bool
+    claimed_count: int = 0
 
     def take(self) -> bool:
         """Take the room of one connection; return False if there is none now."""
@@ -36,4 +39,5 @@
         if self.free_count + self.closing_count <= 0:
             return False
         self.closing_count -= 1
+        self.claimed_count += 1
         return True
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -126,21 +126,55 @@
         """
         actions = self._grant_to_pending(now)
         skipped: set[str] = set()
-        while True:
-            request = self._queues.find_next(skipped)
-            if request is None:
-                return actions
+        while self._serve_next(room, term, now, skipped, actions):
+            pass
+        return actions
+
+    def _serve_next(
+        self,
+        room: OpeningRoom,
+        term: int,
+        now: timedelta,
+        skipped: set[str],
+        actions: list[PoolAction],
+    ) -> bool:
+        """Serve or refuse the next request; return False if none can be.
+
+        Organisations of which no request can be served now are added to ``skipped``.
+        """
+        can_obtain = self._can_obtain(room)
+        if not (can_obtain or self._connections.count(ConnectionState.IDLE)):
+            return False
+        for request in self._queues.candidates():
             organisation = request.requester.organisation
+            if organisation in skipped:
+                continue
             connection = self._connections.last_used_idle(organisation)
-            if connection is None:
-                action = self._obtain(request, room, term, now)
-                if action is None or isinstance(action, CloseConnection):
-                    skipped.add(organisation)
-                if action is not None:
-                    actions.append(action)
+            if connection is not None:
+                self._queues.start(request)
+                actions.append(self._use(connection, request, now))
+                return True
+            if not can_obtain:
                 continue
-            self._queues.start(request)
-            actions.append(self._use(connection, request, now))
+            action = self._obtain(request, room, term, now)
+            if action is not None:
+                actions.append(action)
+            if isinstance(action, OpenConnection | RefuseRequest):
+                return True
+            skipped.add(organisation)
+            can_obtain = self._can_obtain(room)
+        return False
+
+    def _can_obtain(self, room: OpeningRoom) -> bool:
+        """Return whether a connection may be opened, or closed for one.
+
+        Room is made for no more requests than there are free slots.
+        """
+        if room.claimed_count >= self._slots.free_count:
+            return False
+        if room.free_count + room.closing_count > 0:
+            return True
+        return room.may_close and self._connections.count(ConnectionState.IDLE) > 0
 
     def finish(self, connection: PooledConnection, now: timedelta) -> list[PoolAction]:
         """Grant a connection that was opened or checked to the request it was for.
@@ -287,6 +321,7 @@
         connection = self._choose_least_useful(others, now)
         if connection is None:
             return None
+        room.claimed_count += 1
         self._connections.move(connection, ConnectionState.CLOSING, now)
         self._counts.closed_for_room += 1
         return CloseConnection(
--- a/goldcrestpond/pool/priority_queue.py
+++ b/goldcrestpond/pool/priority_queue.py
@@ -1,6 +1,6 @@
 """Queue of one lane: by priority, and fair between organisations of equal priority."""
 
-from collections.abc import Container, Iterator
+from collections.abc import Iterator
 
 from .fair_queue import FairQueue
 from .requester import Requester
@@ -31,14 +31,13 @@
         """Put a request that was popped and did not run before the others again."""
         self._queue(request.priority).put_back(request)
 
-    def peek(self, skipped: Container[str] = ()) -> SlotRequest | None:
-        """Return the next request of an organisation that is not skipped, or None."""
+    def candidates(self) -> Iterator[SlotRequest]:
+        """Yield the next request of each organisation at each priority, in order.
+
+        The queue is not to be changed while they are yielded.
+        """
         for queue in self._by_priority.values():
-            if len(queue):
-                request = queue.peek(skipped)
-                if request is not None:
-                    return request
-        return None
+            yield from queue.candidates()
 
     def pop(self) -> SlotRequest:
         """Remove and return the next request.
@@ -53,8 +52,8 @@
                 return queue.pop()
         raise KeyError("the queue is empty")
 
-    def pop_peeked(self, request: SlotRequest) -> None:
-        """Remove a request that ``peek`` has returned."""
+    def pop_candidate(self, request: SlotRequest) -> None:
+        """Remove a request that ``candidates`` has yielded."""
         self._by_priority[request.priority].pop_of(request.requester.organisation)
 
     def remove(self, request_id: int) -> SlotRequest | None:
