--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -14,6 +14,7 @@
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
 from ..rates.handover import Handover, TableVersion
+from ..rates.rate_role import RateRole
 from ..relay.choose_holder import choose_holder
 from ..relay.holders import Holders, choose_holder_names
 from ..relay.home_holders import HomeHolders
@@ -101,6 +102,7 @@
         "_members_by_name",
         "_open_link",
         "_retry_budgets",
+        "_roles",
         "_settings",
         "_shares",
         "_tasks",
@@ -149,6 +151,7 @@
         self._growth_due_at: dict[str, timedelta] = {}
         self._absent: frozenset[str] = frozenset()
         self._has_left = False
+        self._roles: dict[str, RateRole] = {}
         self._is_listed = True
         self.homes = HomeTable(settings.instance)
         self.admission = HomeAdmission(self.homes, clock)
@@ -343,7 +346,7 @@
             "members": self.member_count,
         }
         if self.homes.organisations is not None:
-            roles = self.homes.rate_roles().values()
+            roles = self._roles.values()
             values["organisations"] = len(self.homes.organisations)
             values["homes"] = sum(role.main_share > 0 for role in roles)
             values["standbys"] = sum(role.standby_share > 0 for role in roles)
@@ -572,10 +575,11 @@
         organisations = self._organisations()
         if organisations is None and self.homes.organisations is None:
             return
-        former = self.homes.rate_roles()
+        former = self._roles
         former_homes = {name: self.homes.all_homes(name) for name in former}
         self.homes.assign(organisations, self._name_holders(), self._absent)
-        roles = self.homes.rate_roles()
+        # Others, which do not count this instance, divide the rates among themselves.
+        roles = self._roles = self.homes.rate_roles() if self._is_member else {}
         lost = sorted(
             name
             for name, role in former.items()
@@ -604,16 +608,21 @@
         if handovers:
             self._hand_over(handovers, former_homes)
 
+    @property
+    def _is_member(self) -> bool:
+        """Whether this instance is a member in the view of the others."""
+        return self._is_listed and not self._has_left
+
     def _name_holders(self) -> dict[str, list[str]]:
         """Return the names of the holders of all services in the configuration.
 
         Also of services that this instance has not used: an organisation's rate is
         divided among its homes at all of them. An instance that is not listed
-        takes no part, as in the view of all others.
+        takes no part, as in the view of all others, unless it knows of no other.
         """
         own = self._settings.instance
-        is_member = self._is_listed and not self._has_left
-        members = [m for m in self._members if m.name != own or is_member]
+        others = [member for member in self._members if member.name != own]
+        members = self._members if self._is_member or not others else others
         names = {}
         for service, limits in self.table.services.items():
             count = holder_count(limits.connection_limit, len(members))
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -27,6 +27,7 @@
 from goldcrestpond.tasks.supervised_tasks import SupervisedTasks
 
 from ..line_world import ListLog
+from ..relay.fake_meter import FakeMeter
 from .test_leadership import database, ms
 
 _ZONES = ("z1", "z2", "z3")
@@ -147,6 +148,30 @@
     anyio.run(body)
 
 
+# Failure: an instance that the members' table does not list, since it is new or was cut
+# off for long, spends rates that the others divide among themselves.
+def test_instance_that_is_not_listed_is_home_only_if_it_knows_no_other():
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i0", tasks)
+            meter = directory.admission.meter = FakeMeter()
+            directory.apply_table(_organisation_table(1, {"a": 5.0, "b": 5.0}))
+            directory.set_members(_MEMBERS[:1], is_listed=False)
+            assert_that(directory.homes.home_names(), Equals({"i0"}))
+            assert_that(meter.roles, Equals({}))
+            directory.set_members(_MEMBERS[:3], is_listed=False)
+            assert_that(directory.homes.home_names(), Equals({"i1", "i2"}))
+            directory.set_members(_MEMBERS[:3], is_listed=True)
+            assert_that("i0" in directory.homes.home_names(), Equals(True))
+            assert_that(len(meter.roles) > 0, Equals(True))
+            directory.set_members(_MEMBERS[:3], is_listed=False)
+            assert_that(meter.roles, Equals({}))
+            assert_that(len(meter.released) > 0, Equals(True))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(body)
+
+
 def test_deployment_without_organisations_shares_evenly_at_once():
     async def body():
         async with anyio.create_task_group() as tasks:
