--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -5,9 +5,10 @@
 
 import anyio
 import hypothesis.strategies as st
+import msgspec
 from hypothesis import example, given
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan, StartsWith
+from testtools.matchers import Contains, Equals, LessThan, Not, StartsWith
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.errors.coded_error import CodedError
@@ -17,7 +18,10 @@
 from goldcrestpond.platform.database_entry import decode_entry
 from goldcrestpond.platform.http_connection import HttpAnswer
 from goldcrestpond.platform.line_buffer import LineBuffer
-from goldcrestpond.platform.operator_configuration import decode_configuration
+from goldcrestpond.platform.operator_configuration import (
+    decode_configuration,
+    replace_keys,
+)
 from goldcrestpond.platform.store_client import StoreClient
 from goldcrestpond.relay import messages
 from goldcrestpond.serving.members import Members
@@ -31,7 +35,7 @@
 
 ENTRY = ["serviceName", "address", "state", "dbRole", "zone", "slots", "warmupLeftMs"]
 ENTRY += ["born", "sequence", "more"]
-CONFIGURATION = ["configVersion", "routes", "services", "limits", "more"]
+CONFIGURATION = ["configVersion", "routes", "services", "limits", "tenants", "more"]
 MEMBER = ["availability_zone", "address", "link_mbps", "era", "more"]
 NESTED = "[" * 3000
 MAX_ANSWER_TIME_S = 1.0
@@ -83,6 +87,7 @@
 def test_rows_are_decoded_or_raise_a_known_error(entry, configuration):
     _decode(decode_entry, "k", entry)
     _decode(decode_configuration, configuration)
+    _decode(decode_configuration, replace_keys(configuration))
 
 
 @ON_DECODERS
@@ -106,6 +111,47 @@
     _decode(messages.decode_response, body)
 
 
+_SECRETS = st.recursive(
+    st.sampled_from(["secret", None, 7]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.just("secret"), inner, max_size=1)
+    ),
+)
+_COLUMNS = st.lists(st.sampled_from(["name", "apiKeys", "burst", "other"]), max_size=4)
+
+
+@st.composite
+def _organisation_tables(draw):
+    """Tables of any width in which only the column of the keys contains secrets."""
+    columns = draw(_COLUMNS)
+    rows = [
+        [
+            draw(_SECRETS) if name == "apiKeys" else draw(st.integers())
+            for name in columns
+        ]
+        for _ in range(draw(st.integers(0, 3)))
+    ]
+    cut = draw(st.integers(0, 5))
+    return {"columns": columns, "rows": [row[: len(row) - cut // 4] for row in rows]}
+
+
+# Keys in a table of any shape must neither be passed on nor quoted.
+@ON_DECODERS
+@given(_organisation_tables())
+def test_no_key_is_passed_on_or_quoted(table):
+    routes = {"columns": [], "rows": []}
+    body = {"configVersion": 7, "routes": routes, "services": routes, "tenants": table}
+    value = msgspec.json.encode(body)
+    passed = replace_keys(value)
+    assert_that(passed, Not(Contains(b"secret")))
+    for each in (value, passed):
+        try:
+            decode_configuration(each)
+        except KNOWN_ERRORS as error:
+            assert_that(str(error), Not(Contains("secret")))
+
+
 ANSWER = ["rows", "ver", "nowMs", "hasMore", "more"]
 
 
