Count the waiting requests of a lane without adding up its priorities

Cause: the level between priorities and sessions made a turn of a pool without organisations about 2 us dearer (14.4 us for 12.5 us with 4 connections). Change: lanes keep their size; one waiting organisation, and none, are short paths; a pool of organisations in which nobody waits does not plan.

--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -534,6 +534,8 @@
         actions: list[PoolAction] = []
         actions += self._close_surplus(now)
         if self._has_organisations:
+            if not self.waiting_count:
+                return actions
             room = self._compute_room(now)
             return actions + self._scheduler.schedule(room, self._term, now)
         actions += self._grant_connections(now)
@@ -586,7 +588,9 @@
         return actions
 
     def _open_connections(self, now: timedelta) -> list[PoolAction]:
-        room_count = self._compute_room(now).free_count
+        if not self._may_open(now):
+            return []
+        room_count = self._opening_limit(now) - self.open_count
         if room_count <= 0:
             return []
         soon_usable_count = self._connections.count(
@@ -599,11 +603,18 @@
             actions.append(OpenConnection(connection.connection_id, connection.term))
         return actions
 
-    def _compute_room(self, now: timedelta) -> OpeningRoom:
-        if self._is_draining or now < self._next_open_at:
-            return OpeningRoom(0, 0, 0, False)
+    def _may_open(self, now: timedelta) -> bool:
+        return not self._is_draining and now >= self._next_open_at
+
+    def _opening_limit(self, now: timedelta) -> int:
         limit = self._limit.current(now)
         if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
             limit -= self._settings.probe_reserve
+        return limit
+
+    def _compute_room(self, now: timedelta) -> OpeningRoom:
+        if not self._may_open(now):
+            return OpeningRoom(0, 0, 0, False)
+        limit = self._opening_limit(now)
         closing_count = self._connections.count(*_CLOSING_STATES)
         return OpeningRoom(limit, limit - self.open_count, closing_count, limit > 0)
--- a/goldcrestpond/pool/fair_queue.py
+++ b/goldcrestpond/pool/fair_queue.py
@@ -135,7 +135,8 @@
         """
         backlog = self._backlogs[name]
         request = backlog.requests.pop()
-        self._virtual_time = max(self._virtual_time, backlog.start)
+        if backlog.start > self._virtual_time:
+            self._virtual_time = backlog.start
         backlog.start += backlog.step
         self._size -= 1
         self._served_count += 1
@@ -197,8 +198,11 @@
         Besides those that wait before it, these are requests of other organisations
         that arrive later and go ahead, if they go on to do so as they did lately.
         """
-        ahead_count = self.count_ahead(requester)
         backlog = self._backlogs.get(requester.organisation)
+        if backlog is not None and len(self._backlogs) == 1:
+            ahead_count = backlog.requests.count_ahead(requester.session)
+        else:
+            ahead_count = self.count_ahead(requester)
         if backlog is None or not backlog.served_count:
             return ahead_count
         own_served_count = backlog.served_count
@@ -234,6 +238,8 @@
         return max(backlogs, key=_last_start).requests.last()
 
     def _next_organisation(self) -> str | None:
+        if len(self._backlogs) == 1:
+            return next(iter(self._backlogs))
         earliest = None
         least = 0.0
         for name, backlog in self._backlogs.items():
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -79,7 +79,9 @@
         ahead_count = self._queues[request.lane].estimate_ahead(
             request.requester, request.priority
         )
-        wait = self.estimate_wait(request.lane, ahead_count) + opening_time
+        wait = self.estimate_wait(request.lane, ahead_count)
+        if opening_time:
+            wait += opening_time
         start_by = self._compute_latest_start(request, now)
         if now + wait > start_by:
             return self.refuse(request, ResultCode.OVERLOADED, wait)
@@ -94,9 +96,9 @@
         when `refuse_late` finds it.
         """
         queue = self._queues[lane]
-        last = queue.last()
-        if last is None:
+        if len(queue) < 2:
             return []
+        last = queue.last()
         wait = self.estimate_wait(lane, len(queue) - 1)
         if now + wait < last.deadline:
             return []
@@ -114,7 +116,9 @@
         running_count = self._slots.running(lane)
         capacity = max(1, self._slots.capacity(lane))
         turn_count = max(0, ahead_count + running_count + 1 - capacity)
-        turn_time = self._estimates[lane].mean + self._opening_cost.mean
+        turn_time = self._estimates[lane].mean
+        if self._opening_cost.mean:
+            turn_time += self._opening_cost.mean
         return turn_time * turn_count / capacity
 
     def record_opening_cost(self, duration: timedelta) -> None:
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -142,6 +142,8 @@
 
         Organisations of which no request can be served now are added to ``skipped``.
         """
+        if not len(self._queues):
+            return False
         can_obtain = self._can_obtain(room)
         if not (can_obtain or self._connections.count(ConnectionState.IDLE)):
             return False
--- a/goldcrestpond/pool/priority_queue.py
+++ b/goldcrestpond/pool/priority_queue.py
@@ -15,21 +15,24 @@
     requests with the highest numbers.
     """
 
-    __slots__ = ("_by_priority",)
+    __slots__ = ("_by_priority", "_size")
 
     def __init__(self) -> None:
         self._by_priority: dict[int, FairQueue] = {}
+        self._size = 0
 
     def __len__(self) -> int:
-        return sum(map(len, self._by_priority.values()))
+        return self._size
 
     def push(self, request: SlotRequest) -> None:
         """Append a request after the others of its priority and caller."""
         self._queue(request.priority).push(request)
+        self._size += 1
 
     def put_back(self, request: SlotRequest) -> None:
         """Put a request that was popped and did not run before the others again."""
         self._queue(request.priority).put_back(request)
+        self._size += 1
 
     def candidates(self) -> Iterator[SlotRequest]:
         """Yield the next request of each organisation at each priority, in order.
@@ -49,18 +52,21 @@
         """
         for queue in self._by_priority.values():
             if len(queue):
+                self._size -= 1
                 return queue.pop()
         raise KeyError("the queue is empty")
 
     def pop_candidate(self, request: SlotRequest) -> None:
         """Remove a request that ``candidates`` has yielded."""
         self._by_priority[request.priority].pop_of(request.requester.organisation)
+        self._size -= 1
 
     def remove(self, request_id: int) -> SlotRequest | None:
         """Remove and return a request, or return None if it is not in the queue."""
         for queue in self._by_priority.values():
             request = queue.remove(request_id)
             if request is not None:
+                self._size -= 1
                 return request
         return None
 
