--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -574,7 +574,10 @@
     def _needs_check(self, connection: PooledConnection, now: timedelta) -> bool:
         inactive_time = now - connection.last_active_at
         is_unconfirmed = connection.last_active_at <= self._last_stall_at
-        return is_unconfirmed or inactive_time > self._settings.idle_check_after
+        if is_unconfirmed or inactive_time > self._settings.idle_check_after:
+            return True
+        # Only one that is kept longer than others is idle for so long.
+        return now - connection.state_since > self._settings.idle_timeout
 
     def _check_connections(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -78,6 +78,7 @@
         "_counts",
         "_needs_check",
         "_opening_time",
+        "_orphans",
         "_pending",
         "_queues",
         "_slots",
@@ -99,6 +100,8 @@
         self._counts = counts
         self._opening_time = ServiceEstimate(OPENING_TIME)
         self._pending: dict[int, PooledConnection] = {}
+        # Openings and checks whose request was served otherwise or waits no longer.
+        self._orphans: dict[int, PooledConnection] = {}
         self._uses: dict[str, UseScore] = {}
 
     @property
@@ -145,7 +148,8 @@
         if not len(self._queues):
             return False
         can_obtain = self._can_obtain(room)
-        if not (can_obtain or self._connections.count(ConnectionState.IDLE)):
+        has_idle = self._connections.count(ConnectionState.IDLE) > 0
+        if not (can_obtain or has_idle or self._orphans):
             return False
         for request in self._queues.candidates():
             organisation = request.requester.organisation
@@ -156,6 +160,8 @@
                 self._queues.start(request)
                 actions.append(self._use(connection, request, now))
                 return True
+            if self._orphans and self._adopt(request):
+                return True
             if not can_obtain:
                 continue
             action = self._obtain(request, room, term, now)
@@ -269,6 +275,23 @@
         self._queues.record_opening_cost(timedelta(0))
         return self._grant(connection, request, now)
 
+    def _adopt(self, request: SlotRequest) -> bool:
+        """Bind a request to an opening or a check of its organisation, if one is free.
+
+        That occupies a slot already, so the request occupies none of its own.
+        """
+        organisation = request.requester.organisation
+        for connection in self._orphans.values():
+            is_same_lane = connection.lane is request.lane
+            if connection.organisation == organisation and is_same_lane:
+                self._queues.start(request)
+                self._slots.finish(request.lane)
+                del self._orphans[connection.connection_id]
+                connection.request = request
+                self._pending[connection.connection_id] = connection
+                return True
+        return False
+
     def _obtain(
         self, request: SlotRequest, room: OpeningRoom, term: int, now: timedelta
     ) -> PoolAction | None:
@@ -385,12 +408,14 @@
         """Separate a connection from its request and free its slot."""
         self._slots.finish(connection.lane)
         self._pending.pop(connection.connection_id, None)
+        self._orphans.pop(connection.connection_id, None)
         connection.request = None
         connection.occupies_slot = False
 
     def _release_request(self, connection: PooledConnection) -> SlotRequest:
         """Separate a request from its connection, which keeps its slot until open."""
         del self._pending[connection.connection_id]
+        self._orphans[connection.connection_id] = connection
         request = connection.request
         connection.request = None
         return request
--- a/tests/pool/test_organisation_scheduler.py
+++ b/tests/pool/test_organisation_scheduler.py
@@ -80,6 +80,18 @@
     assert_that(grants, Equals([GrantConnection(4, 4)]))
 
 
+# Guards against: each request of an organisation whose earlier one was served otherwise
+# opens one more connection.
+def test_opening_that_is_no_longer_needed_serves_the_next_request(pool):
+    pool.request(_request(1, "a"), ms(0))
+    pool.cancel_request(1, ms(1))
+    assert_that(pool.request(_request(2, "a"), ms(2)), Equals([]))
+    assert_that(pool.record_opened(1, ms(12)), Equals([GrantConnection(2, 1)]))
+    pool.request(_request(3, "a"), ms(13))
+    pool.request(_request(4, "a"), ms(13))
+    assert_that(pool.open_count, Equals(3))
+
+
 def test_connection_released_during_the_opening_is_granted_first(pool):
     pool.request(_request(1, "a"), ms(0))
     pool.record_opened(1, ms(12))
@@ -231,6 +243,16 @@
     assert_that(pool.tick(12 * idle_timeout), Equals([CloseConnection(1, "idle")]))
 
 
+# Guards against: a connection that was kept idle and has silently been lost is granted,
+# since reports of no progress are taken for signs of life.
+def test_connection_that_was_kept_longer_is_checked_before_use(pool):
+    connection = _use(pool, 1, "a", 0)
+    later = _SETTINGS.idle_timeout + ms(1)
+    pool.record_progress(connection, later)
+    checked = pool.request(_request(2, "a", 100_000), later)
+    assert_that(checked, Equals([CheckConnection(connection)]))
+
+
 def test_small_organisation_is_not_refused_because_another_floods(pool):
     refused = []
     for number in range(3):
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -107,3 +107,19 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(body)
+
+
+# Guards against: openers that take no organisation fail where there is none.
+@pytest.mark.anyio
+async def test_opener_is_told_the_organisation_only_if_there_is_one():
+    calls = []
+
+    async def open_link(*arguments):
+        calls.append(arguments)
+
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        directory._open_link = open_link
+        await directory._open_in_time(_DATABASES[0])
+        await directory._open_in_time(_DATABASES[0], "a")
+    assert_that(calls, Equals([(_DATABASES[0],), (_DATABASES[0], "a")]))
