Close the connection of who is next in turn last

Cause: when all organisations waited, connections were closed by score of recent uses. Those served in the gaps kept theirs and were served most: of 20 that flood alike, one was served 62 times and another 35. Change: among organisations that wait, the connection of the one whose turn comes last is closed.

--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -135,6 +135,14 @@
             if len(queue) and self._slots.admits(lane):
                 yield from queue.candidates()
 
+    def waiting_order(self) -> list[str]:
+        """Return the organisations that wait, in the order in which they are next."""
+        order: dict[str, None] = {}
+        for lane in self._offer_order():
+            for request in self._queues[lane].candidates():
+                order.setdefault(request.requester.organisation)
+        return list(order)
+
     def start(self, request: SlotRequest) -> None:
         """Remove a request that ``candidates`` has yielded; occupy a slot for it."""
         self._queues[request.lane].pop_candidate(request)
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -358,21 +358,26 @@
     ) -> PooledConnection | None:
         """Return the idle connection that is least likely to be missed.
 
-        Those of organisations that wait are closed last. Of the others, it is the one
-        with the lowest score of recent uses: the connection's, or the organisation's if
-        it has no other connection.
+        Those of organisations that wait are closed last; of these it is the one whose
+        turn comes last. Of the others, it is the one with the lowest score of recent
+        uses: the connection's, or the organisation's if it has no other connection.
         """
-        return min(idle, key=lambda c: self._usefulness(c, now), default=None)
+        order = self._queues.waiting_order()
+        turns = {organisation: turn for turn, organisation in enumerate(order)}
 
-    def _usefulness(
-        self, connection: PooledConnection, now: timedelta
-    ) -> tuple[bool, float, timedelta]:
-        organisation = connection.organisation
+        def usefulness(connection: PooledConnection) -> tuple[bool, float, timedelta]:
+            turn = turns.get(connection.organisation)
+            if turn is not None:
+                return True, -turn, connection.state_since
+            return False, self._score(connection, now), connection.state_since
+
+        return min(idle, key=usefulness, default=None)
+
+    def _score(self, connection: PooledConnection, now: timedelta) -> float:
         uses = connection.uses
         if self.is_only_connection(connection):
-            uses = self._uses.get(organisation, uses)
-        is_waited_for = self._queues.count_waiting(organisation) > 0
-        return is_waited_for, uses.compute(now), connection.state_since
+            uses = self._uses.get(connection.organisation, uses)
+        return uses.compute(now)
 
     def _grant(
         self, connection: PooledConnection, request: SlotRequest, now: timedelta
--- a/tests/pool/test_organisation_loads.py
+++ b/tests/pool/test_organisation_loads.py
@@ -92,6 +92,22 @@
     assert_that(ratio, LessThan(3.6))
 
 
+# Guards against: those that have a connection are served again and again, since closing
+# it for another organisation and opening one takes time.
+def test_many_organisations_flood_and_are_served_alike():
+    names = [f"organisation {index}" for index in range(20)]
+    floods = [
+        arrival
+        for index, name in enumerate(names)
+        for arrival in _steady_arrivals(name, 15, index * 0.1, 6000)
+    ]
+    blind = PoolSimulation(2, 9, is_blind=True).play(floods)
+    aware = PoolSimulation(2, 9).play(floods)
+    counts = [len(aware.waits_ms[name]) for name in names]
+    assert_that(min(counts), GreaterThan(0.8 * max(counts)))
+    assert_that(aware.served_count, GreaterThan(1.3 * blind.served_count))
+
+
 # Guards against: organisations that come back together close one another's connections
 # again and again, or some of them are served again before others are served once.
 def test_herd_of_organisations_returns_at_once():
