Leave the checks of connections without an organisation as they were

Cause: one that was idle past its timeout, until the tick that closes it, was checked before use though it was not before. Change: only connections of organisations, which are kept longer, are.

--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -576,7 +576,9 @@
         is_unconfirmed = connection.last_active_at <= self._last_stall_at
         if is_unconfirmed or inactive_time > self._settings.idle_check_after:
             return True
-        # Only one that is kept longer than others is idle for so long.
+        if not connection.organisation:
+            return False
+        # One that is kept longer than others.
         return now - connection.state_since > self._settings.idle_timeout
 
     def _check_connections(self, now: timedelta) -> list[PoolAction]:
