--- a/goldcrestpond/pool/lane_slots.py
+++ b/goldcrestpond/pool/lane_slots.py
@@ -41,7 +41,7 @@
     @property
     def free_count(self) -> int:
         """Number of further statements that may start, lanes aside."""
-        return max(0, self._total - sum(self._running.values()))
+        return max(0, self.total - sum(self._running.values()))
 
     def resize(self, slot_limit: int, report_slot_limit: int) -> None:
         """Set the limits; running statements continue."""
