--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -220,7 +220,7 @@
         ):
             return self._schedule(now)
         organisation = connection.organisation
-        refusals = self._queues.refuse_all(code, backoff, organisation)
+        refusals = self._queues.refuse_organisation(organisation, code, backoff)
         return [*refusals, *self._schedule(now)]
 
     def record_progress(self, connection_id: int, now: timedelta) -> None:
@@ -534,10 +534,10 @@
         actions: list[PoolAction] = []
         actions += self._close_surplus(now)
         if self._has_organisations:
-            if not self.waiting_count:
-                return actions
-            room = self._compute_room(now)
-            return actions + self._scheduler.schedule(room, self._term, now)
+            if self.waiting_count:
+                room = self._compute_room(now)
+                actions += self._scheduler.schedule(room, self._term, now)
+            return actions
         actions += self._grant_connections(now)
         actions += self._open_connections(now)
         return actions
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -232,15 +232,24 @@
         return refusals
 
     def refuse_all(
-        self,
-        code: ResultCode,
-        retry_after: timedelta,
-        organisation: str | None = None,
+        self, code: ResultCode, retry_after: timedelta
     ) -> list[RefuseRequest]:
-        """Remove and refuse every waiting request, or all of one organisation."""
+        """Remove and refuse every waiting request."""
         waiting = [r for queue in self._queues.values() for r in queue.in_order()]
-        if organisation is not None:
-            waiting = [r for r in waiting if r.requester.organisation == organisation]
+        for request in waiting:
+            self.remove(request.request_id)
+        return [self.refuse(r, code, retry_after) for r in waiting]
+
+    def refuse_organisation(
+        self, organisation: str, code: ResultCode, retry_after: timedelta
+    ) -> list[RefuseRequest]:
+        """Remove and refuse every waiting request of one organisation."""
+        waiting = [
+            request
+            for queue in self._queues.values()
+            for request in queue.in_order()
+            if request.requester.organisation == organisation
+        ]
         for request in waiting:
             self.remove(request.request_id)
         return [self.refuse(r, code, retry_after) for r in waiting]
