--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -220,7 +220,7 @@
         ):
             return self._schedule(now)
         organisation = connection.organisation
-        refusals = self._queues.refuse_all(code, backoff, organisation)
+        refusals = self._queues.refuse_organisation(organisation, code, backoff)
         return [*refusals, *self._schedule(now)]
 
     def record_progress(self, connection_id: int, now: timedelta) -> None:
@@ -534,8 +534,10 @@
         actions: list[PoolAction] = []
         actions += self._close_surplus(now)
         if self._has_organisations:
-            room = self._compute_room(now)
-            return actions + self._scheduler.schedule(room, self._term, now)
+            if self.waiting_count:
+                room = self._compute_room(now)
+                actions += self._scheduler.schedule(room, self._term, now)
+            return actions
         actions += self._grant_connections(now)
         actions += self._open_connections(now)
         return actions
@@ -572,7 +574,12 @@
     def _needs_check(self, connection: PooledConnection, now: timedelta) -> bool:
         inactive_time = now - connection.last_active_at
         is_unconfirmed = connection.last_active_at <= self._last_stall_at
-        return is_unconfirmed or inactive_time > self._settings.idle_check_after
+        if is_unconfirmed or inactive_time > self._settings.idle_check_after:
+            return True
+        if not connection.organisation:
+            return False
+        # One that is kept longer than others.
+        return now - connection.state_since > self._settings.idle_timeout
 
     def _check_connections(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
@@ -586,7 +593,9 @@
         return actions
 
     def _open_connections(self, now: timedelta) -> list[PoolAction]:
-        room_count = self._compute_room(now).free_count
+        if not self._may_open(now):
+            return []
+        room_count = self._opening_limit(now) - self.open_count
         if room_count <= 0:
             return []
         soon_usable_count = self._connections.count(
@@ -599,11 +608,18 @@
             actions.append(OpenConnection(connection.connection_id, connection.term))
         return actions
 
-    def _compute_room(self, now: timedelta) -> OpeningRoom:
-        if self._is_draining or now < self._next_open_at:
-            return OpeningRoom(0, 0, 0, False)
+    def _may_open(self, now: timedelta) -> bool:
+        return not self._is_draining and now >= self._next_open_at
+
+    def _opening_limit(self, now: timedelta) -> int:
         limit = self._limit.current(now)
         if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
             limit -= self._settings.probe_reserve
+        return limit
+
+    def _compute_room(self, now: timedelta) -> OpeningRoom:
+        if not self._may_open(now):
+            return OpeningRoom(0, 0, 0, False)
+        limit = self._opening_limit(now)
         closing_count = self._connections.count(*_CLOSING_STATES)
         return OpeningRoom(limit, limit - self.open_count, closing_count, limit > 0)
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -79,7 +79,9 @@
         ahead_count = self._queues[request.lane].estimate_ahead(
             request.requester, request.priority
         )
-        wait = self.estimate_wait(request.lane, ahead_count) + opening_time
+        wait = self.estimate_wait(request.lane, ahead_count)
+        if opening_time:
+            wait += opening_time
         start_by = self._compute_latest_start(request, now)
         if now + wait > start_by:
             return self.refuse(request, ResultCode.OVERLOADED, wait)
@@ -94,9 +96,9 @@
         when `refuse_late` finds it.
         """
         queue = self._queues[lane]
-        last = queue.last()
-        if last is None:
+        if len(queue) < 2:
             return []
+        last = queue.last()
         wait = self.estimate_wait(lane, len(queue) - 1)
         if now + wait < last.deadline:
             return []
@@ -114,7 +116,9 @@
         running_count = self._slots.running(lane)
         capacity = max(1, self._slots.capacity(lane))
         turn_count = max(0, ahead_count + running_count + 1 - capacity)
-        turn_time = self._estimates[lane].mean + self._opening_cost.mean
+        turn_time = self._estimates[lane].mean
+        if self._opening_cost.mean:
+            turn_time += self._opening_cost.mean
         return turn_time * turn_count / capacity
 
     def record_opening_cost(self, duration: timedelta) -> None:
@@ -131,6 +135,14 @@
             if len(queue) and self._slots.admits(lane):
                 yield from queue.candidates()
 
+    def waiting_order(self) -> list[str]:
+        """Return the organisations that wait, in the order in which they are next."""
+        order: dict[str, None] = {}
+        for lane in self._offer_order():
+            for request in self._queues[lane].candidates():
+                order.setdefault(request.requester.organisation)
+        return list(order)
+
     def start(self, request: SlotRequest) -> None:
         """Remove a request that ``candidates`` has yielded; occupy a slot for it."""
         self._queues[request.lane].pop_candidate(request)
@@ -220,15 +232,24 @@
         return refusals
 
     def refuse_all(
-        self,
-        code: ResultCode,
-        retry_after: timedelta,
-        organisation: str | None = None,
+        self, code: ResultCode, retry_after: timedelta
     ) -> list[RefuseRequest]:
-        """Remove and refuse every waiting request, or all of one organisation."""
+        """Remove and refuse every waiting request."""
         waiting = [r for queue in self._queues.values() for r in queue.in_order()]
-        if organisation is not None:
-            waiting = [r for r in waiting if r.requester.organisation == organisation]
+        for request in waiting:
+            self.remove(request.request_id)
+        return [self.refuse(r, code, retry_after) for r in waiting]
+
+    def refuse_organisation(
+        self, organisation: str, code: ResultCode, retry_after: timedelta
+    ) -> list[RefuseRequest]:
+        """Remove and refuse every waiting request of one organisation."""
+        waiting = [
+            request
+            for queue in self._queues.values()
+            for request in queue.in_order()
+            if request.requester.organisation == organisation
+        ]
         for request in waiting:
             self.remove(request.request_id)
         return [self.refuse(r, code, retry_after) for r in waiting]
