Give all services the same holders where there are organisations

With holders of their own, an organisation had a home at each of four services, and its rate was divided among them, whichever service its callers used.

--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -66,7 +66,9 @@
         self._by_service: dict[str, list[Holder]] = {}
         self._names_by_service: dict[str, list[str]] = {}
 
-    def assign(self, service: str, members: list[Member], count: int) -> bool:
+    def assign(
+        self, service: str, members: list[Member], count: int, key: str | None = None
+    ) -> bool:
         """Choose the holders of a service; return whether this instance is one.
 
         Holders are spread over the availability zones of the members. The choice
@@ -81,8 +83,12 @@
             Live instances.
         count : int
             Number of holders.
+        key : str or None, default=None
+            Services with the same key and count have the same holders; by default the
+            service itself.
         """
-        holder_names = choose_holder_names(service, members, count)
+        key = service if key is None else key
+        holder_names = choose_holder_names(key, members, count)
         by_name = {member.name: member for member in members}
         self._names_by_service[service] = holder_names
         self._record_holders(service)
@@ -248,14 +254,12 @@
         self._log.decision(event, holder=name, silent_ms=round(span / _MILLISECOND))
 
 
-def choose_holder_names(
-    service: str, members: Sequence[Member], count: int
-) -> list[str]:
-    """Return the names of the members that hold a service, as `Holders.assign`."""
+def choose_holder_names(key: str, members: Sequence[Member], count: int) -> list[str]:
+    """Return the names of the members that hold the services with a key."""
     eligible = eligible_members(members, count)
     zones = [member.availability_zone for member in eligible]
     candidates = [Candidate(m.name, m.availability_zone) for m in eligible]
-    chosen = choose_holders(service, candidates, count, zones)
+    chosen = choose_holders(key, candidates, count, zones)
     return [candidate.name for candidate in chosen]
 
 
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -57,6 +57,7 @@
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
 # A log line names at most this many organisations.
 LOGGED_NAMES_MAX = 10
+SHARED_HOLDERS_KEY = "organisations"  # holders of all services
 OpenLink = Callable[[Database], Awaitable[Link]]
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
@@ -543,8 +544,8 @@
         limits = self.table.services.get(service.name)
         if not self._members or limits is None:
             return
-        count = holder_count(limits.connection_limit, len(self._members))
-        is_held = self._holders.assign(service.name, self._members, count)
+        key, count = self._place_holders(service.name, len(self._members))
+        is_held = self._holders.assign(service.name, self._members, count, key)
         self._holder_counts[service.name] = count
         if is_held != self.holds(service.name):
             self.log.decision(
@@ -624,11 +625,25 @@
         others = [member for member in self._members if member.name != own]
         members = self._members if self._is_member or not others else others
         names = {}
-        for service, limits in self.table.services.items():
-            count = holder_count(limits.connection_limit, len(members))
-            names[service] = choose_holder_names(service, members, count)
+        for service in self.table.services:
+            key, count = self._place_holders(service, len(members))
+            names[service] = choose_holder_names(key, members, count)
         return names
 
+    def _place_holders(self, service: str, member_count: int) -> tuple[str, int]:
+        """Return the key by which holders of a service are chosen, and their number.
+
+        With organisations all services have the same holders: else each organisation
+        would have homes at each service, and its rate would be divided among them,
+        whichever service its callers use.
+        """
+        services = self.table.services
+        if self._organisations() is None:
+            limit = services[service].connection_limit
+            return service, holder_count(limit, member_count)
+        least = min(limits.connection_limit for limits in services.values())
+        return SHARED_HOLDERS_KEY, holder_count(least, member_count)
+
     def _hand_over(
         self, handovers: Sequence[Handover], former_homes: Mapping[str, list[str]]
     ) -> None:
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.relay.holders import Holders
@@ -172,6 +172,32 @@
     anyio.run(body)
 
 
+# Failure: an organisation's rate is divided among its homes at four services, of which
+# its callers use one, and is refused far below its limit.
+def test_organisation_has_the_same_homes_at_all_services_of_a_large_fleet():
+    services = {f"s{n}": ServiceLimits(26 + n, 1) for n in range(4)}
+
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i1", tasks)
+            directory.set_members(_MEMBERS)
+            table = _organisation_table(1, {f"o{n}": 5.0 for n in range(72)})
+            directory.apply_table(replace(table, services=services))
+            holders = {n: sorted(directory._name_holders()[n]) for n in services}
+            assert_that(set(map(len, holders.values())), Equals({3}))
+            for name in services:
+                directory.service(name)
+                assert_that(sorted(directory.holder_names(name)), Equals(holders["s0"]))
+            for n in range(72):
+                assert_that(directory.homes.all_homes(f"o{n}"), HasLength(1))
+            directory.apply_table(RouteTable(2, {}, services))
+            held = {tuple(sorted(directory.holder_names(n))) for n in services}
+            assert_that(len(held) > 1, Equals(True))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(body)
+
+
 def test_deployment_without_organisations_shares_evenly_at_once():
     async def body():
         async with anyio.create_task_group() as tasks:
