Mark a home absent only while probes show its silence

A holder that was silent, came back and was not asked about since still counted as silent, and would have been marked again and again. Silence is told only while probes go on, and a mark that fails is written again after 2 s, not at each check.

--- a/goldcrestpond/relay/holder_watch.py
+++ b/goldcrestpond/relay/holder_watch.py
@@ -15,6 +15,9 @@
 PROBE_TIMEOUT = timedelta(milliseconds=150)
 # While a holder does not answer, it is probed at this interval.
 PROBE_INTERVAL = timedelta(milliseconds=500)
+# An unanswered probe tells nothing about the time after this span, which is longer than
+# the time between two probes.
+EVIDENCE_SPAN = 2 * (PROBE_INTERVAL + PROBE_TIMEOUT)
 # Probes end if nobody asked about the holder for this time.
 INTEREST_SPAN = timedelta(seconds=5)
 
@@ -85,9 +88,16 @@
         return True
 
     def silence(self) -> timedelta | None:
-        """Return for how long it has answered no probe; None if it answers."""
+        """Return for how long it has answered no probe.
+
+        None if it answers, or if it has not been probed of late: it may have answered
+        since.
+        """
+        if self.silent_since is None:
+            return None
+        now = self._clock.now()
         return (
-            None if self.silent_since is None else self._clock.now() - self.silent_since
+            None if now - self._probed_at > EVIDENCE_SPAN else now - self.silent_since
         )
 
     def suspect(self) -> None:
@@ -142,7 +152,9 @@
         return heard_at + PROBE_DELAY
 
     async def _probe_once(self) -> None:
-        self._probed_at = sent_at = self._clock.now()
+        sent_at = self._clock.now()
+        is_continued = sent_at - self._probed_at <= EVIDENCE_SPAN
+        self._probed_at = sent_at
         if await self._probe():
             self.record_heard()
             return
@@ -152,6 +164,8 @@
         if self.silent_since is None:
             self.silent_since = sent_at
             self.on_change(True, timedelta(0))
+        elif not is_continued:
+            self.silent_since = sent_at
         for scope, since in self._waiting.items():
             if since <= sent_at:
                 scope.cancel()
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -36,6 +36,8 @@
 # which its former followers are listed by others.
 ROWS_RETENTION = timedelta(seconds=6)
 LEAVE_TIMEOUT_S = 0.5
+# Time until a mark is written once more that was not written, or not read again yet.
+MARK_RETRY_INTERVAL = timedelta(seconds=2)
 
 SetMembers = Callable[[list[Member]], None]
 
@@ -98,6 +100,7 @@
         "_known_values",
         "_lists_followers",
         "_log",
+        "_mark_tried_at",
         "_marked_at",
         "_members",
         "_rng",
@@ -151,6 +154,7 @@
         self.is_listed = False
         self.absent: frozenset[str] = frozenset()
         self.on_status_change: Callable[[], None] = lambda: None
+        self._mark_tried_at: dict[str, timedelta] = {}
         self._marked_at: timedelta | None = None  # when it read that it is absent
         self.live: list[Member] = [member]
 
@@ -204,9 +208,13 @@
         silence : timedelta
             For how long it has not answered.
         """
+        now = self._clock.now()
         is_member = any(member.name == name for member in self.live)
-        if not is_member or name in self.absent:
+        tried_at = self._mark_tried_at.get(name)
+        is_tried = tried_at is not None and now - tried_at < MARK_RETRY_INTERVAL
+        if not is_member or name in self.absent or is_tried:
             return
+        self._mark_tried_at[name] = now
         condition = _row(absent_key(name))
         put = RowPut(TABLE, "", condition.key, encode_absent(self.member.name))
         outcome = "marked"
--- a/tests/relay/test_holder_watch.py
+++ b/tests/relay/test_holder_watch.py
@@ -131,6 +131,25 @@
     await run(body)
 
 
+# Failure: a holder was silent, is back, and is marked absent since nobody probed it.
+async def test_silence_is_told_only_while_probes_go_on(run, monkeypatch):
+    monkeypatch.setattr(holder_watch, "EVIDENCE_SPAN", 50 * MS)
+
+    async def body(world):
+        world.is_answering = False
+        world.watch.suspect()
+        await anyio.sleep(0.15)
+        assert_that(world.watch.silence() >= 80 * MS, Is(True))
+        await anyio.sleep(0.25)
+        assert_that(world.watch.silence(), Is(None))
+        # Probed again: the time without probes does not count.
+        assert_that(world.watch.is_silent(), Is(True))
+        await anyio.sleep(0.02)
+        assert_that(world.watch.silence() < 40 * MS, Is(True))
+
+    await run(body)
+
+
 # Failure: a probe is lost while the holder answers other requests.
 async def test_holder_that_was_heard_since_the_probe_is_not_silent(run):
     async def body(world):
--- a/tests/serving/test_member_updater.py
+++ b/tests/serving/test_member_updater.py
@@ -182,6 +182,13 @@
     first.updater.live.append(member("i2"))
     await first.updater.mark_absent("i2", ms(2000))
     assert_that(_keys(rows), Equals(["i1"]))
+    # Each attempt costs a call of the store; it is repeated at most every 2 s.
+    first.store.is_cut = False
+    await first.updater.mark_absent("i2", ms(2500))
+    assert_that(_keys(rows), Equals(["i1"]))
+    clock.advance(ms(2000))
+    await first.updater.mark_absent("i2", ms(4000))
+    assert_that(_keys(rows), Equals(["i1", "i2/absent"]))
 
 
 # Versions name the state by which a share was handed over: heartbeats are no new state.
