--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -50,14 +50,14 @@
 from .service import Service
 from .serving_settings import ServingSettings
 
-# Commits in flight are answered within milliseconds unless the leader is silent.
-BLOCK_TIMEOUT = timedelta(milliseconds=300)
 # A share of connections that grows is taken this much later: changes of the members
 # and of the configuration reach all instances within about this time.
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
 # A log line names at most this many organisations.
 LOGGED_NAMES_MAX = 10
 SHARED_HOLDERS_KEY = "organisations"  # holders of all services
+# Commits in flight are answered within milliseconds unless the leader is silent.
+BLOCK_TIMEOUT = timedelta(milliseconds=300)
 OpenLink = Callable[[Database], Awaitable[Link]]
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
