Count no connection that was closed while idle as a failure of the database

Cause: a connection found closed when it is granted is given back as broken. Change: one that is lost within a millisecond of its grant isn't counted.

--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -27,6 +27,8 @@
 # When the first probe finds a statement no longer running, its answer may still be in
 # transit. By the answer to the second probe it would have arrived.
 _MAX_NOT_RUNNING_ANSWERS = 2
+# A connection that is lost sooner after it was granted had been closed while idle.
+_MIN_SERVICE_TIME = timedelta(milliseconds=1)
 _CLOSING_STATES = (ConnectionState.FAILED, ConnectionState.CLOSING)
 
 
@@ -126,7 +128,7 @@
         """
         limit = max(1, min(slots, self._slots.total))
         admitted = self._pace.admitted(now)
-        in_flight_count = self._slots.running_count + self.waiting_count
+        in_flight_count = self._slots.running_count + len(self._queues)
         return DatabaseLoad(
             running=self._connections.count(ConnectionState.BUSY),
             queued=self.waiting_count,
@@ -238,7 +240,8 @@
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _CLOSING_STATES:
             return []
-        if not reusable and connection.state is ConnectionState.BUSY:
+        is_lost = not reusable and connection.state is ConnectionState.BUSY
+        if is_lost and now - connection.state_since >= _MIN_SERVICE_TIME:
             self._pace.record_failure(now)
         if not (reusable and connection.reusable):
             close = self._close(connection, "not reusable", now)
--- a/tests/pool/test_paced_pool.py
+++ b/tests/pool/test_paced_pool.py
@@ -155,6 +155,30 @@
     assert_that(world.pace.is_active, Is(True))
 
 
+def _lose_connections(world, after):
+    """Let one connection after the other be lost a time after it was granted."""
+    for _ in range(FAILURES_BEFORE_PACE_COUNT):
+        connection_id = world.grant()
+        world.now += after
+        world.pool.release(connection_id, False, world.now)
+        world.pool.record_closed(connection_id, world.now)
+
+
+def test_lost_answers_begin_a_pace():
+    world = _World()
+    world.pace.stop()
+    _lose_connections(world, _ms(200))
+    assert_that(world.pace.is_active, Is(True))
+
+
+# Guards against: a database that closes idle connections counts as failing.
+def test_connections_that_were_closed_while_idle_begin_no_pace():
+    world = _World()
+    world.pace.stop()
+    _lose_connections(world, timedelta(microseconds=50))
+    assert_that(world.pace.is_active, Is(False))
+
+
 # Guards against: a database whose connections fail to open is sent all of its work the
 # moment one opens.
 def test_connections_that_fail_to_open_begin_a_pace():
