Let a refusal for a pace only raise the latency that is expected of a database

Cause: the refusal is quick, so that the database which refused would have been taken for the fastest.

--- a/goldcrestpond/pool/pace.py
+++ b/goldcrestpond/pool/pace.py
@@ -208,7 +208,8 @@
 
     def retry_after(self, now: timedelta) -> timedelta:
         """Return when a refused operation may be tried again."""
-        wait = max(MIN_RETRY_AFTER, self._next_start_at - now)
+        usual = max(self._find_usual(lane) or MIN_RETRY_AFTER for lane in Lane)
+        wait = max(usual * SLOW_FACTOR, self._next_start_at - now)
         return min(MAX_RETRY_AFTER, wait)
 
     def record_answer(
--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -16,11 +16,7 @@
 from .served_database import ServedDatabase
 from .session_state import SessionState
 
-_QUEUE_REFUSALS = (
-    ResultCode.OVERLOADED,
-    ResultCode.QUEUE_DEADLINE,
-    ResultCode.ENDPOINT_BUSY,
-)
+_QUEUE_REFUSALS = (ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE)
 # A statement that is already past its objective, for example because there was no
 # leader, may still wait for this fraction of it: when a new leader is found, all
 # statements that waited for it arrive at once.
@@ -84,11 +80,13 @@
         now = clock.now()
         if error.code is ResultCode.ENDPOINT_UNREACHABLE:
             served.health.record_failure(now)
+        # The time that the wait would have taken: nothing else shows how long the queue
+        # of a holder is.
+        wait = now - asked_at + timedelta(milliseconds=error.retry_after_ms)
         if error.code in _QUEUE_REFUSALS:
-            # The time that the wait would have taken: nothing else shows how long the
-            # queue of a holder is.
-            retry_after = timedelta(milliseconds=error.retry_after_ms)
-            served.latency.observe_refusal(now - asked_at + retry_after, now)
+            served.latency.observe_refusal(wait, now)
+        elif error.code is ResultCode.ENDPOINT_BUSY:
+            served.latency.observe_paced(wait, now)
         raise
     try:
         with anyio.fail_after((deadline - clock.now()).total_seconds()):
--- a/goldcrestpond/serving/recent_latency.py
+++ b/goldcrestpond/serving/recent_latency.py
@@ -36,6 +36,14 @@
         """Add the time that a refused request would have waited to the average."""
         self._add(wait, now)
 
+    def observe_paced(self, wait: timedelta, now: timedelta) -> None:
+        """Add the wait that a paced database asks for, if it is longer than expected.
+
+        Before the first answer it shows nothing: the refusal was quick.
+        """
+        if self._has_answered and wait > self.estimate(now):
+            self._add(wait, now)
+
     def observe(self, elapsed: timedelta, now: timedelta) -> None:
         """Add the latency of one answer to the average."""
         self._has_answered = True
--- a/tests/serving/test_database_pace.py
+++ b/tests/serving/test_database_pace.py
@@ -126,6 +126,19 @@
     assert_that(count_reads_by_database(service, POSITION)["r2"], Equals(0))
 
 
+# Guards against: a refusal, which is quick, makes the database that refused the most
+# attractive one.
+def test_refusal_for_a_pace_only_raises_the_expected_latency(service, clock):
+    latency = service.databases["r1"].latency
+    latency.observe_paced(ms(13), clock.now())
+    assert_that(latency.is_known, Is(False))
+    latency.observe(ms(40), clock.now())
+    latency.observe_paced(ms(13), clock.now())
+    assert_that(latency.estimate(clock.now()), Equals(ms(40)))
+    latency.observe_paced(ms(80), clock.now())
+    assert_that(latency.estimate(clock.now()), Equals(ms(45)))
+
+
 def test_failed_statements_are_forgotten_sooner_where_holders_pace(service, clock):
     paced = service.databases["r1"]
     bare = ServedDatabase(paced.database, paced.pool)
