--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -504,7 +504,7 @@
         kept_count = max(0, admitted - self._slots.running_count)
         code = ResultCode.ENDPOINT_BUSY
         retry_after = self._pace.retry_after(now)
-        return [*self._queues.refuse_all(code, retry_after, kept_count)]
+        return [*self._queues.refuse_all(code, retry_after, kept_count=kept_count)]
 
     def _close_surplus(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
