--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -111,6 +111,7 @@
         "_settings",
         "_shares",
         "_tasks",
+        "_was_listed_at_start",
         "admission",
         "clock",
         "homes",
@@ -158,6 +159,7 @@
         self._has_left = False
         self._roles: dict[str, RateRole] = {}
         self._is_listed = True
+        self._was_listed_at_start = False
         self.homes = HomeTable(settings.instance)
         self.admission = HomeAdmission(self.homes, clock)
         self.read_members_version: Callable[[], tuple[int, int]] = lambda: (0, 0)
@@ -266,6 +268,9 @@
         is_same = members == self._members
         is_status_same = (absent, is_listed) == (self._absent, self._is_listed)
         self._absent, self._is_listed = absent, is_listed
+        if not self._members:
+            is_home_possible = self._settings.instance not in absent
+            self._was_listed_at_start = is_listed and is_home_possible
         # Only homes depend on who is absent or listed.
         if is_same and (is_status_same or self._organisations() is None):
             return
@@ -635,7 +640,9 @@
         if meter is None:
             return
         now = self.clock.now()
-        meter.set_roles(roles, now, self.state_version())
+        meter.set_roles(
+            roles, now, self.state_version(), is_resumed=self._was_listed_at_start
+        )
         handovers = meter.release(lost, now) if lost else []
         if handovers:
             self._hand_over(handovers, former_homes)
--- a/goldcrestpond/serving/rate_charger.py
+++ b/goldcrestpond/serving/rate_charger.py
@@ -25,8 +25,13 @@
         roles: Mapping[str, RateRole],
         now: timedelta,
         version: TableVersion | None = None,
+        is_resumed: bool = False,
     ) -> None:
-        """Apply the parts by a state of the members' table."""
+        """Apply the parts by a state of the members' table.
+
+        If ``is_resumed``, an earlier run of this process had them, and they begin at
+        once, empty; counts in the first call only.
+        """
 
     def observe(self, now: timedelta) -> None:
         """Note the time that has passed; called several times a second."""
--- a/tests/relay/fake_meter.py
+++ b/tests/relay/fake_meter.py
@@ -20,8 +20,9 @@
     def set_limits(self, organisations, now):
         self.limits = dict(organisations)
 
-    def set_roles(self, roles, now, version=None):
+    def set_roles(self, roles, now, version=None, is_resumed=False):
         self.roles = dict(roles)
+        self.is_resumed = is_resumed
 
     def observe(self, now):
         pass
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -246,3 +246,24 @@
         await directory._open_in_time(_DATABASES[0])
         await directory._open_in_time(_DATABASES[0], "a")
     assert_that(calls, Equals([(_DATABASES[0],), (_DATABASES[0], "a")]))
+
+
+# Failure: after a loss of power of the whole fleet, each home waits as if another one
+# still spent its shares, and all organisations are refused meanwhile.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("absent", "is_listed", "is_resumed"),
+    [((), True, True), ((), False, False), (("i1",), True, False)],
+)
+async def test_shares_are_resumed_by_a_process_that_is_listed_at_its_start(
+    absent, is_listed, is_resumed
+):
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        meter = directory.admission.meter = FakeMeter()
+        others = _MEMBERS[:4]
+        directory.set_members(others, frozenset(absent), is_listed)
+        directory.set_members(others, frozenset(), True)
+        directory.apply_table(_organisation_table(1, {"mill": 10}))
+        assert_that(meter.is_resumed, Equals(is_resumed))
+        tasks.cancel_scope.cancel()
