--- a/goldcrestpond/pool/recent_minimum.py
+++ b/goldcrestpond/pool/recent_minimum.py
@@ -4,19 +4,22 @@
 
 
 class RecentMinimum:
-    """Least value of the last one to two spans, in constant memory.
+    """Least value of at least the last span and at most the last two.
+
+    Takes constant memory.
 
     Parameters
     ----------
     span : timedelta
-        A value is forgotten after one to two of these.
+        The span.
     """
 
-    __slots__ = ("_current", "_former", "_since", "_span")
+    __slots__ = ("_current", "_former", "_former_since", "_since", "_span")
 
     def __init__(self, span: timedelta):
         self._span = span
         self._since: timedelta | None = None
+        self._former_since = timedelta.min
         self._current = timedelta.max
         self._former = timedelta.max
 
@@ -25,9 +28,9 @@
         if self._since is None:
             self._since = now
         elif now - self._since >= self._span:
-            is_former_recent = now - self._since < 2 * self._span
-            self._former = self._current if is_former_recent else timedelta.max
-            self._current = timedelta.max
-            self._since = now
+            self._former, self._former_since = self._current, self._since
+            self._current, self._since = timedelta.max, now
         self._current = min(self._current, value)
+        if now - self._former_since >= 2 * self._span:
+            return self._current
         return min(self._current, self._former)
