--- a/goldcrestpond/pool/recent_minimum.py
+++ b/goldcrestpond/pool/recent_minimum.py
@@ -19,7 +19,7 @@
     def __init__(self, span: timedelta):
         self._span = span
         self._since: timedelta | None = None
-        self._former_since = timedelta.min
+        self._former_since = timedelta(0)
         self._current = timedelta.max
         self._former = timedelta.max
 
--- a/tests/pool/test_recent_minimum.py
+++ b/tests/pool/test_recent_minimum.py
@@ -33,6 +33,15 @@
     assert_that(minimum.add(seconds(4), seconds(30)), Equals(seconds(4)))
 
 
+# Failure: a clock that counts the days since the machine started overflows a span.
+def test_minimum_on_a_machine_that_runs_for_long():
+    minimum = RecentMinimum(SPAN)
+    now = timedelta(days=400)
+    minimum.add(seconds(1), now)
+    assert_that(minimum.add(seconds(2), now + seconds(1)), Equals(seconds(1)))
+    assert_that(minimum.add(seconds(2), now + seconds(20)), Equals(seconds(2)))
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(1, 100)), min_size=1))
 def test_minimum_lies_between_that_of_one_span_and_of_two(steps):
     minimum = RecentMinimum(SPAN)
