Take the load for an organisation's read from the pool that serves it

A holder reported its own pool's load also for reads that go to a home elsewhere. Those never touch that pool, so a pace that was due or full there steered them to or from a database for ever. The organisation is now passed to load(): own connections count only where this instance is the home, else the relay's. Nameless reads see the same load as before.

Two tests made a SingleStatement with a plain string as the requester; they now pass a Requester, as all callers do. The models' load() takes the new argument.

--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -116,6 +116,10 @@
         self._elsewhere_failed_at: timedelta | None = None
         self._on_standby: set[str] = set()
 
+    def is_home(self, organisation: str) -> bool:
+        """Return whether this instance serves the organisation's requests itself."""
+        return self._find_homes(organisation).own_role is HomeRole.HOME
+
     async def acquire(
         self,
         term: int,
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -59,10 +59,17 @@
         """Connections that the current work could use."""
         return self._local_pool.demand + self._relay_pool.demand
 
-    def load(self, slots: int) -> DatabaseLoad:
-        """Return the load that this instance puts on the database."""
-        pool = self._local_pool if self._is_holder() else self._relay_pool
-        return pool.load(slots)
+    def load(self, slots: int, organisation: str = "") -> DatabaseLoad:
+        """Return the load that this instance puts on the database.
+
+        That of its own connections only if requests of the organisation use them: what
+        is elsewhere changes nothing about their pace.
+        """
+        if organisation:
+            is_local = self._organisation_pool.is_home(organisation)
+        else:
+            is_local = self._is_holder()
+        return (self._local_pool if is_local else self._relay_pool).load(slots)
 
     async def acquire(
         self,
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -321,13 +321,13 @@
         )
 
     def choose_for_read(
-        self, min_position: LogPosition, excluded: Iterable[str]
+        self, min_position: LogPosition, excluded: Iterable[str], organisation: str = ""
     ) -> ServedDatabase | None:
-        """Return the database for a read with a minimum position, or None."""
+        """Return the database for an organisation's read, or None."""
         now = self._clock.now()
         epoch = self.leadership.epoch
         candidates = [
-            self._make_candidate(served, min_position)
+            self._make_candidate(served, min_position, organisation)
             for served in self.databases.values()
             if served.database_id not in excluded
             and self._admits_reads(served)
@@ -360,10 +360,10 @@
         return self._registry.leaving_since(served.database_id) is None
 
     def _make_candidate(
-        self, served: ServedDatabase, min_position: LogPosition
+        self, served: ServedDatabase, min_position: LogPosition, organisation: str
     ) -> ReadCandidate:
         database = served.database
-        load = served.pool.load(database.slots)
+        load = served.pool.load(database.slots, organisation)
         is_near = database.availability_zone == self._settings.availability_zone
         wait = estimate_wait(load, is_same_availability_zone=is_near)
         now = self._clock.now()
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -180,7 +180,9 @@
         excluded: set[str] = set()
         refusal: CodedError | None = None
         while True:
-            served = self._service.choose_for_read(min_position, excluded)
+            served = self._service.choose_for_read(
+                min_position, excluded, self._requester.organisation
+            )
             if served is None and refusal is not None:
                 raise refusal
             if served is None:
@@ -211,7 +213,8 @@
             return reply
 
     def _compute_attempt_timeout(self, served: ServedDatabase) -> timedelta:
-        load = served.pool.load(served.database.slots)
+        organisation = self._requester.organisation
+        load = served.pool.load(served.database.slots, organisation)
         service_time = timedelta(milliseconds=load.service_ms)
         objective = self._route.objective
         timeout = max(
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -168,7 +168,9 @@
         excluded: set[str] = set()
         refusal: CodedError | None = None
         while True:
-            served = service.choose_for_read(min_position, excluded)
+            served = service.choose_for_read(
+                min_position, excluded, self._requester.organisation
+            )
             if served is None and refusal is not None:
                 raise refusal
             if served is None:
--- a/tests/pool/paced_load.py
+++ b/tests/pool/paced_load.py
@@ -98,7 +98,7 @@
         self.world, self.database, self.decisions = world, database, decisions
         self.waiting = {}
 
-    def load(self, slots):
+    def load(self, slots, organisation=""):
         return self.decisions.load(slots, self.world.clock.now())
 
     def request(self, request, on_granted, on_refused):
--- a/tests/serving/test_database_pace.py
+++ b/tests/serving/test_database_pace.py
@@ -15,6 +15,7 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.group.log_position import LogPosition
 from goldcrestpond.pool.pace_reason import PaceReason
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.relay.holders import Holders
 from goldcrestpond.retry.retry_budget import RetryBudget
 from goldcrestpond.routing.database_load import DatabaseLoad
@@ -64,7 +65,10 @@
 
 
 def _set_load(served, **fields):
-    served.pool.load = lambda slots: DatabaseLoad(0, 0, 1, slots, 20, **fields)
+    def load(slots, organisation=""):
+        return DatabaseLoad(0, 0, 1, slots, 20, **fields)
+
+    served.pool.load = load
 
 
 # Guards against: writes are refused or delayed for the sake of the leader's pace.
@@ -107,6 +111,27 @@
     assert_that(only.database_id, Equals("r1"))
 
 
+# Failure: the window of this holder's own pool is full, or due, and steers the reads of
+# an organisation whose home is elsewhere; these never change that pool.
+def test_load_is_that_of_the_pool_which_serves_the_organisation(service):
+    replica = service.databases["r1"]
+
+    def load(slots, organisation=""):
+        return DatabaseLoad(0, 0, 1, slots, 20, is_full=organisation != "acme")
+
+    replica.pool.load = load
+    excluded = ("leader",)
+    chosen = {
+        service.choose_for_read(POSITION, excluded, "acme").database_id
+        for _ in range(50)
+    }
+    assert_that(chosen, Equals({"r1", "r2"}))
+    nameless = {
+        service.choose_for_read(POSITION, excluded).database_id for _ in range(50)
+    }
+    assert_that(nameless, Equals({"r2"}))
+
+
 # Guards against: a paced database is left idle because its answers were slow.
 def test_paced_database_that_is_due_gets_the_next_read(service, clock):
     service.databases["r1"].latency.observe(ms(900), clock.now())
@@ -192,7 +217,10 @@
     )
     route = Route("d", "s", ReadPolicy.BOUNDED, ms(1500), ms(1000), ms(200), 1)
     statement = Statement("q1", StatementKind.READ, "READ a")
-    single = SingleStatement("c1", statement, SessionState(), route, service, directory)
+    requester = Requester("c1")
+    single = SingleStatement(
+        requester, statement, SessionState(), route, service, directory
+    )
     return asked, lambda: anyio.run(single.run, clock.now(), None)
 
 
--- a/tests/serving/test_load_patterns.py
+++ b/tests/serving/test_load_patterns.py
@@ -32,7 +32,7 @@
     def __init__(self):
         self.running = 0
 
-    def load(self, slots):
+    def load(self, slots, organisation=""):
         return DatabaseLoad(self.running, 0, 1, slots, 20)
 
 
--- a/tests/serving/test_single_statement.py
+++ b/tests/serving/test_single_statement.py
@@ -12,6 +12,7 @@
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.pool.requester import Requester
 from goldcrestpond.retry.retry_budget import RetryBudget
 from goldcrestpond.serving import single_statement
 from goldcrestpond.serving.metrics import Metrics
@@ -81,7 +82,10 @@
     )
     route = Route("d", "s", ReadPolicy.BOUNDED, ms(1500), ms(1000), ms(200), 1)
     statement = Statement("q1", StatementKind.READ, "READ a")
-    single = SingleStatement("c1", statement, SessionState(), route, service, directory)
+    requester = Requester("c1")
+    single = SingleStatement(
+        requester, statement, SessionState(), route, service, directory
+    )
     return SimpleNamespace(single=single, link=link, waits=waits, clock=clock)
 
 
