Ask the other homes if the share of one is used up

An organisation with several homes was refused below its rate if its callers are uneven: an instance that is a home always takes itself first, and its refusal ended the search. Each usable home is now asked once, not the standby; the first refusal goes back if all refuse. Nothing was charged by then, and each home spends only its own share, so the bound on the rate holds.

--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -130,31 +130,45 @@
     ) -> Link:
         """Check out a connection at a home of the requester's organisation.
 
+        A home whose share of the rate is used up says nothing about those of the other
+        homes, which are asked then; the standby is not, since its reserve is for lost
+        homes.
+
         Raises
         ------
         CodedError
-            RATE_EXCEEDED; IDENTITY_UNPROVEN if one may not serve the organisation now;
-            ENDPOINT_UNREACHABLE if no home and not the standby responds; or the error
-            with which one refused. Nothing was run.
+            RATE_EXCEEDED of the first home that refused; IDENTITY_UNPROVEN if one may
+            not serve the organisation now; ENDPOINT_UNREACHABLE if no home and not the
+            standby responds; or the error with which one refused. Nothing was run.
         """
         organisation = requester.organisation
         homes = self._find_homes(organisation)
         unproven: CodedError | None = None
+        exceeded: CodedError | None = None
         failures = []
         for target in self._order(homes, organisation):
             if failures and self._clock.now() >= deadline:
                 break
+            if exceeded is not None and not (
+                _is_home(target, homes) and self._is_usable(target, organisation)
+            ):
+                continue
             try:
                 return await self._acquire_at(
                     target, homes, term, deadline, requester, lane, priority
                 )
             except CodedError as error:
-                if error.code not in _NEXT_HOLDER_CODES:
+                is_exceeded = error.code is ResultCode.RATE_EXCEEDED
+                if is_exceeded and _is_home(target, homes):
+                    exceeded = exceeded or error
+                elif error.code not in _NEXT_HOLDER_CODES:
                     raise
                 if error.code is ResultCode.IDENTITY_UNPROVEN:
                     unproven = error
                 name = "this instance" if target is None else target.name
                 failures.append(f"{name}: {error}")
+        if exceeded is not None:
+            raise exceeded
         if unproven is not None:
             raise unproven
         detail = f"{self._service}: no home of {organisation!r} responds: {failures}"
@@ -195,17 +209,20 @@
             standbys.append(None)
         elif homes.standby is not None:
             standbys.append(homes.standby)
-        now = self._clock.now()
 
         def is_usable(holder: Holder | None) -> bool:
-            if holder is None:
-                return True
-            is_denied = holder.denies_service(self._service, organisation)
-            is_avoided = holder.health.is_avoided(now) or holder.watch.is_silent()
-            return not is_denied and not is_avoided
+            return self._is_usable(holder, organisation)
 
         return own + order_homes(homes.homes, standbys, is_usable, self._rng)
 
+    def _is_usable(self, holder: Holder | None, organisation: str) -> bool:
+        """Return whether a holder is believed to answer and serve an organisation."""
+        if holder is None:
+            return True
+        is_denied = holder.denies_service(self._service, organisation)
+        is_avoided = holder.health.is_avoided(self._clock.now())
+        return not (is_denied or is_avoided or holder.watch.is_silent())
+
     async def _acquire_at(
         self,
         target: Holder | None,
@@ -231,9 +248,7 @@
             link = await self._acquire_elsewhere(
                 target, error, term, deadline, requester, lane, priority
             )
-        is_own_home = target is None and homes.own_role is HomeRole.HOME
-        is_home = is_own_home or target in homes.homes
-        self._record_use(requester.organisation, target, is_home)
+        self._record_use(requester.organisation, target, _is_home(target, homes))
         return link
 
     async def _check_out_watched(
@@ -363,3 +378,10 @@
             database=self._database_id,
             holder="own" if target is None else target.name,
         )
+
+
+def _is_home(target: Holder | None, homes: HomeHolders) -> bool:
+    """Return whether a target is a home; None stands for this instance."""
+    if target is None:
+        return homes.own_role is HomeRole.HOME
+    return target in homes.homes
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -1,5 +1,6 @@
 """Which holder lends a connection for an organisation, and who is charged."""
 
+import itertools
 import random
 from datetime import timedelta
 
@@ -32,6 +33,7 @@
 ACME = Requester("c1", "acme", 0.5)
 LENT = messages.Lent({}, [])
 WAIT = timedelta(seconds=1)
+_numbers = itertools.count()
 
 
 def refused(code, retry_after_ms=0):
@@ -76,6 +78,7 @@
         self.lend = LENT
         self.charge = messages.Done()
         self.requests = []
+        self.asked_at = 0
         self.ended = []
         self.denied = set()
 
@@ -92,6 +95,7 @@
 
     async def send_request(self, channel, message, wait):
         self.requests.append(message)
+        self.asked_at = next(_numbers)
         response = self.lend if isinstance(message, messages.Lend) else self.charge
         if isinstance(response, CodedError):
             raise response
@@ -308,7 +312,7 @@
     assert_that(len(world.home.requests), Equals(1))
 
 
-# Failure: the rate is exceeded at the home; another holder would run more than it.
+# Failure: the rate is exceeded at the only home; the standby would run more than it.
 async def test_exceeded_rate_goes_back_to_the_caller_at_once(world):
     world.home.lend = refused(ResultCode.RATE_EXCEEDED, 70)
     error = await world.fail()
@@ -318,6 +322,37 @@
     assert_that(world.standby.requests + world.other.requests, Equals([]))
 
 
+# Failure: an organisation has two homes and all its callers use one of them, which is
+# refused below the rate of the organisation.
+async def test_other_home_is_asked_if_the_rate_of_the_own_share_is_exceeded(world):
+    world.homes = HomeHolders(HomeRole.HOME, (world.next_home,), world.standby)
+    world.meter.exceeded.add("acme")
+    assert_that((await world.acquire()).holder, Is(world.next_home))
+    assert_that(world.own.lent, Equals([]))
+
+
+# Failure: as before, and the other homes have nothing left or can't be asked: the
+# refusal that tells when to retry is that of the first one.
+async def test_first_refusal_is_raised_if_no_home_has_any_rate_left(world):
+    unusable = _Holder("h3")
+    unusable.watch.silent = True
+    homes = (world.home, world.next_home, unusable)
+    world.homes = HomeHolders(HomeRole.NONE, homes, world.standby)
+    world.home.lend = refused(ResultCode.RATE_EXCEEDED, 70)
+    world.next_home.lend = refused(ResultCode.RATE_EXCEEDED, 90)
+    for _ in range(20):
+        before = {h: len(h.requests) for h in homes}
+        error = await world.fail()
+        assert_that(error.code, Is(ResultCode.RATE_EXCEEDED))
+        first = min(homes[:2], key=lambda h: h.asked_at)
+        assert_that(error.retry_after_ms, Equals(first.lend.retry_after_ms))
+        asked = [len(h.requests) - before[h] for h in homes]
+        assert_that(asked, Equals([1, 1, 0]))
+    world.next_home.lend = None
+    assert_that((await world.fail()).retry_after_ms, Equals(70))
+    assert_that(world.standby.requests + world.other.requests, Equals([]))
+
+
 async def test_exceeded_rate_at_the_own_home_takes_no_connection(world):
     world.homes = HomeHolders(HomeRole.HOME, (), world.standby)
     world.meter.exceeded.add("acme")
