End the avoidance of a holder when it answers a probe

A home that answers again stayed avoided for up to two seconds: only responses to requests ended its avoidance, and requests went elsewhere. An answered probe now ends it too. Probes that no connection could be opened for counted as failed requests and lengthened the avoidance; only requests count now.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -111,7 +111,11 @@
             channel, _ = self._idle.pop()
             if not channel.is_broken:
                 return channel
-        return await self._open()
+        try:
+            return await self._open()
+        except CodedError:
+            self.health.record_failure(self._clock.now())
+            raise
 
     async def release_channel(self, channel: Channel) -> None:
         """Keep a channel without an outstanding request for reuse, or close it."""
@@ -181,6 +185,7 @@
     async def _probe(self) -> bool:
         """Return whether the instance answers over a new connection.
 
+        An answer ends its avoidance; no answer is no failure of a request.
         An idle one may have lost its state on the way, while the instance answers.
         """
         with anyio.move_on_after(PROBE_TIMEOUT.total_seconds()):
@@ -190,6 +195,7 @@
                 return False
             try:
                 await channel.send_request(Probe())
+                self.health.record_success()
                 return True
             except CodedError:
                 return False
@@ -217,7 +223,6 @@
             with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
                 stream = await anyio.connect_tcp(self.address.host, self.address.port)
         except (OSError, TimeoutError) as error:
-            self.health.record_failure(self._clock.now())
             detail = f"{self.name} at {self.address}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
--- a/tests/relay/test_holder.py
+++ b/tests/relay/test_holder.py
@@ -6,7 +6,7 @@
 import pytest
 from anyio.abc import SocketAttribute
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Is
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.errors.coded_error import CodedError
@@ -14,6 +14,7 @@
 from goldcrestpond.relay import messages
 from goldcrestpond.relay.channel import Channel
 from goldcrestpond.relay.holder import Holder
+from goldcrestpond.serving.endpoint_health import FAILURES_BEFORE_AVOIDANCE
 from goldcrestpond.settings.address import Address
 from goldcrestpond.soak.fault_proxy import FaultProxy
 
@@ -71,3 +72,65 @@
             await body()
 
     anyio.run(run)
+
+
+async def _answer_probes(stream):
+    channel = Channel(stream)
+    with pytest.raises(CodedError):  # the holder closes the channel
+        while True:
+            await channel.receive()
+            await channel.send(messages.Done())
+
+
+async def _wait_until(is_reached):
+    with anyio.fail_after(5):
+        while not is_reached():
+            await anyio.sleep(0.005)
+
+
+# Failure: a home was lost for a moment and answers again, but stays avoided for the
+# rest of the time that its failures brought.
+def test_holder_that_answers_a_probe_is_avoided_no_more():
+    async def body():
+        clock = SystemClock()
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, _answer_probes)
+            port = listener.extra(SocketAttribute.local_port)
+            holder = Holder("i1", Address("127.0.0.1", port), "z1", clock, tasks)
+            for _ in range(6):
+                holder.health.record_failure(clock.now())
+            holder.watch.suspect()
+            await _wait_until(lambda: not holder.health.is_avoided(clock.now()))
+            assert_that(holder.watch.is_silent(), Is(False))
+            since = clock.now()
+            await holder.aclose()
+            tasks.cancel_scope.cancel()
+        return since
+
+    async def run():
+        since = SystemClock().now()
+        assert_that(await body() - since < timedelta(seconds=1), Is(True))
+
+    anyio.run(run)
+
+
+# Failure: a member is gone; the probes, which nobody waits for, lengthen its avoidance.
+def test_failed_probes_do_not_count_as_failures_of_requests():
+    async def run():
+        clock = SystemClock()
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            await listener.aclose()
+            holder = Holder("i1", Address("127.0.0.1", port), "z1", clock, tasks)
+            for _ in range(FAILURES_BEFORE_AVOIDANCE):
+                assert_that(await holder._probe(), Is(False))
+            assert_that(holder.health.is_avoided(clock.now()), Is(False))
+            for _ in range(FAILURES_BEFORE_AVOIDANCE):
+                with pytest.raises(CodedError):
+                    await holder.acquire_channel()
+            assert_that(holder.health.is_avoided(clock.now()), Is(True))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
