Stop lending elsewhere only if the database can't be reached there either

Any refusal of one holder, such as a full queue of one organisation or a lost holder, switched lending elsewhere off for all organisations for a second. Only a holder that can't reach the database does so now. An instance that holds connections itself asked nobody else if they didn't reach the database; it now asks another holder too. Holders known to be silent are left out, and the checkout is given up when the holder answers no probe, as at a home.

--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -258,6 +258,7 @@
         requester: Requester,
         lane: Lane,
         priority: int,
+        is_charged: bool = False,
     ) -> Link:
         """Check out at a holder; give up as soon as it answers no probe."""
         try:
@@ -265,7 +266,7 @@
                 holder.watch.add_waiting(scope)
                 try:
                     return await self._relay_pool.check_out(
-                        holder, deadline, requester, lane, priority
+                        holder, deadline, requester, lane, priority, is_charged
                     )
                 finally:
                     holder.watch.remove_waiting(scope)
@@ -304,36 +305,41 @@
     ) -> Link:
         """Check out at a holder that may reach the database, unlike the home.
 
-        The home charges the operation only after the connection was checked out, so
-        that attempts at a database that is down use up no rate.
+        Own connections are tried first if this instance holds any, then one holder that
+        is not known to be silent. Only if all of them can't reach the database either
+        is it believed to be down. The home charges the operation only after the
+        connection was checked out, so that attempts at a database that is down use up
+        no rate.
         """
         now = self._clock.now()
         failed_at = self._elsewhere_failed_at
         has_failed = failed_at is not None and now - failed_at < ELSEWHERE_PAUSE
         if now >= deadline or has_failed:
             raise error
-        try:
-            if home is not None and self._is_holder():
-                lender = "own"
-                link = await self._own_pool.acquire(
-                    term, deadline, requester, lane, priority
-                )
-            else:
-                others = [h for h in self._other_holders() if h is not home]
-                holder = choose_holder(others, self._availability_zone, now, self._rng)
-                if holder is None:
-                    raise error
-                lender = holder.name
-                link = await self._relay_pool.check_out(
-                    holder, deadline, requester, lane, priority, is_charged=True
-                )
-        except CodedError:
+        lenders = self._lenders(home)
+        if not lenders:
+            raise error
+        for lender in lenders:
+            pool = self._own_pool if lender is None else self._relay_pool
+            try:
+                if lender is None:
+                    link = await self._own_pool.acquire(
+                        term, deadline, requester, lane, priority
+                    )
+                else:
+                    link = await self._check_out_watched(
+                        lender, deadline, requester, lane, priority, is_charged=True
+                    )
+                break
+            except CodedError as refusal:
+                if refusal.code is not ResultCode.ENDPOINT_UNREACHABLE:
+                    raise error from refusal
+        else:
             self._elsewhere_failed_at = self._clock.now()
-            raise error from None
+            raise error
         try:
             await self._charge_at(home, requester.organisation)
         except BaseException:
-            pool = self._own_pool if lender == "own" else self._relay_pool
             pool.release(link)
             raise
         self._log.decision(
@@ -341,11 +347,25 @@
             organisation=requester.organisation,
             database=self._database_id,
             home="own" if home is None else home.name,
-            lender=lender,
+            lender="own" if lender is None else lender.name,
             detail=error.detail,
         )
         return link
 
+    def _lenders(self, home: Holder | None) -> list[Holder | None]:
+        """Return whom to ask in a home's place; None stands for own connections."""
+        own: list[Holder | None] = []
+        if home is not None and self._is_holder():
+            own.append(None)
+        others = [
+            holder
+            for holder in self._other_holders()
+            if holder is not home and not holder.watch.is_silent()
+        ]
+        now = self._clock.now()
+        chosen = choose_holder(others, self._availability_zone, now, self._rng)
+        return own if chosen is None else [*own, chosen]
+
     async def _charge_at(self, home: Holder | None, organisation: str) -> None:
         if home is None:
             self._admission.charge(self._service, organisation)
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -423,6 +423,49 @@
     assert_that(len(world.standby.requests + world.other.requests), Equals(2))
 
 
+# Failure: neither the home nor this instance's own connections reach the database.
+async def test_other_holder_lends_if_own_connections_do_not_reach_it_either(world):
+    world.is_holder = True
+    world.home.lend = refused(ResultCode.ENDPOINT_UNREACHABLE)
+    world.own.error = ResultCode.ENDPOINT_UNREACHABLE
+    link = await world.acquire()
+    assert_that(link.holder in (world.standby, world.other), Is(True))
+    assert_that(link.holder.requests[0].is_charged, Is(True))
+    assert_that(world.home.requests[1:], Equals([messages.Charge("s", "acme")]))
+
+
+# Failure: a holder that was to lend refuses one organisation for reasons of its own, or
+# is lost; that tells nothing of the database, and others need it elsewhere.
+@pytest.mark.parametrize("code", [ResultCode.OVERLOADED, ResultCode.PEER_UNREACHABLE])
+async def test_refusal_elsewhere_for_another_reason_ends_no_lending(world, code):
+    world.home.lend = refused(ResultCode.ENDPOINT_UNREACHABLE)
+    world.standby.lend = world.other.lend = refused(code)
+    error = await world.fail()
+    assert_that(error.code, Is(ResultCode.ENDPOINT_UNREACHABLE))
+    world.standby.lend = world.other.lend = LENT
+    link = await world.acquire()
+    assert_that(link.holder in (world.standby, world.other), Is(True))
+
+
+# Failure: the holder that is to lend is frozen; the request must not wait for it.
+async def test_holder_that_answers_no_probe_does_not_lend_elsewhere(world):
+    async def hang(channel, message, wait):
+        world.other.watch.scopes[0].cancel()  # as after a probe
+        await anyio.sleep_forever()
+
+    world.home.lend = refused(ResultCode.ENDPOINT_UNREACHABLE)
+    world.standby.watch.silent = True
+    world.other.send_request = hang
+    with anyio.fail_after(1):
+        error = await world.fail()
+    assert_that(error.code, Is(ResultCode.ENDPOINT_UNREACHABLE))
+    assert_that(world.standby.requests, Equals([]))
+    assert_that(world.other.checkout_count, Equals(0))
+    world.other.watch.silent = True
+    await world.fail()
+    assert_that(world.standby.requests, Equals([]))
+
+
 async def test_home_lends_to_another_instance_and_charges(world):
     await world.lend()
     assert_that(world.meter.charged, Equals([("acme", False)]))
