Ask the next home if a home denies the charge of a connection lent elsewhere

A home at this instance that denied the charge sent the request on, a remote one ended it as unreachable. Both send it on now: nothing was charged.

--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -29,15 +29,13 @@
 # After another holder couldn't reach a database either, none is asked for this time:
 # the database is down, which the home's refusal has told already.
 ELSEWHERE_PAUSE = timedelta(seconds=1)
+# Errors after which it is unknown whether a home has charged an operation.
+_LOST_CODES = frozenset({ResultCode.PEER_MALFORMED, ResultCode.PEER_UNREACHABLE})
 # Errors of one holder after which the next one is asked; nothing was run.
-_NEXT_HOLDER_CODES = frozenset(
-    {
-        ResultCode.IDENTITY_UNPROVEN,
-        ResultCode.PEER_HOLDS_NOTHING,
-        ResultCode.PEER_MALFORMED,
-        ResultCode.PEER_UNREACHABLE,
-    }
-)
+_NEXT_HOLDER_CODES = _LOST_CODES | {
+    ResultCode.IDENTITY_UNPROVEN,
+    ResultCode.PEER_HOLDS_NOTHING,
+}
 
 
 class OrganisationPool:
@@ -374,7 +372,7 @@
         try:
             await send_request(home, request, CHARGE_TIMEOUT, messages.Done)
         except CodedError as error:
-            if error.code not in _NEXT_HOLDER_CODES:
+            if error.code not in _LOST_CODES:
                 raise
             detail = f"{home.name}: not charged: {error}"
             raise CodedError(
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -408,6 +408,23 @@
     assert_that(world.relay.running_count, Equals(0))
 
 
+# Failure: the home lends nothing for want of the database, and is no longer the home by
+# the time it is asked to charge; a home that is this instance is treated alike.
+@pytest.mark.parametrize(
+    "code", [ResultCode.IDENTITY_UNPROVEN, ResultCode.PEER_HOLDS_NOTHING]
+)
+async def test_next_one_is_asked_if_the_home_denies_the_charge(world, code):
+    world.homes = HomeHolders(HomeRole.NONE, (world.home,), world.standby)
+    world.home.lend = refused(ResultCode.ENDPOINT_UNREACHABLE)
+    world.home.charge = refused(code)
+    world.standby.health.record_failure(world.clock.now())
+    world.standby.health.record_failure(world.clock.now())  # the other one lends
+    link = await world.acquire()
+    assert_that(link.holder, Is(world.standby))
+    assert_that(world.standby.requests[-1].is_charged, Is(False))
+    assert_that(world.other.ended, Equals([True]))
+
+
 # Failure: the database is down; asking other holders would use up the rate and time.
 async def test_database_that_no_holder_reaches_uses_up_no_rate(world, clock):
     for holder in (world.home, world.standby, world.other):
