Tell a lost home from a database that can't be reached

"No home responds" and "not charged" had the code of an unreachable database, so that the lost homes of one organisation made every database of the service avoided for all callers. They are HOME_UNREACHABLE (704) now: not run, retried and BUSY on the wire as before, but no failure of the database. Three expectations of tests name the new code.

--- a/goldcrestpond/errors/result_code.py
+++ b/goldcrestpond/errors/result_code.py
@@ -77,6 +77,7 @@
     PEER_UNREACHABLE = (701, "08001", 503, "A peer does not answer.")
     PEER_MALFORMED = (702, "08P01", 400, "A peer's message cannot be read.")
     PEER_HOLDS_NOTHING = (703, "08001", 503, "A peer is not connected to the endpoint.")
+    HOME_UNREACHABLE = (704, "08001", 503, "The organisation is not served; not run.")
 
     INTERNAL = (901, "XX000", 500, "An internal error.")
 
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -136,8 +136,9 @@
         ------
         CodedError
             RATE_EXCEEDED of the first home that refused; IDENTITY_UNPROVEN if one may
-            not serve the organisation now; ENDPOINT_UNREACHABLE if no home and not the
-            standby responds; or the error with which one refused. Nothing was run.
+            not serve the organisation now; HOME_UNREACHABLE if no home and not the
+            standby responds, which says nothing of the database; or the error with
+            which one refused. Nothing was run.
         """
         organisation = requester.organisation
         homes = self._find_homes(organisation)
@@ -170,7 +171,7 @@
         if unproven is not None:
             raise unproven
         detail = f"{self._service}: no home of {organisation!r} responds: {failures}"
-        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
+        raise CodedError(ResultCode.HOME_UNREACHABLE, detail, RETRY_AFTER_MS)
 
     async def lend(
         self,
@@ -375,9 +376,8 @@
             if error.code not in _LOST_CODES:
                 raise
             detail = f"{home.name}: not charged: {error}"
-            raise CodedError(
-                ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS
-            ) from error
+            code = ResultCode.HOME_UNREACHABLE
+            raise CodedError(code, detail, RETRY_AFTER_MS) from error
 
     def _record_use(
         self, organisation: str, target: Holder | None, is_home: bool
--- a/goldcrestpond/serving/error_outcome.py
+++ b/goldcrestpond/serving/error_outcome.py
@@ -17,6 +17,7 @@
         ResultCode.COMMITS_STALLED,
         ResultCode.ENDPOINT_LEAVING,
         ResultCode.ENDPOINT_UNREACHABLE,
+        ResultCode.HOME_UNREACHABLE,
         ResultCode.IDENTITY_UNPROVEN,
         ResultCode.NO_PRIMARY,
         ResultCode.OVERLOADED,
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -21,6 +21,7 @@
 from goldcrestpond.relay.relay_pool import RelayPool
 from goldcrestpond.relay.remote_link import RemoteLink
 from goldcrestpond.serving.endpoint_health import EndpointHealth
+from goldcrestpond.serving.error_outcome import NOT_RUN, RETRYABLE
 from goldcrestpond.serving.home_admission import HomeAdmission
 from goldcrestpond.serving.home_role import HomeRole
 from goldcrestpond.serving.home_table import HomeTable
@@ -284,8 +285,9 @@
 async def test_request_fails_as_not_run_if_nobody_responds(world):
     world.home.lend = world.standby.lend = None
     error = await world.fail()
-    assert_that(error.code, Is(ResultCode.ENDPOINT_UNREACHABLE))
+    assert_that(error.code, Is(ResultCode.HOME_UNREACHABLE))
     assert_that(error.retry_after_ms > 0, Is(True))
+    assert_that(error.code in NOT_RUN & RETRYABLE, Is(True))
 
 
 # Failure: the home does not respond until the deadline has passed.
@@ -296,7 +298,7 @@
 
     world.home.send_request = respond_late
     error = await world.fail()
-    assert_that(error.code, Is(ResultCode.ENDPOINT_UNREACHABLE))
+    assert_that(error.code, Is(ResultCode.HOME_UNREACHABLE))
     assert_that(world.standby.requests, Equals([]))
 
 
@@ -394,7 +396,7 @@
         (refused(ResultCode.RATE_EXCEEDED), ResultCode.RATE_EXCEEDED),
         (
             CodedError(ResultCode.PEER_UNREACHABLE, "lost"),
-            ResultCode.ENDPOINT_UNREACHABLE,
+            ResultCode.HOME_UNREACHABLE,
         ),
     ],
 )
--- a/tests/serving/test_link_checkout.py
+++ b/tests/serving/test_link_checkout.py
@@ -53,3 +53,15 @@
     assert_that(
         count_reads_by_database(service, LogPosition(1, 5))["r1"] > 50, Equals(True)
     )
+
+
+# Failure: one organisation has lost its homes; the databases that it asked for are
+# well, and are the same ones that all other callers use.
+def test_reads_avoid_no_database_because_an_organisation_has_lost_its_homes(clock):
+    served = make_service(clock).databases["r1"]
+    for _ in range(4):
+        _refuse(served, ResultCode.HOME_UNREACHABLE, clock)
+    assert_that(served.health.is_avoided(clock.now()), Equals(False))
+    for _ in range(4):
+        _refuse(served, ResultCode.ENDPOINT_UNREACHABLE, clock)
+    assert_that(served.health.is_avoided(clock.now()), Equals(True))
