Give a database that its home has dropped no work through another holder

A home that had dropped a leaving database answered that it can't reach it, and a holder whose registry was behind was asked instead: a leaving database got new work. The home now answers that the database leaves, for a request that names an organisation. The instance that asked avoids the database as it did after the former answer, so that its attempts go elsewhere until it has read the change.

--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -135,9 +135,13 @@
         served = service and service.databases.get(request.database_id)
         self._require_held(request.service)
         if served is None:
-            detail = (
-                f"{request.service}/{request.database_id}: unknown to this instance"
-            )
+            name = f"{request.service}/{request.database_id}"
+            dropped = service.recently_unlisted() if service else ()
+            is_dropped = any(d.database_id == request.database_id for d in dropped)
+            # Another holder, which may not know yet that it leaves, is not to be asked.
+            if request.organisation and is_dropped:
+                raise CodedError(ResultCode.ENDPOINT_LEAVING, f"{name}: dropped here")
+            detail = f"{name}: unknown to this instance"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
         deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
         requester = Requester(request.caller, request.organisation, request.weight)
--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -17,6 +17,7 @@
 from .session_state import SessionState
 
 _QUEUE_REFUSALS = (ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE)
+_DATABASE_FAILURES = (ResultCode.ENDPOINT_UNREACHABLE, ResultCode.ENDPOINT_LEAVING)
 # A statement that is already past its objective, for example because there was no
 # leader, may still wait for this fraction of it: when a new leader is found, all
 # statements that waited for it arrive at once.
@@ -78,7 +79,7 @@
         )
     except CodedError as error:
         now = clock.now()
-        if error.code is ResultCode.ENDPOINT_UNREACHABLE:
+        if error.code in _DATABASE_FAILURES:
             served.health.record_failure(now)
         # The time that the wait would have taken: nothing else shows how long the queue
         # of a holder is.
--- a/tests/serving/test_link_checkout.py
+++ b/tests/serving/test_link_checkout.py
@@ -55,6 +55,15 @@
     )
 
 
+# Failure: this instance has not read yet that a database leaves; its requests must not
+# be refused there until it has.
+def test_reads_avoid_a_database_that_its_holders_have_dropped(clock):
+    service = make_service(clock)
+    for _ in range(2):
+        _refuse(service.databases["r1"], ResultCode.ENDPOINT_LEAVING, clock)
+    assert_that(count_reads_by_database(service, LogPosition(1, 5))["r1"], Equals(0))
+
+
 # Failure: one organisation has lost its homes; the databases that it asked for are
 # well, and are the same ones that all other callers use.
 def test_reads_avoid_no_database_because_an_organisation_has_lost_its_homes(clock):
