Take no stall of this process for silence, and probe while requests wait

A probe whose limit passed while this process stood still made a home that answers look silent; its result is now ignored and the probe repeated. Probes of a silent holder ended after INTEREST_SPAN even if a request waited for it, which then waited until its deadline; they now go on. While a holder answered, each waiting request had it probed every 50 ms over a new connection; after an answered probe the next one follows after PROBE_INTERVAL.

--- a/goldcrestpond/relay/holder_watch.py
+++ b/goldcrestpond/relay/holder_watch.py
@@ -13,7 +13,9 @@
 PROBE_DELAY = timedelta(milliseconds=50)
 # A process answers a probe within a round trip, or later on a slow machine.
 PROBE_TIMEOUT = timedelta(milliseconds=150)
-# While a holder does not answer, it is probed at this interval.
+# A probe that ends later than this after its limit was not awaited for that long.
+STALL_SPAN = timedelta(milliseconds=100)
+# Shortest time between probes of a holder: each one opens a connection.
 PROBE_INTERVAL = timedelta(milliseconds=500)
 # An unanswered probe tells nothing about the time after this span, which is longer than
 # the time between two probes.
@@ -143,23 +145,29 @@
     def _next_probe_at(self) -> timedelta | None:
         """Return when to probe next; None if there is nothing to find out."""
         if self._is_suspected or self.silent_since is not None:
-            if self._clock.now() - self._interest_at >= INTEREST_SPAN:
+            is_of_interest = self._clock.now() - self._interest_at < INTEREST_SPAN
+            if not (is_of_interest or self._waiting):
                 return None
             return self._probed_at + PROBE_INTERVAL
         if not self._waiting:
             return None
         heard_at = max(min(self._waiting.values()), self._heard_at)
-        return heard_at + PROBE_DELAY
+        return max(heard_at + PROBE_DELAY, self._probed_at + PROBE_INTERVAL)
 
     async def _probe_once(self) -> None:
         sent_at = self._clock.now()
-        is_continued = sent_at - self._probed_at <= EVIDENCE_SPAN
+        probed_at = self._probed_at
+        is_continued = sent_at - probed_at <= EVIDENCE_SPAN
         self._probed_at = sent_at
         if await self._probe():
             self.record_heard()
             return
         if self._heard_at >= sent_at:
             return
+        if self._clock.now() - sent_at > PROBE_TIMEOUT + STALL_SPAN:
+            # This process stood still: the answer may have come. The next probe is due.
+            self._probed_at = probed_at
+            return
         self._is_suspected = False
         if self.silent_since is None:
             self.silent_since = sent_at
--- a/tests/relay/test_holder_watch.py
+++ b/tests/relay/test_holder_watch.py
@@ -1,5 +1,6 @@
 """When a holder is probed, and when its requests are given up."""
 
+import time
 from datetime import timedelta
 
 import anyio
@@ -9,7 +10,7 @@
 
 from goldcrestpond.clock.system_clock import SystemClock
 from goldcrestpond.relay import holder_watch
-from goldcrestpond.relay.holder_watch import HolderWatch
+from goldcrestpond.relay.holder_watch import PROBE_TIMEOUT, HolderWatch
 
 pytestmark = pytest.mark.anyio
 MS = timedelta(milliseconds=1)
@@ -131,6 +132,52 @@
     await run(body)
 
 
+# Failure: all homes are silent and nobody has asked about them for a while; a request
+# that tries one of them all the same would wait until its deadline.
+async def test_request_to_a_holder_that_was_silent_long_ago_is_given_up(run):
+    async def body(world):
+        world.is_answering = False
+        world.watch.suspect()
+        await anyio.sleep(0.3)
+        assert_that(await world.request(2), Is(True))
+
+    await run(body)
+
+
+# Failure: this process stalls while a probe is under way until the limit of the probe
+# has passed: a home that answers would look silent.
+async def test_probe_that_a_stall_of_this_process_fell_into_tells_nothing(run):
+    async def body(world):
+        stalls = [True]
+
+        async def probe():
+            world.probe_count += 1
+            if not stalls:
+                return True
+            stalls.pop()
+            time.sleep(2 * PROBE_TIMEOUT.total_seconds())
+            return False
+
+        world.watch._probe = probe
+        assert_that(await world.request(0.5), Is(False))
+        assert_that(world.changes, Equals([]))
+        assert_that(world.probe_count >= 2, Is(True))
+
+    await run(body)
+
+
+# Failure: a holder's queue is long; each request that waits must not have it probed
+# twenty times a second for nothing.
+async def test_answered_probe_is_followed_by_a_pause(run, monkeypatch):
+    monkeypatch.setattr(holder_watch, "PROBE_INTERVAL", 100 * MS)
+
+    async def body(world):
+        assert_that(await world.request(0.3), Is(False))
+        assert_that(2 <= world.probe_count <= 4, Is(True))
+
+    await run(body)
+
+
 # Failure: a holder was silent, is back, and is marked absent since nobody probed it.
 async def test_silence_is_told_only_while_probes_go_on(run, monkeypatch):
     monkeypatch.setattr(holder_watch, "EVIDENCE_SPAN", 50 * MS)
