Close all idle channels of a lost holder although the request is cancelled

The channels that were idle when a request failed were taken out first and then closed one by one; a cancelled request left the rest open and unreachable. The closing is shielded now.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -215,8 +215,9 @@
         """
         suspect = [channel for channel, at in self._idle if at <= sent_at]
         self._idle = [pair for pair in self._idle if pair[1] > sent_at]
-        for channel in suspect:
-            await channel.aclose()
+        with anyio.CancelScope(shield=True):
+            for channel in suspect:
+                await channel.aclose()
 
     async def _open(self) -> Channel:
         try:
--- a/tests/relay/test_holder.py
+++ b/tests/relay/test_holder.py
@@ -134,3 +134,41 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+class _FakeChannel:
+    """Channel that answers as told; ``None`` means that it is lost."""
+
+    def __init__(self, response=None):
+        self.response = response
+        self.is_broken = False
+        self.is_closed = False
+
+    async def send_request(self, message):
+        if self.response is None:
+            raise CodedError(ResultCode.ANSWER_INTERRUPTED, "lost")
+        return self.response
+
+    async def aclose(self):
+        await anyio.sleep(0)
+        self.is_closed = True
+
+
+def _fake_holder(clock):
+    return Holder("i1", Address("127.0.0.1", 1), "z1", clock, None)
+
+
+# Failure: a request is cancelled, as when its home answers no probe, while the channels
+# that failed with it are being closed.
+def test_channels_are_closed_although_the_request_is_cancelled(clock):
+    async def run():
+        holder = _fake_holder(clock)
+        idle = [_FakeChannel() for _ in range(3)]
+        for channel in idle:
+            await holder.release_channel(channel)
+        with anyio.CancelScope() as scope:
+            scope.cancel()
+            await holder._close_channels_idle_since(clock.now())
+        assert_that([c.is_closed for c in idle], Equals([True] * 3))
+
+    anyio.run(run)
