Take no answer to a lend without charge for one about the home

Denials of a holder that only lends were recorded as if it had been asked as the home or the standby, and what it lent cleared the denial of a home. Such answers are not recorded now.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -170,6 +170,8 @@
         self.health.record_success()
         self.watch.record_heard()
         if isinstance(message, Lend):
+            if message.is_charged:  # lending only: it need not be the home
+                return response
             self._record_denial((message.service, message.organisation), response)
         elif isinstance(message, Prove):
             self._record_denial((message.service, ""), response)
--- a/tests/relay/test_holder.py
+++ b/tests/relay/test_holder.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import anyio
+import msgspec
 import pytest
 from anyio.abc import SocketAttribute
 from testtools.assertions import assert_that
@@ -172,3 +173,25 @@
         assert_that([c.is_closed for c in idle], Equals([True] * 3))
 
     anyio.run(run)
+
+
+# Failure: a holder that can't lend in a home's place denies that; it may still be the
+# home or the standby, and a home that lends so may have denied to charge.
+def test_answer_to_a_charged_lend_tells_nothing_about_the_home(clock):
+    denial = messages.Refused(ResultCode.PEER_HOLDS_NOTHING.number, "", 0)
+    plain = messages.Lend("s", "d1", "c", "short", 9.0, 1, "acme")
+    charged = msgspec.structs.replace(plain, is_charged=True)
+
+    async def run():
+        holder = _fake_holder(clock)
+
+        async def send(message, response):
+            await holder.send_request(_FakeChannel(response), message, WAIT)
+            return holder.denies_service("s", "acme")
+
+        assert_that(await send(charged, denial), Is(False))
+        assert_that(await send(plain, denial), Is(True))
+        assert_that(await send(charged, messages.Lent({}, [])), Is(True))
+        assert_that(await send(plain, messages.Lent({}, [])), Is(False))
+
+    anyio.run(run)
