Keep as many channels to a holder as a large organisation uses

All work of a large organisation goes from one entry to one home, which needs more than the eight idle channels that were kept for each holder: most requests of a burst opened a connection. Up to 32 are kept now; what exceeds eight and was not needed for ten seconds is closed, one with each release.

--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -28,7 +28,14 @@
         ResultCode.IDENTITY_UNPROVEN.number,
     }
 )
-MAX_IDLE_CHANNELS = 8  # a burst opens more, which are closed when released
+# One instance may send all work of a large organisation to one home: six hundred
+# operations a second, of 50 ms each with their wait, use 30 channels at once. More of
+# them, from a score of instances, would exceed the descriptors that a home reserves. A
+# burst opens more, which are closed when released.
+MAX_IDLE_CHANNELS = 32
+# Channels beyond this number are closed if they were not needed for this time.
+MIN_IDLE_CHANNELS = 8
+IDLE_CHANNEL_SPAN = timedelta(seconds=10)
 
 
 class Holder:
@@ -119,11 +126,17 @@
 
     async def release_channel(self, channel: Channel) -> None:
         """Keep a channel without an outstanding request for reuse, or close it."""
-        if channel.is_broken or len(self._idle) >= MAX_IDLE_CHANNELS:
-            with anyio.CancelScope(shield=True):
-                await channel.aclose()
-        else:
-            self._idle.append((channel, self._clock.now()))
+        if not channel.is_broken and len(self._idle) < MAX_IDLE_CHANNELS:
+            now = self._clock.now()
+            self._idle.append((channel, now))
+            # The last one released is used first, so that the first one of the list is
+            # beyond the recent peak if it is that old.
+            is_unneeded = now - self._idle[0][1] >= IDLE_CHANNEL_SPAN
+            if len(self._idle) <= MIN_IDLE_CHANNELS or not is_unneeded:
+                return
+            channel, _ = self._idle.pop(0)
+        with anyio.CancelScope(shield=True):
+            await channel.aclose()
 
     def end_checkout(self, channel: Channel, is_intact: bool) -> None:
         """Return the connection checked out over a channel, in the background."""
--- a/tests/relay/test_holder.py
+++ b/tests/relay/test_holder.py
@@ -14,7 +14,11 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.relay import messages
 from goldcrestpond.relay.channel import Channel
-from goldcrestpond.relay.holder import Holder
+from goldcrestpond.relay.holder import (
+    IDLE_CHANNEL_SPAN,
+    MAX_IDLE_CHANNELS,
+    Holder,
+)
 from goldcrestpond.serving.endpoint_health import FAILURES_BEFORE_AVOIDANCE
 from goldcrestpond.settings.address import Address
 from goldcrestpond.soak.fault_proxy import FaultProxy
@@ -159,6 +163,30 @@
     return Holder("i1", Address("127.0.0.1", 1), "z1", clock, None)
 
 
+# Failure: an instance sends all work of a large organisation to one home, and opens a
+# connection for most of its requests.
+def test_channels_of_a_recent_peak_are_kept_and_the_excess_is_closed(clock):
+    async def run():
+        holder = _fake_holder(clock)
+        channels = [_FakeChannel() for _ in range(MAX_IDLE_CHANNELS + 3)]
+        for channel in channels:
+            await holder.release_channel(channel)
+        assert_that([c.is_closed for c in channels[-4:]], Equals([False] + 3 * [True]))
+        kept = channels[:-3]
+        # Half of them are in use at once from now on.
+        for _ in range(int(2 * IDLE_CHANNEL_SPAN / timedelta(seconds=1))):
+            clock.advance(timedelta(seconds=1))
+            used = [
+                await holder.acquire_channel() for _ in range(MAX_IDLE_CHANNELS // 2)
+            ]
+            assert_that(any(c.is_closed for c in used), Is(False))
+            for channel in used:
+                await holder.release_channel(channel)
+        assert_that([c.is_closed for c in kept].count(False), Equals(len(kept) // 2))
+
+    anyio.run(run)
+
+
 # Failure: a request is cancelled, as when its home answers no probe, while the channels
 # that failed with it are being closed.
 def test_channels_are_closed_although_the_request_is_cancelled(clock):
