--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -28,7 +28,14 @@
         ResultCode.IDENTITY_UNPROVEN.number,
     }
 )
-MAX_IDLE_CHANNELS = 8  # a burst opens more, which are closed when released
+# One instance may send all work of a large organisation to one home: six hundred
+# operations a second, of 50 ms each with their wait, use 30 channels at once. More of
+# them, from a score of instances, would exceed the descriptors that a home reserves. A
+# burst opens more, which are closed when released.
+MAX_IDLE_CHANNELS = 32
+# Channels beyond this number are closed if they were not needed for this time.
+MIN_IDLE_CHANNELS = 8
+IDLE_CHANNEL_SPAN = timedelta(seconds=10)
 
 
 class Holder:
@@ -111,15 +118,25 @@
             channel, _ = self._idle.pop()
             if not channel.is_broken:
                 return channel
-        return await self._open()
+        try:
+            return await self._open()
+        except CodedError:
+            self.health.record_failure(self._clock.now())
+            raise
 
     async def release_channel(self, channel: Channel) -> None:
         """Keep a channel without an outstanding request for reuse, or close it."""
-        if channel.is_broken or len(self._idle) >= MAX_IDLE_CHANNELS:
-            with anyio.CancelScope(shield=True):
-                await channel.aclose()
-        else:
-            self._idle.append((channel, self._clock.now()))
+        if not channel.is_broken and len(self._idle) < MAX_IDLE_CHANNELS:
+            now = self._clock.now()
+            self._idle.append((channel, now))
+            # The last one released is used first, so that the first one of the list is
+            # beyond the recent peak if it is that old.
+            is_unneeded = now - self._idle[0][1] >= IDLE_CHANNEL_SPAN
+            if len(self._idle) <= MIN_IDLE_CHANNELS or not is_unneeded:
+                return
+            channel, _ = self._idle.pop(0)
+        with anyio.CancelScope(shield=True):
+            await channel.aclose()
 
     def end_checkout(self, channel: Channel, is_intact: bool) -> None:
         """Return the connection checked out over a channel, in the background."""
@@ -166,6 +183,8 @@
         self.health.record_success()
         self.watch.record_heard()
         if isinstance(message, Lend):
+            if message.is_charged:  # lending only: it need not be the home
+                return response
             self._record_denial((message.service, message.organisation), response)
         elif isinstance(message, Prove):
             self._record_denial((message.service, ""), response)
@@ -181,6 +200,7 @@
     async def _probe(self) -> bool:
         """Return whether the instance answers over a new connection.
 
+        An answer ends its avoidance; no answer is no failure of a request.
         An idle one may have lost its state on the way, while the instance answers.
         """
         with anyio.move_on_after(PROBE_TIMEOUT.total_seconds()):
@@ -190,6 +210,7 @@
                 return False
             try:
                 await channel.send_request(Probe())
+                self.health.record_success()
                 return True
             except CodedError:
                 return False
@@ -209,15 +230,15 @@
         """
         suspect = [channel for channel, at in self._idle if at <= sent_at]
         self._idle = [pair for pair in self._idle if pair[1] > sent_at]
-        for channel in suspect:
-            await channel.aclose()
+        with anyio.CancelScope(shield=True):
+            for channel in suspect:
+                await channel.aclose()
 
     async def _open(self) -> Channel:
         try:
             with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
                 stream = await anyio.connect_tcp(self.address.host, self.address.port)
         except (OSError, TimeoutError) as error:
-            self.health.record_failure(self._clock.now())
             detail = f"{self.name} at {self.address}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -29,15 +29,13 @@
 # After another holder couldn't reach a database either, none is asked for this time:
 # the database is down, which the home's refusal has told already.
 ELSEWHERE_PAUSE = timedelta(seconds=1)
+# Errors after which it is unknown whether a home has charged an operation.
+_LOST_CODES = frozenset({ResultCode.PEER_MALFORMED, ResultCode.PEER_UNREACHABLE})
 # Errors of one holder after which the next one is asked; nothing was run.
-_NEXT_HOLDER_CODES = frozenset(
-    {
-        ResultCode.IDENTITY_UNPROVEN,
-        ResultCode.PEER_HOLDS_NOTHING,
-        ResultCode.PEER_MALFORMED,
-        ResultCode.PEER_UNREACHABLE,
-    }
-)
+_NEXT_HOLDER_CODES = _LOST_CODES | {
+    ResultCode.IDENTITY_UNPROVEN,
+    ResultCode.PEER_HOLDS_NOTHING,
+}
 
 
 class OrganisationPool:
@@ -116,6 +114,10 @@
         self._elsewhere_failed_at: timedelta | None = None
         self._on_standby: set[str] = set()
 
+    def is_home(self, organisation: str) -> bool:
+        """Return whether this instance serves the organisation's requests itself."""
+        return self._find_homes(organisation).own_role is HomeRole.HOME
+
     async def acquire(
         self,
         term: int,
@@ -126,35 +128,50 @@
     ) -> Link:
         """Check out a connection at a home of the requester's organisation.
 
+        A home whose share of the rate is used up says nothing about those of the other
+        homes, which are asked then; the standby is not, since its reserve is for lost
+        homes.
+
         Raises
         ------
         CodedError
-            RATE_EXCEEDED; IDENTITY_UNPROVEN if one may not serve the organisation now;
-            ENDPOINT_UNREACHABLE if no home and not the standby responds; or the error
-            with which one refused. Nothing was run.
+            RATE_EXCEEDED of the first home that refused; IDENTITY_UNPROVEN if one may
+            not serve the organisation now; HOME_UNREACHABLE if no home and not the
+            standby responds, which says nothing of the database; or the error with
+            which one refused. Nothing was run.
         """
         organisation = requester.organisation
         homes = self._find_homes(organisation)
         unproven: CodedError | None = None
+        exceeded: CodedError | None = None
         failures = []
         for target in self._order(homes, organisation):
             if failures and self._clock.now() >= deadline:
                 break
+            if exceeded is not None and not (
+                _is_home(target, homes) and self._is_usable(target, organisation)
+            ):
+                continue
             try:
                 return await self._acquire_at(
                     target, homes, term, deadline, requester, lane, priority
                 )
             except CodedError as error:
-                if error.code not in _NEXT_HOLDER_CODES:
+                is_exceeded = error.code is ResultCode.RATE_EXCEEDED
+                if is_exceeded and _is_home(target, homes):
+                    exceeded = exceeded or error
+                elif error.code not in _NEXT_HOLDER_CODES:
                     raise
                 if error.code is ResultCode.IDENTITY_UNPROVEN:
                     unproven = error
                 name = "this instance" if target is None else target.name
                 failures.append(f"{name}: {error}")
+        if exceeded is not None:
+            raise exceeded
         if unproven is not None:
             raise unproven
         detail = f"{self._service}: no home of {organisation!r} responds: {failures}"
-        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
+        raise CodedError(ResultCode.HOME_UNREACHABLE, detail, RETRY_AFTER_MS)
 
     async def lend(
         self,
@@ -191,17 +208,20 @@
             standbys.append(None)
         elif homes.standby is not None:
             standbys.append(homes.standby)
-        now = self._clock.now()
 
         def is_usable(holder: Holder | None) -> bool:
-            if holder is None:
-                return True
-            is_denied = holder.denies_service(self._service, organisation)
-            is_avoided = holder.health.is_avoided(now) or holder.watch.is_silent()
-            return not is_denied and not is_avoided
+            return self._is_usable(holder, organisation)
 
         return own + order_homes(homes.homes, standbys, is_usable, self._rng)
 
+    def _is_usable(self, holder: Holder | None, organisation: str) -> bool:
+        """Return whether a holder is believed to answer and serve an organisation."""
+        if holder is None:
+            return True
+        is_denied = holder.denies_service(self._service, organisation)
+        is_avoided = holder.health.is_avoided(self._clock.now())
+        return not (is_denied or is_avoided or holder.watch.is_silent())
+
     async def _acquire_at(
         self,
         target: Holder | None,
@@ -227,9 +247,7 @@
             link = await self._acquire_elsewhere(
                 target, error, term, deadline, requester, lane, priority
             )
-        is_own_home = target is None and homes.own_role is HomeRole.HOME
-        is_home = is_own_home or target in homes.homes
-        self._record_use(requester.organisation, target, is_home)
+        self._record_use(requester.organisation, target, _is_home(target, homes))
         return link
 
     async def _check_out_watched(
@@ -239,6 +257,7 @@
         requester: Requester,
         lane: Lane,
         priority: int,
+        is_charged: bool = False,
     ) -> Link:
         """Check out at a holder; give up as soon as it answers no probe."""
         try:
@@ -246,7 +265,7 @@
                 holder.watch.add_waiting(scope)
                 try:
                     return await self._relay_pool.check_out(
-                        holder, deadline, requester, lane, priority
+                        holder, deadline, requester, lane, priority, is_charged
                     )
                 finally:
                     holder.watch.remove_waiting(scope)
@@ -285,36 +304,41 @@
     ) -> Link:
         """Check out at a holder that may reach the database, unlike the home.
 
-        The home charges the operation only after the connection was checked out, so
-        that attempts at a database that is down use up no rate.
+        Own connections are tried first if this instance holds any, then one holder that
+        is not known to be silent. Only if all of them can't reach the database either
+        is it believed to be down. The home charges the operation only after the
+        connection was checked out, so that attempts at a database that is down use up
+        no rate.
         """
         now = self._clock.now()
         failed_at = self._elsewhere_failed_at
         has_failed = failed_at is not None and now - failed_at < ELSEWHERE_PAUSE
         if now >= deadline or has_failed:
             raise error
-        try:
-            if home is not None and self._is_holder():
-                lender = "own"
-                link = await self._own_pool.acquire(
-                    term, deadline, requester, lane, priority
-                )
-            else:
-                others = [h for h in self._other_holders() if h is not home]
-                holder = choose_holder(others, self._availability_zone, now, self._rng)
-                if holder is None:
-                    raise error
-                lender = holder.name
-                link = await self._relay_pool.check_out(
-                    holder, deadline, requester, lane, priority, is_charged=True
-                )
-        except CodedError:
+        lenders = self._lenders(home)
+        if not lenders:
+            raise error
+        for lender in lenders:
+            pool = self._own_pool if lender is None else self._relay_pool
+            try:
+                if lender is None:
+                    link = await self._own_pool.acquire(
+                        term, deadline, requester, lane, priority
+                    )
+                else:
+                    link = await self._check_out_watched(
+                        lender, deadline, requester, lane, priority, is_charged=True
+                    )
+                break
+            except CodedError as refusal:
+                if refusal.code is not ResultCode.ENDPOINT_UNREACHABLE:
+                    raise error from refusal
+        else:
             self._elsewhere_failed_at = self._clock.now()
-            raise error from None
+            raise error
         try:
             await self._charge_at(home, requester.organisation)
         except BaseException:
-            pool = self._own_pool if lender == "own" else self._relay_pool
             pool.release(link)
             raise
         self._log.decision(
@@ -322,11 +346,25 @@
             organisation=requester.organisation,
             database=self._database_id,
             home="own" if home is None else home.name,
-            lender=lender,
+            lender="own" if lender is None else lender.name,
             detail=error.detail,
         )
         return link
 
+    def _lenders(self, home: Holder | None) -> list[Holder | None]:
+        """Return whom to ask in a home's place; None stands for own connections."""
+        own: list[Holder | None] = []
+        if home is not None and self._is_holder():
+            own.append(None)
+        others = [
+            holder
+            for holder in self._other_holders()
+            if holder is not home and not holder.watch.is_silent()
+        ]
+        now = self._clock.now()
+        chosen = choose_holder(others, self._availability_zone, now, self._rng)
+        return own if chosen is None else [*own, chosen]
+
     async def _charge_at(self, home: Holder | None, organisation: str) -> None:
         if home is None:
             self._admission.charge(self._service, organisation)
@@ -335,12 +373,11 @@
         try:
             await send_request(home, request, CHARGE_TIMEOUT, messages.Done)
         except CodedError as error:
-            if error.code not in _NEXT_HOLDER_CODES:
+            if error.code not in _LOST_CODES:
                 raise
             detail = f"{home.name}: not charged: {error}"
-            raise CodedError(
-                ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS
-            ) from error
+            code = ResultCode.HOME_UNREACHABLE
+            raise CodedError(code, detail, RETRY_AFTER_MS) from error
 
     def _record_use(
         self, organisation: str, target: Holder | None, is_home: bool
@@ -359,3 +396,10 @@
             database=self._database_id,
             holder="own" if target is None else target.name,
         )
+
+
+def _is_home(target: Holder | None, homes: HomeHolders) -> bool:
+    """Return whether a target is a home; None stands for this instance."""
+    if target is None:
+        return homes.own_role is HomeRole.HOME
+    return target in homes.homes
--- a/tests/serving/test_link_checkout.py
+++ b/tests/serving/test_link_checkout.py
@@ -40,6 +40,27 @@
     anyio.run(body)
 
 
+# Failure: this instance has not read yet that a database leaves; its requests must not
+# be refused there until it has.
+def test_reads_avoid_a_database_that_its_holders_have_dropped(clock):
+    service = make_service(clock)
+    for _ in range(2):
+        _refuse(service.databases["r1"], ResultCode.ENDPOINT_LEAVING, clock)
+    assert_that(count_reads_by_database(service, LogPosition(1, 5))["r1"], Equals(0))
+
+
+# Failure: one organisation has lost its homes; the databases that it asked for are
+# well, and are the same ones that all other callers use.
+def test_reads_avoid_no_database_because_an_organisation_has_lost_its_homes(clock):
+    served = make_service(clock).databases["r1"]
+    for _ in range(4):
+        _refuse(served, ResultCode.HOME_UNREACHABLE, clock)
+    assert_that(served.health.is_avoided(clock.now()), Equals(False))
+    for _ in range(4):
+        _refuse(served, ResultCode.ENDPOINT_UNREACHABLE, clock)
+    assert_that(served.health.is_avoided(clock.now()), Equals(True))
+
+
 # Guards against: after a restart the queue of one database is full at its holders, and
 # instances without connections of their own keep sending reads there.
 @pytest.mark.parametrize("code", [ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE])
