Check a configuration before it is sent

An operator learned only from the instances' logs that a version can't be used, and not at all that an entry has no effect or which callers lose access.

Keys are told by organisation and position only.

The instances decode as before.

--- a/goldcrestpond/platform/operator_configuration.py
+++ b/goldcrestpond/platform/operator_configuration.py
@@ -8,16 +8,21 @@
 the store replaces them by digests before it keeps the value or passes it on.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, TypeVar
 
 import msgspec
 
 from ..errors.decode_errors import DECODE_ERRORS
+from ..serving.configuration_draft import ConfigurationDraft
+from ..serving.finding import Finding
 from ..serving.organisation import Organisation
+from ..serving.organisation_draft import OrganisationDraft
 from ..serving.organisations import Organisations, digest_key
 from ..serving.route import ReadPolicy, Route
 from ..serving.route_table import RouteTable, ServiceLimits
+from ..serving.severity import Severity
 
 TABLE = "op"
 KEY = "config"
@@ -74,6 +79,7 @@
 _DECODER = msgspec.json.Decoder(_ConfigurationBody)
 _Record = TypeVar("_Record")
 _EMPTY_KEY_DIGEST = digest_key("")
+_TABLE_PARTS = ("routes", "services", "tenants")
 
 
 class _VersionBody(msgspec.Struct, rename="camel"):
@@ -116,6 +122,165 @@
     )
 
 
+def tabulate_lists(value: bytes) -> bytes:
+    """Return a configuration whose lists of objects are tables of columns and rows.
+
+    Nothing else is changed, and no value that cannot be decoded.
+    """
+    try:
+        body = msgspec.json.decode(value, type=dict[str, Any])
+    except DECODE_ERRORS:
+        return value
+    for part in _TABLE_PARTS:
+        if isinstance(body.get(part), list):
+            body[part] = _tabulate(body[part])
+    return msgspec.json.encode(body)
+
+
+def decode_draft(value: bytes) -> ConfigurationDraft:
+    """Decode each entry of a configuration by itself, so that all faults are found.
+
+    Parameters
+    ----------
+    value : bytes
+        The configuration as the store contains it.
+
+    Returns
+    -------
+    ConfigurationDraft
+        Entries and faults. No text of a fault contains a key.
+    """
+    faults: list[Finding] = []
+    try:
+        body = msgspec.json.decode(value, type=dict[str, Any])
+    except DECODE_ERRORS as error:
+        return ConfigurationDraft(faults=[_to_fault("configuration", error)])
+    version = _try_convert(body, _VersionBody, "version", faults)
+    limits = _try_decode(
+        lambda: _decode_idle_limit(body.get("limits", {})), "limits", faults
+    )
+    organisations = None
+    if body.get("tenants") is not None:
+        organisations = _draft_entries(body, "tenants", "organisation", faults)
+    return ConfigurationDraft(
+        None if version is None else version.config_version,
+        _draft_entries(body, "routes", "route", faults),
+        _draft_entries(body, "services", "service", faults),
+        limits,
+        organisations,
+        faults,
+    )
+
+
+def _tabulate(records: list[Any]) -> Any:
+    if not all(isinstance(record, dict) for record in records):
+        return records
+    columns = list(dict.fromkeys(name for record in records for name in record))
+    rows = [[record.get(name) for name in columns] for record in records]
+    return {"columns": columns, "rows": rows}
+
+
+def _draft_entries(
+    body: dict[str, Any], part: str, kind: str, faults: list[Finding]
+) -> list[Any]:
+    """Return the entries of one table that can be decoded."""
+    if part not in body:
+        faults.append(_make_fault(f"{kind}s", "missing"))
+        return []
+    table = _try_convert(body[part], _TableBody, f"{kind}s", faults)
+    if table is None:
+        return []
+    if len(set(table.columns)) < len(table.columns):
+        faults.append(_make_fault(f"{kind}s", "a column is listed twice"))
+        return []
+    drafts = []
+    for number, row in enumerate(table.rows, 1):
+        one = _TableBody(table.columns, [row])
+        subject = f"{kind} in row {number}"
+        make = _DRAFT_MAKERS[part]
+        draft = _try_decode(
+            lambda one=one, subject=subject, make=make: make(one, subject, faults),
+            subject,
+            faults,
+        )
+        if draft is not None:
+            drafts.append(draft)
+    return drafts
+
+
+def _draft_route(table: _TableBody, subject: str, faults: list[Finding]) -> Route:
+    (body,) = _decode_records(table, _RouteBody)
+    if body.route_type not in _POLICIES:
+        known = ", ".join(_POLICIES)
+        raise _invalid(f"unknown route type {body.route_type!r}; known: {known}")
+    return _to_route(body)
+
+
+def _draft_service(
+    table: _TableBody, subject: str, faults: list[Finding]
+) -> tuple[str, ServiceLimits]:
+    (body,) = _decode_records(table, _ServiceBody)
+    return body.name, ServiceLimits(body.max_conns, body.sync_replicas)
+
+
+def _draft_organisation(
+    table: _TableBody, subject: str, faults: list[Finding]
+) -> OrganisationDraft:
+    (body,) = _decode_records(table, _OrganisationBody)
+    digests: dict[str, bytes] = {}
+    for number, text in enumerate(body.key_digests, 1):
+        try:
+            digests[f"digest {number}"] = bytes.fromhex(text)
+        except ValueError:
+            # Without the cause, whose text might quote what stands for a key.
+            detail = f"organisation {body.name!r}: digest {number} is unreadable"
+            faults.append(_make_fault(subject, detail))
+    for number, key in enumerate(body.api_keys, 1):
+        digests[f"key {number}"] = digest_key(key)
+    for position, digest in digests.items():
+        if digest == _EMPTY_KEY_DIGEST:
+            detail = f"organisation {body.name!r}: {position} is empty"
+            faults.append(_make_fault(subject, detail))
+    return OrganisationDraft(_to_organisation(body), digests)
+
+
+_DRAFT_MAKERS: dict[str, Callable[[_TableBody, str, list[Finding]], Any]] = {
+    "routes": _draft_route,
+    "services": _draft_service,
+    "tenants": _draft_organisation,
+}
+
+
+def _decode_idle_limit(limits: Any) -> timedelta:
+    body = msgspec.convert(limits, _LimitsBody)
+    return timedelta(milliseconds=body.txn_idle_ms)
+
+
+def _try_convert(
+    value: Any, record_type: type[_Record], subject: str, faults: list[Finding]
+) -> _Record | None:
+    return _try_decode(lambda: msgspec.convert(value, record_type), subject, faults)
+
+
+def _try_decode(
+    decode: Callable[[], _Record], subject: str, faults: list[Finding]
+) -> _Record | None:
+    """Return what is decoded; if it cannot be, record the fault and return None."""
+    try:
+        return decode()
+    except DECODE_ERRORS as error:
+        faults.append(_to_fault(subject, error))
+        return None
+
+
+def _to_fault(subject: str, error: Exception) -> Finding:
+    return _make_fault(subject, str(error))
+
+
+def _make_fault(subject: str, detail: str) -> Finding:
+    return Finding(Severity.ERROR, "unreadable", subject, detail)
+
+
 def replace_keys(value: bytes) -> bytes:
     """Return a version of the configuration with digests instead of keys.
 
