Pass on only known columns of the organisations

Cause: only a column named exactly apiKeys was replaced by digests; keys in any other, such as apikeys or oldKeys, were kept and passed on in the clear. Change: columns that decoding doesn't know are dropped before the value is kept. Result: such keys leave the reader in no message; what is decoded stays the same.

--- a/goldcrestpond/platform/operator_configuration.py
+++ b/goldcrestpond/platform/operator_configuration.py
@@ -48,6 +48,11 @@
     burst: float | None = None
 
 
+_ORGANISATION_COLUMNS = frozenset(
+    field.encode_name for field in msgspec.structs.fields(_OrganisationBody)
+)
+
+
 class _ServiceBody(msgspec.Struct, rename="camel"):
     name: str
     max_conns: int
@@ -138,17 +143,22 @@
 
 
 def _replace_key_column(table: Any) -> dict:
+    """Return the organisations with digests, without columns that are not known.
+
+    Such a column may contain keys under a misspelt name.
+    """
     columns, rows = _check_table(msgspec.convert(table, _TableBody))
+    kept = [i for i, column in enumerate(columns) if column in _ORGANISATION_COLUMNS]
+    columns = [columns[i] for i in kept]
+    rows = [[row[i] for i in kept] for row in rows]
     if "apiKeys" not in columns:
         return {"columns": columns, "rows": rows}
     index = columns.index("apiKeys")
-    replaced = []
     for row in rows:
         keys = msgspec.convert(row[index], list[str] | None)
-        digests = None if keys is None else [digest_key(key).hex() for key in keys]
-        replaced.append([*row[:index], digests, *row[index + 1 :]])
-    names = [*columns[:index], "keyDigests", *columns[index + 1 :]]
-    return {"columns": names, "rows": replaced}
+        row[index] = None if keys is None else [digest_key(key).hex() for key in keys]
+    columns[index] = "keyDigests"
+    return {"columns": columns, "rows": rows}
 
 
 def _decode_organisations(table: _TableBody) -> Organisations:
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -148,6 +148,20 @@
     assert_that(replace_keys(passed), Equals(passed))
 
 
+# Keys in a column with a misspelt or former name were passed on in the clear.
+@pytest.mark.parametrize("column", ["apikeys", "oldKeys", "api_keys", "APIKEYS"])
+def test_columns_that_are_not_known_are_not_passed_on(column):
+    bodies = [make_organisation_body("acme", ["k1"]) | {column: ["secret-1"]}]
+    value = msgspec.json.encode(_body(bodies, open_names=("own",)))
+    passed = replace_keys(value)
+    assert_that(passed, Not(Contains(b"secret")))
+    assert_that(decode_configuration(passed), Equals(decode_configuration(value)))
+    only = {"columns": [column, "name"], "rows": [[["secret-1"], "acme"]]}
+    passed = replace_keys(msgspec.json.encode(_body(None) | {"tenants": only}))
+    assert_that(passed, Not(Contains(b"secret")))
+    assert_that(decode_configuration(passed).organisations.by_name, Contains("acme"))
+
+
 def test_value_without_organisations_is_passed_on_unchanged():
     value = msgspec.json.encode(_body(None))
     assert_that(replace_keys(value), Is(value))
