Let the members' version rise with rows written again alike and with whole reads

Cause: the version was derived from the rows' values, so a mark or a list of followers that was removed and written again alike between two answers, and changes before a read of the whole table, left it the same; after a lapse shares then went on though another instance may have gained them. Change: rows other than heartbeats count by their version, and a read of the whole table always counts.

The former test asserted that a whole read with the same rows, or with other heartbeats only, leaves the version the same: that is what was wrong, since such a read doesn't show what changed back and forth. Heartbeats are now checked through changed rows, and whole reads in a test of their own.

--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -24,6 +24,7 @@
     encode_followers,
     encode_member,
     followers_key,
+    is_heartbeat_key,
 )
 from .row_store import RowPut, RowStore, StoredRow
 from .store_era import StoreEra
@@ -97,7 +98,7 @@
         "_is_leaving",
         "_is_told",
         "_is_writer",
-        "_known_values",
+        "_known_states",
         "_lists_followers",
         "_log",
         "_mark_tried_at",
@@ -148,7 +149,7 @@
         self._heartbeat_due_at = timedelta.min
         self._written_era = 0
         self._rows_kept_until = timedelta.min
-        self._known_values: dict[str, bytes | None] = {}
+        self._known_states: dict[str, bytes | int] = {}
         self.rows_version = (0, 0)
         self.is_known = False
         self.is_listed = False
@@ -259,10 +260,12 @@
     def _record_version(
         self, rows: Sequence[StoredRow], complete_up_to: int | None
     ) -> None:
-        """Record the version of the last change that may change the members.
+        """Record the version of the last change that may have changed the members.
 
-        Heartbeats repeat their value and are no change. Rows that were removed unseen
-        are noticed when all rows are read, but not the version of their removal.
+        Heartbeats repeat their value and are no change. All other rows are written only
+        when they change, so a new version of one with the same value is of a row that
+        was removed meanwhile. When all rows are read, there may have been any changes
+        that they don't show.
 
         Parameters
         ----------
@@ -271,26 +274,21 @@
         complete_up_to : int or None
             Version up to which all rows are complete; None for changed ones.
         """
-        known = self._known_values
+        known = self._known_states
         if complete_up_to is not None:
-            values = {row.key: row.value for row in rows}
-            is_same = values == known and self._era.current == self.rows_version[0]
             known.clear()
-            known.update(values)
-            changed = (
-                [] if is_same else [complete_up_to, *(row.version for row in rows)]
-            )
+            changed = [complete_up_to]
         else:
             changed = [
                 row.version
                 for row in rows
-                if row.value is None or known.get(row.key) != row.value
+                if row.value is None or known.get(row.key) != _read_state(row)
             ]
-            for row in rows:
-                if row.value is None:
-                    known.pop(row.key, None)
-                else:
-                    known[row.key] = row.value
+        for row in rows:
+            if row.value is None:
+                known.pop(row.key, None)
+            else:
+                known[row.key] = _read_state(row)
         era, version = self.rows_version
         if changed:
             former = version if era == self._era.current else 0
@@ -400,5 +398,10 @@
         self._written = None
 
 
+def _read_state(row: StoredRow) -> bytes | int:
+    """Return what differs between two states of a row that are not the same."""
+    return row.value if is_heartbeat_key(row.key) else row.version
+
+
 def _row(key: str) -> StoredRow:
     return StoredRow(TABLE, "", key, None, 0)
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -100,6 +100,11 @@
     return name + _ABSENT_SUFFIX
 
 
+def is_heartbeat_key(key: str) -> bool:
+    """Return whether a row is an instance's own, which each heartbeat writes anew."""
+    return _FOLLOWERS_INFIX not in key and not key.endswith(_ABSENT_SUFFIX)
+
+
 def encode_absent(writer: str) -> bytes:
     """Return the value of a row that marks a member as absent."""
     return msgspec.json.encode({"by": writer})
--- a/tests/serving/test_member_updater.py
+++ b/tests/serving/test_member_updater.py
@@ -60,7 +60,7 @@
 
     async def read(self):
         answer = await self.store.read(TABLE)
-        self.updater.replace(answer.rows)
+        self.updater.replace(answer.rows, answer.version)
 
     async def step(self):
         await self.read()
@@ -193,26 +193,45 @@
 
 # Versions name the state by which a share was handed over: heartbeats are no new state.
 async def test_version_rises_with_changes_of_members_only(first, rows, clock):
-    async def read():
-        await first.read()
-        return first.updater.rows_version
+    updater = first.updater
+
+    async def follow(since):
+        answer = await first.store.read(TABLE)
+        updater.update([row for row in answer.rows if row.version > since])
+        return updater.rows_version
 
     await first.step()
-    version = await read()
-    assert_that(version, Equals((1, 1)))
+    assert_that(updater.rows_version, Equals((1, 1)))
     clock.advance(HEARTBEAT_INTERVAL)
+    await updater._write_if_due()
+    assert_that((rows.version, await follow(1)), Equals((2, (1, 1))))
+    await updater.mark_absent("i1", ms(2000))
+    assert_that(await follow(2), Equals((1, 3)))
+    updater.update([StoredRow(TABLE, "", "i1", None, 9)])
+    assert_that(updater.rows_version, Equals((1, 9)))
+
+
+# A mark or list that was removed and written again alike between two answers: another
+# instance may have gained a share meanwhile.
+@pytest.mark.parametrize("key", ["i2/absent", "i2/followers/0"])
+async def test_version_rises_with_a_row_that_was_written_again_alike(first, key):
+    updater = first.updater
+    await first.step()
+    updater.update([StoredRow(TABLE, "", key, b"{}", 5)])
+    updater.update([StoredRow(TABLE, "", key, b"{}", 5)])
+    assert_that(updater.rows_version, Equals((1, 5)))
+    updater.update([StoredRow(TABLE, "", key, b"{}", 7)])
+    assert_that(updater.rows_version, Equals((1, 7)))
+
+
+# After lost history all rows are read, which don't show what changed back and forth.
+async def test_version_rises_whenever_all_rows_are_read(first):
     await first.step()
-    assert_that((rows.version, await read()), Equals((2, version)))
-    await first.updater.mark_absent("i1", ms(2000))
-    assert_that(await read(), Equals((1, 3)))
-    rows.rows.pop((TABLE, "i1/absent"))
-    rows.version += 1  # the removal, which a whole read does not show
     answer = await first.store.read(TABLE)
-    first.updater.replace(answer.rows, answer.version)
+    first.updater.replace(answer.rows, 4)
     assert_that(first.updater.rows_version, Equals((1, 4)))
-    removed = StoredRow(TABLE, "", "i1", None, 9)
-    first.updater.update([removed])
-    assert_that(first.updater.rows_version, Equals((1, 9)))
+    first.updater.replace(answer.rows, 6)
+    assert_that(first.updater.rows_version, Equals((1, 6)))
 
 
 # The store loses the rows in the first seconds, before the regular heartbeats.
