Resume shares only while nothing has changed since the start

Cause: whether the first members' table listed this instance was kept for good, so organisations that were configured later began all shares at once, whatever had changed. Change: it is forgotten with any later change of the members, the absent or is_listed, and once used; its use is logged as 'shares resumed'. The meter is given no roles before the members are known: if the configuration was read first, those empty roles counted as the first ones and nothing was ever resumed. Result: shares are resumed once, in either order of reading, and not after a change.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -271,6 +271,9 @@
         if not self._members:
             is_home_possible = self._settings.instance not in absent
             self._was_listed_at_start = is_listed and is_home_possible
+        elif not (is_same and is_status_same):
+            # What was so at the start says nothing about the roles from now on.
+            self._was_listed_at_start = False
         # Only homes depend on who is absent or listed.
         if is_same and (is_status_same or self._organisations() is None):
             return
@@ -641,12 +644,22 @@
                 organisations=len(roles),
             )
         meter = self.admission.meter
-        if meter is None:
-            return
+        if meter is None or not self._members:
+            return  # there are no roles before the members are known
         now = self.clock.now()
-        meter.set_roles(
-            roles, now, self.state_version(), is_resumed=self._was_listed_at_start
-        )
+        version = self.state_version()
+        is_resumed = self._was_listed_at_start
+        if is_resumed:
+            # Only the first roles are resumed.
+            self._was_listed_at_start = False
+            self.log.decision(
+                "shares resumed",
+                reason="listed at start, no member changed since",
+                members=len(self._members),
+                organisations=len(roles),
+                version=version,
+            )
+        meter.set_roles(roles, now, version, is_resumed=is_resumed)
         handovers = meter.release(lost, now) if lost else []
         if handovers:
             self._hand_over(handovers, former_homes)
--- a/tests/relay/fake_meter.py
+++ b/tests/relay/fake_meter.py
@@ -16,6 +16,7 @@
         self.limits = {}
         self.released = []
         self.accepted = []
+        self.set_count = 0
 
     def set_limits(self, organisations, now):
         self.limits = dict(organisations)
@@ -23,6 +24,7 @@
     def set_roles(self, roles, now, version=None, is_resumed=False):
         self.roles = dict(roles)
         self.is_resumed = is_resumed
+        self.set_count += 1
 
     def observe(self, now):
         pass
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -267,3 +267,57 @@
         directory.apply_table(_organisation_table(1, {"mill": 10}))
         assert_that(meter.is_resumed, Equals(is_resumed))
         tasks.cancel_scope.cancel()
+
+
+_RESUMED = "shares resumed"
+
+
+# Failure: organisations are configured long after the start: homes have changed since,
+# which still spend their shares.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "change",
+    [
+        (_MEMBERS[:3], frozenset(), True),
+        (_MEMBERS[:4], frozenset({"i2"}), True),
+        (_MEMBERS[:4], frozenset(), False),
+    ],
+)
+async def test_shares_are_not_resumed_after_a_change_of_the_members(change):
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        meter = directory.admission.meter = FakeMeter()
+        start = (_MEMBERS[:4], frozenset(), True)
+        for status in (start, change, start):
+            directory.set_members(*status)
+        directory.apply_table(_organisation_table(1, {"mill": 10}))
+        assert_that(meter.is_resumed, Equals(False))
+        assert_that(_events(directory, _RESUMED), HasLength(0))
+        tasks.cancel_scope.cancel()
+
+
+# Failure: the configuration is read before the members, and the empty roles of then
+# count as those of the start.
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_table_first", [False, True])
+async def test_shares_are_resumed_once_whichever_table_is_read_first(is_table_first):
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        meter = directory.admission.meter = FakeMeter()
+        steps = [
+            lambda: directory.set_members(_MEMBERS[:4]),
+            lambda: directory.apply_table(_organisation_table(1, {"mill": 10})),
+        ]
+        for step in reversed(steps) if is_table_first else steps:
+            step()
+        assert_that((meter.set_count, meter.is_resumed), Equals((1, True)))
+        [line] = _events(directory, _RESUMED)
+        assert_that((line["members"], line["version"]), Equals((4, (0, 0, 1))))
+        directory.apply_table(_organisation_table(2, {"mill": 10, "dam": 5}))
+        assert_that((meter.set_count, meter.is_resumed), Equals((2, False)))
+        assert_that(_events(directory, _RESUMED), HasLength(1))
+        tasks.cancel_scope.cancel()
+
+
+def _events(directory, event):
+    return [fields for name, fields in directory.log.lines if name == event]
