Refuse finite rates and bursts above 1e9

Cause: a huge finite rate overflowed in the meter, which counts in integers. Change: a configuration with one is refused with a reason, as one with a negative rate is.

--- a/goldcrestpond/platform/operator_configuration.py
+++ b/goldcrestpond/platform/operator_configuration.py
@@ -78,6 +78,8 @@
 
 _DECODER = msgspec.json.Decoder(_ConfigurationBody)
 _Record = TypeVar("_Record")
+# Rates and bursts up to this many operations can be counted without an overflow.
+RATE_MAX_COUNT = 1e9
 _EMPTY_KEY_DIGEST = digest_key("")
 
 
@@ -191,6 +193,9 @@
         burst = 0.0 if body.rate_per_s < float("inf") else float("inf")
     if burst < 0:
         raise _invalid(f"organisation {name!r} has a negative burst")
+    if any(RATE_MAX_COUNT < each < float("inf") for each in (body.rate_per_s, burst)):
+        detail = f"organisation {name!r} has a rate or burst above {RATE_MAX_COUNT:.0f}"
+        raise _invalid(detail)
     return Organisation(name, body.priority, body.rate_per_s, burst)
 
 
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -113,6 +113,9 @@
         ([make_organisation_body("a b", ["secret-1"])], "does not fit a line"),
         ([make_organisation_body("a\r\nQUIT", ["secret-1"])], "does not fit a line"),
         ([_acme(ratePerS=-1)], "negative rate"),
+        # The meter counts in integers made of floats, which overflowed.
+        ([_acme(ratePerS=1e300, burst=1)], "rate or burst above 1000000000"),
+        ([_acme(ratePerS=1, burst=1e300)], "rate or burst above 1000000000"),
         ([_acme(burst=-0.5)], "negative burst"),
         ([make_organisation_body("acme", ["secret-1", ""])], "empty key"),
         ([make_organisation_body("acme", "secret-1")], "Expected `array"),
