Confirm nothing by a whole read that the copy refused as older

Cause: the result of TableCopy.replace was ignored, and the age of rows that the answer didn't contain was confirmed. Change: it counts as a failed read, logged and repeated.

--- a/goldcrestpond/serving/table_feed.py
+++ b/goldcrestpond/serving/table_feed.py
@@ -8,6 +8,7 @@
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
 from .decision_log import DecisionLog
 from .row_store import FeedAnswer, HistoryLost, RowStore, StoredRow
 from .table_copy import TableCopy
@@ -146,7 +147,14 @@
         copy = self.copy
         if copy.version is None or self._is_history_lost:
             answer = await self._store.read(copy.table)
-            copy.replace(self._translated(answer), answer.era, answer.version)
+            rows = self._translated(answer)
+            if not copy.replace(rows, answer.era, answer.version):
+                # An answer of an earlier state confirms nothing about the known rows.
+                detail = (
+                    f"{copy.table}: {answer.era}, {answer.version} is older than"
+                    f" {copy.era}, {copy.version}"
+                )
+                raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
             self._is_history_lost = False
             return sent_at
         answer = await self._store.wait_for_changes(copy.table, copy.version, wait)
--- a/tests/serving/test_table_feed.py
+++ b/tests/serving/test_table_feed.py
@@ -5,7 +5,7 @@
 
 import anyio
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from goldcrestpond.clock.manual_clock import ManualClock
 from goldcrestpond.errors.coded_error import CodedError
@@ -65,3 +65,23 @@
         assert_that(store.waits, Equals([WAIT, WAIT, no_wait, no_wait, WAIT]))
 
     anyio.run(body)
+
+
+# The store answers by an earlier state than the copy, which another instance passed on:
+# the answer was dropped and yet confirmed the rows, so that they counted as fresh.
+def test_answer_older_than_the_copy_confirms_nothing():
+    async def body():
+        copy = TableCopy("t", lambda rows: None, lambda rows: None)
+        copy.replace([], 0, 5)
+        clock, log = ManualClock(), ListLog()
+        feed = TableFeed(
+            _Store([]), copy, lambda: ms(0), WAIT, clock, random.Random(1), log
+        )
+        feed._is_history_lost = True
+        assert_that(await feed.read_once(), Equals(False))
+        assert_that((feed.confirmed_age(), feed.is_reachable), Equals((None, False)))
+        [(event, fields)] = log.lines
+        assert_that(event, Equals("store lost"))
+        assert_that(fields["detail"], Contains("is older than"))
+
+    anyio.run(body)
