--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -293,8 +293,9 @@
         Name of the organisation for which the connection is opened; empty for
         connections of the proxy itself, or if there are no organisations.
     """
-    caller = organisation or _OWN_NAME
-    return f"CONNECT {service} {caller} {database_id}\r\n".encode()
+    caller = (organisation or _OWN_NAME).encode()
+    fields = (service.encode("latin-1"), caller, database_id.encode("latin-1"))
+    return b"CONNECT %b %b %b\r\n" % fields
 
 
 BEGIN = "BEGIN"
--- a/tests/platform/test_line_codec.py
+++ b/tests/platform/test_line_codec.py
@@ -142,3 +142,13 @@
     data = codec.encode_reply(reply).decode()
     assert_that(data, StartsWith("ERROR BUSY GP201 no leader; retry after 500 ms\r\n"))
     assert_that(data.count("\r\n"), Equals(2))
+
+
+# Names that came from lines stand for their bytes, one character each; the database
+# would be sent other bytes than those that name it. An organisation's name is text.
+def test_connect_encodes_only_the_organisation_as_utf8():
+    sent = codec.encode_connect("s\u00e9", "d\u00e9", "\u00e9t\u00e9")
+    assert_that(sent, Equals(b"CONNECT s\xe9 \xc3\xa9t\xc3\xa9 d\xe9\r\n"))
+    assert_that(
+        codec.encode_connect("s", "d"), Equals(b"CONNECT s goldcrestpond d\r\n")
+    )
