--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -8,6 +8,7 @@
 
 from ..clock.clock import Clock
 from ..endpoint.connection_pool import ConnectionPool
+from ..endpoint.pool_gauges import read_pool_gauges
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
@@ -271,6 +272,9 @@
         if not self._members:
             is_home_possible = self._settings.instance not in absent
             self._was_listed_at_start = is_listed and is_home_possible
+        elif not (is_same and is_status_same):
+            # What was so at the start says nothing about the roles from now on.
+            self._was_listed_at_start = False
         # Only homes depend on who is absent or listed.
         if is_same and (is_status_same or self._organisations() is None):
             return
@@ -350,7 +354,7 @@
             self.apply_registry()
 
     def gauges(self) -> dict[str, float]:
-        """Return the gauge metrics: version, members, and the load of each database."""
+        """Return the gauge metrics: version, members, rates, load of each database."""
         values: dict[str, float] = {
             "configuration_version": self.table.version,
             "members": self.member_count,
@@ -361,6 +365,8 @@
             values["homes"] = sum(role.main_share > 0 for role in roles)
             values["standbys"] = sum(role.standby_share > 0 for role in roles)
             values["absent_members"] = len(self._absent)
+        if self.admission.meter is not None:
+            values.update(self.admission.meter.gauges())
         for service in self.services.values():
             for served in service.databases.values():
                 label = f'{{service="{service.name}",database="{served.database_id}"}}'
@@ -371,6 +377,11 @@
                 if served.pace.is_active:
                     window = served.pace.window(self.clock.now())
                     values[f"endpoint_pace_window{label}"] = window
+                values.update(
+                    read_pool_gauges(
+                        served.pool.local_pool, service.name, served.database_id
+                    )
+                )
         return values
 
     def apply_shares(self) -> None:
@@ -608,7 +619,7 @@
 
     def _organisations(self) -> Mapping[str, Organisation] | None:
         """Return the organisations by name; None if the configuration has none."""
-        organisations = getattr(self.table, "organisations", None)
+        organisations = self.table.organisations
         return None if organisations is None else organisations.by_name
 
     def _assign_homes(self) -> None:
@@ -641,12 +652,22 @@
                 organisations=len(roles),
             )
         meter = self.admission.meter
-        if meter is None:
-            return
+        if meter is None or not self._members:
+            return  # there are no roles before the members are known
         now = self.clock.now()
-        meter.set_roles(
-            roles, now, self.state_version(), is_resumed=self._was_listed_at_start
-        )
+        version = self.state_version()
+        is_resumed = self._was_listed_at_start
+        if is_resumed:
+            # Only the first roles are resumed.
+            self._was_listed_at_start = False
+            self.log.decision(
+                "shares resumed",
+                reason="listed at start, no member changed since",
+                members=len(self._members),
+                organisations=len(roles),
+                version=version,
+            )
+        meter.set_roles(roles, now, version, is_resumed=is_resumed)
         handovers = meter.release(lost, now) if lost else []
         if handovers:
             self._hand_over(handovers, former_homes)
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -113,6 +113,9 @@
         ([make_organisation_body("a b", ["secret-1"])], "does not fit a line"),
         ([make_organisation_body("a\r\nQUIT", ["secret-1"])], "does not fit a line"),
         ([_acme(ratePerS=-1)], "negative rate"),
+        # The meter counts in integers made of floats, which overflowed.
+        ([_acme(ratePerS=1e300, burst=1)], "rate or burst above 1000000000"),
+        ([_acme(ratePerS=1, burst=1e300)], "rate or burst above 1000000000"),
         ([_acme(burst=-0.5)], "negative burst"),
         ([make_organisation_body("acme", ["secret-1", ""])], "empty key"),
         ([make_organisation_body("acme", "secret-1")], "Expected `array"),
@@ -148,6 +151,20 @@
     assert_that(replace_keys(passed), Equals(passed))
 
 
+# Keys in a column with a misspelt or former name were passed on in the clear.
+@pytest.mark.parametrize("column", ["apikeys", "oldKeys", "api_keys", "APIKEYS"])
+def test_columns_that_are_not_known_are_not_passed_on(column):
+    bodies = [make_organisation_body("acme", ["k1"]) | {column: ["secret-1"]}]
+    value = msgspec.json.encode(_body(bodies, open_names=("own",)))
+    passed = replace_keys(value)
+    assert_that(passed, Not(Contains(b"secret")))
+    assert_that(decode_configuration(passed), Equals(decode_configuration(value)))
+    only = {"columns": [column, "name"], "rows": [[["secret-1"], "acme"]]}
+    passed = replace_keys(msgspec.json.encode(_body(None) | {"tenants": only}))
+    assert_that(passed, Not(Contains(b"secret")))
+    assert_that(decode_configuration(passed).organisations.by_name, Contains("acme"))
+
+
 def test_value_without_organisations_is_passed_on_unchanged():
     value = msgspec.json.encode(_body(None))
     assert_that(replace_keys(value), Is(value))
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -8,9 +8,10 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Contains, Equals, HasLength, Not
 
 from goldcrestpond.clock.system_clock import SystemClock
+from goldcrestpond.endpoint.pool_gauges import read_pool_gauges
 from goldcrestpond.relay.holders import Holders
 from goldcrestpond.serving import directory as directory_module
 from goldcrestpond.serving.connection_share import (
@@ -267,3 +268,76 @@
         directory.apply_table(_organisation_table(1, {"mill": 10}))
         assert_that(meter.is_resumed, Equals(is_resumed))
         tasks.cancel_scope.cancel()
+
+
+# Failure: the counts of the rates and of the pools exist, but no metric shows them.
+@pytest.mark.anyio
+async def test_gauges_show_the_rates_and_the_pools():
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        _list_databases(directory, _DATABASES[:1])
+        assert_that(directory.gauges(), Not(Contains("rate_refused")))
+        directory.admission.meter = FakeMeter()
+        directory.admission.meter.exceeded = {"mill"}
+        gauges = directory.gauges()
+        assert_that(gauges["rate_refused"], Equals(1))
+        [pool] = [served.pool for served in directory.services["s"].databases.values()]
+        database_id = _DATABASES[0].database_id
+        shown = read_pool_gauges(pool.local_pool, "s", database_id)
+        assert_that(shown, Not(Equals({})))
+        assert_that({name: gauges[name] for name in shown}, Equals(shown))
+        tasks.cancel_scope.cancel()
+
+
+_RESUMED = "shares resumed"
+
+
+# Failure: organisations are configured long after the start: homes have changed since,
+# which still spend their shares.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "change",
+    [
+        (_MEMBERS[:3], frozenset(), True),
+        (_MEMBERS[:4], frozenset({"i2"}), True),
+        (_MEMBERS[:4], frozenset(), False),
+    ],
+)
+async def test_shares_are_not_resumed_after_a_change_of_the_members(change):
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        meter = directory.admission.meter = FakeMeter()
+        start = (_MEMBERS[:4], frozenset(), True)
+        for status in (start, change, start):
+            directory.set_members(*status)
+        directory.apply_table(_organisation_table(1, {"mill": 10}))
+        assert_that(meter.is_resumed, Equals(False))
+        assert_that(_events(directory, _RESUMED), HasLength(0))
+        tasks.cancel_scope.cancel()
+
+
+# Failure: the configuration is read before the members, and the empty roles of then
+# count as those of the start.
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_table_first", [False, True])
+async def test_shares_are_resumed_once_whichever_table_is_read_first(is_table_first):
+    async with anyio.create_task_group() as tasks:
+        directory = _directory("i1", tasks)
+        meter = directory.admission.meter = FakeMeter()
+        steps = [
+            lambda: directory.set_members(_MEMBERS[:4]),
+            lambda: directory.apply_table(_organisation_table(1, {"mill": 10})),
+        ]
+        for step in reversed(steps) if is_table_first else steps:
+            step()
+        assert_that((meter.set_count, meter.is_resumed), Equals((1, True)))
+        [line] = _events(directory, _RESUMED)
+        assert_that((line["members"], line["version"]), Equals((4, (0, 0, 1))))
+        directory.apply_table(_organisation_table(2, {"mill": 10, "dam": 5}))
+        assert_that((meter.set_count, meter.is_resumed), Equals((2, False)))
+        assert_that(_events(directory, _RESUMED), HasLength(1))
+        tasks.cancel_scope.cancel()
+
+
+def _events(directory, event):
+    return [fields for name, fields in directory.log.lines if name == event]
