Make an opening cancellable from the moment it is decided

A connection whose opening and close fell into one step of the loop was opened after its close and stayed open for good, so that the pool never closed: the cancel scope was known only once the opening's task had begun. It is made with the decision now. New limits also apply the share before the slots, so that they open nothing that the share closes at once.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -289,11 +289,12 @@
             Statements that may run at once while other instances leave slots unused.
         """
         now = self._clock.now()
+        # The share first: more slots open no connections beyond it.
+        self._apply(self._decisions.set_share(share, now))
         actions = self._decisions.set_slot_limits(
             slot_limit, report_slot_limit, now, ceiling
         )
         self._apply(actions)
-        self._apply(self._decisions.set_share(share, now))
 
     @property
     def is_draining(self) -> bool:
@@ -355,7 +356,11 @@
                 case RefuseRequest():
                     self._refuse(action)
                 case OpenConnection(connection_id, _, organisation):
-                    self._tasks.start_soon(self._open, connection_id, organisation)
+                    # From now on the opening can be cancelled, even before it starts.
+                    scope = self._opening_scopes[connection_id] = anyio.CancelScope()
+                    self._tasks.start_soon(
+                        self._open, connection_id, organisation, scope
+                    )
                 case CloseConnection(connection_id, reason):
                     self._close(connection_id, reason)
                 case CheckConnection(connection_id):
@@ -384,11 +389,12 @@
             waiter.refusal = refusal
             waiter.done.set()
 
-    async def _open(self, connection_id: int, organisation: str) -> None:
+    async def _open(
+        self, connection_id: int, organisation: str, scope: anyio.CancelScope
+    ) -> None:
         failure: CodedError | None = None
         connection: PooledLink | None = None
-        with anyio.CancelScope() as scope:
-            self._opening_scopes[connection_id] = scope
+        with scope:
             try:
                 connection = await self._open_connection(organisation)
             except CodedError as error:
--- a/tests/endpoint/test_connection_pool.py
+++ b/tests/endpoint/test_connection_pool.py
@@ -132,3 +132,45 @@
         assert_that(await _acquire(pool, "a"), Is(link))
         pool.release(link)
         await pool.aclose()
+
+
+# Guards against: an opening that is cancelled before its task has begun leaves its
+# connection open for good, and the pool never closes.
+@pytest.mark.anyio
+async def test_opening_that_is_cancelled_in_the_same_step_leaves_nothing_open():
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open)
+        tasks.start_soon(_acquire_refused, pool)
+        while not pool.open_count:
+            await anyio.sleep(0)
+        pool.set_limits(0, 2, 1)
+        with anyio.fail_after(1):
+            await pool.aclose()
+        assert_that(pool.open_count, Equals(0))
+
+
+# Guards against: new limits open connections beyond the new share and close them again.
+@pytest.mark.anyio
+async def test_more_slots_with_a_lower_share_open_no_connection():
+    opened = []
+
+    async def open_slowly(organisation):
+        opened.append(organisation)
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, open_slowly, limit=8)
+        pool.set_limits(8, 2, 1)
+        for _ in range(4):
+            tasks.start_soon(_acquire_refused, pool)
+        await anyio.sleep(0.01)
+        pool.set_limits(2, 4, 1)
+        await anyio.sleep(0.01)
+        assert_that(opened, Equals([""] * 2))
+        with anyio.fail_after(1):
+            await pool.aclose()
+
+
+async def _acquire_refused(pool):
+    with pytest.raises(CodedError):
+        await _acquire(pool, "")
