Grow the share of a database that is listed anew, within a bounded time

The growth of a share held the database's object, so that a database that restarted within the delay kept the least share; and each change of the tables began the delay again. The growth looks the database up by its id now, and its delay begins again only if the target has changed. The parameter that lets a share grow is named may_grow: is_due of a database's load means something else.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -101,6 +101,7 @@
         "_is_held",
         "_is_listed",
         "_growth_due_at",
+        "_growth_targets",
         "_has_left",
         "_leader_verifiers",
         "_members",
@@ -155,6 +156,7 @@
         # Connections that this instance may open, by database id.
         self._shares: dict[str, int] = {}
         self._growth_due_at: dict[str, timedelta] = {}
+        self._growth_targets: dict[str, int] = {}
         self._absent: frozenset[str] = frozenset()
         self._has_left = False
         self._roles: dict[str, RateRole] = {}
@@ -501,14 +503,14 @@
         served.pool.start_draining()
         self._tasks.start_soon(served.pool.aclose)
 
-    def _apply_share(self, served: ServedDatabase, is_due: bool = False) -> None:
+    def _apply_share(self, served: ServedDatabase, may_grow: bool = False) -> None:
         """Set the limits of the own connections to a database.
 
         Parameters
         ----------
         served : ServedDatabase
             The database.
-        is_due : bool, default=False
+        may_grow : bool, default=False
             Whether a share that grows may be taken now.
         """
         database = served.database
@@ -516,17 +518,19 @@
         holders = self.holder_count(database.service)
         share = connection_share(limits.connection_limit, holders)
         statements = statement_share(share, database.slots, holders)
+        growth_target = None
         if not self.holds(database.service):
             share = 0
         elif self.homes.organisations is not None:
             target, statements = self._compute_home_share(database, limits)
             present = self._shares.get(database.database_id, 0)
             share = target
-            if target > present and not is_due:
+            if target > present and not may_grow:
                 # Other holders, whose share falls, close their connections first.
                 share = max(present, MIN_SHARE_CONNECTIONS)
-                self._grow_share_later(served)
+                growth_target = target
         self._shares[database.database_id] = share
+        self._schedule_growth(database.database_id, growth_target)
         # Where all instances hold the service, each has its own callers' demand only.
         is_relayed = holders < len(self._members)
         ceiling = min(share, database.slots) if is_relayed else 0
@@ -546,24 +550,39 @@
         share = divide_connections(limits.connection_limit, weights)[own]
         return share, weighted_statement_share(share, database.slots, weights[own])
 
-    def _grow_share_later(self, served: ServedDatabase) -> None:
-        database_id = served.database_id
+    def _schedule_growth(self, database_id: str, target: int | None) -> None:
+        """Let a share grow to a target after the delay; None if it does not grow.
+
+        The delay begins again only with another target, so that many changes that do
+        not concern the share do not put it off.
+        """
+        if target is None:
+            self._growth_targets.pop(database_id, None)
+            return
+        if self._growth_targets.get(database_id) == target:
+            return
+        self._growth_targets[database_id] = target
         is_scheduled = database_id in self._growth_due_at
         self._growth_due_at[database_id] = self.clock.now() + SHARE_GROWTH_DELAY
         if not is_scheduled:
-            self._tasks.start_soon(self._grow_share, served)
+            self._tasks.start_soon(self._grow_share, database_id)
 
-    async def _grow_share(self, served: ServedDatabase) -> None:
+    async def _grow_share(self, database_id: str) -> None:
         try:
             while (
-                wait := self._growth_due_at[served.database_id] - self.clock.now()
+                wait := self._growth_due_at[database_id] - self.clock.now()
             ) > timedelta(0):
                 await anyio.sleep(wait.total_seconds())
         finally:
-            del self._growth_due_at[served.database_id]
-        service = self.services[served.database.service]
-        if service.databases.get(served.database_id) is served:
-            self._apply_share(served, is_due=True)
+            del self._growth_due_at[database_id]
+            is_growing = self._growth_targets.pop(database_id, None) is not None
+        if not is_growing:
+            return
+        # The database may have been listed anew meanwhile, also at another service.
+        for service in self.services.values():
+            served = service.databases.get(database_id)
+            if served is not None:
+                self._apply_share(served, may_grow=True)
 
     def _assign_holders(self, service: Service) -> None:
         limits = self.table.services.get(service.name)
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -148,6 +148,67 @@
     anyio.run(body)
 
 
+# Failure: a database that restarts while a share waits to grow keeps the least share.
+def test_share_grows_if_the_database_is_listed_anew_meanwhile(monkeypatch):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i0", tasks)
+            directory.set_members(_MEMBERS[:3])
+            directory.apply_table(_organisation_table(1, {"a": 5.0}))
+            _list_databases(directory, _DATABASES[:1])
+            first = directory.services["s"].databases["d0"]
+            restarted = replace(_DATABASES[0], started_at_ms=99)
+            _list_databases(directory, [restarted])
+            assert_that(directory.services["s"].databases["d0"] is first, Equals(False))
+            assert_that(_shares(directory), Equals([1]))
+            await anyio.sleep(0.1)
+            assert_that(_shares(directory)[0] > 1, Equals(True))
+            tasks.cancel_scope.cancel()
+
+    monkeypatch.setattr(directory_module, "SHARE_GROWTH_DELAY", ms(20))
+    anyio.run(body)
+
+
+# Failure: a share never grows while the configuration changes often.
+def test_changes_that_leave_the_target_do_not_put_off_the_growth(monkeypatch):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i0", tasks)
+            _list_databases(directory, _DATABASES[:1])
+            directory.set_members(_MEMBERS[:3])
+            for version in range(1, 21):
+                directory.apply_table(_organisation_table(version, {"a": 5.0}))
+                await anyio.sleep(0.01)
+            assert_that(_shares(directory)[0] > 1, Equals(True))
+            tasks.cancel_scope.cancel()
+
+    monkeypatch.setattr(directory_module, "SHARE_GROWTH_DELAY", ms(100))
+    anyio.run(body)
+
+
+# Failure: a share that fell and is to grow again takes connections that other holders
+# were only just told to close.
+def test_growth_that_was_called_off_begins_its_delay_again(monkeypatch):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directory = _directory("i0", tasks)
+            _list_databases(directory, _DATABASES[:1])
+            directory.set_members(_MEMBERS[:3])
+            directory.apply_table(_organisation_table(1, {"a": 5.0}))
+            first_due_at = directory._growth_due_at["d0"]
+            await anyio.sleep(0.05)
+            directory._schedule_growth("d0", None)
+            directory.apply_table(_organisation_table(2, {"a": 5.0}))
+            later_by = directory._growth_due_at["d0"] - first_due_at
+            assert_that(later_by >= ms(50), Equals(True))
+            await anyio.sleep(0.2)
+            assert_that(_shares(directory)[0] > 1, Equals(True))
+            tasks.cancel_scope.cancel()
+
+    monkeypatch.setattr(directory_module, "SHARE_GROWTH_DELAY", ms(100))
+    anyio.run(body)
+
+
 # Failure: an instance that the members' table does not list, since it is new or was cut
 # off for long, spends rates that the others divide among themselves.
 def test_instance_that_is_not_listed_is_home_only_if_it_knows_no_other():
