Refuse late requests for the pace if its window is full

A paced database refused a request that could not start in time as overloaded, and its reader spent a token of the retry budget, although the window alone would have refused it. It is told ENDPOINT_BUSY now, with which it takes another database at once. Requests keep their order: only the code has changed.

--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -168,16 +168,14 @@
             Monotonic time.
         """
         limit = max(1, min(slots, self._slots.total))
-        admitted = self._pace.admitted(now)
-        in_flight_count = self._slots.running_count + len(self._queues)
         return DatabaseLoad(
             running=self._connections.count(ConnectionState.BUSY),
             queued=self.waiting_count,
             idle_connections=self._connections.count(ConnectionState.IDLE),
             slots=limit,
             service_ms=self._queues.service_time / timedelta(milliseconds=1),
-            is_due=not in_flight_count and self._pace.is_due(now),
-            is_full=admitted is not None and in_flight_count >= admitted,
+            is_due=not self._in_flight_count and self._pace.is_due(now),
+            is_full=self._is_window_full(now),
         )
 
     def request(self, request: SlotRequest, now: timedelta) -> list[PoolAction]:
@@ -190,11 +188,13 @@
             self._has_organisations = True
         if not self._has_organisations:
             refusal = self._queues.submit(request, now)
-            return self._schedule(now) if refusal is None else [refusal]
+            if refusal is None:
+                return self._schedule(now)
+            return [self._name_pace(refusal, now)]
         opening_time = self._scheduler.opening_time(organisation)
         refusal = self._queues.submit(request, now, opening_time)
         if refusal is not None:
-            return [refusal]
+            return [self._name_pace(refusal, now)]
         displaced = self._queues.refuse_displaced(request.lane, now)
         return [*displaced, *self._schedule(now)]
 
@@ -617,6 +617,26 @@
         actions += self._open_connections(now)
         return actions
 
+    @property
+    def _in_flight_count(self) -> int:
+        """Requests that occupy a slot or wait for one."""
+        return self._slots.running_count + len(self._queues)
+
+    def _is_window_full(self, now: timedelta) -> bool:
+        admitted = self._pace.admitted(now)
+        return admitted is not None and self._in_flight_count >= admitted
+
+    def _name_pace(self, refusal: RefuseRequest, now: timedelta) -> RefuseRequest:
+        """Return the refusal of a new request, by the pace if its window is full.
+
+        Its sender then tries another database, without a token of the retry budget.
+        """
+        if not self._is_window_full(now):
+            return refusal
+        retry_after_ms = -(-self._pace.retry_after(now) // timedelta(milliseconds=1))
+        code = ResultCode.ENDPOINT_BUSY
+        return RefuseRequest(refusal.request_id, code, max(1, retry_after_ms))
+
     def _refuse_beyond_window(self, now: timedelta) -> list[PoolAction]:
         """Refuse what waits for the window, if another database can do the work."""
         admitted = self._pace.admitted(now) if len(self._queues) else None
--- a/tests/pool/test_paced_pool.py
+++ b/tests/pool/test_paced_pool.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule, run_state_machine_as_test
@@ -78,10 +79,10 @@
         self.pace.begin(reason, self.now)
         self.number = 0
 
-    def request(self, lane=Lane.SHORT):
+    def request(self, lane=Lane.SHORT, wait_ms=1000, organisation=""):
         self.number += 1
-        deadline = self.now + _ms(1000)
-        request = SlotRequest(self.number, Requester("c"), lane, deadline)
+        requester = Requester("c", organisation)
+        request = SlotRequest(self.number, requester, lane, self.now + _ms(wait_ms))
         return self.pool.request(request, self.now)
 
     def grant(self, lane=Lane.SHORT):
@@ -105,6 +106,19 @@
     assert_that(world.pool.load(5, world.now).is_full, Is(True))
 
 
+# Guards against: a read that could not start in time at a paced database spends a token
+# of the retry budget to run elsewhere.
+@pytest.mark.parametrize("organisation", ["", "a"])
+def test_late_requests_beyond_the_window_are_refused_for_the_pace(organisation):
+    world = _World()
+    (late,) = world.request(wait_ms=-1, organisation=organisation)
+    assert_that(late.code, Is(ResultCode.OVERLOADED))
+    world.request(organisation=organisation)
+    (refused,) = world.request(wait_ms=-1, organisation=organisation)
+    assert_that(refused.code, Is(ResultCode.ENDPOINT_BUSY))
+    assert_that(refused.retry_after_ms > 0, Is(True))
+
+
 # Guards against: a leader that starts is opened all connections at once, or its writes
 # are refused.
 def test_requests_wait_for_the_window_of_a_database_that_alone_can_serve():
