Don't count a connection that was not used as an answer

A connection that was granted and released without a statement, since its charge was refused, its requester had gone or its deadline had passed, was recorded as an answer of about 0 ms. It ended rows of failures and lowered the usual time, of the pace and of the demand's share. Only what has received something since it was granted or resumed is an answer now.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -210,8 +210,11 @@
         """Return a checked-out connection to the pool; a broken one is closed."""
         now = self._clock.now()
         is_reusable = not connection.is_broken
+        is_answered = connection.receive_count > 0
         self._apply(
-            self._decisions.release(connection.pool_connection_id, is_reusable, now)
+            self._decisions.release(
+                connection.pool_connection_id, is_reusable, now, is_answered
+            )
         )
 
     def suspend(self, connection: PooledLink) -> None:
@@ -222,6 +225,7 @@
 
     def resume(self, connection: PooledLink) -> None:
         """Record that a suspended transaction runs its next statement."""
+        connection.receive_count = connection.last_receive_count = 0
         self._decisions.resume(connection.pool_connection_id, self._clock.now())
         self._wake.set()
 
--- a/goldcrestpond/endpoint/pooled_link.py
+++ b/goldcrestpond/endpoint/pooled_link.py
@@ -11,7 +11,7 @@
     pool_connection_id : int
         Id of the connection within its pool.
     receive_count : int
-        Number of reads that returned bytes.
+        Number of reads that returned bytes since it was last granted or resumed.
     last_receive_count : int
         ``receive_count`` when the pool last looked.
     is_receiving : bool
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -282,7 +282,11 @@
             connection.has_refused = True
 
     def release(
-        self, connection_id: int, reusable: bool, now: timedelta
+        self,
+        connection_id: int,
+        reusable: bool,
+        now: timedelta,
+        is_answered: bool = True,
     ) -> list[PoolAction]:
         """Return a connection to the pool at the end of its request.
 
@@ -295,6 +299,9 @@
             connection is then closed.
         now : timedelta
             Monotonic time.
+        is_answered : bool, default=True
+            False if the database has sent nothing since the connection was granted or
+            resumed: its requester left, and nothing shows how the database does.
         """
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _CLOSING_STATES:
@@ -306,7 +313,8 @@
             close = self._close(connection, "not reusable", now)
             return [close, *self._schedule(now)]
         if connection.state is ConnectionState.BUSY:
-            self._record_answer(connection, now)
+            if is_answered:
+                self._record_answer(connection, now)
             self._finish_statement(connection, now)
         self._make_idle(connection, now)
         return self._schedule(now)
--- a/tests/endpoint/test_connection_pool.py
+++ b/tests/endpoint/test_connection_pool.py
@@ -14,6 +14,7 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.pool.database_pool import DatabasePool
 from goldcrestpond.pool.lane import Lane
+from goldcrestpond.pool.pace import Pace
 from goldcrestpond.pool.pool_settings import PoolSettings
 from goldcrestpond.pool.requester import Requester
 
@@ -39,9 +40,9 @@
         await anyio.sleep(0)
 
 
-def _make_pool(tasks, open_link, limit=2):
+def _make_pool(tasks, open_link, limit=2, pace=None):
     settings = PoolSettings(slot_limit=2, connection_limit=limit, probe_reserve=0)
-    decisions = DatabasePool(settings)
+    decisions = DatabasePool(settings, pace=pace)
     clock = SystemClock()
     return ConnectionPool("d", decisions, open_link, clock, tasks, lambda _link: None)
 
@@ -149,6 +150,40 @@
         assert_that(pool.open_count, Equals(0))
 
 
+# Guards against: requests that leave without a statement look like answers that took no
+# time: they end a row of failures and shorten the usual time.
+@pytest.mark.anyio
+async def test_only_connections_that_were_used_show_how_the_database_does():
+    pace = _CountingPace()
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open, pace=pace)
+        link = await _acquire(pool, "a")
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(0))
+        link = await _acquire(pool, "a")
+        link.receive_count += 1
+        pool.suspend(link)
+        assert_that(pace.answer_count, Equals(1))
+        pool.resume(link)
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(1))
+        link = await _acquire(pool, "a")
+        link.receive_count += 1
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(2))
+        await pool.aclose()
+
+
+class _CountingPace(Pace):
+    """Counts the answers that it is told."""
+
+    answer_count = 0
+
+    def record_answer(self, lane, service_time, now):
+        self.answer_count += 1
+        super().record_answer(lane, service_time, now)
+
+
 # Guards against: new limits open connections beyond the new share and close them again.
 @pytest.mark.anyio
 async def test_more_slots_with_a_lower_share_open_no_connection():
