Skip only the lane of an organisation whose request waits

A request that cannot wait for an opening had all requests of its organisation passed over in that step, also those of other lanes that can wait and have a slot. What is skipped is an organisation's lane now.

--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -9,6 +9,7 @@
 from .connection_state import ConnectionState
 from .connection_table import ConnectionTable
 from .grant_connection import GrantConnection
+from .lane import Lane
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
@@ -128,7 +129,7 @@
         organisations.
         """
         actions = self._grant_to_pending(now)
-        skipped: set[str] = set()
+        skipped: set[tuple[str, Lane]] = set()
         while self._serve_next(room, term, now, skipped, actions):
             pass
         return actions
@@ -138,12 +139,13 @@
         room: OpeningRoom,
         term: int,
         now: timedelta,
-        skipped: set[str],
+        skipped: set[tuple[str, Lane]],
         actions: list[PoolAction],
     ) -> bool:
         """Serve or refuse the next request; return False if none can be.
 
-        Organisations of which no request can be served now are added to ``skipped``.
+        Organisations of which no request of a lane can be served now are added to
+        ``skipped``, with the lane.
         """
         if not len(self._queues):
             return False
@@ -153,7 +155,7 @@
             return False
         for request in self._queues.candidates():
             organisation = request.requester.organisation
-            if organisation in skipped:
+            if (organisation, request.lane) in skipped:
                 continue
             connection = self._connections.last_used_idle(organisation)
             if connection is not None:
@@ -169,7 +171,7 @@
                 actions.append(action)
             if isinstance(action, OpenConnection | RefuseRequest):
                 return True
-            skipped.add(organisation)
+            skipped.add((organisation, request.lane))
             can_obtain = self._can_obtain(room)
         return False
 
