Return a link whose rollback is cancelled

A cancellation during the rollback left the link checked out for good, with its slot. It is released as broken now; closing the connection rolls back too.

--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -114,4 +114,8 @@
                 await link.rollback()
         except (CodedError, TimeoutError):
             link.is_broken = True  # closing the connection rolls back too
+        except BaseException:
+            link.is_broken = True
+            pool.release(link)
+            raise
     pool.release(link)
--- a/tests/serving/test_link_checkout.py
+++ b/tests/serving/test_link_checkout.py
@@ -1,5 +1,7 @@
 """Checking a link out of a pool that refuses."""
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -8,7 +10,7 @@
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.group.log_position import LogPosition
-from goldcrestpond.serving.link_checkout import check_out_link
+from goldcrestpond.serving.link_checkout import check_out_link, return_link
 from goldcrestpond.serving.route import ReadPolicy, Route
 from goldcrestpond.serving.session_state import SessionState
 
@@ -53,3 +55,17 @@
     assert_that(
         count_reads_by_database(service, LogPosition(1, 5))["r1"] > 50, Equals(True)
     )
+
+
+# Guards against: a caller that leaves during a rollback takes a connection of the pool
+# and its slot along.
+@pytest.mark.anyio
+async def test_link_is_returned_if_its_rollback_is_cancelled():
+    released = []
+    pool = SimpleNamespace(release=released.append)
+    link = SimpleNamespace(is_broken=False, rollback=anyio.sleep_forever)
+    with anyio.move_on_after(0.01) as scope:
+        await return_link(pool, link, True)
+    assert_that(scope.cancelled_caught, Equals(True))
+    assert_that(released, Equals([link]))
+    assert_that(link.is_broken, Equals(True))
