--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -209,16 +209,18 @@
     async def _begin(
         self, is_read_only: bool, min_position, deadline: timedelta
     ) -> Reply:
-        link = self._transaction.link
+        link, served = self._transaction.link, self._transaction.served
         remaining = (deadline - self._clock.now()).total_seconds()
         try:
             with anyio.fail_after(max(0.0, remaining)):
-                return await link.begin(is_read_only, min_position)
+                reply = await link.begin(is_read_only, min_position)
         except TimeoutError as error:
             link.is_broken = True
-            self._transaction.served.health.record_failure(self._clock.now())
+            served.health.record_failure(self._clock.now())
             detail = "BEGIN was not answered in time"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+        served.record_reply(link, reply)
+        return reply
 
     async def _run_on_open_link(
         self, statement: Statement, deadline: timedelta
