Don't count callers who leave as failures of a database

Three callers who left while their statements ran began a pace: any connection that was released broken counted. A link whose task was cancelled is marked as abandoned now; lost connections and timeouts count as before.

--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -210,10 +210,12 @@
         """Return a checked-out connection to the pool; a broken one is closed."""
         now = self._clock.now()
         is_reusable = not connection.is_broken
-        is_answered = connection.receive_count > 0
+        is_evidence = connection.receive_count > 0
+        if connection.is_broken:
+            is_evidence = not connection.is_abandoned
         self._apply(
             self._decisions.release(
-                connection.pool_connection_id, is_reusable, now, is_answered
+                connection.pool_connection_id, is_reusable, now, is_evidence
             )
         )
 
--- a/goldcrestpond/endpoint/endpoint_connection.py
+++ b/goldcrestpond/endpoint/endpoint_connection.py
@@ -54,6 +54,8 @@
     is_broken : bool
         True once part of an answer may be missing or left over: the connection
         must not be used again.
+    is_abandoned : bool
+        See ``PooledLink``.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "_splitter",
         "_stream",
         "address",
+        "is_abandoned",
         "is_broken",
         "is_receiving",
         "last_receive_count",
@@ -87,6 +90,7 @@
         self.read_only = False
         self.last_used = timedelta(0)
         self.is_broken = False
+        self.is_abandoned = False
         self.pool_connection_id = 0
         self.receive_count = 0
         self.last_receive_count = 0
--- a/goldcrestpond/endpoint/pooled_link.py
+++ b/goldcrestpond/endpoint/pooled_link.py
@@ -19,6 +19,9 @@
     is_broken : bool
         True once part of an answer may be missing or left over: the connection
         must not be used again.
+    is_abandoned : bool
+        True if it broke since the task that used it was cancelled, which says nothing
+        of the database.
     """
 
     pool_connection_id: int
@@ -26,6 +29,7 @@
     last_receive_count: int
     is_receiving: bool
     is_broken: bool
+    is_abandoned: bool
 
     def is_quiet(self) -> bool:
         """Return whether nothing has been received since the last answer."""
--- a/goldcrestpond/platform/endpoint_link.py
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -35,7 +35,8 @@
 
     Attributes
     ----------
-    pool_connection_id, receive_count, last_receive_count, is_receiving, is_broken
+    pool_connection_id, receive_count, last_receive_count, is_receiving, is_broken,
+    is_abandoned
         See ``PooledLink``.
     values, prepared, state
         See ``Link``.
@@ -48,6 +49,7 @@
         "_sender",
         "_stream",
         "is_receiving",
+        "is_abandoned",
         "is_broken",
         "pool_connection_id",
         "prepared",
@@ -70,6 +72,7 @@
         self.last_receive_count = 0
         self.is_receiving = False
         self.is_broken = False
+        self.is_abandoned = False
         self.values: dict[str, str] = {}
         self.prepared: dict[Shape, str] = {}
         self.state = TransactionState.IDLE
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -286,7 +286,7 @@
         connection_id: int,
         reusable: bool,
         now: timedelta,
-        is_answered: bool = True,
+        is_evidence: bool = True,
     ) -> list[PoolAction]:
         """Return a connection to the pool at the end of its request.
 
@@ -299,21 +299,22 @@
             connection is then closed.
         now : timedelta
             Monotonic time.
-        is_answered : bool, default=True
-            False if the database has sent nothing since the connection was granted or
-            resumed: its requester left, and nothing shows how the database does.
+        is_evidence : bool, default=True
+            False if the end of the request shows nothing of how the database does:
+            nothing was received, or the requester left while a statement ran.
         """
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _CLOSING_STATES:
             return []
         is_lost = not reusable and connection.state is ConnectionState.BUSY
-        if is_lost and now - connection.state_since >= _MIN_SERVICE_TIME:
+        has_run = now - connection.state_since >= _MIN_SERVICE_TIME
+        if is_lost and has_run and is_evidence:
             self._pace.record_failure(now)
         if not (reusable and connection.reusable):
             close = self._close(connection, "not reusable", now)
             return [close, *self._schedule(now)]
         if connection.state is ConnectionState.BUSY:
-            if is_answered:
+            if is_evidence:
                 self._record_answer(connection, now)
             self._finish_statement(connection, now)
         self._make_idle(connection, now)
--- a/goldcrestpond/pool/pace.py
+++ b/goldcrestpond/pool/pace.py
@@ -9,7 +9,7 @@
 from .usual_times import UsualTimes
 
 FIRST_WINDOW_COUNT = 1  # operations in flight at first
-# A single failure may be that of the connection, and two that of callers who left.
+# A single failure may be that of the connection, and two those of wrong statements.
 FAILURES_BEFORE_PACE_COUNT = 3
 MIN_ROUND_ANSWERS_COUNT = 2  # of one answer alone, little can be told
 # A round of answers is slow if its mean exceeds the usual time of service by this
--- a/goldcrestpond/relay/remote_link.py
+++ b/goldcrestpond/relay/remote_link.py
@@ -23,7 +23,7 @@
         Instance that holds the connection.
     channel : Channel
         Channel to the holder over which it was checked out.
-    is_broken, values, prepared, state
+    is_abandoned, is_broken, values, prepared, state
         See ``Link``.
     """
 
@@ -31,6 +31,7 @@
         "_is_marked_broken",
         "channel",
         "holder",
+        "is_abandoned",
         "prepared",
         "state",
         "values",
@@ -44,6 +45,7 @@
         self.prepared = {Shape(*pair): "" for pair in lent.prepared}
         self.state = TransactionState.IDLE
         self._is_marked_broken = False
+        self.is_abandoned = False
 
     @property
     def is_broken(self) -> bool:
--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -97,8 +97,9 @@
         served.health.record_failure(clock.now())
         detail = f"{served.database_id}: {error}"
         raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
-    except BaseException:
+    except BaseException as error:
         link.is_broken = True
+        link.is_abandoned = isinstance(error, anyio.get_cancelled_exc_class())
         served.pool.release(link)
         raise
     return link
@@ -114,8 +115,9 @@
                 await link.rollback()
         except (CodedError, TimeoutError):
             link.is_broken = True  # closing the connection rolls back too
-        except BaseException:
+        except BaseException as error:
             link.is_broken = True
+            link.is_abandoned = isinstance(error, anyio.get_cancelled_exc_class())
             pool.release(link)
             raise
     pool.release(link)
--- a/goldcrestpond/serving/run_on_link.py
+++ b/goldcrestpond/serving/run_on_link.py
@@ -49,8 +49,9 @@
     except TimeoutError as error:
         link.is_broken = True
         raise CodedError(ResultCode.ANSWER_INTERRUPTED, "no answer in time") from error
-    except BaseException:
+    except BaseException as error:
         link.is_broken = True
+        link.is_abandoned = isinstance(error, anyio.get_cancelled_exc_class())
         raise
 
 
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -219,6 +219,9 @@
             served.health.record_failure(self._clock.now())
             detail = "BEGIN was not answered in time"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
+        except anyio.get_cancelled_exc_class():
+            link.is_broken = link.is_abandoned = True
+            raise
         served.record_reply(link, reply)
         return reply
 
--- a/tests/endpoint/test_connection_pool.py
+++ b/tests/endpoint/test_connection_pool.py
@@ -28,7 +28,7 @@
         self.organisation = organisation
         self.pool_connection_id = 0
         self.receive_count = self.last_receive_count = 0
-        self.is_receiving = self.is_broken = False
+        self.is_receiving = self.is_broken = self.is_abandoned = False
 
     def is_quiet(self):
         return not self.is_broken
@@ -174,10 +174,31 @@
         await pool.aclose()
 
 
+# Guards against: three callers who leave while their statements run begin a pace.
+@pytest.mark.anyio
+@pytest.mark.parametrize(("is_abandoned", "count"), [(True, 0), (False, 1)])
+async def test_callers_who_leave_are_no_failures_of_the_database(is_abandoned, count):
+    pace = _CountingPace()
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open, pace=pace)
+        link = await _acquire(pool, "a")
+        await anyio.sleep(0.005)
+        link.is_broken = True
+        link.is_abandoned = is_abandoned
+        pool.release(link)
+        assert_that((pace.failure_count, pace.answer_count), Equals((count, 0)))
+        await pool.aclose()
+
+
 class _CountingPace(Pace):
-    """Counts the answers that it is told."""
+    """Counts the answers and the failures that it is told."""
 
     answer_count = 0
+    failure_count = 0
+
+    def record_failure(self, now):
+        self.failure_count += 1
+        super().record_failure(now)
 
     def record_answer(self, lane, service_time, now):
         self.answer_count += 1
