Take back skipping by lane

With it the random orders of events find a pool that closes more connections than needed to make room ("more closed than needed", OrganisationPoolMachine): a second lane of the same organisation closes another connection in the same step.

--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -9,7 +9,6 @@
 from .connection_state import ConnectionState
 from .connection_table import ConnectionTable
 from .grant_connection import GrantConnection
-from .lane import Lane
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
@@ -129,7 +128,7 @@
         organisations.
         """
         actions = self._grant_to_pending(now)
-        skipped: set[tuple[str, Lane]] = set()
+        skipped: set[str] = set()
         while self._serve_next(room, term, now, skipped, actions):
             pass
         return actions
@@ -139,13 +138,12 @@
         room: OpeningRoom,
         term: int,
         now: timedelta,
-        skipped: set[tuple[str, Lane]],
+        skipped: set[str],
         actions: list[PoolAction],
     ) -> bool:
         """Serve or refuse the next request; return False if none can be.
 
-        Organisations of which no request of a lane can be served now are added to
-        ``skipped``, with the lane.
+        Organisations of which no request can be served now are added to ``skipped``.
         """
         if not len(self._queues):
             return False
@@ -155,7 +153,7 @@
             return False
         for request in self._queues.candidates():
             organisation = request.requester.organisation
-            if (organisation, request.lane) in skipped:
+            if organisation in skipped:
                 continue
             connection = self._connections.last_used_idle(organisation)
             if connection is not None:
@@ -171,7 +169,7 @@
                 actions.append(action)
             if isinstance(action, OpenConnection | RefuseRequest):
                 return True
-            skipped.add((organisation, request.lane))
+            skipped.add(organisation)
             can_obtain = self._can_obtain(room)
         return False
 
