--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -210,8 +210,13 @@
         """Return a checked-out connection to the pool; a broken one is closed."""
         now = self._clock.now()
         is_reusable = not connection.is_broken
+        is_evidence = connection.receive_count > 0
+        if connection.is_broken:
+            is_evidence = not connection.is_abandoned
         self._apply(
-            self._decisions.release(connection.pool_connection_id, is_reusable, now)
+            self._decisions.release(
+                connection.pool_connection_id, is_reusable, now, is_evidence
+            )
         )
 
     def suspend(self, connection: PooledLink) -> None:
@@ -222,6 +227,7 @@
 
     def resume(self, connection: PooledLink) -> None:
         """Record that a suspended transaction runs its next statement."""
+        connection.receive_count = connection.last_receive_count = 0
         self._decisions.resume(connection.pool_connection_id, self._clock.now())
         self._wake.set()
 
@@ -289,11 +295,12 @@
             Statements that may run at once while other instances leave slots unused.
         """
         now = self._clock.now()
+        # The share first: more slots open no connections beyond it.
+        self._apply(self._decisions.set_share(share, now))
         actions = self._decisions.set_slot_limits(
             slot_limit, report_slot_limit, now, ceiling
         )
         self._apply(actions)
-        self._apply(self._decisions.set_share(share, now))
 
     @property
     def is_draining(self) -> bool:
@@ -355,7 +362,11 @@
                 case RefuseRequest():
                     self._refuse(action)
                 case OpenConnection(connection_id, _, organisation):
-                    self._tasks.start_soon(self._open, connection_id, organisation)
+                    # From now on the opening can be cancelled, even before it starts.
+                    scope = self._opening_scopes[connection_id] = anyio.CancelScope()
+                    self._tasks.start_soon(
+                        self._open, connection_id, organisation, scope
+                    )
                 case CloseConnection(connection_id, reason):
                     self._close(connection_id, reason)
                 case CheckConnection(connection_id):
@@ -384,11 +395,12 @@
             waiter.refusal = refusal
             waiter.done.set()
 
-    async def _open(self, connection_id: int, organisation: str) -> None:
+    async def _open(
+        self, connection_id: int, organisation: str, scope: anyio.CancelScope
+    ) -> None:
         failure: CodedError | None = None
         connection: PooledLink | None = None
-        with anyio.CancelScope() as scope:
-            self._opening_scopes[connection_id] = scope
+        with scope:
             try:
                 connection = await self._open_connection(organisation)
             except CodedError as error:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -168,16 +168,14 @@
             Monotonic time.
         """
         limit = max(1, min(slots, self._slots.total))
-        admitted = self._pace.admitted(now)
-        in_flight_count = self._slots.running_count + len(self._queues)
         return DatabaseLoad(
             running=self._connections.count(ConnectionState.BUSY),
             queued=self.waiting_count,
             idle_connections=self._connections.count(ConnectionState.IDLE),
             slots=limit,
             service_ms=self._queues.service_time / timedelta(milliseconds=1),
-            is_due=not in_flight_count and self._pace.is_due(now),
-            is_full=admitted is not None and in_flight_count >= admitted,
+            is_due=not self._in_flight_count and self._pace.is_due(now),
+            is_full=self._is_window_full(now),
         )
 
     def request(self, request: SlotRequest, now: timedelta) -> list[PoolAction]:
@@ -190,11 +188,13 @@
             self._has_organisations = True
         if not self._has_organisations:
             refusal = self._queues.submit(request, now)
-            return self._schedule(now) if refusal is None else [refusal]
+            if refusal is None:
+                return self._schedule(now)
+            return [self._name_pace(refusal, now)]
         opening_time = self._scheduler.opening_time(organisation)
         refusal = self._queues.submit(request, now, opening_time)
         if refusal is not None:
-            return [refusal]
+            return [self._name_pace(refusal, now)]
         displaced = self._queues.refuse_displaced(request.lane, now)
         return [*displaced, *self._schedule(now)]
 
@@ -282,7 +282,11 @@
             connection.has_refused = True
 
     def release(
-        self, connection_id: int, reusable: bool, now: timedelta
+        self,
+        connection_id: int,
+        reusable: bool,
+        now: timedelta,
+        is_evidence: bool = True,
     ) -> list[PoolAction]:
         """Return a connection to the pool at the end of its request.
 
@@ -295,18 +299,23 @@
             connection is then closed.
         now : timedelta
             Monotonic time.
+        is_evidence : bool, default=True
+            False if the end of the request shows nothing of how the database does:
+            nothing was received, or the requester left while a statement ran.
         """
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _CLOSING_STATES:
             return []
         is_lost = not reusable and connection.state is ConnectionState.BUSY
-        if is_lost and now - connection.state_since >= _MIN_SERVICE_TIME:
+        has_run = now - connection.state_since >= _MIN_SERVICE_TIME
+        if is_lost and has_run and is_evidence:
             self._pace.record_failure(now)
         if not (reusable and connection.reusable):
             close = self._close(connection, "not reusable", now)
             return [close, *self._schedule(now)]
         if connection.state is ConnectionState.BUSY:
-            self._record_answer(connection, now)
+            if is_evidence:
+                self._record_answer(connection, now)
             self._finish_statement(connection, now)
         self._make_idle(connection, now)
         return self._schedule(now)
@@ -617,6 +626,26 @@
         actions += self._open_connections(now)
         return actions
 
+    @property
+    def _in_flight_count(self) -> int:
+        """Requests that occupy a slot or wait for one."""
+        return self._slots.running_count + len(self._queues)
+
+    def _is_window_full(self, now: timedelta) -> bool:
+        admitted = self._pace.admitted(now)
+        return admitted is not None and self._in_flight_count >= admitted
+
+    def _name_pace(self, refusal: RefuseRequest, now: timedelta) -> RefuseRequest:
+        """Return the refusal of a new request, by the pace if its window is full.
+
+        Its sender then tries another database, without a token of the retry budget.
+        """
+        if not self._is_window_full(now):
+            return refusal
+        retry_after_ms = -(-self._pace.retry_after(now) // timedelta(milliseconds=1))
+        code = ResultCode.ENDPOINT_BUSY
+        return RefuseRequest(refusal.request_id, code, max(1, retry_after_ms))
+
     def _refuse_beyond_window(self, now: timedelta) -> list[PoolAction]:
         """Refuse what waits for the window, if another database can do the work."""
         admitted = self._pace.admitted(now) if len(self._queues) else None
--- a/tests/endpoint/test_connection_pool.py
+++ b/tests/endpoint/test_connection_pool.py
@@ -14,6 +14,7 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.pool.database_pool import DatabasePool
 from goldcrestpond.pool.lane import Lane
+from goldcrestpond.pool.pace import Pace
 from goldcrestpond.pool.pool_settings import PoolSettings
 from goldcrestpond.pool.requester import Requester
 
@@ -27,7 +28,7 @@
         self.organisation = organisation
         self.pool_connection_id = 0
         self.receive_count = self.last_receive_count = 0
-        self.is_receiving = self.is_broken = False
+        self.is_receiving = self.is_broken = self.is_abandoned = False
 
     def is_quiet(self):
         return not self.is_broken
@@ -39,9 +40,9 @@
         await anyio.sleep(0)
 
 
-def _make_pool(tasks, open_link, limit=2):
+def _make_pool(tasks, open_link, limit=2, pace=None):
     settings = PoolSettings(slot_limit=2, connection_limit=limit, probe_reserve=0)
-    decisions = DatabasePool(settings)
+    decisions = DatabasePool(settings, pace=pace)
     clock = SystemClock()
     return ConnectionPool("d", decisions, open_link, clock, tasks, lambda _link: None)
 
@@ -132,3 +133,100 @@
         assert_that(await _acquire(pool, "a"), Is(link))
         pool.release(link)
         await pool.aclose()
+
+
+# Guards against: an opening that is cancelled before its task has begun leaves its
+# connection open for good, and the pool never closes.
+@pytest.mark.anyio
+async def test_opening_that_is_cancelled_in_the_same_step_leaves_nothing_open():
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open)
+        tasks.start_soon(_acquire_refused, pool)
+        while not pool.open_count:
+            await anyio.sleep(0)
+        pool.set_limits(0, 2, 1)
+        with anyio.fail_after(1):
+            await pool.aclose()
+        assert_that(pool.open_count, Equals(0))
+
+
+# Guards against: requests that leave without a statement look like answers that took no
+# time: they end a row of failures and shorten the usual time.
+@pytest.mark.anyio
+async def test_only_connections_that_were_used_show_how_the_database_does():
+    pace = _CountingPace()
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open, pace=pace)
+        link = await _acquire(pool, "a")
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(0))
+        link = await _acquire(pool, "a")
+        link.receive_count += 1
+        pool.suspend(link)
+        assert_that(pace.answer_count, Equals(1))
+        pool.resume(link)
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(1))
+        link = await _acquire(pool, "a")
+        link.receive_count += 1
+        pool.release(link)
+        assert_that(pace.answer_count, Equals(2))
+        await pool.aclose()
+
+
+# Guards against: three callers who leave while their statements run begin a pace.
+@pytest.mark.anyio
+@pytest.mark.parametrize(("is_abandoned", "count"), [(True, 0), (False, 1)])
+async def test_callers_who_leave_are_no_failures_of_the_database(is_abandoned, count):
+    pace = _CountingPace()
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, _open, pace=pace)
+        link = await _acquire(pool, "a")
+        await anyio.sleep(0.005)
+        link.is_broken = True
+        link.is_abandoned = is_abandoned
+        pool.release(link)
+        assert_that((pace.failure_count, pace.answer_count), Equals((count, 0)))
+        await pool.aclose()
+
+
+class _CountingPace(Pace):
+    """Counts the answers and the failures that it is told."""
+
+    answer_count = 0
+    failure_count = 0
+
+    def record_failure(self, now):
+        self.failure_count += 1
+        super().record_failure(now)
+
+    def record_answer(self, lane, service_time, now):
+        self.answer_count += 1
+        super().record_answer(lane, service_time, now)
+
+
+# Guards against: new limits open connections beyond the new share and close them again.
+@pytest.mark.anyio
+async def test_more_slots_with_a_lower_share_open_no_connection():
+    opened = []
+
+    async def open_slowly(organisation):
+        opened.append(organisation)
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        pool = _make_pool(tasks, open_slowly, limit=8)
+        pool.set_limits(8, 2, 1)
+        for _ in range(4):
+            tasks.start_soon(_acquire_refused, pool)
+        await anyio.sleep(0.01)
+        pool.set_limits(2, 4, 1)
+        await anyio.sleep(0.01)
+        assert_that(opened, Equals([""] * 2))
+        with anyio.fail_after(1):
+            await pool.aclose()
+
+
+async def _acquire_refused(pool):
+    with pytest.raises(CodedError):
+        await _acquire(pool, "")
