--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -268,19 +268,12 @@
         """Number of running and waiting requests of the report lane."""
         return self._decisions.report_demand
 
-    @property
-    def borrowed_slots(self) -> int:
-        """Slots in use beyond the equal part of this instance."""
-        return self._decisions.borrowed_slots
-
     @property
     def reports_running(self) -> int:
         """Number of running requests of the report lane."""
         return self._decisions.reports_running
 
-    def set_limits(
-        self, share: int, slot_limit: int, report_slot_limit: int, ceiling: int = 0
-    ) -> None:
+    def set_limits(self, share: int, slot_limit: int, report_slot_limit: int) -> None:
         """Apply newly granted limits.
 
         Parameters
@@ -291,15 +284,11 @@
             Statements that may run at once.
         report_slot_limit : int
             Statements of the report lane that may run at once.
-        ceiling : int, default=0
-            Statements that may run at once while other instances leave slots unused.
         """
         now = self._clock.now()
         # The share first: more slots open no connections beyond it.
         self._apply(self._decisions.set_share(share, now))
-        actions = self._decisions.set_slot_limits(
-            slot_limit, report_slot_limit, now, ceiling
-        )
+        actions = self._decisions.set_slot_limits(slot_limit, report_slot_limit, now)
         self._apply(actions)
 
     @property
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -9,7 +9,6 @@
 from .connection_limit import ConnectionLimit
 from .connection_state import ConnectionState
 from .connection_table import ConnectionTable
-from .demand_share import DemandShare
 from .grant_connection import GrantConnection
 from .lane import Lane
 from .lane_queues import LaneQueues
@@ -63,7 +62,6 @@
 
     __slots__ = (
         "_connections",
-        "_demand",
         "_counts",
         "_has_organisations",
         "_is_draining",
@@ -73,7 +71,6 @@
         "_pace",
         "_probes",
         "_queues",
-        "_report_slot_limit",
         "_scheduler",
         "_settings",
         "_slots",
@@ -83,9 +80,7 @@
     def __init__(self, settings: PoolSettings, term: int = 0, pace: Pace | None = None):
         self._settings = settings
         self._term = term
-        self._report_slot_limit = settings.report_slot_limit
         self._slots = LaneSlots(settings.slot_limit, settings.report_slot_limit)
-        self._demand = DemandShare(self._slots.unpaced_total, 0)
         self._pace = Pace() if pace is None else pace
         self._pace.set_limit(self._slots.unpaced_total)
         self._queues = LaneQueues(self._slots)
@@ -141,11 +136,6 @@
         """Number of connections that the current work could use."""
         return self.running_count + self.waiting_count
 
-    @property
-    def borrowed_slots(self) -> int:
-        """Slots in use beyond the equal part of this instance."""
-        return self._demand.borrowed
-
     @property
     def reports_running(self) -> int:
         """Number of running reports."""
@@ -391,34 +381,12 @@
         return self._schedule(now)
 
     def set_slot_limits(
-        self,
-        slot_limit: int,
-        report_slot_limit: int,
-        now: timedelta,
-        ceiling: int = 0,
+        self, slot_limit: int, report_slot_limit: int, now: timedelta
     ) -> list[PoolAction]:
-        """Set the limits of statements and of reports that run at once.
-
-        Parameters
-        ----------
-        slot_limit : int
-            Statements that may always run at once.
-        report_slot_limit : int
-            Reports among them.
-        now : timedelta
-            Monotonic time.
-        ceiling : int, default=0
-            Statements that may run at once while other instances leave slots unused;
-            nothing beyond ``slot_limit`` if it is lower.
-        """
-        self._report_slot_limit = report_slot_limit
-        self._demand.resize(slot_limit, ceiling)
-        self._resize_slots()
-        return self._schedule(now)
-
-    def _resize_slots(self) -> None:
-        self._slots.resize(self._demand.limit, self._report_slot_limit)
+        """Set the limits of statements and of reports that run at once."""
+        self._slots.resize(slot_limit, report_slot_limit)
         self._pace.set_limit(self._slots.unpaced_total)
+        return self._schedule(now)
 
     def set_term(self, term: int, now: timedelta) -> list[PoolAction]:
         """Raise the term.
@@ -547,16 +515,11 @@
         return connection
 
     def _record_answer(self, connection: PooledConnection, now: timedelta) -> None:
-        lane, service_time = connection.lane, now - connection.state_since
         if connection.has_refused:
             self._pace.record_failure(now)
-            self._demand.record_refusal()
         else:
-            self._pace.record_answer(lane, service_time, now)
-            is_short = len(self._queues) > 0 and not self._slots.free_count
-            self._demand.record_answer(lane, service_time, is_short, now)
-        if self._demand.limit != self._slots.unpaced_total:
-            self._resize_slots()
+            service_time = now - connection.state_since
+            self._pace.record_answer(connection.lane, service_time, now)
 
     def _finish_statement(self, connection: PooledConnection, now: timedelta) -> None:
         self._queues.finish(connection.lane, now - connection.state_since)
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -189,9 +189,7 @@
     def resume(self, link: RemoteLink) -> None:
         """Do nothing: the holder itself notices that a transaction goes on."""
 
-    def set_limits(
-        self, share: int, slot_limit: int, report_slot_limit: int, ceiling: int = 0
-    ) -> None:
+    def set_limits(self, share: int, slot_limit: int, report_slot_limit: int) -> None:
         """Do nothing: the holders apply their own limits."""
 
     def start_draining(self) -> None:
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -132,16 +132,9 @@
         if not isinstance(link, RemoteLink):  # the holder itself sees the others
             self._local_pool.record_refusal(link)
 
-    @property
-    def borrowed_slots(self) -> int:
-        """Slots in use beyond the equal part of this instance."""
-        return self._local_pool.borrowed_slots
-
-    def set_limits(
-        self, share: int, slot_limit: int, report_slot_limit: int, ceiling: int = 0
-    ) -> None:
+    def set_limits(self, share: int, slot_limit: int, report_slot_limit: int) -> None:
         """Set the limits of this instance's connections."""
-        self._local_pool.set_limits(share, slot_limit, report_slot_limit, ceiling)
+        self._local_pool.set_limits(share, slot_limit, report_slot_limit)
 
     def start_draining(self) -> None:
         """Refuse new work; running work may finish."""
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -375,7 +375,6 @@
                 values[f"endpoint_connections{label}"] = served.pool.open_count
                 values[f"endpoint_running{label}"] = served.pool.running_count
                 values[f"endpoint_demand{label}"] = served.pool.demand
-                values[f"endpoint_borrowed_slots{label}"] = served.pool.borrowed_slots
                 if served.pace.is_active:
                     window = served.pace.window(self.clock.now())
                     values[f"endpoint_pace_window{label}"] = window
@@ -542,10 +541,7 @@
                 growth_target = target
         self._shares[database.database_id] = share
         self._schedule_growth(database.database_id, growth_target)
-        # Where all instances hold the service, each has its own callers' demand only.
-        is_relayed = holders < len(self._members)
-        ceiling = min(share, database.slots) if is_relayed else 0
-        served.pool.set_limits(share, statements, 1, ceiling)
+        served.pool.set_limits(share, statements, 1)
 
     def _compute_home_share(
         self, database: Database, limits: ServiceLimits
--- a/tests/pool/test_database_pool.py
+++ b/tests/pool/test_database_pool.py
@@ -13,14 +13,11 @@
 from goldcrestpond.pool.connection_table import ConnectionTable
 from goldcrestpond.pool.database_pool import DatabasePool
 from goldcrestpond.pool.fair_queue import FairQueue
-from goldcrestpond.pool.grant_connection import GrantConnection
 from goldcrestpond.pool.lane import Lane
 from goldcrestpond.pool.lane_queues import LaneQueues
 from goldcrestpond.pool.lane_slots import LaneSlots
-from goldcrestpond.pool.open_connection import OpenConnection
 from goldcrestpond.pool.opening_room import OpeningRoom
 from goldcrestpond.pool.organisation_scheduler import OrganisationScheduler
-from goldcrestpond.pool.pool_settings import PoolSettings
 from goldcrestpond.pool.refuse_request import RefuseRequest
 from goldcrestpond.pool.requester import Requester
 from goldcrestpond.pool.slot_request import SlotRequest
@@ -295,33 +292,3 @@
     starts_ms = [50 * (n - 1) for n, refusal in enumerate(outcomes) if refusal is None]
     assert_that(max(starts_ms) <= 1000 - 2 * 95, Equals(True))
     assert_that(len(starts_ms) >= 14, Equals(True))
-
-
-def test_slots_beyond_the_part_are_used_while_the_database_answers_as_before():
-    pool = DatabasePool(PoolSettings(connection_limit=8, probe_reserve=0))
-    pool.set_slot_limits(2, 1, _ms(0), ceiling=6)
-    running, number, now_ms, most = {}, 0, 0, 0
-
-    def carry_out(actions):
-        for action in actions:
-            if isinstance(action, OpenConnection):
-                carry_out(pool.record_opened(action.connection_id, _ms(now_ms)))
-            elif isinstance(action, GrantConnection):
-                running[action.connection_id] = now_ms + 20
-
-    for now_ms in range(2000):
-        while number < now_ms + 20:
-            number += 1
-            request = SlotRequest(
-                number, Requester("c"), Lane.SHORT, _ms(now_ms + 60_000)
-            )
-            carry_out(pool.request(request, _ms(now_ms)))
-        for connection, ends_at in list(running.items()):
-            if now_ms >= ends_at:
-                del running[connection]
-                carry_out(pool.release(connection, True, _ms(now_ms)))
-        most = max(most, len(running))
-    assert_that(most, Equals(6))
-    assert_that(pool.borrowed_slots, Equals(4))
-    pool.set_slot_limits(2, 1, _ms(now_ms))
-    assert_that(pool.borrowed_slots, Equals(0))
