--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -182,7 +182,11 @@
         return [database for database, _ in self.unlisted]
 
     def can_spare(self, database_id: str) -> bool:
-        """Return whether another database can do the work of one of them."""
+        """Return whether another database can do the work of one of them.
+
+        None can at which requests wait already: what is refused for the sake of one
+        database would be refused there too.
+        """
         if database_id == self.leadership.leader_id:
             return False
         now = self._clock.now()
@@ -191,6 +195,7 @@
             and not other.pace.is_active
             and not other.health.is_avoided(now)
             and self._registry.leaving_since(other.database_id) is None
+            and not other.pool.load(other.database.slots).queued
             for other in self.databases.values()
         )
 
--- a/tests/serving/test_database_pace.py
+++ b/tests/serving/test_database_pace.py
@@ -90,6 +90,17 @@
     assert_that(service.can_spare("r1"), Is(False))
 
 
+# Failure: at the peak of the demand reads are refused for the sake of a database that
+# has just come back, though the others have queues.
+def test_nothing_is_left_to_databases_at_which_requests_wait(service):
+    for name in ("leader", "r2"):
+        served = service.databases[name]
+        served.pool.load = lambda slots, organisation="": DatabaseLoad(
+            slots, 1, 0, slots, 20
+        )
+    assert_that(service.can_spare("r1"), Is(False))
+
+
 def test_pace_begins_with_a_new_leader_but_not_with_the_first(service, clock):
     clock.advance(ms(10))
     first, second = service.databases["leader"], service.databases["r1"]
