--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -22,7 +22,7 @@
 # Stands for "no receipt" and "no position", and is the request id of statements
 # that the proxy itself sends.
 EMPTY_FIELD = "-"
-# Who connects, if it is not an organisation.
+# Name under which the proxy itself connects to a database.
 _OWN_NAME = "goldcrestpond"
 _STATES = {
     "I": TransactionState.IDLE,
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -275,7 +275,7 @@
             is_home_possible = self._settings.instance not in absent
             self._was_listed_at_start = is_listed and is_home_possible
         elif not (is_same and is_status_same):
-            # What was so at the start says nothing about the roles from now on.
+            # The listing at the start proves nothing once the members have changed.
             self._was_listed_at_start = False
         # Only homes depend on who is absent or listed.
         if is_same and (is_status_same or self._organisations() is None):
