--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -43,7 +43,8 @@
     directory : Directory
         Routes and services.
     open_session : callable
-        Creates a `CallerSession` from a session key and a database name.
+        Creates a `CallerSession` from a session key, a database name and the digest of
+        the caller's key.
     caller_limit : int
         Maximum number of connected callers; 0 for no limit.
     log : DecisionLog
@@ -68,7 +69,7 @@
     def __init__(
         self,
         directory: Directory,
-        open_session: Callable[[str, str], CallerSession],
+        open_session: Callable[[str, str, bytes], CallerSession],
         caller_limit: int,
         log: DecisionLog,
     ):
@@ -123,15 +124,17 @@
         ------
         CodedError
             UNKNOWN_DATABASE if it has no route, PLATFORM_UNAVAILABLE if no
-            configuration has been received.
+            configuration has been received, AUTHENTICATION_FAILED or IDENTITY_UNPROVEN
+            if the caller's key is not, or not known to be, of an organisation.
         """
         with anyio.move_on_after(FIRST_ANSWER_TIMEOUT.total_seconds() * 0.75):
             while not self._directory.table.version:
                 await anyio.sleep(0.02)
         if not self._directory.table.version:
             raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, "no configuration yet")
-        self._directory.route(connect.database)
-        return self._open_session(key, connect.database)
+        session = self._open_session(key, connect.database, connect.key_digest)
+        session.identify()
+        return session
 
     def _make_full_error(self) -> CodedError:
         count = len(self._connections)
--- a/goldcrestpond/platform/endpoint_link.py
+++ b/goldcrestpond/platform/endpoint_link.py
@@ -162,15 +162,24 @@
         except _CONNECTION_ERRORS:
             pass  # the database ends the session when the connection closes
 
-    async def connect(self, database: Database) -> None:
+    async def connect(self, database: Database, organisation: str = "") -> None:
         """Send CONNECT and check the answer.
 
+        Parameters
+        ----------
+        database : Database
+            Database to which the link leads.
+        organisation : str
+            Name of the organisation that the link serves; empty for none.
+
         Raises
         ------
         CodedError
             ENDPOINT_UNREACHABLE, ENDPOINT_FULL, WRONG_ENDPOINT or ENDPOINT_BUSY.
         """
-        connect_message = codec.encode_connect(database.service, database.database_id)
+        connect_message = codec.encode_connect(
+            database.service, database.database_id, organisation
+        )
         try:
             await self._sender.send(connect_message)
             line = await self._next_line()
@@ -223,9 +232,19 @@
             self._lines.feed(data)
 
 
-async def open_endpoint_link(database: Database) -> EndpointLink:
+async def open_endpoint_link(
+    database: Database, organisation: str = ""
+) -> EndpointLink:
     """Connect to a database; the calling code sets the timeout.
 
+    Parameters
+    ----------
+    database : Database
+        The database.
+    organisation : str
+        Name of the organisation that the link serves; the database is told this name.
+        Empty for links of the proxy itself, or if there are no organisations.
+
     Raises
     ------
     CodedError
@@ -240,7 +259,7 @@
     set_timeouts(stream.extra(SocketAttribute.raw_socket))
     link = EndpointLink(stream)
     try:
-        await link.connect(database)
+        await link.connect(database, organisation)
     except BaseException:
         link.is_broken = True
         await link.aclose()
--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -12,6 +12,7 @@
 from ..group.log_position import LogPosition
 from ..group.role import Role
 from ..serving.database_report import DatabaseReport
+from ..serving.organisations import digest_key
 from ..serving.reply import Reply
 from ..serving.shape import Shape
 from ..serving.statement import Statement
@@ -21,6 +22,8 @@
 # Stands for "no receipt" and "no position", and is the request id of statements
 # that the proxy itself sends.
 EMPTY_FIELD = "-"
+# Who connects, if it is not an organisation.
+_OWN_NAME = "goldcrestpond"
 _STATES = {
     "I": TransactionState.IDLE,
     "T": TransactionState.OPEN,
@@ -45,6 +48,9 @@
 }
 _ERROR_WORDS = {
     ResultCode.UNKNOWN_DATABASE: "NODB",
+    ResultCode.AUTHENTICATION_FAILED: "AUTHFAIL",
+    ResultCode.IDENTITY_UNPROVEN: "BUSY",
+    ResultCode.RATE_EXCEEDED: "BUSY",
     ResultCode.MALFORMED_FRAME: "MALFORMED",
     ResultCode.TRANSACTION_FAILED: "MALFORMED",
     ResultCode.FRAME_TOO_LARGE: "TOOBIG",
@@ -84,12 +90,12 @@
     ----------
     database : str
         Name of the requested database.
-    caller : str
-        Name by which the caller identifies itself.
+    key_digest : bytes
+        Digest of the key by which the caller identifies itself.
     """
 
     database: str
-    caller: str
+    key_digest: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,13 +129,20 @@
     """
     fields = line.split(" ", 2)
     match fields:
-        case ["CONNECT", database, caller] if database and caller:
-            return Connect(database, caller)
+        case ["CONNECT", database, key] if database and key:
+            return Connect(database, _digest_field(key))
         case ["QUERY", request_id, text] if request_id:
             return Query(request_id, text)
         case ["QUIT"]:
             return Quit()
-    raise _malformed("not a message", line)
+    # The line isn't quoted, since it may contain a key.
+    detail = f"not a message: {len(line)} characters"
+    raise CodedError(ResultCode.MALFORMED_FRAME, detail)
+
+
+def _digest_field(key: str) -> bytes:
+    """Return the digest of a key whose bytes were decoded one character each."""
+    return digest_key(key.encode("latin-1").decode("utf-8", "surrogateescape"))
 
 
 def decode_statement(query: Query) -> Statement:
@@ -267,9 +280,21 @@
     return f"QUERY {request_id} {since_clause}{text}\r\n".encode("latin-1")
 
 
-def encode_connect(service: str, database_id: str) -> bytes:
-    """Return the CONNECT message, the first one to a database."""
-    return f"CONNECT {service} goldcrestpond {database_id}\r\n".encode("latin-1")
+def encode_connect(service: str, database_id: str, organisation: str = "") -> bytes:
+    """Return the CONNECT message, the first one to a database.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    database_id : str
+        Id of the database.
+    organisation : str
+        Name of the organisation for which the connection is opened; empty for
+        connections of the proxy itself, or if there are no organisations.
+    """
+    caller = organisation or _OWN_NAME
+    return f"CONNECT {service} {caller} {database_id}\r\n".encode()
 
 
 BEGIN = "BEGIN"
--- a/goldcrestpond/platform/store_tables.py
+++ b/goldcrestpond/platform/store_tables.py
@@ -1,6 +1,8 @@
 """Applies rows of the configuration and of the registry to the directory."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from datetime import timedelta
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
@@ -8,6 +10,7 @@
 from ..serving.database import Database
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
+from ..serving.route_table import RouteTable
 from ..serving.row_store import StoredRow
 from ..serving.store_era import StoreEra
 from . import database_entry, operator_configuration
@@ -15,28 +18,79 @@
 _ROW_ERRORS = (*DECODE_ERRORS, KeyError, CodedError)
 
 
+def replace_keys_in_row(row: StoredRow) -> StoredRow:
+    """Return a row of the operator's table with digests instead of keys."""
+    if row.key != operator_configuration.KEY or row.value is None:
+        return row
+    return replace(row, value=operator_configuration.replace_keys(row.value))
+
+
 class ConfigurationRowHandler:
-    """Applies rows of the table with the operator's configuration."""
+    """Applies rows of the table with the operator's configuration.
 
-    __slots__ = ("_directory", "_log")
+    Parameters
+    ----------
+    directory : Directory
+        Receives each newer version.
+    log : DecisionLog
+        Receives a line for each version that can't be read.
+    get_confirmed_at : callable
+        Returns the time at which the table's rows were last known to be complete;
+        None if they never were. Rows are applied before they are confirmed.
+    """
 
-    def __init__(self, directory: Directory, log: DecisionLog):
+    __slots__ = ("_directory", "_get_confirmed_at", "_log", "_proof")
+
+    def __init__(
+        self,
+        directory: Directory,
+        log: DecisionLog,
+        get_confirmed_at: Callable[[], timedelta | None],
+    ):
         self._directory = directory
         self._log = log
+        self._get_confirmed_at = get_confirmed_at
+        # Returns up to when the version in force was known to be the newest one.
+        self._proof = get_confirmed_at
+
+    def age(self, now: timedelta) -> timedelta | None:
+        """Return the time since the version in force was known to be the newest one.
+
+        None if it never was. It rises while the newest version can't be read.
+        """
+        confirmed_at = self._proof()
+        return None if confirmed_at is None else now - confirmed_at
 
     def apply_rows(self, rows: Sequence[StoredRow]) -> None:
         """Apply each readable configuration that is newer than the one in force."""
         for row in rows:
             if row.key != operator_configuration.KEY or row.value is None:
                 continue
-            try:
-                table = operator_configuration.decode_configuration(row.value)
-            except _ROW_ERRORS as error:
-                self._log.decision(
-                    "configuration unreadable", row=row.version, detail=str(error)
-                )
+            table = self._decode(row)
+            if table is None:
+                confirmed_at = self._proof()
+                self._proof = lambda confirmed_at=confirmed_at: confirmed_at
                 continue
             self._directory.apply_table(table)
+            if table.version >= self._directory.table.version:
+                self._proof = self._get_confirmed_at
+
+    def offer_rows(self, rows: Sequence[StoredRow]) -> None:
+        """Apply newer configurations of which it isn't known if they are the newest."""
+        for row in rows:
+            if row.key == operator_configuration.KEY and row.value is not None:
+                table = self._decode(row)
+                if table is not None:
+                    self._directory.apply_table(table)
+
+    def _decode(self, row: StoredRow) -> RouteTable | None:
+        try:
+            return operator_configuration.decode_configuration(row.value)
+        except _ROW_ERRORS as error:
+            self._log.decision(
+                "configuration unreadable", row=row.version, detail=str(error)
+            )
+            return None
 
 
 class RegistryRowHandler:
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import traceback
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -22,7 +23,11 @@
 from ..platform.instance_settings import InstanceSettings, load_instance_settings
 from ..platform.ready_server import ReadyServer
 from ..platform.store_client import StoreClient
-from ..platform.store_tables import ConfigurationRowHandler, RegistryRowHandler
+from ..platform.store_tables import (
+    ConfigurationRowHandler,
+    RegistryRowHandler,
+    replace_keys_in_row,
+)
 from ..relay import messages
 from ..relay.holders import Holders, send_request
 from ..relay.relay_server import RelayServer
@@ -30,12 +35,14 @@
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
 from ..serving.follower_list import FollowerList
+from ..serving.identity_check import IdentityCheck
 from ..serving.leader_monitor import LeaderMonitor
 from ..serving.member_updater import MemberUpdater
 from ..serving.members import TABLE as MEMBER_TABLE
 from ..serving.members import Member
 from ..serving.metrics import Metrics
-from ..serving.row_store import RowStore
+from ..serving.proven_age import ProvenAge, compute_proof_limit
+from ..serving.row_store import RowStore, StoredRow
 from ..serving.serving_settings import ServingSettings
 from ..serving.store_era import StoreEra
 from ..serving.table_copy import TableCopy
@@ -43,12 +50,12 @@
 from ..settings.address import Address, parse_address
 from ..tables.table_follower import TableFollower
 from ..tables.table_server import TableServer
-from ..tables.table_times import make_table_times
+from ..tables.table_times import TableTimes, make_table_times
 from ..tasks.supervised_tasks import SupervisedTasks
 from .instance_shutdown import shut_down
 from .structured_log import StructuredLog
 
-# The members of a fleet change seldom, and nothing is limited by the age of this table.
+# The members of a fleet change seldom. Used where the age of this table isn't limited.
 MEMBER_FEED_WAIT = timedelta(seconds=4)
 # Minimum time between two reads of a feed.
 CONFIGURATION_SPACING = timedelta(milliseconds=50)
@@ -60,6 +67,12 @@
 REGISTRY_SPACING = timedelta(milliseconds=1000)
 # Of the time after which a draining database must get no new work.
 REGISTRY_AGE_FRACTION = 1 / 2
+_SPACINGS = {
+    "configuration": CONFIGURATION_SPACING,
+    "registry": REGISTRY_SPACING,
+    "members": MEMBER_SPACING,
+    "suspicions": SUSPICION_SPACING,
+}
 UNLISTED_CHECK_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
 # File descriptors that callers may not use: for files (200 according to the platform),
@@ -159,6 +172,7 @@
             settings.instance,
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
+            proof_limit=_proof_limit(settings),
         )
         self._serving_settings = serving_settings
         holders = Holders(settings.instance, clock, tasks, log)
@@ -206,16 +220,24 @@
             log,
             tasks,
         )
-        configuration_handler = ConfigurationRowHandler(self.directory, log)
+        configuration_handler = ConfigurationRowHandler(
+            self.directory, log, lambda: copies["configuration"].confirmed_at
+        )
+        self._identity_proof = ProvenAge(
+            serving_settings.proof_limit,
+            lambda: configuration_handler.age(clock.now()),
+        )
+        self._identity = IdentityCheck(
+            lambda: self.directory.table, self._identity_proof, log, metrics
+        )
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
-        drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
-        times = make_table_times(timedelta(milliseconds=settings.apply_limit_ms))
+        times = _table_times(settings)
         copies = {
             "configuration": TableCopy(
                 operator_configuration.TABLE,
                 configuration_handler.apply_rows,
                 configuration_handler.apply_rows,
-                offer=configuration_handler.apply_rows,
+                offer=configuration_handler.offer_rows,
                 is_older=operator_configuration.is_older,
             ),
             "registry": TableCopy(
@@ -229,24 +251,26 @@
             ),
             "suspicions": self._leader_monitor.suspicions_copy,
         }
-        feed_times = {
-            "configuration": (CONFIGURATION_SPACING, times.store_wait),
-            "registry": (REGISTRY_SPACING, times.store_wait),
-            "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
-            "suspicions": (SUSPICION_SPACING, SUSPICION_FEED_WAIT),
-        }
+        waits = _feed_waits(times)
         self._feeds = {
-            name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
+            name: _make_feed(
+                store,
+                copies[name],
+                _SPACINGS[name],
+                waits[name],
+                clock,
+                rng,
+                log,
+                replace_keys_in_row if name == "configuration" else _keep_row,
+                times.is_proof_limited,
+            )
             for name in copies
         }
         self._table_follower = TableFollower(
             lambda: self._member_updater.member,
             lambda: self._member_updater.live,
             list(self._feeds.values()),
-            {
-                operator_configuration.TABLE: times.max_age,
-                database_entry.TABLE: drain_limit * REGISTRY_AGE_FRACTION,
-            },
+            _age_limits(settings, times),
             operator_configuration.TABLE,
             MEMBER_TABLE,
             lambda peer, request, limit: send_request(
@@ -300,12 +324,23 @@
         self._serving_settings.drain_limit = timedelta(
             milliseconds=settings.drain_limit_ms
         )
+        self._apply_table_times(settings)
         self._log.decision(
             "settings reloaded",
             drain_limit_ms=settings.drain_limit_ms,
             grace_s=settings.grace_s,
+            revoke_limit_ms=settings.revoke_limit_ms,
         )
 
+    def _apply_table_times(self, settings: InstanceSettings) -> None:
+        proof_limit = _proof_limit(settings)
+        self._serving_settings.proof_limit = proof_limit
+        self._identity_proof.limit = proof_limit
+        times = _table_times(settings)
+        self._table_follower.set_times(times, _age_limits(settings, times))
+        for name, wait in _feed_waits(times).items():
+            self._feeds[name].set_wait(wait, times.is_proof_limited)
+
     def watch_settings(self, path: str) -> None:
         """Reload the settings file whenever it changes without SIGHUP."""
         self._tasks.start_loop(_watch_settings, path, self)
@@ -374,9 +409,18 @@
             callers=self.callers.caller_count,
         )
 
-    def _open_session(self, key: str, database: str) -> CallerSession:
+    def _open_session(
+        self, key: str, database: str, key_digest: bytes
+    ) -> CallerSession:
         return CallerSession(
-            key, database, self.directory, self._clock, self._rng, self._log
+            key,
+            database,
+            key_digest,
+            self._identity,
+            self.directory,
+            self._clock,
+            self._rng,
+            self._log,
         )
 
     def render_metrics(self) -> bytes:
@@ -409,6 +453,8 @@
             "message_bytes": self.callers.budget.used_bytes,
             "open_transactions": self.callers.open_transaction_count,
         }
+        if self._identity_proof.limit is not None:
+            callers["identity_proven"] = int(self._identity_proof.is_proven())
         return {**self.directory.gauges(), **reached, **ages, **callers}
 
     async def _remove_unlisted_periodically(self) -> None:
@@ -425,5 +471,54 @@
     clock: Clock,
     rng: random.Random,
     log: DecisionLog,
+    translate: Callable[[StoredRow], StoredRow],
+    confirms_first: bool,
 ) -> TableFeed:
-    return TableFeed(store, copy, lambda: spacing, wait, clock, rng, log)
+    return TableFeed(
+        store,
+        copy,
+        lambda: spacing,
+        wait,
+        clock,
+        rng,
+        log,
+        translate,
+        confirms_first,
+    )
+
+
+def _keep_row(row: StoredRow) -> StoredRow:
+    return row
+
+
+def _proof_limit(settings: InstanceSettings) -> timedelta | None:
+    return compute_proof_limit(timedelta(milliseconds=settings.revoke_limit_ms))
+
+
+def _table_times(settings: InstanceSettings) -> TableTimes:
+    apply_limit = timedelta(milliseconds=settings.apply_limit_ms)
+    return make_table_times(apply_limit, _proof_limit(settings))
+
+
+def _feed_waits(times: TableTimes) -> dict[str, timedelta]:
+    """Return how long the store may wait for a change of each table."""
+    # Homes of organisations rest on the members, whose age is limited then.
+    is_age_limited = times.is_proof_limited
+    return {
+        "configuration": times.store_wait,
+        "registry": times.store_wait,
+        "members": times.store_wait if is_age_limited else MEMBER_FEED_WAIT,
+        "suspicions": SUSPICION_FEED_WAIT,
+    }
+
+
+def _age_limits(settings: InstanceSettings, times: TableTimes) -> dict[str, timedelta]:
+    """Return the age of each limited table at which an instance reads the store."""
+    drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
+    limits = {
+        operator_configuration.TABLE: times.max_age,
+        database_entry.TABLE: drain_limit * REGISTRY_AGE_FRACTION,
+    }
+    if times.is_proof_limited:
+        limits[MEMBER_TABLE] = times.max_age
+    return limits
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -11,8 +11,10 @@
 from ..pool.requester import Requester
 from .decision_log import DecisionLog
 from .directory import Directory
+from .identity_check import IdentityCheck
 from .min_position import SessionCommit
 from .open_transaction import OpenTransaction
+from .organisation import Organisation, compute_weight
 from .reply import Reply
 from .route import Route
 from .session_state import SessionState
@@ -39,6 +41,10 @@
         Identity of the caller, by which the pools share connections fairly.
     database : str
         Database name that the caller asked for.
+    key_digest : bytes
+        Digest of the key by which the caller identified itself.
+    identity : IdentityCheck
+        Finds the organisation that has the key.
     directory : Directory
         Routes, and services by name.
     clock : Clock
@@ -54,6 +60,9 @@
         "_clock",
         "_database",
         "_directory",
+        "_identity",
+        "_is_refused",
+        "_key_digest",
         "_last_commits",
         "_log",
         "_requester",
@@ -66,6 +75,8 @@
         self,
         caller_key: str,
         database: str,
+        key_digest: bytes,
+        identity: IdentityCheck,
         directory: Directory,
         clock: Clock,
         rng: random.Random,
@@ -74,6 +85,9 @@
         self._caller_key = caller_key
         self._requester = Requester(caller_key)
         self._database = database
+        self._key_digest = key_digest
+        self._identity = identity
+        self._is_refused = False
         self._directory = directory
         self._clock = clock
         self._rng = rng
@@ -91,6 +105,17 @@
             return TransactionState.FAILED
         return TransactionState.OPEN
 
+    def identify(self) -> None:
+        """Check, when the session opens, that the caller may use its route.
+
+        Raises
+        ------
+        CodedError
+            UNKNOWN_DATABASE if its database has no route; otherwise see
+            `IdentityCheck.identify`.
+        """
+        self._identify(self._directory.route(self._database))
+
     async def run(self, statement: Statement) -> Reply:
         """Run one statement; errors become replies."""
         arrived_at = self._clock.now()
@@ -129,12 +154,14 @@
             return Reply()
         route = self._directory.route(self._database)
         if statement.kind is StatementKind.BEGIN:
+            self._identify(route)
             self._begin(route, statement, arrived_at)
             return Reply()
         if statement.kind not in _DATABASE_KINDS:
             raise CodedError(
                 ResultCode.MALFORMED_FRAME, "COMMIT or ROLLBACK without BEGIN"
             )
+        self._identify(route)
         service = self._directory.service(route.service)
         single = SingleStatement(
             self._requester, statement, self._state, route, service, self._directory
@@ -144,6 +171,43 @@
             self._record_commit(route.service, reply)
         return reply
 
+    def _identify(self, route: Route) -> None:
+        """Find for whom the caller acts, by the configuration in force."""
+        try:
+            organisation = self._identity.identify(route, self._key_digest)
+        except CodedError as error:
+            is_key_refused = error.code is ResultCode.AUTHENTICATION_FAILED
+            if is_key_refused and not self._is_refused:
+                self._is_refused = True
+                former = self._requester.organisation
+                self._identity.log_refusal(self._caller_key, self._database, former)
+            raise
+        self._is_refused = False
+        self._requester = _make_requester(self._caller_key, organisation)
+
+    def _identify_in_transaction(self, transaction: OpenTransaction) -> None:
+        """Check that the transaction may go on for the organisation that it is of.
+
+        Raises
+        ------
+        CodedError
+            AUTHENTICATION_FAILED or ROLLED_BACK; the transaction must be rolled back.
+        """
+        if transaction.route.is_open:
+            return
+        former = self._requester.organisation
+        try:
+            self._identify(transaction.route)
+        except CodedError as error:
+            if error.code is ResultCode.IDENTITY_UNPROVEN:
+                raise CodedError(ResultCode.ROLLED_BACK, str(error)) from error
+            raise
+        current = self._requester.organisation
+        if transaction.link is not None and current != former:
+            # The database was told of the former one.
+            detail = f"the key was of {former!r} and is of {current!r} now"
+            raise CodedError(ResultCode.ROLLED_BACK, detail)
+
     def _begin(self, route: Route, statement: Statement, now: timedelta) -> None:
         service = self._directory.service(route.service)
         self._transaction = OpenTransaction(
@@ -175,6 +239,7 @@
         self, transaction: OpenTransaction, statement: Statement, arrived_at: timedelta
     ) -> Reply:
         try:
+            self._identify_in_transaction(transaction)
             return await self._make_runner(transaction).run(statement, arrived_at)
         except CodedError:
             transaction.has_failed = True
@@ -189,6 +254,9 @@
             await runner.return_link()
             raise CodedError(ResultCode.ROLLED_BACK, "the transaction had failed")
         try:
+            self._identify_in_transaction(transaction)
+            # Made after the check, which says for whom the statement runs.
+            runner = self._make_runner(transaction)
             reply = await runner.run(statement, arrived_at)
         finally:
             await runner.return_link()
@@ -228,6 +296,7 @@
             "statement failed",
             request=statement.request_id,
             session=self._caller_key,
+            organisation=self._requester.organisation,
             kind=statement.kind.name,
             code=f"GP{error.code.number}",
             detail=error.detail,
@@ -236,3 +305,10 @@
             version=self._directory.table.version,
         )
         return Reply(error=error.code, detail=error.text)
+
+
+def _make_requester(session: str, organisation: Organisation | None) -> Requester:
+    if organisation is None:
+        return Requester(session)
+    weight = compute_weight(organisation.priority)
+    return Requester(session, organisation.name, weight)
--- a/goldcrestpond/serving/metrics.py
+++ b/goldcrestpond/serving/metrics.py
@@ -57,10 +57,15 @@
 def _render_labels(labels: Mapping[str, str]) -> str:
     if not labels:
         return ""
-    pairs = ",".join(f'{key}="{value}"' for key, value in labels.items())
+    pairs = ",".join(f'{key}="{_escape(value)}"' for key, value in labels.items())
     return f"{{{pairs}}}"
 
 
+def _escape(value: str) -> str:
+    escaped = value.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
+
+
 def _render_latency(name: str, histogram: HdrHistogram) -> list[str]:
     lines = [
         f'{name}{{quantile="{percentile / 100}"}} '
--- a/goldcrestpond/standin/line_group.py
+++ b/goldcrestpond/standin/line_group.py
@@ -95,6 +95,8 @@
     executions : list of tuple
         Database id, request id and kind (``READ``, ``WRITE`` or ``COMMIT``) of each
         statement that ran.
+    callers : dict of str to str
+        Name of who connected, by the id of each request that ran.
     """
 
     def __init__(self, service: str, database_ids: list[str]):
@@ -107,6 +109,7 @@
         }
         self.lost_acknowledged: list[LineEntry] = []
         self.executions: list[tuple[str, str, str]] = []
+        self.callers: dict[str, str] = {}
         self._acknowledged: list[LineEntry] = []
         self._receipt_event = asyncio.Event()
 
--- a/goldcrestpond/standin/line_server.py
+++ b/goldcrestpond/standin/line_server.py
@@ -30,6 +30,8 @@
     ----------
     addresses : dict of str to Address
         Listening address of each database.
+    connected : list of tuple
+        Database and the name of who connects, of each connection accepted.
     should_lose_answer : callable
         Called with the text of each query after it ran; if it returns True, the
         answer is not sent.
@@ -39,6 +41,7 @@
         self.group = group
         self.addresses: dict[str, Address] = {}
         self.should_lose_answer: Callable[[str], bool] = lambda text: False
+        self.connected: list[tuple[str, str]] = []
         self._streams: dict[str, set[SocketStream]] = {}
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -96,6 +99,8 @@
             if fields[0] != self.group.service or fields[2:] != [database.database_id]:
                 await stream.send(b"ERROR WRONGNODE another\r\n")
                 return False
+            self.connected.append((database.database_id, fields[1]))
+            session.caller = fields[1]
             position = database.visible_position
             await stream.send(
                 f"READY I {position.term}.{position.position}\r\n".encode()
