--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -227,6 +227,10 @@
             serving_settings.proof_limit,
             lambda: configuration_handler.age(clock.now()),
         )
+        # Homes of organisations rest on the members.
+        self._member_proof = ProvenAge(
+            serving_settings.proof_limit, lambda: copies["members"].age(clock.now())
+        )
         self._identity = IdentityCheck(
             lambda: self.directory.table, self._identity_proof, log, metrics
         )
@@ -336,6 +340,7 @@
         proof_limit = _proof_limit(settings)
         self._serving_settings.proof_limit = proof_limit
         self._identity_proof.limit = proof_limit
+        self._member_proof.limit = proof_limit
         times = _table_times(settings)
         self._table_follower.set_times(times, _age_limits(settings, times))
         for name, wait in _feed_waits(times).items():
@@ -455,6 +460,7 @@
         }
         if self._identity_proof.limit is not None:
             callers["identity_proven"] = int(self._identity_proof.is_proven())
+            callers["members_proven"] = int(self._member_proof.is_proven())
         return {**self.directory.gauges(), **reached, **ages, **callers}
 
     async def _remove_unlisted_periodically(self) -> None:
--- a/tests/platform/test_identity_path.py
+++ b/tests/platform/test_identity_path.py
@@ -327,6 +327,7 @@
             assert_that((await anybody.ask("READ a"))[0], StartsWith("ROW - "))
             metrics = world.instances[0].render_metrics()
             assert_that(metrics, Contains(b"goldcrestpond_identity_proven 0"))
+            assert_that(metrics, Contains(b"goldcrestpond_members_proven 0"))
             world.platform.is_down = False
             with anyio.fail_after(3):
                 while (await caller.ask("READ a"))[0].startswith("ERROR"):
