--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -14,11 +14,13 @@
 from ..errors.result_code import ResultCode
 from ..pool.check_connection import CheckConnection
 from ..pool.close_connection import CloseConnection
+from ..pool.connection_state import ConnectionState
 from ..pool.database_pool import DatabasePool
 from ..pool.grant_connection import GrantConnection
 from ..pool.lane import Lane
 from ..pool.open_connection import OpenConnection
 from ..pool.pool_action import PoolAction
+from ..pool.pool_counts import PoolCounts
 from ..pool.probe_endpoint import ProbeEndpoint
 from ..pool.refuse_request import RefuseRequest
 from ..pool.requester import Requester
@@ -26,7 +28,7 @@
 from ..routing.database_load import DatabaseLoad
 from .pooled_link import PooledLink
 
-OpenLink = Callable[[], Awaitable[PooledLink]]
+OpenLink = Callable[[str], Awaitable[PooledLink]]
 ProbeStatement = Callable[[PooledLink], Awaitable[bool | None]]
 # Interval of timeout checks while requests run or wait; a timeout applies late by up
 # to this.
@@ -58,7 +60,8 @@
         Decides which connections are opened, checked out and closed, and which
         requests are refused.
     open_connection : callable
-        Opens one connection, or raises ``CodedError`` within a bounded time.
+        Opens one connection for an organisation (empty if the requests have none), or
+        raises ``CodedError`` within a bounded time.
     clock : Clock
         Source of monotonic time.
     tasks : TaskGroup
@@ -124,6 +127,15 @@
         """Number of connections that running and waiting requests could use."""
         return self._decisions.demand
 
+    @property
+    def counts(self) -> PoolCounts:
+        """Grants by whether a connection had to be opened, and closes for room."""
+        return self._decisions.counts
+
+    def count_by_state(self) -> dict[ConnectionState, int]:
+        """Return the number of connections in each state."""
+        return self._decisions.count_by_state()
+
     def load(self, slots: int) -> DatabaseLoad:
         """Return how busy the database is with work of this instance.
 
@@ -326,8 +338,8 @@
                     self._grant(action)
                 case RefuseRequest():
                     self._refuse(action)
-                case OpenConnection(connection_id):
-                    self._tasks.start_soon(self._open, connection_id)
+                case OpenConnection(connection_id, _, organisation):
+                    self._tasks.start_soon(self._open, connection_id, organisation)
                 case CloseConnection(connection_id, reason):
                     self._close(connection_id, reason)
                 case CheckConnection(connection_id):
@@ -356,13 +368,13 @@
             waiter.refusal = refusal
             waiter.done.set()
 
-    async def _open(self, connection_id: int) -> None:
+    async def _open(self, connection_id: int, organisation: str) -> None:
         failure: CodedError | None = None
         connection: PooledLink | None = None
         with anyio.CancelScope() as scope:
             self._opening_scopes[connection_id] = scope
             try:
-                connection = await self._open_connection()
+                connection = await self._open_connection(organisation)
             except CodedError as error:
                 failure = error
             except Exception as error:
--- a/goldcrestpond/pool/connection_table.py
+++ b/goldcrestpond/pool/connection_table.py
@@ -18,16 +18,17 @@
 class ConnectionTable:
     """Connections by id; each one counts as open until it is removed.
 
-    The counts by state and the set of idle connections are updated at each change of
-    state, so that they need no scan of all connections.
+    The counts by state and the idle connections of each organisation are updated at
+    each change of state, so that they need no scan of all connections.
     """
 
-    __slots__ = ("_connections", "_counts", "_idle", "_next_id")
+    __slots__ = ("_by_organisation", "_connections", "_counts", "_idle", "_next_id")
 
     def __init__(self) -> None:
         self._connections: dict[int, PooledConnection] = {}
         self._counts = dict.fromkeys(ConnectionState, 0)
-        self._idle: dict[int, PooledConnection] = {}
+        self._by_organisation: dict[str, dict[int, PooledConnection]] = {}
+        self._idle: dict[str, dict[int, PooledConnection]] = {}
         self._next_id = 1
 
     def __len__(self) -> int:
@@ -40,12 +41,21 @@
         """Return a connection, or None if it was removed."""
         return self._connections.get(connection_id)
 
-    def add(self, term: int, now: timedelta) -> PooledConnection:
-        """Add a connection that is about to be opened."""
+    def add(
+        self, term: int, now: timedelta, organisation: str = ""
+    ) -> PooledConnection:
+        """Add a connection that is about to be opened for an organisation."""
         connection = PooledConnection(
-            self._next_id, term, ConnectionState.OPENING, now, now
+            self._next_id,
+            term,
+            ConnectionState.OPENING,
+            now,
+            now,
+            organisation=organisation,
         )
         self._connections[connection.connection_id] = connection
+        own = self._by_organisation.setdefault(organisation, {})
+        own[connection.connection_id] = connection
         self._counts[connection.state] += 1
         self._next_id += 1
         return connection
@@ -55,7 +65,11 @@
         connection = self._connections.pop(connection_id, None)
         if connection is not None:
             self._counts[connection.state] -= 1
-            self._idle.pop(connection_id, None)
+            self._remove_idle(connection)
+            own = self._by_organisation[connection.organisation]
+            del own[connection_id]
+            if not own:
+                del self._by_organisation[connection.organisation]
         return connection
 
     def move(
@@ -64,10 +78,11 @@
         """Change the state of a connection."""
         self._counts[connection.state] -= 1
         self._counts[state] += 1
+        if connection.state is ConnectionState.IDLE:
+            self._remove_idle(connection)
         if state is ConnectionState.IDLE:
-            self._idle[connection.connection_id] = connection
-        else:
-            self._idle.pop(connection.connection_id, None)
+            idle = self._idle.setdefault(connection.organisation, {})
+            idle[connection.connection_id] = connection
         connection.state = state
         connection.state_since = now
 
@@ -94,12 +109,46 @@
         """Count the connections that are not being closed."""
         return len(self) - self.count(*_CLOSING_STATES)
 
-    def most_recently_active_idle(self) -> PooledConnection | None:
-        """Return the idle connection with the latest activity, or None."""
-        idle = self._idle.values()
-        return max(idle, key=lambda c: c.last_active_at, default=None)
+    def most_recently_active_idle(
+        self, organisation: str = ""
+    ) -> PooledConnection | None:
+        """Return the organisation's idle connection with the latest activity, or None.
+
+        Of equally active ones it is the first that became idle.
+        """
+        idle = self._idle.get(organisation)
+        if idle is None:
+            return None
+        return max(idle.values(), key=lambda c: c.last_active_at)
+
+    def last_used_idle(self, organisation: str) -> PooledConnection | None:
+        """Return the connection that became idle last, or None.
+
+        Those that are not needed thereby stay unused and can be closed.
+        """
+        idle = self._idle.get(organisation)
+        return None if idle is None else next(reversed(idle.values()))
+
+    def idle(self) -> Iterator[PooledConnection]:
+        """Yield the idle connections of all organisations."""
+        for connections in self._idle.values():
+            yield from connections.values()
+
+    def of_organisation(self, organisation: str) -> Iterator[PooledConnection]:
+        """Yield the organisation's connections that are not being closed."""
+        for connection in self._by_organisation.get(organisation, {}).values():
+            if connection.state not in _CLOSING_STATES:
+                yield connection
 
     def least_recently_active_unused(self) -> PooledConnection | None:
         """Return the unused connection with the earliest activity, or None."""
         unused = [c for c in self if c.state in _UNUSED_STATES]
         return min(unused, key=lambda c: c.last_active_at, default=None)
+
+    def _remove_idle(self, connection: PooledConnection) -> None:
+        idle = self._idle.get(connection.organisation)
+        if idle is None:
+            return
+        idle.pop(connection.connection_id, None)
+        if not idle:
+            del self._idle[connection.organisation]
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -14,7 +14,10 @@
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
+from .opening_room import OpeningRoom
+from .organisation_scheduler import OrganisationScheduler
 from .pool_action import PoolAction
+from .pool_counts import PoolCounts
 from .pool_settings import PoolSettings
 from .pooled_connection import PooledConnection
 from .probe_endpoint import ProbeEndpoint
@@ -26,6 +29,9 @@
 # When the first probe finds a statement no longer running, its answer may still be in
 # transit. By the answer to the second probe it would have arrived.
 _MAX_NOT_RUNNING_ANSWERS = 2
+# The only connection of a named organisation is kept idle this many times longer than
+# others: none of another organisation can take its place.
+_ONLY_CONNECTION_IDLE_FACTOR = 12
 _CLOSING_STATES = (ConnectionState.FAILED, ConnectionState.CLOSING)
 
 
@@ -36,6 +42,10 @@
     that the caller has to carry out, in order. The class itself does no I/O. Events
     of connections that the pool has closed are ignored.
 
+    A connection serves one organisation for its life. As long as no named organisation
+    has sent a request, there is the nameless one only, and any connection serves any
+    request. From then on `OrganisationScheduler` assigns the connections.
+
     Parameters
     ----------
     settings : PoolSettings
@@ -46,12 +56,15 @@
 
     __slots__ = (
         "_connections",
+        "_counts",
+        "_has_organisations",
         "_is_draining",
         "_last_stall_at",
         "_limit",
         "_next_open_at",
         "_probes",
         "_queues",
+        "_scheduler",
         "_settings",
         "_slots",
         "_term",
@@ -63,6 +76,15 @@
         self._slots = LaneSlots(settings.slot_limit, settings.report_slot_limit)
         self._queues = LaneQueues(self._slots)
         self._connections = ConnectionTable()
+        self._counts = PoolCounts()
+        self._has_organisations = False
+        self._scheduler = OrganisationScheduler(
+            self._connections,
+            self._queues,
+            self._slots,
+            self._counts,
+            self._needs_check,
+        )
         self._limit = ConnectionLimit(
             settings.connection_limit, settings.limit_growth_interval
         )
@@ -84,7 +106,16 @@
     @property
     def waiting_count(self) -> int:
         """Number of waiting requests."""
-        return len(self._queues)
+        return len(self._queues) + self._scheduler.pending_count
+
+    @property
+    def counts(self) -> PoolCounts:
+        """What the pool has done since it was made."""
+        return self._counts
+
+    def count_by_state(self) -> dict[ConnectionState, int]:
+        """Return the number of connections in each state."""
+        return {state: self._connections.count(state) for state in ConnectionState}
 
     @property
     def running_count(self) -> int:
@@ -129,14 +160,23 @@
         if self._is_draining:
             code = ResultCode.ENDPOINT_LEAVING
             return [RefuseRequest(request.request_id, code, 1)]
-        refusal = self._queues.submit(request, now)
+        organisation = request.requester.organisation
+        if organisation:
+            self._has_organisations = True
+        if not self._has_organisations:
+            refusal = self._queues.submit(request, now)
+            return self._schedule(now) if refusal is None else [refusal]
+        opening_time = self._scheduler.opening_time(organisation)
+        refusal = self._queues.submit(request, now, opening_time)
         if refusal is not None:
             return [refusal]
-        return self._schedule(now)
+        displaced = self._queues.refuse_displaced(request.lane, now)
+        return [*displaced, *self._schedule(now)]
 
     def cancel_request(self, request_id: int, now: timedelta) -> list[PoolAction]:
         """Remove a waiting request that its caller has cancelled."""
-        self._queues.remove(request_id)
+        if self._queues.remove(request_id) is None:
+            self._scheduler.remove(request_id)
         return self._schedule(now)
 
     def record_opened(self, connection_id: int, now: timedelta) -> list[PoolAction]:
@@ -144,16 +184,16 @@
         connection = self._connections.get(connection_id)
         if connection is None or connection.state is not ConnectionState.OPENING:
             return []
-        self._make_idle(connection, now)
-        return self._schedule(now)
+        return self._finish_pending(connection, now) + self._schedule(now)
 
     def record_open_failure(
         self, connection_id: int, too_many: bool, now: timedelta
     ) -> list[PoolAction]:
         """Record that a connection could not be opened.
 
-        Unless the endpoint merely has too many connections, the waiting requests are
-        refused if no other connection is left.
+        Unless the endpoint merely has too many connections, the waiting requests of an
+        organisation that has no other connection left are refused, and all if there is
+        none of any organisation.
 
         Parameters
         ----------
@@ -164,14 +204,24 @@
         now : timedelta
             Monotonic time.
         """
-        self._connections.remove(connection_id)
-        self._next_open_at = now + self._settings.open_backoff
+        connection = self._connections.remove(connection_id)
+        if connection is not None and connection.occupies_slot:
+            self._scheduler.abandon(connection)
+        backoff = self._settings.open_backoff
+        self._next_open_at = now + backoff
         if too_many:
             self._limit.record_refusal(self._connections.remaining_count(), now)
-        if too_many or self._connections.remaining_count():
             return self._schedule(now)
         code = ResultCode.ENDPOINT_UNREACHABLE
-        return [*self._queues.refuse_all(code, self._settings.open_backoff)]
+        if not self._connections.remaining_count():
+            return [*self._queues.refuse_all(code, backoff)]
+        if connection is None or any(
+            self._connections.of_organisation(connection.organisation)
+        ):
+            return self._schedule(now)
+        organisation = connection.organisation
+        refusals = self._queues.refuse_all(code, backoff, organisation)
+        return [*refusals, *self._schedule(now)]
 
     def record_progress(self, connection_id: int, now: timedelta) -> None:
         """Record that data from the endpoint arrived on a connection."""
@@ -232,8 +282,7 @@
         if connection is None or connection.state is not ConnectionState.CHECKING:
             return []
         if healthy:
-            self._make_idle(connection, now)
-            return self._schedule(now)
+            return self._finish_pending(connection, now) + self._schedule(now)
         return [
             self._close_failed(connection, "check failed", now),
             *self._schedule(now),
@@ -283,8 +332,11 @@
     def record_closed(self, connection_id: int, now: timedelta) -> list[PoolAction]:
         """Remove a connection that either side has closed."""
         connection = self._connections.remove(connection_id)
-        if connection is not None and connection.state is ConnectionState.BUSY:
-            self._finish_statement(connection, now)
+        if connection is not None:
+            if connection.state is ConnectionState.BUSY:
+                self._finish_statement(connection, now)
+            elif connection.occupies_slot:
+                self._scheduler.abandon(connection)
         return self._schedule(now)
 
     def set_share(self, share: int, now: timedelta) -> list[PoolAction]:
@@ -329,7 +381,7 @@
             actions += self.close_all(reason, now)
         self._term = max(self._term, term)
         code = ResultCode.ENDPOINT_UNREACHABLE
-        return actions + self._queues.refuse_all(code, timedelta(0))
+        return actions + self._refuse_all(code)
 
     def start_draining(self, now: timedelta) -> list[PoolAction]:
         """Refuse new and waiting requests and close idle connections.
@@ -338,7 +390,7 @@
         """
         self._is_draining = True
         code = ResultCode.ENDPOINT_LEAVING
-        actions: list[PoolAction] = [*self._queues.refuse_all(code, timedelta(0))]
+        actions: list[PoolAction] = [*self._refuse_all(code)]
         for connection in self._connections:
             actions += self._retire(connection, "endpoint leaving", now)
         return actions
@@ -355,7 +407,7 @@
 
     def tick(self, now: timedelta) -> list[PoolAction]:
         """Handle every timeout and deadline that has passed."""
-        actions: list[PoolAction] = [*self._queues.refuse_late(now)]
+        actions: list[PoolAction] = [*self._refuse_late(now)]
         for connection in self._connections:
             actions += self._check_timeouts(connection, now)
         return actions + self._schedule(now)
@@ -371,12 +423,19 @@
         if (
             connection.state is ConnectionState.IDLE
             and elapsed >= settings.idle_timeout
+            and not self._is_kept(connection, elapsed)
         ):
             return [self._close(connection, "idle", now)]
         if connection.state is ConnectionState.BUSY:
             return self._check_progress(connection, now)
         return []
 
+    def _is_kept(self, connection: PooledConnection, idle_time: timedelta) -> bool:
+        kept_time = self._settings.idle_timeout * _ONLY_CONNECTION_IDLE_FACTOR
+        if not connection.organisation or idle_time >= kept_time:
+            return False
+        return self._scheduler.is_only_connection(connection)
+
     def _check_progress(
         self, connection: PooledConnection, now: timedelta
     ) -> list[PoolAction]:
@@ -421,6 +480,24 @@
     def _finish_statement(self, connection: PooledConnection, now: timedelta) -> None:
         self._queues.finish(connection.lane, now - connection.state_since)
 
+    def _finish_pending(
+        self, connection: PooledConnection, now: timedelta
+    ) -> list[PoolAction]:
+        if connection.occupies_slot:
+            return self._scheduler.finish(connection, now)
+        self._make_idle(connection, now)
+        return []
+
+    def _refuse_late(self, now: timedelta) -> list[RefuseRequest]:
+        if not self._has_organisations:
+            return self._queues.refuse_late(now)
+        late = self._queues.refuse_late(now, self._scheduler.opening_time)
+        return late + self._scheduler.refuse_late(now)
+
+    def _refuse_all(self, code: ResultCode) -> list[RefuseRequest]:
+        refusals = self._queues.refuse_all(code, timedelta(0))
+        return refusals + self._scheduler.refuse_pending(code, timedelta(0))
+
     def _make_idle(self, connection: PooledConnection, now: timedelta) -> None:
         connection.last_active_at = now
         self._connections.move(connection, ConnectionState.IDLE, now)
@@ -448,12 +525,17 @@
     ) -> CloseConnection:
         if connection.state is ConnectionState.BUSY:
             self._finish_statement(connection, now)
+        elif connection.occupies_slot:
+            self._scheduler.abandon(connection)
         self._connections.move(connection, ConnectionState.CLOSING, now)
         return CloseConnection(connection.connection_id, reason)
 
     def _schedule(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
         actions += self._close_surplus(now)
+        if self._has_organisations:
+            room = self._compute_room(now)
+            return actions + self._scheduler.schedule(room, self._term, now)
         actions += self._grant_connections(now)
         actions += self._open_connections(now)
         return actions
@@ -462,12 +544,17 @@
         actions: list[PoolAction] = []
         limit = self._limit.current(now)
         while self._connections.remaining_count() > limit:
-            unused = self._connections.least_recently_active_unused()
+            unused = self._choose_surplus(now)
             if unused is None:
                 break
             actions.append(self._close(unused, "share shrank", now))
         return actions
 
+    def _choose_surplus(self, now: timedelta) -> PooledConnection | None:
+        if self._has_organisations:
+            return self._scheduler.choose_surplus(now)
+        return self._connections.least_recently_active_unused()
+
     def _grant_connections(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
         while True:
@@ -478,6 +565,7 @@
                 return actions + self._check_connections(now)
             request = self._queues.next_request()
             self._connections.mark_busy(connection, request.lane, now)
+            self._counts.record_grant(connection)
             grant = GrantConnection(request.request_id, connection.connection_id)
             actions.append(grant)
 
@@ -498,20 +586,24 @@
         return actions
 
     def _open_connections(self, now: timedelta) -> list[PoolAction]:
-        if self._is_draining or now < self._next_open_at:
-            return []
-        limit = self._limit.current(now)
-        if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
-            limit -= self._settings.probe_reserve
-        room = limit - self.open_count
-        if room <= 0:
+        room_count = self._compute_room(now).free_count
+        if room_count <= 0:
             return []
         soon_usable_count = self._connections.count(
             ConnectionState.OPENING, ConnectionState.CHECKING
         )
         missing_count = self._queues.startable_count() - soon_usable_count
         actions: list[PoolAction] = []
-        for _ in range(min(missing_count, room)):
+        for _ in range(min(missing_count, room_count)):
             connection = self._connections.add(self._term, now)
             actions.append(OpenConnection(connection.connection_id, connection.term))
         return actions
+
+    def _compute_room(self, now: timedelta) -> OpeningRoom:
+        if self._is_draining or now < self._next_open_at:
+            return OpeningRoom(0, 0, 0, False)
+        limit = self._limit.current(now)
+        if limit >= _MIN_LIMIT_WITH_PROBES and not self._probes:
+            limit -= self._settings.probe_reserve
+        closing_count = self._connections.count(*_CLOSING_STATES)
+        return OpeningRoom(limit, limit - self.open_count, closing_count, limit > 0)
--- a/goldcrestpond/pool/fair_queue.py
+++ b/goldcrestpond/pool/fair_queue.py
@@ -11,6 +11,10 @@
 
 # Virtual time that one request takes of an organisation with a weight of 1.
 QUANTUM = 1.0
+# Requests of a backlog after which what was served meanwhile counts half as much.
+_MEASURED_COUNT = 64
+# Until a backlog has been served about this often, others that went ahead count less.
+_CAUTION_COUNT = 8
 # A weight of zero or less would keep an organisation from ever being served.
 _MIN_WEIGHT = 1e-3
 # Virtual times that differ by less than this are equal but for rounding.
@@ -27,12 +31,18 @@
         Virtual time at which its next request starts.
     step : float
         Virtual time from the start of one of its requests to that of the next.
+    since : float
+        Number of requests that the queue had served when counting began.
+    served_count : float
+        Requests of this organisation served since then.
     requests : RequestQueue
         The requests, in order.
     """
 
     start: float
     step: float
+    since: float = 0.0
+    served_count: float = 0.0
     requests: RequestQueue = field(default_factory=RequestQueue)
 
 
@@ -46,7 +56,13 @@
     was served before is forgotten.
     """
 
-    __slots__ = ("_backlogs", "_next_starts", "_size", "_virtual_time")
+    __slots__ = (
+        "_backlogs",
+        "_next_starts",
+        "_served_count",
+        "_size",
+        "_virtual_time",
+    )
 
     def __init__(self) -> None:
         self._backlogs: dict[str, _Backlog] = {}
@@ -54,6 +70,7 @@
         self._next_starts: dict[str, float] = {}
         self._virtual_time = 0.0
         self._size = 0
+        self._served_count = 0
 
     def __len__(self) -> int:
         return self._size
@@ -111,6 +128,11 @@
         self._virtual_time = max(self._virtual_time, backlog.start)
         backlog.start += backlog.step
         self._size -= 1
+        self._served_count += 1
+        backlog.served_count += 1
+        if backlog.served_count >= _MEASURED_COUNT:
+            backlog.since = (backlog.since + self._served_count) / 2
+            backlog.served_count /= 2
         if not len(backlog.requests):
             self._end_backlog(name, backlog)
         return request
@@ -127,9 +149,10 @@
             return request
         return None
 
-    def waits(self, organisation: str) -> bool:
-        """Return whether a request of an organisation waits."""
-        return organisation in self._backlogs
+    def count_waiting(self, organisation: str) -> int:
+        """Return the number of waiting requests of an organisation."""
+        backlog = self._backlogs.get(organisation)
+        return 0 if backlog is None else len(backlog.requests)
 
     def count_ahead(self, requester: Requester) -> int:
         """Count the requests that would be served before a new one of ``requester``."""
@@ -156,6 +179,24 @@
             ahead_count += max(0, min(len(backlog.requests), count))
         return ahead_count
 
+    def estimate_ahead(self, requester: Requester) -> int:
+        """Estimate how many requests are served before a new one of ``requester``.
+
+        Besides those that wait before it, these are requests of other organisations
+        that arrive later and go ahead, if they go on to do so as they did lately.
+        """
+        ahead_count = self.count_ahead(requester)
+        backlog = self._backlogs.get(requester.organisation)
+        if backlog is None or not backlog.served_count:
+            return ahead_count
+        own_served_count = backlog.served_count
+        overtaken_count = self._served_count - backlog.since - own_served_count
+        if overtaken_count <= 0:
+            return ahead_count
+        others_each = overtaken_count / (own_served_count + _CAUTION_COUNT)
+        own_count = backlog.requests.count_ahead(requester.session)
+        return max(ahead_count, ceil(own_count * (1 + others_each)))
+
     def in_order(self) -> Iterator[SlotRequest]:
         """Yield all requests in the order in which they would be removed."""
         if len(self._backlogs) == 1:
@@ -197,7 +238,9 @@
 
     def _add_backlog(self, requester: Requester) -> _Backlog:
         name = requester.organisation
-        backlog = _Backlog(self._first_start(name), _step(requester))
+        backlog = _Backlog(
+            self._first_start(name), _step(requester), self._served_count
+        )
         self._next_starts.pop(name, None)
         self._backlogs[name] = backlog
         return backlog
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -19,6 +19,8 @@
 _RESERVED_TIME_DIVISOR = 4
 _MILLISECOND = timedelta(milliseconds=1)
 _NO_TIME = timedelta(0)
+# Most requests need no opening, and the others take as long as a statement.
+_OPENING_COST_SMOOTHING_FACTOR = 1 / 64
 
 
 class LaneQueues:
@@ -36,7 +38,7 @@
         self._slots = slots
         self._queues = {lane: PriorityQueue() for lane in Lane}
         self._estimates = {lane: ServiceEstimate() for lane in Lane}
-        self._opening_cost = ServiceEstimate(_NO_TIME)
+        self._opening_cost = ServiceEstimate(_NO_TIME, _OPENING_COST_SMOOTHING_FACTOR)
 
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
@@ -51,9 +53,14 @@
         """Return the number of requests that wait in a lane."""
         return len(self._queues[lane])
 
-    def waits(self, organisation: str) -> bool:
-        """Return whether a request of an organisation waits in any lane."""
-        return any(queue.waits(organisation) for queue in self._queues.values())
+    def count_waiting(self, organisation: str) -> int:
+        """Return the number of waiting requests of an organisation in all lanes."""
+        queues = self._queues.values()
+        return sum(queue.count_waiting(organisation) for queue in queues)
+
+    def mean_service_time(self, lane: Lane) -> timedelta:
+        """Return the mean time for which a request of a lane occupies a slot."""
+        return self._estimates[lane].mean
 
     def submit(
         self, request: SlotRequest, now: timedelta, opening_time: timedelta = _NO_TIME
@@ -69,7 +76,7 @@
         opening_time : timedelta, optional
             Time that it takes to open a connection for it; 0 if there is one.
         """
-        ahead_count = self._queues[request.lane].count_ahead(
+        ahead_count = self._queues[request.lane].estimate_ahead(
             request.requester, request.priority
         )
         wait = self.estimate_wait(request.lane, ahead_count) + opening_time
--- a/goldcrestpond/pool/open_connection.py
+++ b/goldcrestpond/pool/open_connection.py
@@ -8,8 +8,10 @@
     """Open a connection.
 
     The caller reports the result by `DatabasePool.record_opened` or
-    `DatabasePool.record_open_failure`.
+    `DatabasePool.record_open_failure`. It is opened for one organisation, whose name is
+    empty if the request has none.
     """
 
     connection_id: int
     term: int
+    organisation: str = ""
--- a/goldcrestpond/pool/pooled_connection.py
+++ b/goldcrestpond/pool/pooled_connection.py
@@ -1,10 +1,12 @@
 """State that the pool keeps of one connection."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from .connection_state import ConnectionState
 from .lane import Lane
+from .slot_request import SlotRequest
+from .use_score import UseScore
 
 
 @dataclass(slots=True)
@@ -35,6 +37,16 @@
         Number of consecutive probes that found its statement no longer running.
     reusable : bool
         False if it must be closed as soon as its current request ends.
+    organisation : str
+        The one organisation that it serves.
+    request : SlotRequest or None
+        Request for which it is being opened or checked, and which it will be granted.
+    occupies_slot : bool
+        True if its opening or its check occupies a slot of its lane.
+    is_unused : bool
+        True until it is granted to a request for the first time.
+    uses : UseScore
+        How often and how recently it was granted.
     """
 
     connection_id: int
@@ -48,3 +60,8 @@
     has_stalled: bool = False
     not_running_count: int = 0
     reusable: bool = True
+    organisation: str = ""
+    request: SlotRequest | None = None
+    occupies_slot: bool = False
+    is_unused: bool = True
+    uses: UseScore = field(default_factory=UseScore)
--- a/goldcrestpond/pool/priority_queue.py
+++ b/goldcrestpond/pool/priority_queue.py
@@ -65,9 +65,10 @@
                 return request
         return None
 
-    def waits(self, organisation: str) -> bool:
-        """Return whether a request of an organisation waits."""
-        return any(queue.waits(organisation) for queue in self._by_priority.values())
+    def count_waiting(self, organisation: str) -> int:
+        """Return the number of waiting requests of an organisation."""
+        queues = self._by_priority.values()
+        return sum(queue.count_waiting(organisation) for queue in queues)
 
     def last(self) -> SlotRequest | None:
         """Return the request that is served last, or None if the queue is empty."""
@@ -78,15 +79,24 @@
 
     def count_ahead(self, requester: Requester, priority: int) -> int:
         """Count the requests that would be served before a new one."""
-        ahead_count = sum(len(q) for p, q in self._by_priority.items() if p < priority)
         queue = self._by_priority.get(priority)
-        return ahead_count + (0 if queue is None else queue.count_ahead(requester))
+        own_count = 0 if queue is None else queue.count_ahead(requester)
+        return self._count_urgent(priority) + own_count
+
+    def estimate_ahead(self, requester: Requester, priority: int) -> int:
+        """Count them with those expected to arrive later and to go ahead."""
+        queue = self._by_priority.get(priority)
+        own_count = 0 if queue is None else queue.estimate_ahead(requester)
+        return self._count_urgent(priority) + own_count
 
     def in_order(self) -> Iterator[SlotRequest]:
         """Yield all requests in the order in which they would be removed."""
         for queue in self._by_priority.values():
             yield from queue.in_order()
 
+    def _count_urgent(self, priority: int) -> int:
+        return sum(len(q) for p, q in self._by_priority.items() if p < priority)
+
     def _queue(self, priority: int) -> FairQueue:
         queue = self._by_priority.get(priority)
         if queue is None:
--- a/goldcrestpond/pool/service_estimate.py
+++ b/goldcrestpond/pool/service_estimate.py
@@ -15,6 +15,8 @@
     ----------
     initial_mean : timedelta, optional
         Mean before the first request has finished.
+    smoothing_factor : float, optional
+        Weight of each further request.
 
     Attributes
     ----------
@@ -22,11 +24,16 @@
         The average.
     """
 
-    __slots__ = ("mean",)
+    __slots__ = ("_smoothing_factor", "mean")
 
-    def __init__(self, initial_mean: timedelta = _INITIAL_MEAN) -> None:
+    def __init__(
+        self,
+        initial_mean: timedelta = _INITIAL_MEAN,
+        smoothing_factor: float = _SMOOTHING_FACTOR,
+    ) -> None:
         self.mean = initial_mean
+        self._smoothing_factor = smoothing_factor
 
     def add(self, duration: timedelta) -> None:
         """Add the duration of one finished request."""
-        self.mean += (duration - self.mean) * _SMOOTHING_FACTOR
+        self.mean += (duration - self.mean) * self._smoothing_factor
--- a/goldcrestpond/root/group_services.py
+++ b/goldcrestpond/root/group_services.py
@@ -254,7 +254,7 @@
         pool = ConnectionPool(
             database,
             database_pool,
-            lambda: self._open_connection(address, login),
+            lambda _organisation: self._open_connection(address, login),
             self._clock,
             self._tasks,
             lambda silent_connection: self._probe_statement(
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -36,7 +36,7 @@
 
 # Commits in flight are answered within milliseconds unless the leader is silent.
 BLOCK_TIMEOUT = timedelta(milliseconds=300)
-OpenLink = Callable[[Database], Awaitable[Link]]
+OpenLink = Callable[..., Awaitable[Link]]
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
 
@@ -299,7 +299,7 @@
         own = ConnectionPool(
             database.database_id,
             database_pool,
-            lambda: self._open_in_time(served.database),
+            lambda organisation: self._open_in_time(served.database, organisation),
             self.clock,
             self._tasks,
             _cannot_tell_if_running,
@@ -384,11 +384,12 @@
             lambda wait: self._verify_through_holder(service.name, wait),
         )
 
-    async def _open_in_time(self, database: Database) -> Link:
+    async def _open_in_time(self, database: Database, organisation: str = "") -> Link:
         limit_s = self._settings.connect_timeout.total_seconds()
+        named = (organisation,) if organisation else ()
         try:
             with anyio.fail_after(limit_s):
-                return await self._open_link(database)
+                return await self._open_link(database, *named)
         except TimeoutError as error:
             detail = f"{database.database_id}: no connection in time"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail) from error
--- a/tests/pool/test_connection_table.py
+++ b/tests/pool/test_connection_table.py
@@ -35,3 +35,26 @@
         idle = [each for each in table if each.state is ConnectionState.IDLE]
         expected = max(idle, key=lambda each: each.last_active_at, default=None)
         assert_that(table.most_recently_active_idle(), Equals(expected))
+
+
+@given(st.lists(st.tuples(st.integers(1, 6), st.sampled_from(ConnectionState))))
+def test_idle_connections_are_kept_by_organisation(steps):
+    table = ConnectionTable()
+    for number in range(6):
+        table.add(1, timedelta(0), "ab"[number % 2])
+    for at, (number, state) in enumerate(steps):
+        table.move(table.get(number), state, timedelta(at))
+        idle = [each for each in table if each.state is ConnectionState.IDLE]
+        assert_that(
+            sorted(c.connection_id for c in table.idle()),
+            Equals([c.connection_id for c in idle]),
+        )
+        for name in "ab":
+            own = [each for each in idle if each.organisation == name]
+            last = table.last_used_idle(name)
+            assert_that(last is None, Equals(not own))
+            if last is not None:
+                latest = max(each.state_since for each in own)
+                assert_that(
+                    (last.organisation, last.state_since), Equals((name, latest))
+                )
