--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -20,6 +20,13 @@
 # this time. Instances disagree about the holders only until each of them has read the
 # changed rows of the member table.
 DENIAL_RETENTION = timedelta(seconds=1)
+_DENIAL_NUMBERS = frozenset(
+    {
+        ResultCode.PEER_HOLDS_NOTHING.number,
+        # Its tables are too old, or its share of the organisation's rate has not begun.
+        ResultCode.IDENTITY_UNPROVEN.number,
+    }
+)
 MAX_IDLE_CHANNELS = 8  # a burst opens more, which are closed when released
 
 
@@ -69,11 +76,20 @@
         self._clock = clock
         # Idle channels, each with the time of its release, when it last worked.
         self._idle: list[tuple[Channel, timedelta]] = []
-        self._denied_at: dict[str, timedelta] = {}
+        # By service and organisation.
+        self._denied_at: dict[tuple[str, str], timedelta] = {}
 
-    def denies_service(self, service: str) -> bool:
-        """Return whether it recently reported that it does not hold a service."""
-        denied_at = self._denied_at.get(service)
+    def denies_service(self, service: str, organisation: str = "") -> bool:
+        """Return whether it recently reported that it does not hold a service.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        organisation : str
+            Organisation that it does not serve there; empty for nameless requests.
+        """
+        denied_at = self._denied_at.get((service, organisation))
         return (
             denied_at is not None and self._clock.now() - denied_at < DENIAL_RETENTION
         )
@@ -143,16 +159,18 @@
             detail = f"{self.name}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         self.health.record_success()
-        if isinstance(message, Lend | Prove):
-            self._record_denial(message.service, response)
+        if isinstance(message, Lend):
+            self._record_denial((message.service, message.organisation), response)
+        elif isinstance(message, Prove):
+            self._record_denial((message.service, ""), response)
         return response
 
-    def _record_denial(self, service: str, response: Response) -> None:
+    def _record_denial(self, denied: tuple[str, str], response: Response) -> None:
         code_number = response.code if isinstance(response, Refused) else 0
-        if code_number == ResultCode.PEER_HOLDS_NOTHING.number:
-            self._denied_at[service] = self._clock.now()
+        if code_number in _DENIAL_NUMBERS:
+            self._denied_at[denied] = self._clock.now()
         else:
-            self._denied_at.pop(service, None)
+            self._denied_at.pop(denied, None)
 
     async def aclose(self) -> None:
         """Close the idle channels."""
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -1,5 +1,6 @@
 """Assigns the holders of each service and sends requests to them."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import TypeVar
 
@@ -12,6 +13,7 @@
 from ..group.log_position import LogPosition
 from ..placement.candidate import Candidate
 from ..placement.rendezvous import choose_holders
+from ..rates.handover import Handover
 from ..serving.decision_log import DecisionLog
 from ..serving.members import Member
 from . import messages
@@ -21,6 +23,8 @@
 # Time for which a previous holder is still asked to block commits. It may send commits
 # until it has read which instances are live, which takes up to three heartbeats.
 HOLDER_RETENTION = timedelta(seconds=30)
+# A former home that is leaving still has most of its grace period after this.
+HAND_OVER_TIMEOUT = timedelta(milliseconds=300)
 _MILLISECOND = timedelta(milliseconds=1)
 _Response = TypeVar("_Response", bound=messages.Message)
 
@@ -77,12 +81,8 @@
         count : int
             Number of holders.
         """
-        eligible = eligible_members(members, count)
-        zones = [member.availability_zone for member in eligible]
-        by_name = {member.name: member for member in eligible}
-        candidates = [Candidate(m.name, m.availability_zone) for m in eligible]
-        chosen = choose_holders(service, candidates, count, zones)
-        holder_names = [candidate.name for candidate in chosen]
+        holder_names = choose_holder_names(service, members, count)
+        by_name = {member.name: member for member in members}
         self._names_by_service[service] = holder_names
         self._record_holders(service)
         self._by_service[service] = [
@@ -109,6 +109,28 @@
         holders = self._by_service.get(service, [])
         return [h for h in holders if not h.denies_service(service)] or holders
 
+    async def hand_over(self, member: Member, handovers: Sequence[Handover]) -> None:
+        """Send what is left of organisations' shares to their next home.
+
+        If that fails, the shares begin there later.
+        """
+        name = member.name
+        holder = self.peer(member)
+        request = messages.HandOver(list(handovers))
+        try:
+            await send_request(holder, request, HAND_OVER_TIMEOUT, messages.Done)
+        except CodedError as error:
+            self._log.decision(
+                "shares not handed over",
+                holder=name,
+                organisations=len(handovers),
+                detail=str(error),
+            )
+            return
+        self._log.decision(
+            "shares handed over", holder=name, organisations=len(handovers)
+        )
+
     async def verify_leader(
         self, service: str, holder: Holder, wait: timedelta
     ) -> tuple[str, LogPosition]:
@@ -220,6 +242,17 @@
         return holder
 
 
+def choose_holder_names(
+    service: str, members: Sequence[Member], count: int
+) -> list[str]:
+    """Return the names of the members that hold a service, as `Holders.assign`."""
+    eligible = eligible_members(members, count)
+    zones = [member.availability_zone for member in eligible]
+    candidates = [Candidate(m.name, m.availability_zone) for m in eligible]
+    chosen = choose_holders(service, candidates, count, zones)
+    return [candidate.name for candidate in chosen]
+
+
 async def send_request(
     holder: Holder, request: messages.Message, wait: timedelta, kind: type[_Response]
 ) -> _Response:
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -14,6 +14,7 @@
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
 from ..pool.lane import Lane
+from ..rates.handover import Handover
 from ..serving.reply import Reply
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
@@ -25,10 +26,12 @@
 _Position = tuple[int, int]
 _SPAN_LIMIT_MS = 1e9  # a day is 8.6e7
 _BANDWIDTH_LIMIT_MBPS = 1e9
+_WEIGHT_LIMIT = 1e9
 # Limits that also exclude what is not a number, so that no computation with a value of
 # another instance fails.
 _SpanMs = Annotated[float, msgspec.Meta(ge=-_SPAN_LIMIT_MS, le=_SPAN_LIMIT_MS)]
 _Bandwidth = Annotated[float, msgspec.Meta(ge=0, le=_BANDWIDTH_LIMIT_MBPS)]
+_Weight = Annotated[float, msgspec.Meta(gt=0, le=_WEIGHT_LIMIT)]
 _Version = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
@@ -54,6 +57,13 @@
         Time after which the requester no longer waits.
     priority : int
         Within the lane, requests with lower numbers are served first.
+    organisation : str
+        Organisation for which the connection is; empty if there is none.
+    is_charged : bool
+        Whether the requester has the organisation's home charge the operation. The
+        holder then need not be a home, and charges nothing.
+    weight : float
+        Part of a database's room that the organisation may claim.
     """
 
     service: str
@@ -62,6 +72,9 @@
     lane: Lane
     wait_ms: _SpanMs
     priority: int = 0
+    organisation: str = ""
+    is_charged: bool = False
+    weight: _Weight = 1.0
 
 
 class Lent(Message, frozen=True):
@@ -332,6 +345,27 @@
     held_ms: _SpanMs
 
 
+class Charge(Message, frozen=True):
+    """Asks an organisation's home to charge one operation that another holder runs.
+
+    Attributes
+    ----------
+    service : str
+        Service of the database that runs it.
+    organisation : str
+        Name of the organisation.
+    """
+
+    service: str
+    organisation: str
+
+
+class HandOver(Message, frozen=True):
+    """Passes on what a former home has left of the main shares of organisations."""
+
+    handovers: list[Handover]
+
+
 class Answer(Message, frozen=True):
     """The complete reply of a database.
 
@@ -394,6 +428,8 @@
     | Seal
     | Release
     | Follow
+    | Charge
+    | HandOver
 )
 Response = Lent | Answer | Done | Refused | Proved | Sealed | Followed
 
--- /dev/null
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -0,0 +1,332 @@
+"""Checks out connections where an organisation has its home."""
+
+import random
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from ..clock.clock import Clock
+from ..endpoint.connection_pool import ConnectionPool
+from ..errors.coded_error import CodedError
+from ..errors.result_code import ResultCode
+from ..pool.lane import Lane
+from ..pool.requester import Requester
+from ..serving.decision_log import DecisionLog
+from ..serving.home_admission import HomeAdmission
+from ..serving.home_role import HomeRole
+from ..serving.link import Link
+from . import messages
+from .choose_holder import choose_holder
+from .holder import Holder
+from .holders import send_request
+from .home_holders import HomeHolders
+from .order_homes import order_homes
+from .relay_pool import RETRY_AFTER_MS, RelayPool
+
+# A home charges at once; a longer silence means that it is lost.
+CHARGE_TIMEOUT = timedelta(milliseconds=200)
+# After another holder couldn't reach a database either, none is asked for this time:
+# the database is down, which the home's refusal has told already.
+ELSEWHERE_PAUSE = timedelta(seconds=1)
+# Errors of one holder after which the next one is asked; nothing was run.
+_NEXT_HOLDER_CODES = frozenset(
+    {
+        ResultCode.IDENTITY_UNPROVEN,
+        ResultCode.PEER_HOLDS_NOTHING,
+        ResultCode.PEER_MALFORMED,
+        ResultCode.PEER_UNREACHABLE,
+    }
+)
+
+
+class OrganisationPool:
+    """Connections to one database for requests that name an organisation.
+
+    Parameters
+    ----------
+    service, database_id : str
+        Name of the service and id of the database.
+    own_pool : ConnectionPool
+        Connections of this instance.
+    relay_pool : RelayPool
+        Checks out connections of other holders.
+    find_homes : callable
+        Returns the holders that serve an organisation at the service.
+    other_holders : callable
+        Returns the holders of the service other than this instance.
+    is_holder : callable
+        Returns whether this instance holds the service.
+    admission : HomeAdmission
+        Admits and charges operations at this instance.
+    availability_zone : str
+        Availability zone of this instance.
+    clock : Clock
+        Source of monotonic time.
+    rng : random.Random
+        Chooses between homes.
+    log : DecisionLog
+        Receives log events.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_availability_zone",
+        "_clock",
+        "_database_id",
+        "_elsewhere_failed_at",
+        "_find_homes",
+        "_is_holder",
+        "_log",
+        "_on_standby",
+        "_other_holders",
+        "_own_pool",
+        "_relay_pool",
+        "_rng",
+        "_service",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        database_id: str,
+        own_pool: ConnectionPool,
+        relay_pool: RelayPool,
+        find_homes: Callable[[str], HomeHolders],
+        other_holders: Callable[[], Sequence[Holder]],
+        is_holder: Callable[[], bool],
+        admission: HomeAdmission,
+        availability_zone: str,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ):
+        self._service = service
+        self._database_id = database_id
+        self._own_pool = own_pool
+        self._relay_pool = relay_pool
+        self._find_homes = find_homes
+        self._other_holders = other_holders
+        self._is_holder = is_holder
+        self._admission = admission
+        self._availability_zone = availability_zone
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._elsewhere_failed_at = timedelta.min
+        self._on_standby: set[str] = set()
+
+    async def acquire(
+        self,
+        term: int,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        """Check out a connection at a home of the requester's organisation.
+
+        Raises
+        ------
+        CodedError
+            RATE_EXCEEDED; IDENTITY_UNPROVEN if one may not serve the organisation now;
+            ENDPOINT_UNREACHABLE if no home and not the standby responds; or the error
+            with which one refused. Nothing was run.
+        """
+        organisation = requester.organisation
+        homes = self._find_homes(organisation)
+        unproven: CodedError | None = None
+        failures = []
+        for target in self._order(homes, organisation):
+            if failures and self._clock.now() >= deadline:
+                break
+            try:
+                return await self._acquire_at(
+                    target, homes, term, deadline, requester, lane, priority
+                )
+            except CodedError as error:
+                if error.code not in _NEXT_HOLDER_CODES:
+                    raise
+                if error.code is ResultCode.IDENTITY_UNPROVEN:
+                    unproven = error
+                name = "this instance" if target is None else target.name
+                failures.append(f"{name}: {error}")
+        if unproven is not None:
+            raise unproven
+        detail = f"{self._service}: no home of {organisation!r} responds: {failures}"
+        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
+
+    async def lend(
+        self,
+        is_charged: bool,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        """Check out a connection of this instance for another one.
+
+        Parameters
+        ----------
+        is_charged : bool
+            Whether the other instance has the home charge the operation.
+        deadline, requester, lane, priority
+            See `ConnectionPool.acquire`.
+
+        Raises
+        ------
+        CodedError
+            As for `HomeAdmission.charge` and `ConnectionPool.acquire`; nothing was run.
+        """
+        if is_charged:
+            self._admission.require_known(requester.organisation)
+            return await self._own_pool.acquire(0, deadline, requester, lane, priority)
+        return await self._acquire_own(0, deadline, requester, lane, priority)
+
+    def _order(self, homes: HomeHolders, organisation: str) -> list[Holder | None]:
+        """Return whom to ask in turn; None stands for this instance's connections."""
+        own: list[Holder | None] = [None] if homes.own_role is HomeRole.HOME else []
+        standbys: list[Holder | None] = []
+        if homes.own_role is HomeRole.STANDBY:
+            standbys.append(None)
+        elif homes.standby is not None:
+            standbys.append(homes.standby)
+        now = self._clock.now()
+
+        def is_usable(holder: Holder | None) -> bool:
+            if holder is None:
+                return True
+            is_denied = holder.denies_service(self._service, organisation)
+            return not is_denied and not holder.health.is_avoided(now)
+
+        return own + order_homes(homes.homes, standbys, is_usable, self._rng)
+
+    async def _acquire_at(
+        self,
+        target: Holder | None,
+        homes: HomeHolders,
+        term: int,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        try:
+            if target is None:
+                link = await self._acquire_own(
+                    term, deadline, requester, lane, priority
+                )
+            else:
+                link = await self._relay_pool.check_out(
+                    target, deadline, requester, lane, priority
+                )
+        except CodedError as error:
+            if error.code is not ResultCode.ENDPOINT_UNREACHABLE:
+                raise
+            link = await self._acquire_elsewhere(
+                target, error, term, deadline, requester, lane, priority
+            )
+        is_own_home = target is None and homes.own_role is HomeRole.HOME
+        is_home = is_own_home or target in homes.homes
+        self._record_use(requester.organisation, target, is_home)
+        return link
+
+    async def _acquire_own(
+        self,
+        term: int,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        charge = self._admission.charge(self._service, requester.organisation)
+        try:
+            return await self._own_pool.acquire(
+                term, deadline, requester, lane, priority
+            )
+        except BaseException:
+            self._admission.refund(charge)
+            raise
+
+    async def _acquire_elsewhere(
+        self,
+        home: Holder | None,
+        error: CodedError,
+        term: int,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        """Check out at a holder that may reach the database, unlike the home.
+
+        The home charges the operation only after the connection was checked out, so
+        that attempts at a database that is down use up no rate.
+        """
+        now = self._clock.now()
+        if now >= deadline or now - self._elsewhere_failed_at < ELSEWHERE_PAUSE:
+            raise error
+        try:
+            if home is not None and self._is_holder():
+                lender = "own"
+                link = await self._own_pool.acquire(
+                    term, deadline, requester, lane, priority
+                )
+            else:
+                others = [h for h in self._other_holders() if h is not home]
+                holder = choose_holder(others, self._availability_zone, now, self._rng)
+                if holder is None:
+                    raise error
+                lender = holder.name
+                link = await self._relay_pool.check_out(
+                    holder, deadline, requester, lane, priority, is_charged=True
+                )
+        except CodedError:
+            self._elsewhere_failed_at = self._clock.now()
+            raise error from None
+        try:
+            await self._charge_at(home, requester.organisation)
+        except BaseException:
+            pool = self._own_pool if lender == "own" else self._relay_pool
+            pool.release(link)
+            raise
+        self._log.decision(
+            "lent elsewhere",
+            organisation=requester.organisation,
+            database=self._database_id,
+            home="own" if home is None else home.name,
+            lender=lender,
+            detail=error.detail,
+        )
+        return link
+
+    async def _charge_at(self, home: Holder | None, organisation: str) -> None:
+        if home is None:
+            self._admission.charge(self._service, organisation)
+            return
+        request = messages.Charge(self._service, organisation)
+        try:
+            await send_request(home, request, CHARGE_TIMEOUT, messages.Done)
+        except CodedError as error:
+            if error.code not in _NEXT_HOLDER_CODES:
+                raise
+            detail = f"{home.name}: not charged: {error}"
+            raise CodedError(
+                ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS
+            ) from error
+
+    def _record_use(
+        self, organisation: str, target: Holder | None, is_home: bool
+    ) -> None:
+        """Log when an organisation's requests change between home and standby."""
+        if is_home == (organisation not in self._on_standby):
+            return
+        if is_home:
+            self._on_standby.discard(organisation)
+        else:
+            self._on_standby.add(organisation)
+        self._log.decision(
+            "home used again" if is_home else "standby used",
+            organisation=organisation,
+            service=self._service,
+            database=self._database_id,
+            holder="own" if target is None else target.name,
+        )
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import anyio
+import msgspec
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
@@ -20,6 +21,14 @@
 from .remote_link import RemoteLink
 
 RETRY_AFTER_MS = 100  # long enough for another holder to be chosen
+# Errors of a holder that say nothing about the database.
+_HOLDER_FAILURE_CODES = frozenset(
+    {
+        ResultCode.PEER_HOLDS_NOTHING,
+        ResultCode.PEER_MALFORMED,
+        ResultCode.PEER_UNREACHABLE,
+    }
+)
 
 
 class RelayPool:
@@ -110,11 +119,55 @@
         if holder is None:
             detail = f"{self._service}: no holder is known"
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
+        try:
+            return await self.check_out(holder, deadline, requester, lane, priority)
+        except CodedError as error:
+            if error.code in _HOLDER_FAILURE_CODES:
+                raise CodedError(
+                    ResultCode.ENDPOINT_UNREACHABLE, error.detail, RETRY_AFTER_MS
+                ) from error
+            raise
+
+    async def check_out(
+        self,
+        holder: Holder,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+        is_charged: bool = False,
+    ) -> RemoteLink:
+        """Check out a connection of one holder.
+
+        Parameters
+        ----------
+        holder : Holder
+            The holder.
+        deadline, requester, lane, priority
+            See `ConnectionPool.acquire`.
+        is_charged : bool, default=False
+            Whether the organisation's home is asked apart to charge the operation.
+
+        Raises
+        ------
+        CodedError
+            PEER_UNREACHABLE, PEER_HOLDS_NOTHING or PEER_MALFORMED if the holder does
+            not lend at all, or the error with which it refused; nothing was run.
+        """
+        request = messages.Lend(
+            self._service,
+            self._database_id,
+            requester.session,
+            lane.value,
+            0,  # replaced once there is a channel
+            priority,
+            requester.organisation,
+            is_charged,
+            requester.weight,
+        )
         holder.checkout_count += 1
         try:
-            link = await self._check_out_from(
-                holder, deadline, requester, lane, priority
-            )
+            link = await self._request_link(holder, request, deadline)
         except BaseException:
             holder.checkout_count -= 1
             raise
@@ -153,33 +206,19 @@
     async def run(self) -> None:
         """Do nothing: there are no connections to monitor."""
 
-    async def _check_out_from(
-        self,
-        holder: Holder,
-        deadline: timedelta,
-        requester: Requester,
-        lane: Lane,
-        priority: int,
+    async def _request_link(
+        self, holder: Holder, request: messages.Lend, deadline: timedelta
     ) -> RemoteLink:
-        try:
-            channel = await holder.acquire_channel()
-        except CodedError as error:
-            raise _unreachable(error) from error
+        channel = await holder.acquire_channel()
         wait = max(timedelta(0), deadline - self._clock.now())
-        wait_ms = wait / timedelta(milliseconds=1)
-        request = messages.Lend(
-            self._service,
-            self._database_id,
-            requester.session,
-            lane.value,
-            wait_ms,
-            priority,
+        request = msgspec.structs.replace(
+            request, wait_ms=wait / timedelta(milliseconds=1)
         )
         try:
             response = await holder.send_request(channel, request, wait)
-        except CodedError as error:
+        except CodedError:
             await holder.release_channel(channel)
-            raise _unreachable(error) from error
+            raise
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await channel.aclose()
@@ -188,13 +227,6 @@
             return RemoteLink(holder, channel, response)
         await holder.release_channel(channel)
         if isinstance(response, messages.Refused):
-            error = messages.to_error(response)
-            if error.code is ResultCode.PEER_HOLDS_NOTHING:
-                raise _unreachable(error)
-            raise error
+            raise messages.to_error(response)
         detail = f"{holder.name}: unexpected response {type(response).__name__}"
-        raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail, RETRY_AFTER_MS)
-
-
-def _unreachable(error: CodedError) -> CodedError:
-    return CodedError(ResultCode.ENDPOINT_UNREACHABLE, error.detail, RETRY_AFTER_MS)
+        raise CodedError(ResultCode.PEER_MALFORMED, detail)
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -108,6 +108,11 @@
                 return messages.Done()
             case messages.Follow():
                 return await self._answer_follower(request)
+            case messages.Charge():
+                return self._charge(request)
+            case messages.HandOver():
+                self._directory.admission.accept(request.handovers)
+                return messages.Done()
         if self._link is None:
             raise CodedError(ResultCode.PEER_MALFORMED, "no connection is checked out")
         try:
@@ -133,12 +138,17 @@
             )
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, detail)
         deadline = self._directory.clock.now() + request.wait_ms * _MILLISECOND
-        self._link = await served.pool.acquire(
-            0, deadline, Requester(request.caller), request.lane, request.priority
+        requester = Requester(request.caller, request.organisation, request.weight)
+        self._link = await served.pool.lend(
+            request.is_charged, deadline, requester, request.lane, request.priority
         )
         self._served = served
         return messages.Lent(self._link.values, list(self._link.prepared))
 
+    def _charge(self, request: messages.Charge) -> messages.Response:
+        self._directory.admission.charge(request.service, request.organisation)
+        return messages.Done()
+
     async def _verify_leader(self, request: messages.Prove) -> messages.Response:
         self._require_held(request.service)
         service = self._directory.service(request.service)
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -8,6 +8,7 @@
 from ..pool.requester import Requester
 from ..routing.database_load import DatabaseLoad
 from ..serving.link import Link
+from .organisation_pool import OrganisationPool
 from .relay_pool import RelayPool
 from .remote_link import RemoteLink
 
@@ -25,19 +26,23 @@
         Pool that checks out connections of holders.
     is_holder : callable
         Returns whether this instance holds the service now.
+    organisation_pool : OrganisationPool
+        Pool for requests that name an organisation.
     """
 
-    __slots__ = ("_is_holder", "_local_pool", "_relay_pool")
+    __slots__ = ("_is_holder", "_local_pool", "_organisation_pool", "_relay_pool")
 
     def __init__(
         self,
         local_pool: ConnectionPool,
         relay_pool: RelayPool,
         is_holder: Callable[[], bool],
+        organisation_pool: OrganisationPool,
     ):
         self._local_pool = local_pool
         self._relay_pool = relay_pool
         self._is_holder = is_holder
+        self._organisation_pool = organisation_pool
 
     @property
     def open_count(self) -> int:
@@ -67,10 +72,37 @@
         lane: Lane,
         priority: int,
     ) -> Link:
-        """Check out a connection."""
+        """Check out a connection; for an organisation, at its home."""
+        if requester.organisation:
+            return await self._organisation_pool.acquire(
+                term, deadline, requester, lane, priority
+            )
         pool = self._local_pool if self._is_holder() else self._relay_pool
         return await pool.acquire(term, deadline, requester, lane, priority)
 
+    async def lend(
+        self,
+        is_charged: bool,
+        deadline: timedelta,
+        requester: Requester,
+        lane: Lane,
+        priority: int,
+    ) -> Link:
+        """Check out a connection for another instance's request.
+
+        Parameters
+        ----------
+        is_charged : bool
+            Whether the other instance has the organisation's home charge it.
+        deadline, requester, lane, priority
+            See `ConnectionPool.acquire`.
+        """
+        if requester.organisation:
+            return await self._organisation_pool.lend(
+                is_charged, deadline, requester, lane, priority
+            )
+        return await self.acquire(0, deadline, requester, lane, priority)
+
     def release(self, link: Link) -> None:
         """Return a connection."""
         self._pool_of(link).release(link)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -65,6 +65,9 @@
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
 RESERVED_DESCRIPTORS = 800
+# An instance that is leaving hands its organisations over after this time at the
+# latest, also if the store doesn't answer. Changed followers are written each second.
+LEAVE_LIMIT_S = 1.5
 TRACE_LINE_LIMIT = 4  # the innermost calls and the error itself
 BACKLOG = 512  # callers that reconnect at the same time after a restart
 
@@ -206,6 +209,7 @@
             log,
             tasks,
         )
+        self._member_updater.on_listed_change = self._stop_serving_if_left
         configuration_handler = ConfigurationRowHandler(self.directory, log)
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
@@ -235,6 +239,9 @@
             "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
             "suspicions": (SUSPICION_SPACING, SUSPICION_FEED_WAIT),
         }
+        self.directory.admission.read_members_version = lambda: _read_version(
+            copies["members"]
+        )
         self._feeds = {
             name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
             for name in copies
@@ -282,6 +289,18 @@
         self.caller_address = ("", 0)
         self._rng = rng
 
+    def _stop_serving_if_left(self) -> None:
+        """Hand the organisations over once the members' table lacks this instance.
+
+        All others read it at about the same time; until then they ask this instance.
+        """
+        if self._is_stopping and not self._member_updater.is_listed:
+            self.directory.stop_serving_organisations()
+
+    async def _stop_serving_in_time(self) -> None:
+        await anyio.sleep(LEAVE_LIMIT_S)
+        self.directory.stop_serving_organisations()
+
     def _set_members(self, members: list[Member]) -> None:
         self.directory.set_members(members)
         self._table_follower.notify_members()
@@ -339,6 +358,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._table_follower.leave)
             tasks.start_soon(self._member_updater.leave)
+        self._stop_serving_if_left()
+        self._tasks.start_soon(self._stop_serving_in_time)
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
 
@@ -415,6 +436,11 @@
         while True:
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
             self.directory.remove_unlisted()
+            self.directory.admission.observe()
+
+
+def _read_version(copy: TableCopy) -> tuple[int, int] | None:
+    return None if copy.version is None else (copy.era, copy.version)
 
 
 def _make_feed(
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -1,7 +1,7 @@
 """Holds what this process serves: routes, services and their databases."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 
 import anyio
@@ -13,8 +13,11 @@
 from ..group.log_position import LogPosition
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
+from ..rates.handover import Handover
 from ..relay.choose_holder import choose_holder
-from ..relay.holders import Holders
+from ..relay.holders import Holders, choose_holder_names
+from ..relay.home_holders import HomeHolders
+from ..relay.organisation_pool import OrganisationPool
 from ..relay.relay_pool import RelayPool
 from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
@@ -23,10 +26,13 @@
 from .database import Database
 from .decision_log import DecisionLog
 from .highest_acknowledged import HighestAcknowledged, combine_acknowledged
+from .home_admission import HomeAdmission
+from .home_table import HomeTable
 from .leader_verifier import LeaderVerifier
 from .link import Link
 from .members import Member
 from .metrics import Metrics
+from .organisation import Organisation
 from .registry import Registry
 from .route import Route
 from .route_table import RouteTable, ServiceLimits
@@ -36,6 +42,8 @@
 
 # Commits in flight are answered within milliseconds unless the leader is silent.
 BLOCK_TIMEOUT = timedelta(milliseconds=300)
+# A log line names at most this many organisations.
+LOGGED_NAMES_MAX = 10
 OpenLink = Callable[[Database], Awaitable[Link]]
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
@@ -59,19 +67,28 @@
         Counters and latencies.
     services : dict of str to Service
         Services by name.
+    homes : HomeTable
+        Which holders serve each organisation.
+    admission : HomeAdmission
+        Admits operations of organisations at this instance, and charges their rates.
     """
 
     __slots__ = (
+        "_absent",
         "_holder_counts",
         "_holders",
         "_is_held",
+        "_has_left",
         "_leader_verifiers",
         "_members",
+        "_members_by_name",
         "_open_link",
         "_retry_budgets",
         "_settings",
         "_tasks",
+        "admission",
         "clock",
+        "homes",
         "log",
         "metrics",
         "registry",
@@ -105,8 +122,13 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._holders = holders
         self._members: list[Member] = []
+        self._members_by_name: dict[str, Member] = {}
         self._is_held: dict[str, bool] = {}
         self._holder_counts: dict[str, int] = {}
+        self._absent: frozenset[str] = frozenset()
+        self._has_left = False
+        self.homes = HomeTable(settings.instance)
+        self.admission = HomeAdmission(self.homes, clock)
 
     @property
     def member_count(self) -> int:
@@ -185,17 +207,58 @@
             routes=len(table.routes),
         )
         self.table = table
+        if self.admission.meter is not None:
+            organisations = self._organisations() or {}
+            self.admission.meter.set_limits(organisations, self.clock.now())
         self.apply_shares()
         return True
 
-    def set_members(self, members: list[Member]) -> None:
-        """Share the connections of all databases among these instances."""
-        if members == self._members:
+    def set_members(
+        self, members: list[Member], absent: Collection[str] = frozenset()
+    ) -> None:
+        """Share the connections of all databases among these instances.
+
+        Parameters
+        ----------
+        members : list of Member
+            The live instances.
+        absent : collection of str
+            Names of those that do not answer; organisations have no home there.
+        """
+        absent = frozenset(absent)
+        if members == self._members and absent == self._absent:
             return
-        self.log.decision("members", count=len(members), former=len(self._members))
+        self.log.decision(
+            "members",
+            count=len(members),
+            former=len(self._members),
+            absent=sorted(absent),
+        )
         self._members = members
+        self._members_by_name = {member.name: member for member in members}
+        self._absent = absent
         self.apply_shares()
 
+    def stop_serving_organisations(self) -> None:
+        """Be the home of no organisation any more, and hand over to the next homes.
+
+        To be called when this instance has left the members.
+        """
+        if not self._has_left:
+            self._has_left = True
+            self._assign_homes()
+
+    def home_holders(self, service: str, organisation: str) -> HomeHolders:
+        """Return the instances that serve an organisation at a service."""
+        homes = self.homes.homes(service, organisation)
+        others = map(self._find_other_member, homes.homes)
+        standby = self._find_other_member(homes.standby)
+        return HomeHolders(
+            self.homes.role(service, organisation),
+            tuple(self._holders.peer(member) for member in others if member),
+            self._holders.peer(standby) if standby else None,
+        )
+
     def apply_registry(self) -> None:
         """Update the databases of all services from the registry."""
         self.registry.remove_unlisted(self.clock.now())
@@ -225,6 +288,12 @@
             "configuration_version": self.table.version,
             "members": self.member_count,
         }
+        if self.homes.organisations is not None:
+            roles = self.homes.rate_roles().values()
+            values["organisations"] = len(self.homes.organisations)
+            values["homes"] = sum(role.main_share > 0 for role in roles)
+            values["standbys"] = sum(role.standby_share > 0 for role in roles)
+            values["absent_members"] = len(self._absent)
         for service in self.services.values():
             for served in service.databases.values():
                 label = f'{{service="{service.name}",database="{served.database_id}"}}'
@@ -237,6 +306,8 @@
         """Update the share of each pool from the configuration and the members."""
         for service in self.services.values():
             self._assign_holders(service)
+        self._assign_homes()
+        for service in self.services.values():
             for served in service.databases.values():
                 self._apply_share(served)
 
@@ -313,7 +384,21 @@
             self.clock,
             self.rng,
         )
-        pool = SwitchedPool(own, borrowed, lambda: self.holds(name))
+        at_homes = OrganisationPool(
+            name,
+            database.database_id,
+            own,
+            borrowed,
+            lambda organisation: self.home_holders(name, organisation),
+            lambda: self._holders.other_holders(name),
+            lambda: self.holds(name),
+            self.admission,
+            self._settings.availability_zone,
+            self.clock,
+            self.rng,
+            self.log,
+        )
+        pool = SwitchedPool(own, borrowed, lambda: self.holds(name), at_homes)
         served = ServedDatabase(database, pool)
         self._tasks.start_loop(served.pool.run)
         self._apply_share(served)
@@ -360,6 +445,86 @@
                 self._tasks.start_soon(self._leader_verifiers[service.name].aclose)
         self._is_held[service.name] = is_held
 
+    def _find_other_member(self, name: str) -> Member | None:
+        """Return another member; None if it cannot be asked."""
+        if name == self._settings.instance:
+            return None
+        member = self._members_by_name.get(name)
+        return None if member is None or member.address is None else member
+
+    def _organisations(self) -> Mapping[str, Organisation] | None:
+        """Return the organisations by name; None if the configuration has none."""
+        organisations = getattr(self.table, "organisations", None)
+        return None if organisations is None else organisations.by_name
+
+    def _assign_homes(self) -> None:
+        """Choose the homes anew, and hand over what this instance no longer serves."""
+        organisations = self._organisations()
+        if organisations is None and self.homes.organisations is None:
+            return
+        former = self.homes.rate_roles()
+        former_homes = {name: self.homes.all_homes(name) for name in former}
+        self.homes.assign(organisations, self._name_holders(), self._absent)
+        roles = self.homes.rate_roles()
+        lost = sorted(
+            name
+            for name, role in former.items()
+            if role.main_share and not (name in roles and roles[name].main_share)
+        )
+        taken = sorted(
+            name
+            for name, role in roles.items()
+            if role.main_share and not (name in former and former[name].main_share)
+        )
+        if lost or taken:
+            self.log.decision(
+                "homes",
+                assigned=taken[:LOGGED_NAMES_MAX],
+                assigned_count=len(taken),
+                lost=lost[:LOGGED_NAMES_MAX],
+                lost_count=len(lost),
+                organisations=len(roles),
+            )
+        meter = self.admission.meter
+        if meter is None:
+            return
+        now = self.clock.now()
+        meter.set_roles(roles, now, self.admission.read_members_version())
+        handovers = meter.release(lost, now) if lost else []
+        if handovers:
+            self._hand_over(handovers, former_homes)
+
+    def _name_holders(self) -> dict[str, list[str]]:
+        """Return the names of the holders of all services in the configuration.
+
+        Also of services that this instance has not used: an organisation's rate is
+        divided among its homes at all of them. An instance that has left takes no
+        part, as in the view of all others.
+        """
+        own = self._settings.instance
+        members = [m for m in self._members if m.name != own or not self._has_left]
+        names = {}
+        for service, limits in self.table.services.items():
+            count = holder_count(limits.connection_limit, len(members))
+            names[service] = choose_holder_names(service, members, count)
+        return names
+
+    def _hand_over(
+        self, handovers: Sequence[Handover], former_homes: Mapping[str, list[str]]
+    ) -> None:
+        """Send what is left of former shares to the next homes, each to one of them."""
+        by_successor: dict[str, list[Handover]] = {}
+        for handover in handovers:
+            organisation = handover.organisation
+            homes = self.homes.all_homes(organisation)
+            newcomers = [n for n in homes if n not in former_homes[organisation]]
+            for name in (newcomers or homes)[:1]:
+                by_successor.setdefault(name, []).append(handover)
+        for member in self._members:
+            if member.name in by_successor and member.address is not None:
+                part = by_successor[member.name]
+                self._tasks.start_soon(self._holders.hand_over, member, part)
+
     async def _verify_through_holder(
         self, service: str, wait: timedelta
     ) -> tuple[str, LogPosition]:
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -72,6 +72,11 @@
         Live members, sorted by name; always includes this instance.
     is_known : bool
         Whether the rows were read.
+    is_listed : bool
+        Whether the rows themselves list this instance, so that all others that read
+        them count it as a member.
+    on_listed_change : callable
+        Called when ``is_listed`` has changed.
     """
 
     __slots__ = (
@@ -92,8 +97,10 @@
         "_written",
         "_written_era",
         "is_known",
+        "is_listed",
         "live",
         "member",
+        "on_listed_change",
     )
 
     def __init__(
@@ -127,6 +134,8 @@
         self._written_era = 0
         self._rows_kept_until = timedelta.min
         self.is_known = False
+        self.is_listed = False
+        self.on_listed_change: Callable[[], None] = lambda: None
         self.live: list[Member] = [member]
 
     def set_address(self, address: Address) -> None:
@@ -190,12 +199,16 @@
             return
         now = self._clock.now()
         members = {m.name: m for m in self._members.live(now)}
+        is_listed = self.member.name in members
         members[self.member.name] = self.member
         live = [members[name] for name in sorted(members)]
         if live != self.live or not self._is_told:
             self.live = live
             self._is_told = True
             self._set_members(live)
+        if is_listed != self.is_listed:
+            self.is_listed = is_listed
+            self.on_listed_change()
 
     async def _write_if_due(self) -> None:
         now = self._clock.now()
--- a/tests/serving/test_member_updater.py
+++ b/tests/serving/test_member_updater.py
@@ -89,6 +89,35 @@
     assert_that((first.told, _keys(rows)), Equals(([["i1"]], ["i1"])))
 
 
+# An instance that was cut off for long expires as a member. It always counts itself
+# among those that share connections, but must not spend rates that others took over.
+async def test_instance_is_listed_only_if_the_rows_list_it(first, rows, clock):
+    changes = []
+    first.updater.on_listed_change = lambda: changes.append(first.updater.is_listed)
+    await first.read()
+    assert_that((first.told, first.updater.is_listed), Equals(([["i1"]], False)))
+    await first.step()
+    other = _Instance("i9", rows, clock)
+    other.is_writer = False
+    first.followers.record(member("i9"), [], clock.now())
+    await first.step()
+    await other.step()
+    assert_that(
+        (first.updater.is_listed, other.updater.is_listed), Equals((True, True))
+    )
+    clock.advance(HEARTBEAT_INTERVAL * 3)
+    first.updater._refresh()
+    assert_that((first.told[-1], changes), Equals((["i1"], [True, False])))
+
+
+# A leaving instance hands its organisations over once the others know that it leaves.
+async def test_leaving_instance_is_no_longer_listed(first):
+    await first.step()
+    await first.updater.leave()
+    await first.read()
+    assert_that(first.updater.is_listed, Is(False))
+
+
 # The store loses the rows in the first seconds, before the regular heartbeats.
 async def test_rows_are_rewritten_if_the_store_is_restored(first, rows, monkeypatch):
     monkeypatch.setattr(member_updater, "REWRITE_SPREAD_S", 0.001)
