--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -61,6 +61,7 @@
 # Of the time after which a draining database must get no new work.
 REGISTRY_AGE_FRACTION = 1 / 2
 UNLISTED_CHECK_INTERVAL_S = 0.5
+ABSENT_CHECK_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
@@ -209,7 +210,7 @@
             log,
             tasks,
         )
-        self._member_updater.on_listed_change = self._stop_serving_if_left
+        self._member_updater.on_status_change = self._apply_members
         configuration_handler = ConfigurationRowHandler(self.directory, log)
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
@@ -289,22 +290,18 @@
         self.caller_address = ("", 0)
         self._rng = rng
 
-    def _stop_serving_if_left(self) -> None:
-        """Hand the organisations over once the members' table lacks this instance.
-
-        All others read it at about the same time; until then they ask this instance.
-        """
-        if self._is_stopping and not self._member_updater.is_listed:
-            self.directory.stop_serving_organisations()
-
     async def _stop_serving_in_time(self) -> None:
         await anyio.sleep(LEAVE_LIMIT_S)
         self.directory.stop_serving_organisations()
 
     def _set_members(self, members: list[Member]) -> None:
-        self.directory.set_members(members)
+        self._apply_members()
         self._table_follower.notify_members()
 
+    def _apply_members(self) -> None:
+        updater = self._member_updater
+        self.directory.set_members(updater.live, updater.absent, updater.is_listed)
+
     def reload(self, path: str) -> None:
         """Apply changed settings; keep the present ones if the new ones are invalid.
 
@@ -340,6 +337,7 @@
         tasks.start_loop(self._member_updater.run)
         tasks.start_loop(self._leader_monitor.run)
         tasks.start_loop(self._remove_unlisted_periodically)
+        tasks.start_loop(self._mark_absent_periodically)
         await self._listen(
             self._settings.ready_listen, self._ready_server.serve_connection
         )
@@ -358,7 +356,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._table_follower.leave)
             tasks.start_soon(self._member_updater.leave)
-        self._stop_serving_if_left()
         self._tasks.start_soon(self._stop_serving_in_time)
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
@@ -432,6 +429,12 @@
         }
         return {**self.directory.gauges(), **reached, **ages, **callers}
 
+    async def _mark_absent_periodically(self) -> None:
+        while not self._is_stopping:
+            await anyio.sleep(ABSENT_CHECK_INTERVAL_S)
+            for name, silence in self.directory.silent_homes():
+                await self._member_updater.mark_absent(name, silence)
+
     async def _remove_unlisted_periodically(self) -> None:
         while True:
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -1,7 +1,7 @@
 """Holds what this process serves: routes, services and their databases."""
 
 import random
-from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from datetime import timedelta
 
 import anyio
@@ -22,6 +22,7 @@
 from ..relay.switched_pool import SwitchedPool
 from ..retry.retry_budget import RetryBudget
 from ..tasks.supervised_tasks import SupervisedTasks
+from .absence import should_mark
 from .connection_share import (
     MIN_SHARE_CONNECTIONS,
     connection_share,
@@ -89,6 +90,7 @@
         "_holder_counts",
         "_holders",
         "_is_held",
+        "_is_listed",
         "_growth_due_at",
         "_has_left",
         "_leader_verifiers",
@@ -143,8 +145,10 @@
         self._growth_due_at: dict[str, timedelta] = {}
         self._absent: frozenset[str] = frozenset()
         self._has_left = False
+        self._is_listed = True
         self.homes = HomeTable(settings.instance)
         self.admission = HomeAdmission(self.homes, clock)
+        self.admission.on_standby_use = self._probe_homes
 
     @property
     def member_count(self) -> int:
@@ -230,35 +234,60 @@
         return True
 
     def set_members(
-        self, members: list[Member], absent: Collection[str] = frozenset()
+        self,
+        members: list[Member],
+        absent: frozenset[str] = frozenset(),
+        is_listed: bool = True,
     ) -> None:
         """Share the connections of all databases among these instances.
 
         Parameters
         ----------
         members : list of Member
-            The live instances.
-        absent : collection of str
+            The live instances, this one included.
+        absent : frozenset of str
             Names of those that do not answer; organisations have no home there.
+        is_listed : bool, default=True
+            Whether this instance is a member in the view of the others.
         """
-        absent = frozenset(absent)
-        if members == self._members and absent == self._absent:
+        is_same = members == self._members
+        is_status_same = (absent, is_listed) == (self._absent, self._is_listed)
+        self._absent, self._is_listed = absent, is_listed
+        # Only homes depend on who is absent or listed.
+        if is_same and (is_status_same or self._organisations() is None):
             return
         self.log.decision(
             "members",
             count=len(members),
             former=len(self._members),
             absent=sorted(absent),
+            is_listed=is_listed,
         )
         self._members = members
         self._members_by_name = {member.name: member for member in members}
-        self._absent = absent
         self.apply_shares()
 
+    def silent_homes(self) -> list[tuple[str, timedelta]]:
+        """Return the homes that should be marked absent, and how long each is silent.
+
+        None while the own tables are not proven to be fresh.
+        """
+        if self.homes.organisations is None or not self.admission.is_proven():
+            return []
+        stood_by = self.homes.stood_by()
+        silent = []
+        for name in sorted(self.homes.home_names()):
+            member = self._find_other_member(name)
+            silence = member and self._holders.peer(member).watch.silence()
+            if should_mark(silence, name in stood_by):
+                silent.append((name, silence))
+        return silent
+
     def stop_serving_organisations(self) -> None:
         """Be the home of no organisation any more, and hand over to the next homes.
 
-        To be called when this instance has left the members.
+        For an instance that is leaving, if it is not known in time that the members'
+        table lacks it.
         """
         if not self._has_left:
             self._has_left = True
@@ -513,6 +542,10 @@
                 self._tasks.start_soon(self._leader_verifiers[service.name].aclose)
         self._is_held[service.name] = is_held
 
+    def _probe_homes(self, service: str, organisation: str) -> None:
+        for holder in self.home_holders(service, organisation).homes:
+            holder.watch.suspect()
+
     def _find_other_member(self, name: str) -> Member | None:
         """Return another member; None if it cannot be asked."""
         if name == self._settings.instance:
@@ -566,11 +599,12 @@
         """Return the names of the holders of all services in the configuration.
 
         Also of services that this instance has not used: an organisation's rate is
-        divided among its homes at all of them. An instance that has left takes no
-        part, as in the view of all others.
+        divided among its homes at all of them. An instance that is not listed
+        takes no part, as in the view of all others.
         """
         own = self._settings.instance
-        members = [m for m in self._members if m.name != own or not self._has_left]
+        is_member = self._is_listed and not self._has_left
+        members = [m for m in self._members if m.name != own or is_member]
         names = {}
         for service, limits in self.table.services.items():
             count = holder_count(limits.connection_limit, len(members))
--- a/goldcrestpond/serving/home_admission.py
+++ b/goldcrestpond/serving/home_admission.py
@@ -30,15 +30,25 @@
         Returns whether configuration and members' table are proven to be fresh.
     read_members_version : callable
         Returns era and version of the members' table; None if unknown.
+    on_standby_use : callable
+        Called with service and organisation when this instance serves as standby.
     """
 
-    __slots__ = ("_clock", "_homes", "is_proven", "meter", "read_members_version")
+    __slots__ = (
+        "_clock",
+        "_homes",
+        "is_proven",
+        "meter",
+        "on_standby_use",
+        "read_members_version",
+    )
 
     def __init__(self, homes: HomeTable, clock: Clock):
         self._homes = homes
         self._clock = clock
         self.meter: RateCharger | None = None
         self.is_proven: Callable[[], bool] = lambda: True
+        self.on_standby_use: Callable[[str, str], None] = lambda *names: None
         self.read_members_version: Callable[[], TableVersion | None] = lambda: None
 
     def require_known(self, organisation: str) -> None:
@@ -77,9 +87,11 @@
         if role is HomeRole.NONE:
             detail = f"this instance does not serve {organisation!r} at {service}"
             raise CodedError(ResultCode.PEER_HOLDS_NOTHING, detail)
+        is_standby = role is HomeRole.STANDBY
+        if is_standby:
+            self.on_standby_use(service, organisation)
         if self.meter is None:
             return None
-        is_standby = role is HomeRole.STANDBY
         return self.meter.charge(organisation, is_standby, self._clock.now())
 
     def refund(self, charge: Any) -> None:
--- a/goldcrestpond/serving/home_table.py
+++ b/goldcrestpond/serving/home_table.py
@@ -52,7 +52,7 @@
         holders : mapping of str to sequence of str
             Names of the holders of each service.
         excluded : collection of str
-            Names of instances that are no homes: absent or leaving ones.
+            Names of instances that are no homes: those marked absent.
         """
         self.organisations = organisations
         self._by_service = {}
@@ -63,7 +63,8 @@
         self._parts = compute_rate_parts(rates)
         by_holders: dict[tuple[str, ...], Mapping[str, OrganisationHomes]] = {}
         for service, names in holders.items():
-            present = tuple(sorted(name for name in names if name not in excluded))
+            # If all are excluded, it is more likely that the marks are wrong.
+            present = tuple(sorted(set(names) - set(excluded)) or sorted(names))
             if present not in by_holders:
                 by_holders[present] = choose_homes(self._parts, present)
             self._by_service[service] = by_holders[present]
@@ -90,6 +91,25 @@
             }
         )
 
+    def home_names(self) -> set[str]:
+        """Return the names of all homes."""
+        return {
+            name
+            for by_name in self._by_service.values()
+            for homes in by_name.values()
+            for name in homes.homes
+        }
+
+    def stood_by(self) -> set[str]:
+        """Return the names of the homes for which this instance is a standby."""
+        return {
+            name
+            for by_name in self._by_service.values()
+            for homes in by_name.values()
+            if homes.standby == self._instance
+            for name in homes.homes
+        }
+
     def rate_roles(self) -> dict[str, RateRole]:
         """Return the parts of each organisation's rate that this instance may spend.
 
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -10,6 +10,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..settings.address import Address
+from .absence import may_clear
 from .decision_log import DecisionLog
 from .follower_list import FollowerList
 from .members import (
@@ -18,6 +19,8 @@
     TABLE,
     Member,
     Members,
+    absent_key,
+    encode_absent,
     encode_followers,
     encode_member,
     followers_key,
@@ -70,13 +73,15 @@
         This instance.
     live : list of Member
         Live members, sorted by name; always includes this instance.
+    absent : frozenset of str
+        Names of live members that are marked absent.
     is_known : bool
         Whether the rows were read.
     is_listed : bool
         Whether the rows themselves list this instance, so that all others that read
         them count it as a member.
-    on_listed_change : callable
-        Called when ``is_listed`` has changed.
+    on_status_change : callable
+        Called when ``absent`` or ``is_listed`` has changed, after ``set_members``.
     """
 
     __slots__ = (
@@ -89,6 +94,7 @@
         "_is_writer",
         "_lists_followers",
         "_log",
+        "_marked_at",
         "_members",
         "_rng",
         "_rows_kept_until",
@@ -96,11 +102,12 @@
         "_store",
         "_written",
         "_written_era",
+        "absent",
         "is_known",
         "is_listed",
         "live",
         "member",
-        "on_listed_change",
+        "on_status_change",
     )
 
     def __init__(
@@ -135,7 +142,9 @@
         self._rows_kept_until = timedelta.min
         self.is_known = False
         self.is_listed = False
-        self.on_listed_change: Callable[[], None] = lambda: None
+        self.absent: frozenset[str] = frozenset()
+        self.on_status_change: Callable[[], None] = lambda: None
+        self._marked_at: timedelta | None = None  # when it read that it is absent
         self.live: list[Member] = [member]
 
     def set_address(self, address: Address) -> None:
@@ -164,9 +173,37 @@
         """Write rows when they are due until this instance leaves."""
         while not self._is_leaving:
             await self._write_if_due()
+            await self._clear_own_mark()
             await self._wait()
             self._refresh()
 
+    async def mark_absent(self, name: str, silence: timedelta) -> None:
+        """Mark a member that does not answer, unless it is marked or gone.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+        silence : timedelta
+            For how long it has not answered.
+        """
+        is_member = any(member.name == name for member in self.live)
+        if not is_member or name in self.absent:
+            return
+        condition = _row(absent_key(name))
+        put = RowPut(TABLE, "", condition.key, encode_absent(self.member.name))
+        outcome = "marked"
+        try:
+            await self._store.write([condition], [put])
+        except CodedError as error:
+            outcome = str(error)
+        self._log.decision(
+            "absent marked",
+            member=name,
+            silent_ms=round(silence / timedelta(milliseconds=1)),
+            outcome=outcome,
+        )
+
     async def leave(self) -> None:
         """Remove this instance from its rows, so that it is no longer a member.
 
@@ -202,13 +239,18 @@
         is_listed = self.member.name in members
         members[self.member.name] = self.member
         live = [members[name] for name in sorted(members)]
+        absent = frozenset(self._members.absent(now))
+        is_marked = self._members.absent_row(self.member.name) is not None
+        self._marked_at = (self._marked_at or now) if is_marked else None
+        status = (absent, is_listed)
+        is_status_changed = status != (self.absent, self.is_listed)
+        self.absent, self.is_listed = status
         if live != self.live or not self._is_told:
             self.live = live
             self._is_told = True
             self._set_members(live)
-        if is_listed != self.is_listed:
-            self.is_listed = is_listed
-            self.on_listed_change()
+        if is_status_changed:
+            self.on_status_change()
 
     async def _write_if_due(self) -> None:
         now = self._clock.now()
@@ -256,12 +298,25 @@
             return
         self._written, self._written_era = followers, era
 
+    async def _clear_own_mark(self) -> None:
+        """Be a possible home again: this instance reads the table and is in touch."""
+        row = self._members.absent_row(self.member.name)
+        if row is None or not may_clear(self._marked_at, self._clock.now()):
+            return
+        outcome = "cleared"
+        try:
+            await self._store.write([row], [], [row])
+        except CodedError as error:
+            outcome = str(error)
+        self._log.decision("absent cleared", member=self.member.name, outcome=outcome)
+
     async def _remove_expired_rows(self, now: timedelta) -> None:
         """Remove the rows of instances that have long gone, which newcomers would use.
 
         A row that is written again at this moment stays.
         """
-        for row in self._members.long_expired(now):
+        rows = self._members.long_expired(now)
+        for row in rows + self._members.absent_rows_of_others(now):
             try:
                 await self._store.write([row], [], [row])
             except CodedError as error:
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -27,6 +27,7 @@
 
 
 _FOLLOWERS_INFIX = "/followers/"
+_ABSENT_SUFFIX = "/absent"
 # A member takes 163 bytes with names of the usual length, so that a row also fits the
 # limit of 64 KiB when it is encoded in base64.
 ROW_FOLLOWER_LIMIT = 200
@@ -91,6 +92,19 @@
     return f"{writer}{_FOLLOWERS_INFIX}{index}"
 
 
+def absent_key(name: str) -> str:
+    """Return the key of the row that marks a member as absent.
+
+    Such a member is no home of organisations, but still counts for all else.
+    """
+    return name + _ABSENT_SUFFIX
+
+
+def encode_absent(writer: str) -> bytes:
+    """Return the value of a row that marks a member as absent."""
+    return msgspec.json.encode({"by": writer})
+
+
 def encode_followers(members: Sequence[Member], era: int) -> bytes:
     """Return the value of a row that lists followers."""
     bodies = {
@@ -123,9 +137,10 @@
     Rows that list followers are valid for as long as the heartbeat of their writer.
     """
 
-    __slots__ = ("_followers", "_rows")
+    __slots__ = ("_absent", "_followers", "_rows")
 
     def __init__(self) -> None:
+        self._absent: dict[str, StoredRow] = {}
         self._followers: dict[str, _Followers] = {}
         lifetime = HEARTBEAT_INTERVAL * MISSED_HEARTBEATS
         self._rows = ExpiringRows(
@@ -139,13 +154,14 @@
             # A store that was restored from a copy may lack rows of an earlier era.
             if key not in keys and known.era >= era:
                 del self._followers[key]
-        heartbeats = [row for row in rows if _FOLLOWERS_INFIX not in row.key]
+        self._absent = {}
+        heartbeats = self._take_absent(rows)
         self._rows.replace(heartbeats, now, era)
         self._apply_followers(rows, era)
 
     def update(self, rows: Sequence[StoredRow], now: timedelta, era: int) -> None:
         """Apply changed rows; the value of a removed one is None."""
-        heartbeats = [row for row in rows if _FOLLOWERS_INFIX not in row.key]
+        heartbeats = self._take_absent(rows)
         self._rows.update(heartbeats, now, era)
         self._apply_followers(rows, era)
 
@@ -162,6 +178,21 @@
         members |= {writer.name: writer for writer in writers}
         return list(members.values())
 
+    def absent(self, now: timedelta) -> list[str]:
+        """Return the names of live members that are marked absent, sorted."""
+        if not self._absent:
+            return []
+        return sorted(m.name for m in self.live(now) if m.name in self._absent)
+
+    def absent_row(self, name: str) -> StoredRow | None:
+        """Return the row that marks a member as absent, if there is one."""
+        return self._absent.get(name)
+
+    def absent_rows_of_others(self, now: timedelta) -> list[StoredRow]:
+        """Return the marks of instances that are no live members."""
+        live = {member.name for member in self.live(now)} if self._absent else set()
+        return [row for name, row in self._absent.items() if name not in live]
+
     def followers_of(self, writer: str) -> list[Member]:
         """Return the followers that the rows of a writer list."""
         prefix = writer + _FOLLOWERS_INFIX
@@ -172,6 +203,20 @@
         """Return the heartbeats that expired long ago."""
         return self._rows.unchanged_for(EXPIRED_RETENTION, now)
 
+    def _take_absent(self, rows: Sequence[StoredRow]) -> list[StoredRow]:
+        """Apply the marks of absent members; return the heartbeats."""
+        heartbeats = []
+        for row in rows:
+            if row.key.endswith(_ABSENT_SUFFIX):
+                name = row.key.removesuffix(_ABSENT_SUFFIX)
+                if row.value is None:
+                    self._absent.pop(name, None)
+                else:
+                    self._absent[name] = row
+            elif _FOLLOWERS_INFIX not in row.key:
+                heartbeats.append(row)
+        return heartbeats
+
     def _apply_followers(self, rows: Sequence[StoredRow], era: int) -> None:
         for row in rows:
             if _FOLLOWERS_INFIX not in row.key:
--- a/tests/relay/test_homes.py
+++ b/tests/relay/test_homes.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import anyio
+from anyio.abc import SocketAttribute
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, IsInstance
 
@@ -12,6 +13,7 @@
 from goldcrestpond.pool.lane import Lane
 from goldcrestpond.pool.requester import Requester
 from goldcrestpond.relay.remote_link import RemoteLink
+from goldcrestpond.serving import absence
 from goldcrestpond.serving.home_role import HomeRole
 from goldcrestpond.serving.organisation import Organisation
 from goldcrestpond.serving.route_table import RouteTable
@@ -72,6 +74,11 @@
     return home
 
 
+def _standby_of(world, organisation):
+    homes = world.instances[0].directory.homes.homes(SERVICE, organisation)
+    return next(i for i in world.instances if _name(i) == homes.standby)
+
+
 def _charged(instance):
     return instance.directory.admission.meter.charged
 
@@ -171,6 +178,59 @@
     return instance.directory.admission.meter.accepted
 
 
+# Failure: the home is frozen: it accepts connections and answers nothing, until it
+# thaws.
+def test_frozen_home_is_marked_absent_and_is_home_again_later(monkeypatch):
+    monkeypatch.setattr(absence, "ABSENT_AFTER", timedelta(milliseconds=300))
+    monkeypatch.setattr(absence, "ABSENT_MIN", timedelta(milliseconds=500))
+
+    async def body(world):
+        organisation = "o1"
+        home = _home_of(world, organisation)
+        standby = _standby_of(world, organisation)
+        third = next(i for i in world.instances if i not in (home, standby))
+        silent = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = silent.extra(SocketAttribute.local_port)
+        thawed = {}
+        for instance in (standby, third):
+            (holder,) = instance.directory.home_holders(SERVICE, organisation).homes
+            thawed[holder] = holder.address
+            await holder.aclose()
+            holder.address = dataclasses.replace(holder.address, port=port)
+        began_at = anyio.current_time()
+        link = await _read(third, organisation)
+        assert_that(link.holder.name, Equals(_name(standby)))
+        # A probe's delay and timeout, with a margin for a busy machine.
+        assert_that(anyio.current_time() - began_at < 1.0, Is(True))
+        assert_that(_charged(standby), Equals([(organisation, True)]))
+        # Later requests do not wait for it again.
+        began_at = anyio.current_time()
+        await _read(third, organisation)
+        assert_that(anyio.current_time() - began_at < 0.15, Is(True))
+        while any(_name(home) not in i.directory._absent for i in world.instances):
+            await anyio.sleep(0.02)
+        # It counts for all else, and it knows that it is no home.
+        assert_that(third.directory.member_count, Equals(3))
+        assert_that(home.directory.homes.home_names() & {_name(home)}, Equals(set()))
+        _charged(standby).clear()
+        await _read(third, organisation)
+        assert_that(_charged(standby), Equals([(organisation, False)]))
+        for holder, address in thawed.items():
+            holder.address = address
+        while any(i.directory._absent for i in world.instances):
+            await anyio.sleep(0.02)
+        link = await _read(third, organisation)
+        while link.holder.name != _name(home):
+            await anyio.sleep(0.05)
+            link = await _read(third, organisation)
+        assert_that(_charged(home)[-1], Equals((organisation, False)))
+        events = [event for log in world.logs for event in log.events()]
+        for event in ("holder silent", "absent marked", "absent cleared"):
+            assert_that(events, Contains(event))
+
+    _run(body)
+
+
 # Failure: an instance is stopped in order; its share would rest until it expires.
 def test_stopped_home_hands_over_once_it_is_no_longer_listed():
     async def body(world):
