--- a/goldcrestpond/rates/handover.py
+++ b/goldcrestpond/rates/handover.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass
 
-# Era of the store and version of the members' table in it.
-TableVersion = tuple[int, int]
+# A state of the tables that decide roles: era of the store, version of the last changed
+# row of the members' table, version of the configuration. One state is later than
+# another if none of its numbers is lower.
+TableVersion = tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,8 +22,8 @@
         Part of the main share, above 0 and up to 1.
     tokens_millionths : int
         Operations that the sender might still have run at once, in millionths.
-    version : tuple of (int, int)
-        State of the members' table by which the sender lost the share.
+    version : tuple of int
+        State of the tables by which the sender lost the share.
     """
 
     organisation: str
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -230,7 +230,11 @@
                 is_same=database_entry.is_heartbeat,
             ),
             "members": TableCopy(
-                MEMBER_TABLE, self._member_updater.replace, self._member_updater.update
+                MEMBER_TABLE,
+                lambda rows: self._member_updater.replace(
+                    rows, copies["members"].version
+                ),
+                self._member_updater.update,
             ),
             "suspicions": self._leader_monitor.suspicions_copy,
         }
@@ -240,9 +244,7 @@
             "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
             "suspicions": (SUSPICION_SPACING, SUSPICION_FEED_WAIT),
         }
-        self.directory.admission.read_members_version = lambda: _read_version(
-            copies["members"]
-        )
+        self.directory.read_members_version = lambda: self._member_updater.rows_version
         self._feeds = {
             name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
             for name in copies
@@ -442,10 +444,6 @@
             self.directory.admission.observe()
 
 
-def _read_version(copy: TableCopy) -> tuple[int, int] | None:
-    return None if copy.version is None else (copy.era, copy.version)
-
-
 def _make_feed(
     store: RowStore,
     copy: TableCopy,
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -13,7 +13,7 @@
 from ..group.log_position import LogPosition
 from ..pool.database_pool import DatabasePool
 from ..pool.pool_settings import PoolSettings
-from ..rates.handover import Handover
+from ..rates.handover import Handover, TableVersion
 from ..relay.choose_holder import choose_holder
 from ..relay.holders import Holders, choose_holder_names
 from ..relay.home_holders import HomeHolders
@@ -83,6 +83,9 @@
         Which holders serve each organisation.
     admission : HomeAdmission
         Admits operations of organisations at this instance, and charges their rates.
+    read_members_version : callable
+        Returns the era of the store, and the version of the last change of the members'
+        rows.
     """
 
     __slots__ = (
@@ -106,6 +109,7 @@
         "homes",
         "log",
         "metrics",
+        "read_members_version",
         "registry",
         "rng",
         "services",
@@ -148,6 +152,7 @@
         self._is_listed = True
         self.homes = HomeTable(settings.instance)
         self.admission = HomeAdmission(self.homes, clock)
+        self.read_members_version: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.admission.on_standby_use = self._probe_homes
 
     @property
@@ -283,6 +288,10 @@
                 silent.append((name, silence))
         return silent
 
+    def state_version(self) -> TableVersion:
+        """Return the state of the tables that decide who serves an organisation."""
+        return (*self.read_members_version(), self.table.version)
+
     def stop_serving_organisations(self) -> None:
         """Be the home of no organisation any more, and hand over to the next homes.
 
@@ -590,7 +599,7 @@
         if meter is None:
             return
         now = self.clock.now()
-        meter.set_roles(roles, now, self.admission.read_members_version())
+        meter.set_roles(roles, now, self.state_version())
         handovers = meter.release(lost, now) if lost else []
         if handovers:
             self._hand_over(handovers, former_homes)
--- a/goldcrestpond/serving/home_admission.py
+++ b/goldcrestpond/serving/home_admission.py
@@ -6,7 +6,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
-from ..rates.handover import Handover, TableVersion
+from ..rates.handover import Handover
 from .home_role import HomeRole
 from .home_table import HomeTable
 from .rate_charger import RateCharger
@@ -28,8 +28,6 @@
         Counts operations; None if no rate is limited.
     is_proven : callable
         Returns whether configuration and members' table are proven to be fresh.
-    read_members_version : callable
-        Returns era and version of the members' table; None if unknown.
     on_standby_use : callable
         Called with service and organisation when this instance serves as standby.
     """
@@ -40,7 +38,6 @@
         "is_proven",
         "meter",
         "on_standby_use",
-        "read_members_version",
     )
 
     def __init__(self, homes: HomeTable, clock: Clock):
@@ -49,7 +46,6 @@
         self.meter: RateCharger | None = None
         self.is_proven: Callable[[], bool] = lambda: True
         self.on_standby_use: Callable[[str, str], None] = lambda *names: None
-        self.read_members_version: Callable[[], TableVersion | None] = lambda: None
 
     def require_known(self, organisation: str) -> None:
         """Check that the configuration in force, proven to be fresh, has it.
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -80,6 +80,9 @@
     is_listed : bool
         Whether the rows themselves list this instance, so that all others that read
         them count it as a member.
+    rows_version : tuple of int and int
+        Era of the store and version of the last change of the rows that may have
+        changed the members.
     on_status_change : callable
         Called when ``absent`` or ``is_listed`` has changed, after ``set_members``.
     """
@@ -92,6 +95,7 @@
         "_is_leaving",
         "_is_told",
         "_is_writer",
+        "_known_values",
         "_lists_followers",
         "_log",
         "_marked_at",
@@ -108,6 +112,7 @@
         "live",
         "member",
         "on_status_change",
+        "rows_version",
     )
 
     def __init__(
@@ -140,6 +145,8 @@
         self._heartbeat_due_at = timedelta.min
         self._written_era = 0
         self._rows_kept_until = timedelta.min
+        self._known_values: dict[str, bytes | None] = {}
+        self.rows_version = (0, 0)
         self.is_known = False
         self.is_listed = False
         self.absent: frozenset[str] = frozenset()
@@ -152,9 +159,18 @@
         self.member = replace(self.member, address=address)
         self.live = [self.member]
 
-    def replace(self, rows: Sequence[StoredRow]) -> None:
-        """Apply all rows of the table."""
+    def replace(self, rows: Sequence[StoredRow], version: int = 0) -> None:
+        """Apply all rows of the table.
+
+        Parameters
+        ----------
+        rows : sequence of StoredRow
+            The rows.
+        version : int, default=0
+            Version up to which they are complete.
+        """
         now = self._clock.now()
+        self._record_version(rows, version)
         self._members.replace(rows, now, self._era.current)
         if not self.is_known:
             # Those of an earlier run of this instance count as live until they had
@@ -166,6 +182,7 @@
 
     def update(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed rows; the value of a removed one is None."""
+        self._record_version(rows, None)
         self._members.update(rows, self._clock.now(), self._era.current)
         self._refresh()
 
@@ -231,6 +248,46 @@
         if await self._era.wait_for_change(known, CHECK_INTERVAL):
             await anyio.sleep(REWRITE_SPREAD_S * self._rng.random())
 
+    def _record_version(
+        self, rows: Sequence[StoredRow], complete_up_to: int | None
+    ) -> None:
+        """Record the version of the last change that may change the members.
+
+        Heartbeats repeat their value and are no change. Rows that were removed unseen
+        are noticed when all rows are read, but not the version of their removal.
+
+        Parameters
+        ----------
+        rows : sequence of StoredRow
+            All rows, or the changed ones.
+        complete_up_to : int or None
+            Version up to which all rows are complete; None for changed ones.
+        """
+        known = self._known_values
+        if complete_up_to is not None:
+            values = {row.key: row.value for row in rows}
+            is_same = values == known and self._era.current == self.rows_version[0]
+            known.clear()
+            known.update(values)
+            changed = (
+                [] if is_same else [complete_up_to, *(row.version for row in rows)]
+            )
+        else:
+            changed = [
+                row.version
+                for row in rows
+                if row.value is None or known.get(row.key) != row.value
+            ]
+            for row in rows:
+                if row.value is None:
+                    known.pop(row.key, None)
+                else:
+                    known[row.key] = row.value
+        era, version = self.rows_version
+        if changed:
+            former = version if era == self._era.current else 0
+            self.rows_version = (self._era.current, max(former, *changed))
+
     def _refresh(self) -> None:
         if not self.is_known:
             return
--- a/tests/serving/test_member_updater.py
+++ b/tests/serving/test_member_updater.py
@@ -20,6 +20,7 @@
     Member,
 )
 from goldcrestpond.serving.metrics import Metrics
+from goldcrestpond.serving.row_store import StoredRow
 from goldcrestpond.serving.store_era import StoreEra
 from goldcrestpond.settings.address import Address
 
@@ -183,6 +184,30 @@
     assert_that(_keys(rows), Equals(["i1"]))
 
 
+# Versions name the state by which a share was handed over: heartbeats are no new state.
+async def test_version_rises_with_changes_of_members_only(first, rows, clock):
+    async def read():
+        await first.read()
+        return first.updater.rows_version
+
+    await first.step()
+    version = await read()
+    assert_that(version, Equals((1, 1)))
+    clock.advance(HEARTBEAT_INTERVAL)
+    await first.step()
+    assert_that((rows.version, await read()), Equals((2, version)))
+    await first.updater.mark_absent("i1", ms(2000))
+    assert_that(await read(), Equals((1, 3)))
+    rows.rows.pop((TABLE, "i1/absent"))
+    rows.version += 1  # the removal, which a whole read does not show
+    answer = await first.store.read(TABLE)
+    first.updater.replace(answer.rows, answer.version)
+    assert_that(first.updater.rows_version, Equals((1, 4)))
+    removed = StoredRow(TABLE, "", "i1", None, 9)
+    first.updater.update([removed])
+    assert_that(first.updater.rows_version, Equals((1, 9)))
+
+
 # The store loses the rows in the first seconds, before the regular heartbeats.
 async def test_rows_are_rewritten_if_the_store_is_restored(first, rows, monkeypatch):
     monkeypatch.setattr(member_updater, "REWRITE_SPREAD_S", 0.001)
