--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -210,7 +210,6 @@
             log,
             tasks,
         )
-        self._member_updater.on_status_change = self._apply_members
         configuration_handler = ConfigurationRowHandler(self.directory, log)
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         drain_limit = timedelta(milliseconds=settings.drain_limit_ms)
@@ -244,7 +243,6 @@
             "members": (MEMBER_SPACING, MEMBER_FEED_WAIT),
             "suspicions": (SUSPICION_SPACING, SUSPICION_FEED_WAIT),
         }
-        self.directory.read_members_version = lambda: self._member_updater.rows_version
         self._feeds = {
             name: _make_feed(store, copies[name], *feed_times[name], clock, rng, log)
             for name in copies
@@ -287,6 +285,8 @@
             log,
         )
         self._ready_server = ReadyServer(self.is_ready, metrics)
+        self._member_updater.on_status_change = self._apply_members
+        self.directory.read_members_version = lambda: self._member_updater.rows_version
         metrics.set_gauges(self._read_gauges)
         self.peer_address = parse_address(settings.peer_listen)
         self.caller_address = ("", 0)
