--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -74,10 +74,14 @@
     "suspicions": SUSPICION_SPACING,
 }
 UNLISTED_CHECK_INTERVAL_S = 0.5
+ABSENT_CHECK_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
 RESERVED_DESCRIPTORS = 800
+# An instance that is leaving hands its organisations over after this time at the
+# latest, also if the store doesn't answer. Changed followers are written each second.
+LEAVE_LIMIT_S = 1.5
 TRACE_LINE_LIMIT = 4  # the innermost calls and the error itself
 BACKLOG = 512  # callers that reconnect at the same time after a restart
 
@@ -251,7 +255,11 @@
                 is_same=database_entry.is_heartbeat,
             ),
             "members": TableCopy(
-                MEMBER_TABLE, self._member_updater.replace, self._member_updater.update
+                MEMBER_TABLE,
+                lambda rows: self._member_updater.replace(
+                    rows, copies["members"].version
+                ),
+                self._member_updater.update,
             ),
             "suspicions": self._leader_monitor.suspicions_copy,
         }
@@ -305,15 +313,25 @@
             log,
         )
         self._ready_server = ReadyServer(self.is_ready, metrics)
+        self._member_updater.on_status_change = self._apply_members
+        self.directory.read_members_version = lambda: self._member_updater.rows_version
         metrics.set_gauges(self._read_gauges)
         self.peer_address = parse_address(settings.peer_listen)
         self.caller_address = ("", 0)
         self._rng = rng
 
+    async def _stop_serving_in_time(self) -> None:
+        await anyio.sleep(LEAVE_LIMIT_S)
+        self.directory.stop_serving_organisations()
+
     def _set_members(self, members: list[Member]) -> None:
-        self.directory.set_members(members)
+        self._apply_members()
         self._table_follower.notify_members()
 
+    def _apply_members(self) -> None:
+        updater = self._member_updater
+        self.directory.set_members(updater.live, updater.absent, updater.is_listed)
+
     def reload(self, path: str) -> None:
         """Apply changed settings; keep the present ones if the new ones are invalid.
 
@@ -361,6 +379,7 @@
         tasks.start_loop(self._member_updater.run)
         tasks.start_loop(self._leader_monitor.run)
         tasks.start_loop(self._remove_unlisted_periodically)
+        tasks.start_loop(self._mark_absent_periodically)
         await self._listen(
             self._settings.ready_listen, self._ready_server.serve_connection
         )
@@ -379,6 +398,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._table_follower.leave)
             tasks.start_soon(self._member_updater.leave)
+        self._tasks.start_soon(self._stop_serving_in_time)
         await shut_down(self.callers, self._settings.grace_s, self._clock, self._log)
         await self.directory.aclose()
 
@@ -463,10 +483,17 @@
             callers["members_proven"] = int(self._member_proof.is_proven())
         return {**self.directory.gauges(), **reached, **ages, **callers}
 
+    async def _mark_absent_periodically(self) -> None:
+        while not self._is_stopping:
+            await anyio.sleep(ABSENT_CHECK_INTERVAL_S)
+            for name, silence in self.directory.silent_homes():
+                await self._member_updater.mark_absent(name, silence)
+
     async def _remove_unlisted_periodically(self) -> None:
         while True:
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
             self.directory.remove_unlisted()
+            self.directory.admission.observe()
 
 
 def _make_feed(
--- a/goldcrestpond/serving/member_updater.py
+++ b/goldcrestpond/serving/member_updater.py
@@ -10,6 +10,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..settings.address import Address
+from .absence import may_clear
 from .decision_log import DecisionLog
 from .follower_list import FollowerList
 from .members import (
@@ -18,6 +19,8 @@
     TABLE,
     Member,
     Members,
+    absent_key,
+    encode_absent,
     encode_followers,
     encode_member,
     followers_key,
@@ -70,8 +73,18 @@
         This instance.
     live : list of Member
         Live members, sorted by name; always includes this instance.
+    absent : frozenset of str
+        Names of live members that are marked absent.
     is_known : bool
         Whether the rows were read.
+    is_listed : bool
+        Whether the rows themselves list this instance, so that all others that read
+        them count it as a member.
+    rows_version : tuple of int and int
+        Era of the store and version of the last change of the rows that may have
+        changed the members.
+    on_status_change : callable
+        Called when ``absent`` or ``is_listed`` has changed, after ``set_members``.
     """
 
     __slots__ = (
@@ -82,8 +95,10 @@
         "_is_leaving",
         "_is_told",
         "_is_writer",
+        "_known_values",
         "_lists_followers",
         "_log",
+        "_marked_at",
         "_members",
         "_rng",
         "_rows_kept_until",
@@ -91,9 +106,13 @@
         "_store",
         "_written",
         "_written_era",
+        "absent",
         "is_known",
+        "is_listed",
         "live",
         "member",
+        "on_status_change",
+        "rows_version",
     )
 
     def __init__(
@@ -126,7 +145,13 @@
         self._heartbeat_due_at = timedelta.min
         self._written_era = 0
         self._rows_kept_until = timedelta.min
+        self._known_values: dict[str, bytes | None] = {}
+        self.rows_version = (0, 0)
         self.is_known = False
+        self.is_listed = False
+        self.absent: frozenset[str] = frozenset()
+        self.on_status_change: Callable[[], None] = lambda: None
+        self._marked_at: timedelta | None = None  # when it read that it is absent
         self.live: list[Member] = [member]
 
     def set_address(self, address: Address) -> None:
@@ -134,9 +159,18 @@
         self.member = replace(self.member, address=address)
         self.live = [self.member]
 
-    def replace(self, rows: Sequence[StoredRow]) -> None:
-        """Apply all rows of the table."""
+    def replace(self, rows: Sequence[StoredRow], version: int = 0) -> None:
+        """Apply all rows of the table.
+
+        Parameters
+        ----------
+        rows : sequence of StoredRow
+            The rows.
+        version : int, default=0
+            Version up to which they are complete.
+        """
         now = self._clock.now()
+        self._record_version(rows, version)
         self._members.replace(rows, now, self._era.current)
         if not self.is_known:
             # Those of an earlier run of this instance count as live until they had
@@ -148,6 +182,7 @@
 
     def update(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed rows; the value of a removed one is None."""
+        self._record_version(rows, None)
         self._members.update(rows, self._clock.now(), self._era.current)
         self._refresh()
 
@@ -155,9 +190,37 @@
         """Write rows when they are due until this instance leaves."""
         while not self._is_leaving:
             await self._write_if_due()
+            await self._clear_own_mark()
             await self._wait()
             self._refresh()
 
+    async def mark_absent(self, name: str, silence: timedelta) -> None:
+        """Mark a member that does not answer, unless it is marked or gone.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+        silence : timedelta
+            For how long it has not answered.
+        """
+        is_member = any(member.name == name for member in self.live)
+        if not is_member or name in self.absent:
+            return
+        condition = _row(absent_key(name))
+        put = RowPut(TABLE, "", condition.key, encode_absent(self.member.name))
+        outcome = "marked"
+        try:
+            await self._store.write([condition], [put])
+        except CodedError as error:
+            outcome = str(error)
+        self._log.decision(
+            "absent marked",
+            member=name,
+            silent_ms=round(silence / timedelta(milliseconds=1)),
+            outcome=outcome,
+        )
+
     async def leave(self) -> None:
         """Remove this instance from its rows, so that it is no longer a member.
 
@@ -185,17 +248,66 @@
         if await self._era.wait_for_change(known, CHECK_INTERVAL):
             await anyio.sleep(REWRITE_SPREAD_S * self._rng.random())
 
+    def _record_version(
+        self, rows: Sequence[StoredRow], complete_up_to: int | None
+    ) -> None:
+        """Record the version of the last change that may change the members.
+
+        Heartbeats repeat their value and are no change. Rows that were removed unseen
+        are noticed when all rows are read, but not the version of their removal.
+
+        Parameters
+        ----------
+        rows : sequence of StoredRow
+            All rows, or the changed ones.
+        complete_up_to : int or None
+            Version up to which all rows are complete; None for changed ones.
+        """
+        known = self._known_values
+        if complete_up_to is not None:
+            values = {row.key: row.value for row in rows}
+            is_same = values == known and self._era.current == self.rows_version[0]
+            known.clear()
+            known.update(values)
+            changed = (
+                [] if is_same else [complete_up_to, *(row.version for row in rows)]
+            )
+        else:
+            changed = [
+                row.version
+                for row in rows
+                if row.value is None or known.get(row.key) != row.value
+            ]
+            for row in rows:
+                if row.value is None:
+                    known.pop(row.key, None)
+                else:
+                    known[row.key] = row.value
+        era, version = self.rows_version
+        if changed:
+            former = version if era == self._era.current else 0
+            self.rows_version = (self._era.current, max(former, *changed))
+
     def _refresh(self) -> None:
         if not self.is_known:
             return
         now = self._clock.now()
         members = {m.name: m for m in self._members.live(now)}
+        is_listed = self.member.name in members
         members[self.member.name] = self.member
         live = [members[name] for name in sorted(members)]
+        absent = frozenset(self._members.absent(now))
+        is_marked = self._members.absent_row(self.member.name) is not None
+        self._marked_at = (self._marked_at or now) if is_marked else None
+        status = (absent, is_listed)
+        is_status_changed = status != (self.absent, self.is_listed)
+        self.absent, self.is_listed = status
         if live != self.live or not self._is_told:
             self.live = live
             self._is_told = True
             self._set_members(live)
+        if is_status_changed:
+            self.on_status_change()
 
     async def _write_if_due(self) -> None:
         now = self._clock.now()
@@ -243,12 +355,25 @@
             return
         self._written, self._written_era = followers, era
 
+    async def _clear_own_mark(self) -> None:
+        """Be a possible home again: this instance reads the table and is in touch."""
+        row = self._members.absent_row(self.member.name)
+        if row is None or not may_clear(self._marked_at, self._clock.now()):
+            return
+        outcome = "cleared"
+        try:
+            await self._store.write([row], [], [row])
+        except CodedError as error:
+            outcome = str(error)
+        self._log.decision("absent cleared", member=self.member.name, outcome=outcome)
+
     async def _remove_expired_rows(self, now: timedelta) -> None:
         """Remove the rows of instances that have long gone, which newcomers would use.
 
         A row that is written again at this moment stays.
         """
-        for row in self._members.long_expired(now):
+        rows = self._members.long_expired(now)
+        for row in rows + self._members.absent_rows_of_others(now):
             try:
                 await self._store.write([row], [], [row])
             except CodedError as error:
