--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -28,6 +28,8 @@
     RegistryRowHandler,
     replace_keys_in_row,
 )
+from ..rates.rate_bound import RateBound
+from ..rates.rate_meter import RateMeter
 from ..relay import messages
 from ..relay.holders import Holders, send_request
 from ..relay.relay_server import RelayServer
@@ -238,6 +240,20 @@
         self._identity = IdentityCheck(
             lambda: self.directory.table, self._identity_proof, log, metrics
         )
+        self.directory.admission.is_proven = self._may_serve_organisations
+        if settings.rate_window_s:
+            self.directory.admission.meter = RateMeter(
+                _rate_bound(settings),
+                _proof_limit(settings)
+                or timedelta(milliseconds=settings.apply_limit_ms),
+                self._may_serve_organisations,
+                log,
+                lambda: _greater_age(
+                    configuration_handler.age(clock.now()),
+                    copies["members"].age(clock.now()),
+                ),
+                self.directory.state_version,
+            )
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         times = _table_times(settings)
         copies = {
@@ -320,6 +336,14 @@
         self.caller_address = ("", 0)
         self._rng = rng
 
+    def _may_serve_organisations(self) -> bool:
+        """Return whether homes and keys, as this instance knows them, are current."""
+        return (
+            self._identity_proof.is_proven()
+            and self._member_proof.is_proven()
+            and self._member_updater.is_listed
+        )
+
     async def _stop_serving_in_time(self) -> None:
         await anyio.sleep(LEAVE_LIMIT_S)
         self.directory.stop_serving_organisations()
@@ -524,6 +548,25 @@
     return row
 
 
+def _rate_proof_limit(settings: InstanceSettings) -> timedelta:
+    """Return how old the tables may be by which rates are spent.
+
+    Where keys may be used without a proof, the time within which a change must be in
+    force.
+    """
+    apply_limit = timedelta(milliseconds=settings.apply_limit_ms)
+    return _proof_limit(settings) or apply_limit
+
+
+def _rate_bound(settings: InstanceSettings) -> RateBound:
+    window = timedelta(seconds=settings.rate_window_s)
+    return RateBound(window, settings.rate_overage, settings.rate_slack)
+
+
+def _greater_age(*ages: timedelta | None) -> timedelta | None:
+    return None if None in ages else max(ages)
+
+
 def _proof_limit(settings: InstanceSettings) -> timedelta | None:
     return compute_proof_limit(timedelta(milliseconds=settings.revoke_limit_ms))
 
