--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -338,11 +338,7 @@
 
     def _may_serve_organisations(self) -> bool:
         """Return whether homes and keys, as this instance knows them, are current."""
-        return (
-            self._identity_proof.is_proven()
-            and self._member_proof.is_proven()
-            and self._member_updater.is_listed
-        )
+        return self._identity_proof.is_proven() and self._member_proof.is_proven()
 
     async def _stop_serving_in_time(self) -> None:
         await anyio.sleep(LEAVE_LIMIT_S)
