--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -132,7 +132,7 @@
         slots : int
             Statement slots of the database, over all instances.
         """
-        return self._decisions.load(slots)
+        return self._decisions.load(slots, self._clock.now())
 
     async def run(self) -> None:
         """Apply idle, silence and queue timeouts until the pool is closed."""
@@ -171,8 +171,9 @@
         Raises
         ------
         CodedError
-            QUEUE_DEADLINE, OVERLOADED, ENDPOINT_LEAVING or
-            ENDPOINT_UNREACHABLE; nothing was sent to the database.
+            QUEUE_DEADLINE, OVERLOADED, ENDPOINT_LEAVING, ENDPOINT_BUSY (it is paced,
+            and another database can do the work) or ENDPOINT_UNREACHABLE; nothing was
+            sent to the database.
         """
         self.set_term(term)
         if not self._decisions.demand:
@@ -212,6 +213,10 @@
         self._decisions.resume(connection.pool_connection_id, self._clock.now())
         self._wake.set()
 
+    def record_refusal(self, connection: PooledLink) -> None:
+        """Record that the database refused or failed the running statement."""
+        self._decisions.record_refusal(connection.pool_connection_id)
+
     def set_term(self, term: int) -> None:
         """Retire connections that were opened under an earlier term."""
         if term > self._term:
--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -47,6 +47,9 @@
     descriptor_limit : int
         Maximum number of open file descriptors of the process; 0 if unknown, in
         which case the number of callers is not limited.
+    paced : bool
+        Whether the operations in flight at a database that has just started or
+        recovered are paced.
     """
 
     instance: str
@@ -62,6 +65,7 @@
     grace_s: float = 6
     link_mbps: float = 0
     descriptor_limit: int = 0
+    paced: bool = True
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
--- a/goldcrestpond/pool/connection_table.py
+++ b/goldcrestpond/pool/connection_table.py
@@ -81,6 +81,7 @@
         connection.next_probe_at = now
         connection.not_running_count = 0
         connection.has_stalled = False
+        connection.has_refused = False
         connection.probing = False
 
     def count(self, *states: ConnectionState) -> int:
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -14,6 +14,7 @@
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
+from .pace import Pace
 from .pool_action import PoolAction
 from .pool_settings import PoolSettings
 from .pooled_connection import PooledConnection
@@ -42,6 +43,9 @@
         Limits and timeouts.
     term : int, default=0
         Current term of the group.
+    pace : Pace, optional
+        Limits the statements in flight further while the database has just started or
+        recovered; by default never.
     """
 
     __slots__ = (
@@ -50,6 +54,7 @@
         "_last_stall_at",
         "_limit",
         "_next_open_at",
+        "_pace",
         "_probes",
         "_queues",
         "_settings",
@@ -57,10 +62,12 @@
         "_term",
     )
 
-    def __init__(self, settings: PoolSettings, term: int = 0):
+    def __init__(self, settings: PoolSettings, term: int = 0, pace: Pace | None = None):
         self._settings = settings
         self._term = term
         self._slots = LaneSlots(settings.slot_limit, settings.report_slot_limit)
+        self._pace = Pace() if pace is None else pace
+        self._pace.set_limit(self._slots.unpaced_total)
         self._queues = LaneQueues(self._slots)
         self._connections = ConnectionTable()
         self._limit = ConnectionLimit(
@@ -106,7 +113,7 @@
         """Number of reports that run or wait."""
         return self.reports_running + self._queues.waiting_count(Lane.REPORT)
 
-    def load(self, slots: int) -> DatabaseLoad:
+    def load(self, slots: int, now: timedelta) -> DatabaseLoad:
         """Return the load that this instance puts on the database.
 
         Parameters
@@ -114,14 +121,20 @@
         slots : int
             Slots of the database. The result is limited to the slots that this
             instance has there.
+        now : timedelta
+            Monotonic time.
         """
         limit = max(1, min(slots, self._slots.total))
+        admitted = self._pace.admitted(now)
+        in_flight_count = self._slots.running_count + self.waiting_count
         return DatabaseLoad(
             running=self._connections.count(ConnectionState.BUSY),
             queued=self.waiting_count,
             idle_connections=self._connections.count(ConnectionState.IDLE),
             slots=limit,
             service_ms=self._queues.service_time / timedelta(milliseconds=1),
+            is_due=not in_flight_count and self._pace.is_due(now),
+            is_full=admitted is not None and in_flight_count >= admitted,
         )
 
     def request(self, request: SlotRequest, now: timedelta) -> list[PoolAction]:
@@ -168,6 +181,8 @@
         self._next_open_at = now + self._settings.open_backoff
         if too_many:
             self._limit.record_refusal(self._connections.remaining_count(), now)
+        else:
+            self._pace.record_failure(now)
         if too_many or self._connections.remaining_count():
             return self._schedule(now)
         code = ResultCode.ENDPOINT_UNREACHABLE
@@ -186,6 +201,7 @@
         connection = self._connections.get(connection_id)
         if connection is None or connection.state is not ConnectionState.BUSY:
             return []
+        self._record_answer(connection, now)
         self._finish_statement(connection, now)
         self._connections.move(connection, ConnectionState.HELD, now)
         return self._schedule(now)
@@ -198,6 +214,12 @@
         self._slots.resume(connection.lane)
         self._connections.mark_busy(connection, connection.lane, now)
 
+    def record_refusal(self, connection_id: int) -> None:
+        """Record that the database refused or failed the running statement."""
+        connection = self._connections.get(connection_id)
+        if connection is not None:
+            connection.has_refused = True
+
     def release(
         self, connection_id: int, reusable: bool, now: timedelta
     ) -> list[PoolAction]:
@@ -216,10 +238,13 @@
         connection = self._connections.get(connection_id)
         if connection is None or connection.state in _CLOSING_STATES:
             return []
+        if not reusable and connection.state is ConnectionState.BUSY:
+            self._pace.record_failure(now)
         if not (reusable and connection.reusable):
             close = self._close(connection, "not reusable", now)
             return [close, *self._schedule(now)]
         if connection.state is ConnectionState.BUSY:
+            self._record_answer(connection, now)
             self._finish_statement(connection, now)
         self._make_idle(connection, now)
         return self._schedule(now)
@@ -297,6 +322,7 @@
     ) -> list[PoolAction]:
         """Set the limits of statements and of reports that run at once."""
         self._slots.resize(slot_limit, report_slot_limit)
+        self._pace.set_limit(self._slots.unpaced_total)
         return self._schedule(now)
 
     def set_term(self, term: int, now: timedelta) -> list[PoolAction]:
@@ -418,6 +444,13 @@
         connection.probing = False
         return connection
 
+    def _record_answer(self, connection: PooledConnection, now: timedelta) -> None:
+        if connection.has_refused:
+            self._pace.record_failure(now)
+        else:
+            service_time = now - connection.state_since
+            self._pace.record_answer(connection.lane, service_time, now)
+
     def _finish_statement(self, connection: PooledConnection, now: timedelta) -> None:
         self._queues.finish(connection.lane, now - connection.state_since)
 
@@ -452,12 +485,24 @@
         return CloseConnection(connection.connection_id, reason)
 
     def _schedule(self, now: timedelta) -> list[PoolAction]:
+        self._slots.set_window(self._pace.window(now))
         actions: list[PoolAction] = []
         actions += self._close_surplus(now)
         actions += self._grant_connections(now)
+        actions += self._refuse_beyond_window(now)
         actions += self._open_connections(now)
         return actions
 
+    def _refuse_beyond_window(self, now: timedelta) -> list[PoolAction]:
+        """Refuse what waits for the window, if another database can do the work."""
+        admitted = self._pace.admitted(now) if len(self._queues) else None
+        if admitted is None:
+            return []
+        kept_count = max(0, admitted - self._slots.running_count)
+        code = ResultCode.ENDPOINT_BUSY
+        retry_after = self._pace.retry_after(now)
+        return [*self._queues.refuse_all(code, retry_after, kept_count)]
+
     def _close_surplus(self, now: timedelta) -> list[PoolAction]:
         actions: list[PoolAction] = []
         limit = self._limit.current(now)
--- a/goldcrestpond/pool/lane_queues.py
+++ b/goldcrestpond/pool/lane_queues.py
@@ -130,10 +130,11 @@
         return refusals
 
     def refuse_all(
-        self, code: ResultCode, retry_after: timedelta
+        self, code: ResultCode, retry_after: timedelta, kept_count: int = 0
     ) -> list[RefuseRequest]:
-        """Remove and refuse every waiting request."""
+        """Remove and refuse every waiting request, but the first ``kept_count``."""
         waiting = [r for queue in self._queues.values() for r in queue.in_order()]
+        del waiting[:kept_count]
         for request in waiting:
             self.remove(request.request_id)
         return [self._make_refusal(r, code, retry_after) for r in waiting]
--- a/goldcrestpond/pool/lane_slots.py
+++ b/goldcrestpond/pool/lane_slots.py
@@ -26,18 +26,36 @@
         Number of them that may be reports.
     """
 
-    __slots__ = ("_report_limit", "_running", "_short_run_length", "_total")
+    __slots__ = ("_report_limit", "_running", "_short_run_length", "_total", "_window")
 
     def __init__(self, slot_limit: int, report_slot_limit: int):
         self._running = dict.fromkeys(Lane, 0)
         self._short_run_length = 0
+        self._window: int | None = None
         self.resize(slot_limit, report_slot_limit)
 
     @property
     def total(self) -> int:
         """Number of statements that may run at once."""
+        return self._total if self._window is None else min(self._total, self._window)
+
+    @property
+    def running_count(self) -> int:
+        """Number of running statements of all lanes."""
+        return sum(self._running.values())
+
+    @property
+    def unpaced_total(self) -> int:
+        """Number of statements that may run at once without a window."""
         return self._total
 
+    def set_window(self, window: int | None) -> None:
+        """Limit the running statements of all lanes further; None for no window.
+
+        The rules between the lanes stay those of all slots.
+        """
+        self._window = window
+
     def resize(self, slot_limit: int, report_slot_limit: int) -> None:
         """Set the limits; running statements continue."""
         self._total = max(_MIN_SLOTS, slot_limit)
@@ -50,14 +68,14 @@
     def capacity(self, lane: Lane) -> int:
         """Return how many statements of a lane can run if no other lane runs any."""
         if lane is Lane.SHORT:
-            return self._total
+            return self.total
         if lane is Lane.AGED:
-            return self._total - 1
-        return min(self._report_limit, self._total - 1)
+            return min(self._total - 1, self.total)
+        return min(self._report_limit, self._total - 1, self.total)
 
     def admits(self, lane: Lane) -> bool:
         """Return whether one more statement of a lane may start."""
-        if sum(self._running.values()) >= self._total:
+        if self.running_count >= self.total:
             return False
         if lane is Lane.SHORT:
             return True
--- a/goldcrestpond/pool/pooled_connection.py
+++ b/goldcrestpond/pool/pooled_connection.py
@@ -35,6 +35,8 @@
         Number of consecutive probes that found its statement no longer running.
     reusable : bool
         False if it must be closed as soon as its current request ends.
+    has_refused : bool
+        True if the database refused or failed its current statement.
     """
 
     connection_id: int
@@ -48,3 +50,4 @@
     has_stalled: bool = False
     not_running_count: int = 0
     reusable: bool = True
+    has_refused: bool = False
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -185,6 +185,7 @@
                 reply = await link.rollback()
             case _:
                 return await self._prepare_session(link, request)
+        self._served.record_reply(link, reply)
         if link.state is TransactionState.OPEN:
             self._served.pool.suspend(link)
         return messages.to_answer(reply)
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -83,6 +83,11 @@
         """Record that an open transaction runs a further statement."""
         self._pool_of(link).resume(link)
 
+    def record_refusal(self, link: Link) -> None:
+        """Record that the database refused or failed the running statement."""
+        if not isinstance(link, RemoteLink):  # the holder itself sees the others
+            self._local_pool.record_refusal(link)
+
     def set_limits(self, share: int, slot_limit: int, report_slot_limit: int) -> None:
         """Set the limits of this instance's connections."""
         self._local_pool.set_limits(share, slot_limit, report_slot_limit)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -159,6 +159,7 @@
             settings.instance,
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
+            is_paced=settings.paced,
         )
         self._serving_settings = serving_settings
         holders = Holders(settings.instance, clock, tasks, log)
--- a/goldcrestpond/routing/database_load.py
+++ b/goldcrestpond/routing/database_load.py
@@ -19,6 +19,11 @@
         Number of slots that this instance has on the database; at least 1.
     service_ms : float
         Mean duration of a statement, in milliseconds.
+    is_full : bool
+        Whether other databases are preferred, since this one is paced and has as much
+        in flight as it may now.
+    is_due : bool
+        Whether this one should get the next read, since it is paced and idle.
     """
 
     running: int = 0
@@ -26,3 +31,5 @@
     idle_connections: int = 0
     slots: int = 1
     service_ms: float = 1.0
+    is_full: bool = False
+    is_due: bool = False
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -11,7 +11,10 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..placement.rendezvous import compute_weight
+from ..pool.compute_start_delay import compute_start_delay
 from ..pool.database_pool import DatabasePool
+from ..pool.pace_reason import PaceReason
 from ..pool.pool_settings import PoolSettings
 from ..relay.choose_holder import choose_holder
 from ..relay.holders import Holders
@@ -21,6 +24,7 @@
 from ..tasks.supervised_tasks import SupervisedTasks
 from .connection_share import connection_share, holder_count, statement_share
 from .database import Database
+from .database_pace import make_database_pace
 from .decision_log import DecisionLog
 from .highest_acknowledged import HighestAcknowledged, combine_acknowledged
 from .leader_verifier import LeaderVerifier
@@ -231,6 +235,9 @@
                 values[f"endpoint_connections{label}"] = served.pool.open_count
                 values[f"endpoint_running{label}"] = served.pool.running_count
                 values[f"endpoint_demand{label}"] = served.pool.demand
+                if served.pace.is_active:
+                    window = served.pace.window(self.clock.now())
+                    values[f"endpoint_pace_window{label}"] = window
         return values
 
     def apply_shares(self) -> None:
@@ -288,13 +295,21 @@
                 served.pool.close_all("shutting down")
 
     def _add_database(self, database: Database) -> ServedDatabase:
+        pace = None
+        if self._settings.is_paced:
+            pace = make_database_pace(
+                self.services[database.service],
+                database.database_id,
+                lambda: self.holds(database.service),
+            )
         database_pool = DatabasePool(
             PoolSettings(
                 probe_reserve=0,
                 idle_timeout=_IDLE_TIMEOUT,
                 connection_limit=1,
                 limit_growth_interval=_LIMIT_GROWTH_INTERVAL,
-            )
+            ),
+            pace=pace,
         )
         own = ConnectionPool(
             database.database_id,
@@ -314,9 +329,10 @@
             self.rng,
         )
         pool = SwitchedPool(own, borrowed, lambda: self.holds(name))
-        served = ServedDatabase(database, pool)
+        served = ServedDatabase(database, pool, pace)
         self._tasks.start_loop(served.pool.run)
         self._apply_share(served)
+        self._begin_pace(served, PaceReason.LISTED)
         self.log.decision(
             "database listed",
             database=database.database_id,
@@ -358,7 +374,22 @@
             )
             if not is_held:
                 self._tasks.start_soon(self._leader_verifiers[service.name].aclose)
+        has_changed = is_held != self.holds(service.name)
         self._is_held[service.name] = is_held
+        for served in service.databases.values() if has_changed else ():
+            served.pace.stop()
+            self._begin_pace(served, PaceReason.HOLDER)
+
+    def _begin_pace(self, served: ServedDatabase, reason: PaceReason) -> None:
+        # By weight for this database, so that the first ones differ between databases
+        # and are not all of one availability zone.
+        names = sorted(
+            self.holder_names(served.database.service),
+            key=lambda name: compute_weight(served.database_id, name),
+        )
+        own = self._settings.instance
+        rank = names.index(own) if own in names else 0
+        served.pace.begin(reason, self.clock.now(), compute_start_delay(rank))
 
     async def _verify_through_holder(
         self, service: str, wait: timedelta
--- a/goldcrestpond/serving/endpoint_health.py
+++ b/goldcrestpond/serving/endpoint_health.py
@@ -5,6 +5,8 @@
 FAILURES_BEFORE_AVOIDANCE = 2  # a single failure may be that of the connection
 INITIAL_AVOIDANCE = timedelta(milliseconds=250)
 MAX_AVOIDANCE = timedelta(seconds=2)
+# Of a database whose holders pace what they send to it: they refuse what is too much.
+MAX_PACED_AVOIDANCE = timedelta(seconds=1)
 
 
 class EndpointHealth:
@@ -26,12 +28,22 @@
         self._failures = 0
         self._avoided_until = timedelta.min
 
-    def record_failure(self, now: timedelta) -> None:
-        """Record a connection that failed to open or an answer that did not arrive."""
+    def record_failure(
+        self, now: timedelta, max_avoidance: timedelta = MAX_AVOIDANCE
+    ) -> None:
+        """Record a connection that failed to open or an answer that did not arrive.
+
+        Parameters
+        ----------
+        now : timedelta
+            Monotonic time.
+        max_avoidance : timedelta
+            Longest time of avoidance after a failure of this kind.
+        """
         self._failures += 1
         if self._failures >= FAILURES_BEFORE_AVOIDANCE:
             doublings = min(self._failures - FAILURES_BEFORE_AVOIDANCE, 10)
-            avoidance = min(MAX_AVOIDANCE, INITIAL_AVOIDANCE * 2**doublings)
+            avoidance = min(max_avoidance, INITIAL_AVOIDANCE * 2**doublings)
             self._avoided_until = now + avoidance
 
     def is_avoided(self, now: timedelta) -> bool:
--- a/goldcrestpond/serving/recent_latency.py
+++ b/goldcrestpond/serving/recent_latency.py
@@ -15,14 +15,33 @@
     this instance shows.
     """
 
-    __slots__ = ("_mean", "_observed_at")
+    __slots__ = ("_has_answered", "_mean", "_observed_at")
 
     def __init__(self) -> None:
         self._mean = timedelta(0)
         self._observed_at: timedelta | None = None
+        self._has_answered = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether an answer or a refusal was observed."""
+        return self._observed_at is not None
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether an answer was observed."""
+        return self._has_answered
+
+    def observe_refusal(self, wait: timedelta, now: timedelta) -> None:
+        """Add the time that a refused request would have waited to the average."""
+        self._add(wait, now)
 
     def observe(self, elapsed: timedelta, now: timedelta) -> None:
         """Add the latency of one answer to the average."""
+        self._has_answered = True
+        self._add(elapsed, now)
+
+    def _add(self, elapsed: timedelta, now: timedelta) -> None:
         if self._observed_at is None:
             self._mean = elapsed
         else:
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -10,6 +10,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..pool.pace_reason import PaceReason
 from ..routing.estimate_wait import estimate_wait
 from .choose_database import ReadCandidate, choose_database
 from .commit_stall_detector import CommitStallDetector
@@ -126,6 +127,7 @@
         """Record a leader check, requested at ``asked_at``, that a database passed."""
         served.health.record_success()
         self.commit_tracker.record_leader_position(position)
+        had_leader = bool(self.leadership.leader_id)
         if self.leadership.record_leader_verified(
             served.database_id, position, asked_at
         ):
@@ -136,6 +138,8 @@
                 position=position,
                 epoch=self.leadership.epoch,
             )
+            if had_leader:
+                served.pace.begin(PaceReason.LEADER, self._clock.now())
             self.stall_detector.reset()
             self.unlisted.clear()  # the new leader has all commits that they had
             self.notify_change()
@@ -177,6 +181,19 @@
         ]
         return [database for database, _ in self.unlisted]
 
+    def can_spare(self, database_id: str) -> bool:
+        """Return whether another database can do the work of one of them."""
+        if database_id == self.leadership.leader_id:
+            return False
+        now = self._clock.now()
+        return any(
+            other.database_id != database_id
+            and not other.pace.is_active
+            and not other.health.is_avoided(now)
+            and self._registry.leaving_since(other.database_id) is None
+            for other in self.databases.values()
+        )
+
     def leaving_since(self) -> dict[str, timedelta]:
         """Return the times since which databases have been leaving, by id."""
         since = {i: self._registry.leaving_since(i) for i in self.databases}
@@ -346,21 +363,39 @@
         self, served: ServedDatabase, min_position: LogPosition
     ) -> ReadCandidate:
         database = served.database
+        load = served.pool.load(database.slots)
         is_near = database.availability_zone == self._settings.availability_zone
-        wait = estimate_wait(
-            served.pool.load(database.slots), is_same_availability_zone=is_near
-        )
+        wait = estimate_wait(load, is_same_availability_zone=is_near)
         now = self._clock.now()
-        wait += served.latency.estimate(now)
+        wait += self._estimate_latency(served, now)
+        if load.is_due:
+            wait = timedelta(0)
         position = served.progress.position
         return ReadCandidate(
             served.database_id,
             wait,
             served.database_id == self.leadership.leader_id,
             position is not None and min_position <= position,
-            served.health.is_avoided(now),
+            load.is_full or served.health.is_avoided(now),
         )
 
+    def _estimate_latency(self, served: ServedDatabase, now: timedelta) -> timedelta:
+        """Return the latency to expect of a database.
+
+        One that has not answered yet is expected to be the fastest for its part of the
+        reads, and the slowest for the others. Else all instances would send all their
+        reads to a database that has just been listed.
+        """
+        if served.latency.is_known or not self._settings.is_paced:
+            return served.latency.estimate(now)
+        others = [
+            other.latency.estimate(now)
+            for other in self.databases.values()
+            if other.latency.has_answered
+        ]
+        is_its_part = self._rng.random() * len(self.databases) < 1
+        return timedelta(0) if is_its_part else max(others, default=timedelta(0))
+
     def _is_past_drain(self, served: ServedDatabase, now: timedelta) -> bool:
         since = self._registry.leaving_since(served.database_id)
         return (
--- a/goldcrestpond/serving/serving_settings.py
+++ b/goldcrestpond/serving/serving_settings.py
@@ -25,6 +25,9 @@
         reached them.
     drain_limit : timedelta
         Time for which a draining database may still get new work.
+    is_paced : bool
+        Whether the operations in flight at a database that has just started or
+        recovered are paced.
     """
 
     instance: str
@@ -33,3 +36,4 @@
     leader_check_timeout: timedelta = timedelta(milliseconds=250)
     sample_interval: timedelta = timedelta(milliseconds=300)
     drain_limit: timedelta = timedelta(seconds=7)
+    is_paced: bool = True
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -178,14 +178,25 @@
             deadline,
         )
         excluded: set[str] = set()
+        refusal: CodedError | None = None
         while True:
             served = self._service.choose_for_read(min_position, excluded)
+            if served is None and refusal is not None:
+                raise refusal
             if served is None:
                 detail = f"{self._service.name}: no database has reached {min_position}"
                 raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
             asked_at = self._clock.now()
             timeout = self._compute_attempt_timeout(served)
-            reply = await self._run_at(served, min_position, deadline, timeout)
+            try:
+                reply = await self._run_at(served, min_position, deadline, timeout)
+            except CodedError as error:
+                if error.code is not ResultCode.ENDPOINT_BUSY:
+                    raise
+                # It is paced, and nothing was sent. Others can do its work.
+                refusal = error
+                excluded.add(served.database_id)
+                continue
             if reply.error is ResultCode.NO_FRESH_REPLICA:
                 self._service.record_missing_position(served, min_position)
                 excluded.add(served.database_id)
@@ -230,7 +241,7 @@
         # database is slow.
         answer_by = min(deadline, self._clock.now() + timeout)
         try:
-            return await run_on_link(
+            reply = await run_on_link(
                 link,
                 self._session,
                 self._statement,
@@ -238,10 +249,12 @@
                 answer_by,
                 self._clock,
             )
+            served.record_reply(link, reply)
+            return reply
         except CodedError as error:
             now = self._clock.now()
             if error.code is not ResultCode.QUEUE_DEADLINE:
-                served.health.record_failure(now)
+                served.record_failed_statement(now)
             is_interrupted = error.code is ResultCode.ANSWER_INTERRUPTED
             self._timed_out_count += is_interrupted and now >= answer_by
             detail = f"{served.database_id}: {error.detail}"
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -166,12 +166,23 @@
             deadline,
         )
         excluded: set[str] = set()
+        refusal: CodedError | None = None
         while True:
             served = service.choose_for_read(min_position, excluded)
+            if served is None and refusal is not None:
+                raise refusal
             if served is None:
                 detail = f"{service.name}: no database has reached {min_position}"
                 raise CodedError(ResultCode.NO_FRESH_REPLICA, detail)
-            await self._check_out_link(served, arrived_at, deadline)
+            try:
+                await self._check_out_link(served, arrived_at, deadline)
+            except CodedError as error:
+                if error.code is not ResultCode.ENDPOINT_BUSY:
+                    raise
+                # It is paced, and nothing was sent. Others can do its work.
+                refusal = error
+                excluded.add(served.database_id)
+                continue
             reply = await self._begin(True, min_position, deadline)
             if reply.error is not ResultCode.NO_FRESH_REPLICA:
                 reply.raise_error()
@@ -260,8 +271,9 @@
             except CodedError as error:
                 if error.code is ResultCode.QUEUE_DEADLINE:
                     raise CodedError(ResultCode.ROLLED_BACK, error.detail) from error
-                transaction.served.health.record_failure(self._clock.now())
+                transaction.served.record_failed_statement(self._clock.now())
                 raise self._make_interrupted_error(statement, error) from error
+            transaction.served.record_reply(link, reply)
             is_busy = reply.error is ResultCode.ENDPOINT_BUSY
             if not is_busy or link.state is not TransactionState.OPEN:
                 return reply
