--- a/goldcrestpond/platform/instance_settings.py
+++ b/goldcrestpond/platform/instance_settings.py
@@ -60,6 +60,9 @@
         Part of a rate by which it may be exceeded in a window.
     rate_slack : float
         Operations by which a rate may be exceeded in a window besides.
+    paced : bool
+        Whether the operations in flight at a database that has just started or
+        recovered are paced.
     """
 
     instance: str
@@ -79,6 +82,7 @@
     rate_window_s: float = 0
     rate_overage: float = 0
     rate_slack: float = 0
+    paced: bool = True
 
 
 def load_instance_settings(path: str) -> InstanceSettings:
--- a/goldcrestpond/pool/pooled_connection.py
+++ b/goldcrestpond/pool/pooled_connection.py
@@ -47,6 +47,8 @@
         True until it is granted to a request for the first time.
     uses : UseScore
         How often and how recently it was granted.
+    has_refused : bool
+        True if the database refused or failed its current statement.
     """
 
     connection_id: int
@@ -65,3 +67,4 @@
     occupies_slot: bool = False
     is_unused: bool = True
     uses: UseScore = field(default_factory=UseScore)
+    has_refused: bool = False
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -179,6 +179,7 @@
             settings.availability_zone,
             drain_limit=timedelta(milliseconds=settings.drain_limit_ms),
             proof_limit=_proof_limit(settings),
+            is_paced=settings.paced,
         )
         self._serving_settings = serving_settings
         holders = Holders(settings.instance, clock, tasks, log)
--- a/goldcrestpond/serving/serving_settings.py
+++ b/goldcrestpond/serving/serving_settings.py
@@ -28,6 +28,9 @@
     proof_limit : timedelta or None
         Age from which on the configuration and the members prove nothing about
         organisations; None if their age is not limited.
+    is_paced : bool
+        Whether the operations in flight at a database that has just started or
+        recovered are paced.
     """
 
     instance: str
@@ -37,3 +40,4 @@
     sample_interval: timedelta = timedelta(milliseconds=300)
     drain_limit: timedelta = timedelta(seconds=7)
     proof_limit: timedelta | None = None
+    is_paced: bool = True
