--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -245,8 +245,7 @@
         if settings.rate_window_s:
             self.directory.admission.meter = RateMeter(
                 _rate_bound(settings),
-                _proof_limit(settings)
-                or timedelta(milliseconds=settings.apply_limit_ms),
+                _rate_proof_limit(settings),
                 self._may_serve_organisations,
                 log,
                 lambda: _greater_age(
@@ -570,6 +569,8 @@
 
 def _table_times(settings: InstanceSettings) -> TableTimes:
     apply_limit = timedelta(milliseconds=settings.apply_limit_ms)
+    if settings.rate_window_s:
+        return make_table_times(apply_limit, _rate_proof_limit(settings))
     return make_table_times(apply_limit, _proof_limit(settings))
 
 
--- a/tests/platform/test_identity_path.py
+++ b/tests/platform/test_identity_path.py
@@ -387,3 +387,23 @@
             assert_that((await caller.ask("READ a"))[0], StartsWith("ROW"))
 
     run_organised(body)
+
+
+# With rates but no limit for keys, the members' table was confirmed every 4 s only, and
+# all organisations were refused in between.
+def test_rates_without_a_revoke_limit_stay_proven_while_in_touch():
+    async def body(world):
+        await anyio.sleep(2.5)
+        async with world.caller("own", key=KEY) as caller:
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ROW"))
+        for _ in range(25):
+            await anyio.sleep(0.1)
+            for instance in world.instances:
+                age = instance.directory.admission.meter._age()
+                assert_that(age, Not(Is(None)))
+        assert_that(lines_of(world, "rates unproven"), Equals([]))
+        metrics = world.instances[0].render_metrics()
+        assert_that(metrics, Not(Contains(b"identity_proven")))
+
+    limits = {"rate_window_s": 5, "rate_overage": 0.1, "rate_slack": 20}
+    run_organised(body, instance_count=2, apply_limit_ms=1000, **limits)
