--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
+from typing import NamedTuple
 
 import anyio
 from anyio.abc import SocketAttribute, TaskGroup
@@ -130,6 +131,13 @@
             instance.reload(path)
 
 
+class _RateSettings(NamedTuple):
+    """Bound of the rates, and greatest age of the tables; None without rates."""
+
+    bound: RateBound
+    proof_limit: timedelta | None
+
+
 class Instance:
     """The servers, store feeds and background tasks of one instance.
 
@@ -238,24 +246,30 @@
         self._member_proof = ProvenAge(
             serving_settings.proof_limit, lambda: copies["members"].age(clock.now())
         )
+        # Rates rest on both, by the limit at the start or a smaller one.
+        self._rate_settings = _read_rate_settings(settings)
+        self._rate_proof = ProvenAge(
+            self._rate_settings.proof_limit,
+            lambda: _greater_age(
+                configuration_handler.age(clock.now()),
+                copies["members"].age(clock.now()),
+            ),
+        )
         self._identity = IdentityCheck(
             lambda: self.directory.table, self._identity_proof, log, metrics
         )
         self.directory.admission.is_proven = self._may_serve_organisations
-        if settings.rate_window_s:
+        if self._rate_settings.proof_limit is not None:
             self.directory.admission.meter = RateMeter(
-                _rate_bound(settings),
-                _rate_proof_limit(settings),
+                self._rate_settings.bound,
+                self._rate_settings.proof_limit,
                 self._may_serve_organisations,
                 log,
-                lambda: _greater_age(
-                    configuration_handler.age(clock.now()),
-                    copies["members"].age(clock.now()),
-                ),
+                self._rate_proof.age,
                 self.directory.state_version,
             )
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
-        times = _table_times(settings)
+        times = _table_times(settings, self._rate_proof.limit)
         copies = {
             "configuration": TableCopy(
                 operator_configuration.TABLE,
@@ -338,7 +352,8 @@
 
     def _may_serve_organisations(self) -> bool:
         """Return whether homes and keys, as this instance knows them, are current."""
-        return self._identity_proof.is_proven() and self._member_proof.is_proven()
+        proofs = (self._identity_proof, self._member_proof, self._rate_proof)
+        return all(proof.is_proven() for proof in proofs)
 
     async def _stop_serving_in_time(self) -> None:
         await anyio.sleep(LEAVE_LIMIT_S)
@@ -355,13 +370,21 @@
     def reload(self, path: str) -> None:
         """Apply changed settings; keep the present ones if the new ones are invalid.
 
-        Changed addresses and names apply only at the next start.
+        Changed addresses, names and rate settings apply only at the next start. Until
+        then rates are spent by tables younger than the former and the new limit.
         """
         try:
             settings = load_instance_settings(path)
         except CodedError as error:
             self._log.decision("settings refused", detail=error.detail)
             return
+        rate_settings = _read_rate_settings(settings)
+        if rate_settings != self._rate_settings:
+            self._log.decision(
+                "rate settings apply at the next start",
+                present=str(self._rate_settings),
+                new=str(rate_settings),
+            )
         self._settings = settings
         self._serving_settings.drain_limit = timedelta(
             milliseconds=settings.drain_limit_ms
@@ -379,7 +402,12 @@
         self._serving_settings.proof_limit = proof_limit
         self._identity_proof.limit = proof_limit
         self._member_proof.limit = proof_limit
-        times = _table_times(settings)
+        if self._rate_settings.proof_limit is not None:
+            rate_limit = min(
+                _rate_proof_limit(settings), self._rate_settings.proof_limit
+            )
+            self._rate_proof.limit = rate_limit
+        times = _table_times(settings, self._rate_proof.limit)
         self._table_follower.set_times(times, _age_limits(settings, times))
         for name, wait in _feed_waits(times).items():
             self._feeds[name].set_wait(wait, times.is_proof_limited)
@@ -554,9 +582,10 @@
     return _proof_limit(settings) or apply_limit
 
 
-def _rate_bound(settings: InstanceSettings) -> RateBound:
+def _read_rate_settings(settings: InstanceSettings) -> _RateSettings:
     window = timedelta(seconds=settings.rate_window_s)
-    return RateBound(window, settings.rate_overage, settings.rate_slack)
+    bound = RateBound(window, settings.rate_overage, settings.rate_slack)
+    return _RateSettings(bound, _rate_proof_limit(settings) if window else None)
 
 
 def _greater_age(*ages: timedelta | None) -> timedelta | None:
@@ -567,11 +596,13 @@
     return compute_proof_limit(timedelta(milliseconds=settings.revoke_limit_ms))
 
 
-def _table_times(settings: InstanceSettings) -> TableTimes:
+def _table_times(
+    settings: InstanceSettings, rate_limit: timedelta | None
+) -> TableTimes:
+    """Return the times for tables that may be as old as rates, or else keys, allow."""
     apply_limit = timedelta(milliseconds=settings.apply_limit_ms)
-    if settings.rate_window_s:
-        return make_table_times(apply_limit, _rate_proof_limit(settings))
-    return make_table_times(apply_limit, _proof_limit(settings))
+    limits = [each for each in (rate_limit, _proof_limit(settings)) if each is not None]
+    return make_table_times(apply_limit, min(limits, default=None))
 
 
 def _feed_waits(times: TableTimes) -> dict[str, timedelta]:
--- a/tests/platform/test_identity_path.py
+++ b/tests/platform/test_identity_path.py
@@ -366,15 +366,18 @@
     run_organised(body, revoke_limit_ms=REVOKE_LIMIT_MS)
 
 
+def _reload(world, tmp_path, **changes):
+    instance = world.instances[0]
+    path = tmp_path / "settings.json"
+    settings = msgspec.structs.replace(instance._settings, **changes)
+    path.write_bytes(msgspec.json.encode(settings))
+    Instance.reload(instance, str(path))
+
+
 def test_reloaded_limit_applies_at_once(tmp_path):
     async def body(world):
-        instance = world.instances[0]
-        path = tmp_path / "settings.json"
-
         def reload(**changes):
-            settings = msgspec.structs.replace(instance._settings, **changes)
-            path.write_bytes(msgspec.json.encode(settings))
-            Instance.reload(instance, str(path))
+            _reload(world, tmp_path, **changes)
 
         async with world.caller("own", key=KEY) as caller:
             reload(revoke_limit_ms=REVOKE_LIMIT_MS)
@@ -407,3 +410,29 @@
 
     limits = {"rate_window_s": 5, "rate_overage": 0.1, "rate_slack": 20}
     run_organised(body, instance_count=2, apply_limit_ms=1000, **limits)
+
+
+# The meter kept the limit of the start while the tables followed a greater one: it
+# refused for part of each cycle; a smaller one did not reach it.
+def test_reloaded_limit_of_rates_is_the_smaller_one_until_the_next_start(tmp_path):
+    async def body(world):
+        instance = world.instances[0]
+
+        def limits():
+            times = instance._table_follower._times
+            return instance._rate_proof.limit, times.max_age
+
+        at_start = limits()
+        assert_that(at_start[0], Equals(timedelta(seconds=1)))
+        for changes in ({"apply_limit_ms": 3000}, {"rate_window_s": 0}):
+            _reload(world, tmp_path, **changes)
+            assert_that(limits(), Equals(at_start))
+        _reload(world, tmp_path, apply_limit_ms=600)
+        assert_that(limits()[0], Equals(timedelta(milliseconds=600)))
+        instance._rate_proof.limit = timedelta(0)
+        assert_that(instance.directory.admission.is_proven(), Is(False))
+        event = "rate settings apply at the next start"
+        assert_that(lines_of(world, event), HasLength(3))
+
+    limits = {"rate_window_s": 5, "rate_overage": 0.1, "rate_slack": 20}
+    run_organised(body, apply_limit_ms=1000, **limits)
