--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -78,6 +78,8 @@
 }
 UNLISTED_CHECK_INTERVAL_S = 0.5
 ABSENT_CHECK_INTERVAL_S = 0.5
+# Several times within the greatest age of the tables by which rates are spent.
+RATE_OBSERVATION_INTERVAL_S = 0.25
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
@@ -428,6 +430,7 @@
         tasks.start_loop(self._leader_monitor.run)
         tasks.start_loop(self._remove_unlisted_periodically)
         tasks.start_loop(self._mark_absent_periodically)
+        tasks.start_loop(self._observe_rates_periodically)
         await self._listen(
             self._settings.ready_listen, self._ready_server.serve_connection
         )
@@ -541,6 +544,10 @@
         while True:
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
             self.directory.remove_unlisted()
+
+    async def _observe_rates_periodically(self) -> None:
+        while True:
+            await anyio.sleep(RATE_OBSERVATION_INTERVAL_S)
             self.directory.admission.observe()
 
 
