--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -110,6 +110,12 @@
             denied_at is not None and self._clock.now() - denied_at < DENIAL_RETENTION
         )
 
+    def seems_usable(self, service: str, organisation: str) -> bool:
+        """Return whether it is believed to answer and to serve an organisation."""
+        is_denied = self.denies_service(service, organisation)
+        is_avoided = self.health.is_avoided(self._clock.now())
+        return not (is_denied or is_avoided or self.watch.is_silent())
+
     async def acquire_channel(self) -> Channel:
         """Return an idle channel, or open one.
 
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -225,9 +225,7 @@
         """Return whether a holder is believed to answer and serve an organisation."""
         if holder is None:
             return True
-        is_denied = holder.denies_service(self._service, organisation)
-        is_avoided = holder.health.is_avoided(self._clock.now())
-        return not (is_denied or is_avoided or holder.watch.is_silent())
+        return holder.seems_usable(self._service, organisation)
 
     async def _acquire_at(
         self,
--- a/goldcrestpond/relay/statement_relay.py
+++ b/goldcrestpond/relay/statement_relay.py
@@ -207,9 +207,7 @@
         standbys = [] if homes.standby is None else [homes.standby]
 
         def is_usable(holder: Holder) -> bool:
-            is_denied = holder.denies_service(service, organisation)
-            is_avoided = holder.health.is_avoided(self._clock.now())
-            return not (is_denied or is_avoided or holder.watch.is_silent())
+            return holder.seems_usable(service, organisation)
 
         ordered = order_homes(homes.homes, standbys, is_usable, self._rng)
         # As the standby, this instance runs it if no home does.
--- a/tests/relay/test_organisation_pool.py
+++ b/tests/relay/test_organisation_pool.py
@@ -84,10 +84,16 @@
         self.asked_at = 0
         self.ended = []
         self.denied = set()
+        self.clock = None  # set by the world
 
     def denies_service(self, service, organisation=""):
         return organisation in self.denied
 
+    def seems_usable(self, service, organisation):
+        is_denied = self.denies_service(service, organisation)
+        is_avoided = self.health.is_avoided(self.clock.now())
+        return not (is_denied or is_avoided or self.watch.is_silent())
+
     async def acquire_channel(self):
         if self.lend is None:
             raise CodedError(ResultCode.PEER_UNREACHABLE, "no channel")
@@ -134,6 +140,8 @@
         self.own = _OwnPool()
         self.home, self.next_home = _Holder("h1"), _Holder("h2")
         self.standby, self.other = _Holder("s"), _Holder("o")
+        for holder in (self.home, self.next_home, self.standby, self.other):
+            holder.clock = clock
         self.homes = HomeHolders(HomeRole.NONE, (self.home,), self.standby)
         self.meters = None  # as the homes
         self.is_holder = False
@@ -352,6 +360,7 @@
 # refusal that tells when to retry is that of the first one.
 async def test_first_refusal_is_raised_if_no_home_has_any_rate_left(world):
     unusable = _Holder("h3")
+    unusable.clock = world.clock
     unusable.watch.silent = True
     homes = (world.home, world.next_home, unusable)
     world.homes = HomeHolders(HomeRole.NONE, homes, world.standby, False)
