--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -136,15 +136,22 @@
         """Return the number of connections in each state."""
         return self._decisions.count_by_state()
 
-    def load(self, slots: int) -> DatabaseLoad:
+    def load(self, slots: int, organisation: str = "") -> DatabaseLoad:
         """Return how busy the database is with work of this instance.
 
         Parameters
         ----------
         slots : int
             Statement slots of the database, over all instances.
+        organisation : str, default=""
+            Whose request is to be sent there; empty if requests have none.
         """
-        return self._decisions.load(slots, self._clock.now())
+        return self._decisions.load(slots, self._clock.now(), organisation)
+
+    @property
+    def service_time(self) -> timedelta:
+        """Mean duration of a statement."""
+        return self._decisions.service_time
 
     async def run(self) -> None:
         """Apply idle, silence and queue timeouts until the pool is closed."""
--- a/goldcrestpond/placement/organisation_homes.py
+++ b/goldcrestpond/placement/organisation_homes.py
@@ -96,6 +96,16 @@
     return chosen
 
 
+def choose_meter(organisation: str, holders: Iterable[str]) -> OrganisationHomes:
+    """Return the one holder that meters an organisation, and its standby.
+
+    Among the holders of all services it has the highest weight, so that it is the
+    organisation's home at the services that it holds.
+    """
+    ranked = rank_holders(organisation, holders)
+    return OrganisationHomes(tuple(ranked[:1]), ranked[1] if len(ranked) > 1 else "")
+
+
 def sum_home_parts(
     parts: Mapping[str, float], homes: Mapping[str, OrganisationHomes]
 ) -> dict[str, float]:
--- a/goldcrestpond/placement/rendezvous.py
+++ b/goldcrestpond/placement/rendezvous.py
@@ -44,12 +44,8 @@
     list of Candidate
         At most ``count`` instances.
     """
-    ranked = sorted(
-        candidates,
-        key=lambda candidate: compute_weight(group, candidate.name),
-        reverse=True,
-    )
-    zone_counts = _divide_holders(count, sorted(set(availability_zones)))
+    ranked = rank_candidates(group, candidates)
+    zone_counts = divide_holders(count, sorted(set(availability_zones)))
     chosen = [
         candidate
         for availability_zone, zone_count in zone_counts.items()
@@ -60,7 +56,17 @@
     return chosen + others[: count - len(chosen)]
 
 
-def _divide_holders(count: int, availability_zones: list[str]) -> dict[str, int]:
+def rank_candidates(group: str, candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return the candidates by their weight for a group, the highest first."""
+    return sorted(
+        candidates,
+        key=lambda candidate: compute_weight(group, candidate.name),
+        reverse=True,
+    )
+
+
+def divide_holders(count: int, availability_zones: Sequence[str]) -> dict[str, int]:
+    """Return how many of a group's holders each availability zone has."""
     return {
         availability_zone: count // len(availability_zones)
         + (index < count % len(availability_zones))
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -102,6 +102,11 @@
         self._is_draining = False
         self._last_stall_at = timedelta.min
 
+    @property
+    def service_time(self) -> timedelta:
+        """Mean duration of a statement."""
+        return self._queues.service_time
+
     @property
     def open_count(self) -> int:
         """Number of connections that may be open, including those of probes."""
@@ -146,7 +151,7 @@
         """Number of reports that run or wait."""
         return self.reports_running + self._queues.waiting_count(Lane.REPORT)
 
-    def load(self, slots: int, now: timedelta) -> DatabaseLoad:
+    def load(self, slots: int, now: timedelta, organisation: str = "") -> DatabaseLoad:
         """Return the load that this instance puts on the database.
 
         Parameters
@@ -156,14 +161,22 @@
             instance has there.
         now : timedelta
             Monotonic time.
+        organisation : str, default=""
+            Whose request is to be sent there; empty if requests have none.
         """
         limit = max(1, min(slots, self._slots.total))
+        opening_ms = None
+        if organisation:
+            has_room = self.open_count < self._limit.current(now)
+            opening = self._scheduler.opening_cost(organisation, has_room)
+            opening_ms = opening / timedelta(milliseconds=1)
         return DatabaseLoad(
             running=self._connections.count(ConnectionState.BUSY),
             queued=self.waiting_count,
             idle_connections=self._connections.count(ConnectionState.IDLE),
             slots=limit,
             service_ms=self._queues.service_time / timedelta(milliseconds=1),
+            opening_ms=opening_ms,
             is_due=not self._in_flight_count and self._pace.is_due(now),
             is_full=self._is_window_full(now),
         )
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -119,6 +119,15 @@
                 return timedelta(0)
         return self._expected_opening_time()
 
+    def opening_cost(self, organisation: str, has_room: bool) -> timedelta:
+        """Return what a connection for a request costs, 0 if one is open.
+
+        Without room for it another organisation's is closed, which causes a second
+        opening.
+        """
+        opening_time = self.opening_time(organisation)
+        return opening_time if has_room else opening_time * _OPENINGS_PER_CLOSE
+
     def schedule(
         self, room: OpeningRoom, term: int, now: timedelta
     ) -> list[PoolAction]:
--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -12,8 +12,8 @@
 from ..settings.address import Address
 from ..settings.socket_timeouts import set_timeouts
 from .channel import Channel
-from .holder_watch import PROBE_TIMEOUT, HolderWatch
-from .messages import Lend, Message, Probe, Prove, Refused, Response, Return
+from .holder_watch import ANSWER_TIMEOUT, PROBE_TIMEOUT, HolderWatch
+from .messages import Lend, Message, Probe, Prove, Refused, Response, Return, Run
 
 CONNECT_TIMEOUT = timedelta(milliseconds=300)  # several cross-zone round trips
 RESPONSE_SLACK = timedelta(milliseconds=100)  # added to the holder's own timeout
@@ -182,7 +182,9 @@
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         self.health.record_success()
         self.watch.record_heard()
-        if isinstance(message, Lend):
+        if isinstance(message, Run):
+            self._record_denial((message.service, message.organisation), response)
+        elif isinstance(message, Lend):
             if message.is_charged:  # lending only: it need not be the home
                 return response
             self._record_denial((message.service, message.organisation), response)
@@ -190,6 +192,45 @@
             self._record_denial((message.service, ""), response)
         return response
 
+    async def ask(self, message: Message, wait: timedelta) -> Response:
+        """Send a request over a channel of its own; give up once it answers no probe.
+
+        Raises
+        ------
+        CodedError
+            PEER_UNREACHABLE if no response arrives in time, or if a probe is not
+            answered meanwhile.
+        """
+        channel = await self.acquire_channel()
+        try:
+            return await self.send_watched(channel, message, wait)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.release_channel(channel)
+
+    async def send_watched(
+        self, channel: Channel, message: Message, wait: timedelta
+    ) -> Response:
+        """Send a request over a channel; give up once the holder answers no probe.
+
+        Raises
+        ------
+        CodedError
+            As for `ask`.
+        """
+        try:
+            with anyio.CancelScope() as scope:
+                self.watch.add_waiting(scope)
+                try:
+                    return await self.send_request(channel, message, wait)
+                finally:
+                    self.watch.remove_waiting(scope)
+        except CodedError:
+            self.watch.suspect()
+            raise
+        detail = f"{self.name}: it answers no probe"
+        raise CodedError(ResultCode.PEER_UNREACHABLE, detail)
+
     def _record_denial(self, denied: tuple[str, str], response: Response) -> None:
         code_number = response.code if isinstance(response, Refused) else 0
         if code_number in _DENIAL_NUMBERS:
@@ -203,9 +244,9 @@
         An answer ends its avoidance; no answer is no failure of a request.
         An idle one may have lost its state on the way, while the instance answers.
         """
-        with anyio.move_on_after(PROBE_TIMEOUT.total_seconds()):
+        with anyio.move_on_after(ANSWER_TIMEOUT.total_seconds()):
             try:
-                channel = await self._open()
+                channel = await self._open(PROBE_TIMEOUT)
             except CodedError:
                 return False
             try:
@@ -234,9 +275,9 @@
             for channel in suspect:
                 await channel.aclose()
 
-    async def _open(self) -> Channel:
+    async def _open(self, timeout: timedelta = CONNECT_TIMEOUT) -> Channel:
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+            with anyio.fail_after(timeout.total_seconds()):
                 stream = await anyio.connect_tcp(self.address.host, self.address.port)
         except (OSError, TimeoutError) as error:
             detail = f"{self.name} at {self.address}: {error}"
--- a/goldcrestpond/relay/holder_watch.py
+++ b/goldcrestpond/relay/holder_watch.py
@@ -11,15 +11,20 @@
 # Several round trips between zones. A request may wait in a queue for longer, so that
 # silence alone proves nothing.
 PROBE_DELAY = timedelta(milliseconds=50)
-# A process answers a probe within a round trip, or later on a slow machine.
+# A machine that runs accepts a connection within a round trip, whatever its load: its
+# kernel does.
 PROBE_TIMEOUT = timedelta(milliseconds=150)
+# The process on it answers within its own delays: with a tenth of a core, under load,
+# these add up to hundreds of milliseconds. Half of a usual time limit of a statement is
+# left for the next holder.
+ANSWER_TIMEOUT = timedelta(milliseconds=400)
 # A probe that ends later than this after its limit was not awaited for that long.
 STALL_SPAN = timedelta(milliseconds=100)
 # Shortest time between probes of a holder: each one opens a connection.
 PROBE_INTERVAL = timedelta(milliseconds=500)
 # An unanswered probe tells nothing about the time after this span, which is longer than
 # the time between two probes.
-EVIDENCE_SPAN = 2 * (PROBE_INTERVAL + PROBE_TIMEOUT)
+EVIDENCE_SPAN = 2 * (PROBE_INTERVAL + ANSWER_TIMEOUT)
 # Probes end if nobody asked about the holder for this time.
 INTEREST_SPAN = timedelta(seconds=5)
 
@@ -29,12 +34,14 @@
 
     Nothing is sent while it answers requests. If a request waits and nothing was heard
     for ``PROBE_DELAY``, the holder is probed, one probe at a time; if the probe is not
-    answered, the requests that wait are cancelled.
+    answered, the requests that wait are cancelled. A busy holder is not a silent one:
+    it accepts the connection of the probe, and has more time to answer.
 
     Parameters
     ----------
     probe : callable
-        Sends a probe; returns whether it was answered, within ``PROBE_TIMEOUT``.
+        Sends a probe; returns whether it was answered. Returns within ``PROBE_TIMEOUT``
+        if no connection can be opened, else within ``ANSWER_TIMEOUT``.
     clock : Clock
         Source of monotonic time.
     tasks : TaskGroup
@@ -164,7 +171,7 @@
             return
         if self._heard_at >= sent_at:
             return
-        if self._clock.now() - sent_at > PROBE_TIMEOUT + STALL_SPAN:
+        if self._clock.now() - sent_at > ANSWER_TIMEOUT + STALL_SPAN:
             # This process stood still: the answer may have come. The next probe is due.
             self._probed_at = probed_at
             return
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -12,13 +12,10 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
-from ..placement.candidate import Candidate
-from ..placement.rendezvous import choose_holders
 from ..rates.handover import Handover
 from ..serving.decision_log import DecisionLog
 from ..serving.members import Member
 from . import messages
-from .eligible_members import eligible_members
 from .holder import Holder
 
 # Time for which a previous holder is still asked to block commits. It may send commits
@@ -67,28 +64,19 @@
         self._names_by_service: dict[str, list[str]] = {}
 
     def assign(
-        self, service: str, members: list[Member], count: int, key: str | None = None
+        self, service: str, holder_names: list[str], members: list[Member]
     ) -> bool:
-        """Choose the holders of a service; return whether this instance is one.
-
-        Holders are spread over the availability zones of the members. The choice
-        depends on the members alone, so that instances that know the same members
-        choose the same holders.
+        """Set the holders of a service; return whether this instance is one.
 
         Parameters
         ----------
         service : str
             The service.
+        holder_names : list of str
+            Names of its holders, as `choose_holders` returns them.
         members : list of Member
-            Live instances.
-        count : int
-            Number of holders.
-        key : str or None, default=None
-            Services with the same key and count have the same holders; by default the
-            service itself.
+            Live instances, the holders among them.
         """
-        key = service if key is None else key
-        holder_names = choose_holder_names(key, members, count)
         by_name = {member.name: member for member in members}
         self._names_by_service[service] = holder_names
         self._record_holders(service)
@@ -254,15 +242,6 @@
         self._log.decision(event, holder=name, silent_ms=round(span / _MILLISECOND))
 
 
-def choose_holder_names(key: str, members: Sequence[Member], count: int) -> list[str]:
-    """Return the names of the members that hold the services with a key."""
-    eligible = eligible_members(members, count)
-    zones = [member.availability_zone for member in eligible]
-    candidates = [Candidate(m.name, m.availability_zone) for m in eligible]
-    chosen = choose_holders(key, candidates, count, zones)
-    return [candidate.name for candidate in chosen]
-
-
 async def send_request(
     holder: Holder, request: messages.Message, wait: timedelta, kind: type[_Response]
 ) -> _Response:
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -15,7 +15,9 @@
 from ..group.log_position import LogPosition
 from ..pool.lane import Lane
 from ..rates.handover import Handover
+from ..serving.fleet_protocol import FIRST_PROTOCOL
 from ..serving.reply import Reply
+from ..serving.route import ReadPolicy
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
 from ..serving.transaction_state import TransactionState
@@ -125,6 +127,54 @@
     min_position: _Position | None
 
 
+class Run(Message, frozen=True):
+    """Runs a caller's read wherever the holder finds best; the response is ``Answer``.
+
+    Sent from the protocol `HOLDERS_BY_SERVICE` on.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
+    caller, organisation, weight
+        See ``Lend``.
+    request_id, kind, text, name, argument, shape
+        See ``Execute``.
+    values : dict of str to str
+        Session values that must be in force.
+    policy : ReadPolicy
+        Which commits it must show.
+    max_age_ms : float
+        Maximum age of what it shows.
+    last_commit : tuple of int and int or None
+        Position after the session's last commit.
+    wait_ms : float
+        Time after which the requester no longer waits.
+    objective_ms : float
+        What is left of the latency objective; negative if it has passed.
+    priority : int
+        Priority of the route.
+    """
+
+    service: str
+    caller: str
+    organisation: str
+    weight: _Weight
+    request_id: str
+    kind: StatementKind
+    text: str
+    name: str
+    argument: str
+    shape: tuple[bool, str] | None
+    values: dict[str, str]
+    policy: ReadPolicy
+    max_age_ms: _SpanMs
+    last_commit: _Position | None
+    wait_ms: _SpanMs
+    objective_ms: _SpanMs
+    priority: int
+
+
 class Begin(Message, frozen=True):
     """Begins a transaction.
 
@@ -251,12 +301,15 @@
         ``IP:PORT`` at which it accepts channels.
     link_mbps : float
         Bandwidth of its network link in megabits per second; 0 if unknown.
+    protocol : int
+        Highest version of the rules between instances that it follows.
     """
 
     name: str
     availability_zone: str
     address: str
     link_mbps: _Bandwidth
+    protocol: _Version = FIRST_PROTOCOL
 
 
 class KnownTable(msgspec.Struct, array_like=True, frozen=True):
@@ -346,7 +399,7 @@
 
 
 class Charge(Message, frozen=True):
-    """Asks an organisation's home to charge one operation that another holder runs.
+    """Asks an organisation's meter to charge one operation that another holder runs.
 
     Attributes
     ----------
@@ -360,6 +413,13 @@
     organisation: str
 
 
+class Refund(Message, frozen=True):
+    """Takes back the last charge made over this channel: the operation did not run.
+
+    Sent from the protocol `HOLDERS_BY_SERVICE` on.
+    """
+
+
 class Probe(Message, frozen=True):
     """Asks whether the instance answers; the response is ``Done``, at once."""
 
@@ -421,6 +481,7 @@
 
 Request = (
     Lend
+    | Run
     | Execute
     | Begin
     | Rollback
@@ -433,6 +494,7 @@
     | Release
     | Follow
     | Charge
+    | Refund
     | HandOver
     | Probe
 )
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -16,26 +16,26 @@
 from ..serving.home_admission import HomeAdmission
 from ..serving.home_role import HomeRole
 from ..serving.link import Link
-from . import messages
 from .choose_holder import choose_holder
 from .holder import Holder
-from .holders import send_request
 from .home_holders import HomeHolders
+from .meter_client import MeterClient
+from .operation_charge import OperationCharge
 from .order_homes import order_homes
 from .relay_pool import RETRY_AFTER_MS, RelayPool
 
-# A home charges at once; a longer silence means that it is lost.
-CHARGE_TIMEOUT = timedelta(milliseconds=200)
 # After another holder couldn't reach a database either, none is asked for this time:
 # the database is down, which the home's refusal has told already.
 ELSEWHERE_PAUSE = timedelta(seconds=1)
-# Errors after which it is unknown whether a home has charged an operation.
-_LOST_CODES = frozenset({ResultCode.PEER_MALFORMED, ResultCode.PEER_UNREACHABLE})
 # Errors of one holder after which the next one is asked; nothing was run.
-_NEXT_HOLDER_CODES = _LOST_CODES | {
-    ResultCode.IDENTITY_UNPROVEN,
-    ResultCode.PEER_HOLDS_NOTHING,
-}
+_NEXT_HOLDER_CODES = frozenset(
+    {
+        ResultCode.IDENTITY_UNPROVEN,
+        ResultCode.PEER_HOLDS_NOTHING,
+        ResultCode.PEER_MALFORMED,
+        ResultCode.PEER_UNREACHABLE,
+    }
+)
 
 
 class OrganisationPool:
@@ -56,7 +56,9 @@
     is_holder : callable
         Returns whether this instance holds the service.
     admission : HomeAdmission
-        Admits and charges operations at this instance.
+        Tells whether this instance serves an organisation.
+    meters : MeterClient
+        Charges operations where they are metered.
     availability_zone : str
         Availability zone of this instance.
     clock : Clock
@@ -76,6 +78,7 @@
         "_find_homes",
         "_is_holder",
         "_log",
+        "_meters",
         "_on_standby",
         "_other_holders",
         "_own_pool",
@@ -94,6 +97,7 @@
         other_holders: Callable[[], Sequence[Holder]],
         is_holder: Callable[[], bool],
         admission: HomeAdmission,
+        meters: MeterClient,
         availability_zone: str,
         clock: Clock,
         rng: random.Random,
@@ -107,6 +111,7 @@
         self._other_holders = other_holders
         self._is_holder = is_holder
         self._admission = admission
+        self._meters = meters
         self._availability_zone = availability_zone
         self._clock = clock
         self._rng = rng
@@ -128,9 +133,9 @@
     ) -> Link:
         """Check out a connection at a home of the requester's organisation.
 
-        A home whose share of the rate is used up says nothing about those of the other
-        homes, which are asked then; the standby is not, since its reserve is for lost
-        homes.
+        If each home spends a share of the rate, one whose share is used up says nothing
+        about those of the others, which are asked then; the standby is not, since its
+        reserve is for lost homes.
 
         Raises
         ------
@@ -158,7 +163,8 @@
                 )
             except CodedError as error:
                 is_exceeded = error.code is ResultCode.RATE_EXCEEDED
-                if is_exceeded and _is_home(target, homes):
+                has_share = _is_home(target, homes) and not homes.has_one_meter
+                if is_exceeded and has_share:
                     exceeded = exceeded or error
                 elif error.code not in _NEXT_HOLDER_CODES:
                     raise
@@ -193,7 +199,8 @@
         Raises
         ------
         CodedError
-            As for `HomeAdmission.charge` and `ConnectionPool.acquire`; nothing was run.
+            As for `HomeAdmission.require_home`, `MeterClient.start` and
+            `ConnectionPool.acquire`; nothing was run.
         """
         if is_charged:
             self._admission.require_known(requester.organisation)
@@ -283,13 +290,34 @@
         lane: Lane,
         priority: int,
     ) -> Link:
-        charge = self._admission.charge(self._service, requester.organisation)
+        """Check out an own connection while the operation is charged."""
+        organisation = requester.organisation
+        self._admission.require_home(self._service, organisation)
+        homes = self._find_homes(organisation)
+        # The standby is asked only if the homes did not answer.
+        lost = homes.homes if homes.own_role is HomeRole.STANDBY else ()
+        charge = self._meters.start(self._service, organisation, deadline, lost)
         try:
-            return await self._own_pool.acquire(
+            if self._meters.is_at_limit(organisation):
+                await charge.wait()  # what is refused takes no connection
+            link = await self._own_pool.acquire(
                 term, deadline, requester, lane, priority
             )
         except BaseException:
-            self._admission.refund(charge)
+            charge.take_back()
+            raise
+        await self._finish_charge(charge, self._own_pool, link)
+        return link
+
+    async def _finish_charge(
+        self, charge: OperationCharge, pool: ConnectionPool | RelayPool, link: Link
+    ) -> None:
+        """Wait for a charge; return the connection unused if it is refused."""
+        try:
+            await charge.finish()
+        except BaseException:
+            charge.take_back()
+            pool.release(link)
             raise
 
     async def _acquire_elsewhere(
@@ -306,10 +334,11 @@
 
         Own connections are tried first if this instance holds any, then one holder that
         is not known to be silent. Only if all of them can't reach the database either
-        is it believed to be down. The home charges the operation only after the
+        is it believed to be down. The operation is charged only after the
         connection was checked out, so that attempts at a database that is down use up
         no rate.
         """
+        organisation = requester.organisation
         now = self._clock.now()
         failed_at = self._elsewhere_failed_at
         has_failed = failed_at is not None and now - failed_at < ELSEWHERE_PAUSE
@@ -337,13 +366,14 @@
             self._elsewhere_failed_at = self._clock.now()
             raise error
         try:
-            await self._charge_at(home, requester.organisation)
+            charge = self._meters.start(self._service, organisation, deadline)
         except BaseException:
             pool.release(link)
             raise
+        await self._finish_charge(charge, pool, link)
         self._log.decision(
             "lent elsewhere",
-            organisation=requester.organisation,
+            organisation=organisation,
             database=self._database_id,
             home="own" if home is None else home.name,
             lender="own" if lender is None else lender.name,
@@ -365,20 +395,6 @@
         chosen = choose_holder(others, self._availability_zone, now, self._rng)
         return own if chosen is None else [*own, chosen]
 
-    async def _charge_at(self, home: Holder | None, organisation: str) -> None:
-        if home is None:
-            self._admission.charge(self._service, organisation)
-            return
-        request = messages.Charge(self._service, organisation)
-        try:
-            await send_request(home, request, CHARGE_TIMEOUT, messages.Done)
-        except CodedError as error:
-            if error.code not in _LOST_CODES:
-                raise
-            detail = f"{home.name}: not charged: {error}"
-            code = ResultCode.HOME_UNREACHABLE
-            raise CodedError(code, detail, RETRY_AFTER_MS) from error
-
     def _record_use(
         self, organisation: str, target: Holder | None, is_home: bool
     ) -> None:
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -92,6 +92,11 @@
         """Connections that the current work uses."""
         return len(self._checked_out_at)
 
+    @property
+    def service_time(self) -> timedelta:
+        """Mean time for which a connection is checked out."""
+        return self._estimate.mean
+
     def load(self, slots: int) -> DatabaseLoad:
         """Return the load that this instance puts on the database."""
         service_ms = self._estimate.mean / timedelta(milliseconds=1)
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -10,11 +11,17 @@
 from ..errors.result_code import ResultCode
 from ..pool.requester import Requester
 from ..serving.directory import Directory
+from ..serving.late_statement import log_late_statement
 from ..serving.link import Link
 from ..serving.link_checkout import return_link
 from ..serving.reply import Reply
+from ..serving.route import Route
 from ..serving.served_database import ServedDatabase
+from ..serving.session_state import SessionState
 from ..serving.shape import Shape
+from ..serving.single_statement import SingleStatement
+from ..serving.stage_times import StageTimes
+from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
 from ..serving.transaction_state import TransactionState
 from ..settings.socket_timeouts import set_timeouts
@@ -64,7 +71,14 @@
 class _ChannelSession:
     """One channel and the connection checked out over it, if any."""
 
-    __slots__ = ("_answer_follower", "_channel", "_directory", "_link", "_served")
+    __slots__ = (
+        "_answer_follower",
+        "_channel",
+        "_charge",
+        "_directory",
+        "_link",
+        "_served",
+    )
 
     def __init__(
         self, channel: Channel, directory: Directory, answer_follower: AnswerFollower
@@ -72,6 +86,7 @@
         self._answer_follower = answer_follower
         self._channel = channel
         self._directory = directory
+        self._charge: Any = None
         self._link: Link | None = None
         self._served: ServedDatabase | None = None
 
@@ -97,6 +112,8 @@
         match request:
             case messages.Lend():
                 return await self._check_out(request)
+            case messages.Run():
+                return await self._run_read(request)
             case messages.Prove():
                 return await self._verify_leader(request)
             case messages.Seal():
@@ -109,7 +126,12 @@
             case messages.Follow():
                 return await self._answer_follower(request)
             case messages.Charge():
-                return self._charge(request)
+                self._charge = self._directory.admission.charge(request.organisation)
+                return messages.Done()
+            case messages.Refund():
+                charge, self._charge = self._charge, None
+                self._directory.admission.refund(charge)
+                return messages.Done()
             case messages.Probe():
                 return messages.Done()
             case messages.HandOver():
@@ -151,9 +173,63 @@
         self._served = served
         return messages.Lent(self._link.values, list(self._link.prepared))
 
-    def _charge(self, request: messages.Charge) -> messages.Response:
-        self._directory.admission.charge(request.service, request.organisation)
-        return messages.Done()
+    async def _run_read(self, request: messages.Run) -> messages.Response:
+        """Run another instance's read, as a caller's of this one.
+
+        It is as if it had arrived now: what it must show is no older than at its
+        arrival there.
+        """
+        directory = self._directory
+        if request.organisation:
+            directory.admission.require_home(request.service, request.organisation)
+        else:
+            self._require_held(request.service)
+        stages = StageTimes(directory.clock)
+        session = SessionState()
+        session.values = request.values
+        if request.shape is not None:
+            session.prepared[request.name] = Shape(*request.shape)
+        route = Route(
+            "",
+            request.service,
+            request.policy,
+            request.max_age_ms * _MILLISECOND,
+            request.wait_ms * _MILLISECOND,
+            request.objective_ms * _MILLISECOND,
+            request.priority,
+        )
+        statement = Statement(
+            request.request_id,
+            request.kind,
+            request.text,
+            request.name,
+            request.argument,
+        )
+        single = SingleStatement(
+            Requester(request.caller, request.organisation, request.weight),
+            statement,
+            session,
+            route,
+            directory.service(request.service),
+            directory,
+            stages,
+        )
+        last_commit = messages.to_position(request.last_commit)
+        arrived_at = directory.clock.now()
+        try:
+            reply = await single.run(arrived_at, last_commit)
+        finally:
+            elapsed = directory.clock.now() - arrived_at
+            if elapsed > route.objective:
+                log_late_statement(
+                    directory.log,
+                    statement,
+                    request.service,
+                    request.organisation,
+                    elapsed,
+                    stages,
+                )
+        return messages.to_answer(reply)
 
     async def _verify_leader(self, request: messages.Prove) -> messages.Response:
         self._require_held(request.service)
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -70,11 +70,19 @@
         That of its own connections only if requests of the organisation use them: what
         is elsewhere changes nothing about their pace.
         """
+        if self._is_local(organisation):
+            return self._local_pool.load(slots, organisation)
+        return self._relay_pool.load(slots)
+
+    def service_time(self, organisation: str = "") -> timedelta:
+        """Return how long statements of an organisation usually take."""
+        pool = self._local_pool if self._is_local(organisation) else self._relay_pool
+        return pool.service_time
+
+    def _is_local(self, organisation: str) -> bool:
         if organisation:
-            is_local = self._organisation_pool.is_home(organisation)
-        else:
-            is_local = self._is_holder()
-        return (self._local_pool if is_local else self._relay_pool).load(slots)
+            return self._organisation_pool.is_home(organisation)
+        return self._is_holder()
 
     async def acquire(
         self,
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -33,10 +33,12 @@
 from ..rates.rate_meter import RateMeter
 from ..relay import messages
 from ..relay.holders import Holders, send_request
+from ..relay.read_relay import ReadRelay
 from ..relay.relay_server import RelayServer
 from ..serving.caller_session import CallerSession
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
+from ..serving.fleet_protocol import PROTOCOL
 from ..serving.follower_list import FollowerList
 from ..serving.identity_check import IdentityCheck
 from ..serving.leader_monitor import LeaderMonitor
@@ -208,6 +210,7 @@
             settings.availability_zone,
             parse_address(settings.peer_listen),
             settings.link_mbps,
+            PROTOCOL,
         )
         failover = None
         if settings.duties:
@@ -338,6 +341,9 @@
         )
         self._table_follower.on_reader_change = table_server.notify
         self._relay_server = RelayServer(self.directory, table_server.answer)
+        self._read_relay = ReadRelay(
+            self.directory, settings.availability_zone, clock, rng
+        )
         self.callers = CallerServer(
             self.directory,
             self._open_session,
@@ -494,6 +500,7 @@
             key_digest,
             self._identity,
             self.directory,
+            self._read_relay.run,
             self._clock,
             self._rng,
             self._log,
--- a/goldcrestpond/routing/database_load.py
+++ b/goldcrestpond/routing/database_load.py
@@ -19,6 +19,10 @@
         Number of slots that this instance has on the database; at least 1.
     service_ms : float
         Mean duration of a statement, in milliseconds.
+    opening_ms : float or None
+        How long a request of the organisation in question waits for a connection to be
+        opened, in milliseconds, what that costs others included; None if all requests
+        use the same connections.
     is_full : bool
         Whether other databases are preferred, since this one is paced and has as much
         in flight as it may now.
@@ -31,5 +35,6 @@
     idle_connections: int = 0
     slots: int = 1
     service_ms: float = 1.0
+    opening_ms: float | None = None
     is_full: bool = False
     is_due: bool = False
--- a/goldcrestpond/routing/estimate_wait.py
+++ b/goldcrestpond/routing/estimate_wait.py
@@ -20,7 +20,9 @@
     """
     ahead_count = load.running + load.queued + 1 - load.slots
     wait_ms = max(0, ahead_count) * load.service_ms / load.slots
-    if not load.idle_connections:
+    if load.opening_ms is not None:
+        wait_ms += load.opening_ms
+    elif not load.idle_connections:
         wait_ms += CONNECT_MS
     if not is_same_availability_zone:
         wait_ms += OTHER_AVAILABILITY_ZONE_MS
--- a/goldcrestpond/serving/await_min_position.py
+++ b/goldcrestpond/serving/await_min_position.py
@@ -5,7 +5,7 @@
 from ..group.log_position import LogPosition
 from .leader_verifier import LeaderVerifier
 from .leadership import Leadership
-from .min_position import SessionCommit, compute_earliest_sample_time, find_min_position
+from .min_position import compute_earliest_sample_time, find_min_position
 from .route import ReadPolicy, Route
 
 
@@ -13,7 +13,7 @@
     leadership: Leadership,
     leader_verifier: LeaderVerifier,
     route: Route,
-    last_commit: SessionCommit | None,
+    last_commit: LogPosition | None,
     arrived_at: timedelta,
     deadline: timedelta,
 ) -> LogPosition:
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -1,6 +1,7 @@
 """Runs the statements of one caller."""
 
 import random
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import anyio
@@ -8,22 +9,30 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
 from ..pool.requester import Requester
 from .decision_log import DecisionLog
 from .directory import Directory
 from .identity_check import IdentityCheck
-from .min_position import SessionCommit
+from .late_statement import log_late_statement
 from .open_transaction import OpenTransaction
 from .organisation import Organisation, compute_weight
 from .reply import Reply
 from .route import Route
 from .session_state import SessionState
 from .single_statement import SingleStatement
+from .stage_times import RELAY, StageTimes
 from .statement import Statement
 from .statement_kind import StatementKind
 from .transaction_runner import TransactionRunner
 from .transaction_state import TransactionState
 
+# Gets for whom, the statement, the session, its route, when the statement arrived and
+# the position after the session's last commit; returns None if it is to be run here.
+RunElsewhere = Callable[
+    [Requester, Statement, SessionState, Route, timedelta, LogPosition | None],
+    Awaitable[Reply | None],
+]
 _LOCAL_KINDS = frozenset(
     {StatementKind.SET, StatementKind.PREPARE, StatementKind.DEALLOCATE}
 )
@@ -47,6 +56,8 @@
         Finds the organisation that has the key.
     directory : Directory
         Routes, and services by name.
+    run_elsewhere : callable
+        Runs a read at an instance that holds its service, unless this one does.
     clock : Clock
         Monotonic clock.
     rng : random.Random
@@ -67,6 +78,8 @@
         "_log",
         "_requester",
         "_rng",
+        "_run_elsewhere",
+        "_stages",
         "_state",
         "_transaction",
     )
@@ -78,6 +91,7 @@
         key_digest: bytes,
         identity: IdentityCheck,
         directory: Directory,
+        run_elsewhere: RunElsewhere,
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
@@ -89,11 +103,13 @@
         self._identity = identity
         self._is_refused = False
         self._directory = directory
+        self._run_elsewhere = run_elsewhere
         self._clock = clock
         self._rng = rng
         self._log = log
         self._state = SessionState()
-        self._last_commits: dict[str, SessionCommit] = {}
+        self._stages = StageTimes(clock)
+        self._last_commits: dict[str, LogPosition] = {}
         self._transaction: OpenTransaction | None = None
 
     @property
@@ -119,6 +135,7 @@
     async def run(self, statement: Statement) -> Reply:
         """Run one statement; errors become replies."""
         arrived_at = self._clock.now()
+        self._stages = StageTimes(self._clock)
         try:
             reply = await self._run(statement, arrived_at)
         except CodedError as error:
@@ -162,15 +179,39 @@
                 ResultCode.MALFORMED_FRAME, "COMMIT or ROLLBACK without BEGIN"
             )
         self._identify(route)
-        service = self._directory.service(route.service)
-        single = SingleStatement(
-            self._requester, statement, self._state, route, service, self._directory
-        )
-        reply = await single.run(arrived_at, self._last_commits.get(route.service))
+        reply = await self._run_single(route, statement, arrived_at)
         if self._state.is_write(statement):
             self._record_commit(route.service, reply)
         return reply
 
+    async def _run_single(
+        self, route: Route, statement: Statement, arrived_at: timedelta
+    ) -> Reply:
+        """Run a statement outside a transaction, here or at another instance."""
+        last_commit = self._last_commits.get(route.service)
+        if not self._state.is_write(statement):
+            with self._stages.measure(RELAY):
+                reply = await self._run_elsewhere(
+                    self._requester,
+                    statement,
+                    self._state,
+                    route,
+                    arrived_at,
+                    last_commit,
+                )
+            if reply is not None:
+                return reply
+        single = SingleStatement(
+            self._requester,
+            statement,
+            self._state,
+            route,
+            self._directory.service(route.service),
+            self._directory,
+            self._stages,
+        )
+        return await single.run(arrived_at, last_commit)
+
     def _identify(self, route: Route) -> None:
         """Find for whom the caller acts, by the configuration in force."""
         try:
@@ -266,8 +307,7 @@
 
     def _record_commit(self, service: str, reply: Reply) -> None:
         if reply.position is not None:
-            epoch = self._directory.service(service).leadership.epoch
-            self._last_commits[service] = SessionCommit(reply.position, epoch)
+            self._last_commits[service] = reply.position
 
     def _make_runner(self, transaction: OpenTransaction) -> TransactionRunner:
         return TransactionRunner(
@@ -276,6 +316,7 @@
             self._state,
             self._last_commits.get(transaction.route.service),
             self._directory,
+            self._stages,
         )
 
     def _record_metrics(
@@ -287,6 +328,19 @@
         if statement.kind in _DATABASE_KINDS or statement.kind is StatementKind.COMMIT:
             name = f"{statement.kind.name.lower()}_latency"
             metrics.observe_ms(name, elapsed / timedelta(milliseconds=1))
+            self._log_if_late(statement, elapsed)
+
+    def _log_if_late(self, statement: Statement, elapsed: timedelta) -> None:
+        route = self._directory.table.routes.get(self._database)
+        if route is not None and elapsed > route.objective:
+            log_late_statement(
+                self._log,
+                statement,
+                route.service,
+                self._requester.organisation,
+                elapsed,
+                self._stages,
+            )
 
     def _make_error_reply(
         self, statement: Statement, error: CodedError, arrived_at: timedelta
@@ -303,6 +357,7 @@
             retry_after_ms=error.retry_after_ms,
             elapsed_ms=round(elapsed.total_seconds() * 1000),
             version=self._directory.table.version,
+            stages_ms=self._stages.to_milliseconds(),
         )
         return Reply(error=error.code, detail=error.text)
 
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -12,6 +12,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..placement.organisation_homes import OrganisationHomes
 from ..placement.rendezvous import compute_weight
 from ..pool.compute_start_delay import compute_start_delay
 from ..pool.database_pool import DatabasePool
@@ -20,8 +21,11 @@
 from ..rates.handover import Handover, TableVersion
 from ..rates.rate_role import RateRole
 from ..relay.choose_holder import choose_holder
-from ..relay.holders import Holders, choose_holder_names
+from ..relay.choose_holder_names import choose_holder_names
+from ..relay.holder import Holder
+from ..relay.holders import Holders
 from ..relay.home_holders import HomeHolders
+from ..relay.meter_client import MeterClient
 from ..relay.organisation_pool import OrganisationPool
 from ..relay.relay_pool import RelayPool
 from ..relay.switched_pool import SwitchedPool
@@ -40,8 +44,10 @@
 from .database import Database
 from .database_pace import make_database_pace
 from .decision_log import DecisionLog
+from .fleet_protocol import HOLDERS_BY_SERVICE, find_fleet_protocol
 from .highest_acknowledged import HighestAcknowledged, combine_acknowledged
 from .home_admission import HomeAdmission
+from .home_role import HomeRole
 from .home_table import HomeTable
 from .leader_verifier import LeaderVerifier
 from .link import Link
@@ -62,7 +68,6 @@
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
 # A log line names at most this many organisations.
 LOGGED_NAMES_MAX = 10
-SHARED_HOLDERS_KEY = "organisations"  # holders of all services
 OpenLink = Callable[..., Awaitable[Link]]
 _UNKNOWN_LIMITS = ServiceLimits(connection_limit=8, synchronous_replicas=0)
 
@@ -107,7 +112,9 @@
         "_leader_verifiers",
         "_members",
         "_members_by_name",
+        "_meter_client",
         "_open_link",
+        "_placed",
         "_retry_budgets",
         "_roles",
         "_settings",
@@ -152,6 +159,8 @@
         self._holders = holders
         self._members: list[Member] = []
         self._members_by_name: dict[str, Member] = {}
+        # Names of the holders of each service.
+        self._placed: dict[str, list[str]] = {}
         self._is_held: dict[str, bool] = {}
         self._holder_counts: dict[str, int] = {}
         # Connections that this instance may open, by database id.
@@ -167,6 +176,10 @@
         self.admission = HomeAdmission(self.homes, clock)
         self.read_members_version: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.admission.on_standby_use = self._probe_homes
+        self.admission.on_reserve_use = self._probe_meters
+        self._meter_client = MeterClient(
+            self._find_meters, self.admission, clock, rng, tasks
+        )
 
     @property
     def member_count(self) -> int:
@@ -189,6 +202,15 @@
         """Return how many instances hold connections to a service."""
         return self._holder_counts.get(service, self.member_count)
 
+    @property
+    def protocol(self) -> int:
+        """Version of the rules that all instances follow."""
+        return find_fleet_protocol(self._members)
+
+    def other_holders(self, service: str) -> list[Holder]:
+        """Return the other instances that hold connections to a service."""
+        return self._holders.other_holders(service)
+
     def holder_names(self, service: str) -> list[str]:
         """Return the names of the instances that hold connections to a service."""
         return self._holders.holder_names(service)
@@ -323,13 +345,25 @@
 
     def home_holders(self, service: str, organisation: str) -> HomeHolders:
         """Return the instances that serve an organisation at a service."""
-        homes = self.homes.homes(service, organisation)
+        return self._to_holders(
+            self.homes.homes(service, organisation),
+            self.homes.role(service, organisation),
+        )
+
+    def _find_meters(self, organisation: str) -> HomeHolders:
+        """Return the instances that meter an organisation."""
+        return self._to_holders(
+            self.homes.meters(organisation), self.homes.meter_role(organisation)
+        )
+
+    def _to_holders(self, homes: OrganisationHomes, own_role: HomeRole) -> HomeHolders:
         others = map(self._find_other_member, homes.homes)
         standby = self._find_other_member(homes.standby)
         return HomeHolders(
-            self.homes.role(service, organisation),
+            own_role,
             tuple(self._holders.peer(member) for member in others if member),
             self._holders.peer(standby) if standby else None,
+            self.homes.has_one_meter,
         )
 
     def apply_registry(self) -> None:
@@ -387,6 +421,7 @@
 
     def apply_shares(self) -> None:
         """Update the share of each pool from the configuration and the members."""
+        self._placed = self._place_holders(self._members)
         for service in self.services.values():
             self._assign_holders(service)
         self._assign_homes()
@@ -484,6 +519,7 @@
             lambda: self._holders.other_holders(name),
             lambda: self.holds(name),
             self.admission,
+            self._meter_client,
             self._settings.availability_zone,
             self.clock,
             self.rng,
@@ -592,15 +628,14 @@
                 self._apply_share(served, may_grow=True)
 
     def _assign_holders(self, service: Service) -> None:
-        limits = self.table.services.get(service.name)
-        if not self._members or limits is None:
+        names = self._placed.get(service.name)
+        if names is None:
             return
-        key, count = self._place_holders(service.name, len(self._members))
-        is_held = self._holders.assign(service.name, self._members, count, key)
-        self._holder_counts[service.name] = count
+        is_held = self._holders.assign(service.name, names, self._members)
+        self._holder_counts[service.name] = len(names)
         if is_held != self.holds(service.name):
             self.log.decision(
-                "holder", service=service.name, holds=is_held, holders=count
+                "holder", service=service.name, holds=is_held, holders=len(names)
             )
             if not is_held:
                 self._tasks.start_soon(self._leader_verifiers[service.name].aclose)
@@ -625,6 +660,10 @@
         for holder in self.home_holders(service, organisation).homes:
             holder.watch.suspect()
 
+    def _probe_meters(self, organisation: str) -> None:
+        for holder in self._find_meters(organisation).homes:
+            holder.watch.suspect()
+
     def _find_other_member(self, name: str) -> Member | None:
         """Return another member; None if it cannot be asked."""
         if name == self._settings.instance:
@@ -643,8 +682,13 @@
         if organisations is None and self.homes.organisations is None:
             return
         former = self._roles
-        former_homes = {name: self.homes.all_homes(name) for name in former}
-        self.homes.assign(organisations, self._name_holders(), self._absent)
+        former_meters = {name: self.homes.meters(name).homes for name in former}
+        self.homes.assign(
+            organisations,
+            self._name_holders(),
+            self._absent,
+            self.protocol >= HOLDERS_BY_SERVICE,
+        )
         # Others, which do not count this instance, divide the rates among themselves.
         roles = self._roles = self.homes.rate_roles() if self._is_member else {}
         lost = sorted(
@@ -685,7 +729,7 @@
         meter.set_roles(roles, now, version, is_resumed=is_resumed)
         handovers = meter.release(lost, now) if lost else []
         if handovers:
-            self._hand_over(handovers, former_homes)
+            self._hand_over(handovers, former_meters)
 
     @property
     def _is_member(self) -> bool:
@@ -695,43 +739,40 @@
     def _name_holders(self) -> dict[str, list[str]]:
         """Return the names of the holders of all services in the configuration.
 
-        Also of services that this instance has not used: an organisation's rate is
-        divided among its homes at all of them. An instance that is not listed
-        takes no part, as in the view of all others, unless it knows of no other.
+        Also of services that this instance has not used: the meter of an organisation
+        is one of the holders of all of them. An instance that is not listed takes no
+        part, as in the view of all others, unless it knows of no other.
         """
         own = self._settings.instance
         others = [member for member in self._members if member.name != own]
-        members = self._members if self._is_member or not others else others
-        names = {}
-        for service in self.table.services:
-            key, count = self._place_holders(service, len(members))
-            names[service] = choose_holder_names(key, members, count)
-        return names
-
-    def _place_holders(self, service: str, member_count: int) -> tuple[str, int]:
-        """Return the key by which holders of a service are chosen, and their number.
-
-        With organisations all services have the same holders: else each organisation
-        would have homes at each service, and its rate would be divided among them,
-        whichever service its callers use.
-        """
+        if self._is_member or not others:
+            return self._placed
+        return self._place_holders(others)
+
+    def _place_holders(self, members: Sequence[Member]) -> dict[str, list[str]]:
+        """Return the names of the holders of all services in the configuration."""
         services = self.table.services
-        if self._organisations() is None:
-            limit = services[service].connection_limit
-            return service, holder_count(limit, member_count)
-        least = min(limits.connection_limit for limits in services.values())
-        return SHARED_HOLDERS_KEY, holder_count(least, member_count)
+        if not members or not services:
+            return {}
+        counts = {
+            name: holder_count(limits.connection_limit, len(members))
+            for name, limits in services.items()
+        }
+        has_organisations = self._organisations() is not None
+        return choose_holder_names(counts, members, has_organisations)
 
     def _hand_over(
-        self, handovers: Sequence[Handover], former_homes: Mapping[str, list[str]]
+        self,
+        handovers: Sequence[Handover],
+        former_meters: Mapping[str, Sequence[str]],
     ) -> None:
-        """Send what is left of former shares to the next homes, each to one of them."""
+        """Send what is left of former shares to the next meters, each to one."""
         by_successor: dict[str, list[Handover]] = {}
         for handover in handovers:
             organisation = handover.organisation
-            homes = self.homes.all_homes(organisation)
-            newcomers = [n for n in homes if n not in former_homes[organisation]]
-            for name in (newcomers or homes)[:1]:
+            meters = self.homes.meters(organisation).homes
+            newcomers = [n for n in meters if n not in former_meters[organisation]]
+            for name in (newcomers or meters)[:1]:
                 by_successor.setdefault(name, []).append(handover)
         for member in self._members:
             if member.name in by_successor and member.address is not None:
--- a/goldcrestpond/serving/home_admission.py
+++ b/goldcrestpond/serving/home_admission.py
@@ -29,7 +29,9 @@
     is_proven : callable
         Returns whether configuration and members' table are proven to be fresh.
     on_standby_use : callable
-        Called with service and organisation when this instance serves as standby.
+        Called with service and organisation when this instance lends as standby.
+    on_reserve_use : callable
+        Called with the organisation when this instance meters it as standby.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "_homes",
         "is_proven",
         "meter",
+        "on_reserve_use",
         "on_standby_use",
     )
 
@@ -46,6 +49,7 @@
         self.meter: RateCharger | None = None
         self.is_proven: Callable[[], bool] = lambda: True
         self.on_standby_use: Callable[[str, str], None] = lambda *names: None
+        self.on_reserve_use: Callable[[str], None] = lambda name: None
 
     def require_known(self, organisation: str) -> None:
         """Check that the configuration in force, proven to be fresh, has it.
@@ -63,8 +67,24 @@
             detail = f"no organisation {organisation!r} in the configuration here"
             raise CodedError(ResultCode.PEER_HOLDS_NOTHING, detail)
 
-    def charge(self, service: str, organisation: str) -> Any:
-        """Charge one operation as the home or the standby of an organisation.
+    def require_home(self, service: str, organisation: str) -> None:
+        """Check that this instance is home or standby of an organisation at a service.
+
+        Raises
+        ------
+        CodedError
+            As for `require_known`; PEER_HOLDS_NOTHING if it is neither.
+        """
+        self.require_known(organisation)
+        role = self._homes.role(service, organisation)
+        if role is HomeRole.NONE:
+            detail = f"this instance does not serve {organisation!r} at {service}"
+            raise CodedError(ResultCode.PEER_HOLDS_NOTHING, detail)
+        if role is HomeRole.STANDBY:
+            self.on_standby_use(service, organisation)
+
+    def charge(self, organisation: str) -> Any:
+        """Charge one operation as the meter of an organisation, or as its standby.
 
         Returns
         -------
@@ -74,22 +94,27 @@
         Raises
         ------
         CodedError
-            As for `require_known`; PEER_HOLDS_NOTHING if this instance is neither home
+            As for `require_known`; PEER_HOLDS_NOTHING if this instance is neither meter
             nor standby; RATE_EXCEEDED; IDENTITY_UNPROVEN also if its share has not
             begun. Nothing is charged then.
         """
         self.require_known(organisation)
-        role = self._homes.role(service, organisation)
+        role = self._homes.meter_role(organisation)
         if role is HomeRole.NONE:
-            detail = f"this instance does not serve {organisation!r} at {service}"
+            detail = f"this instance does not meter {organisation!r}"
             raise CodedError(ResultCode.PEER_HOLDS_NOTHING, detail)
         is_standby = role is HomeRole.STANDBY
         if is_standby:
-            self.on_standby_use(service, organisation)
+            self.on_reserve_use(organisation)
         if self.meter is None:
             return None
         return self.meter.charge(organisation, is_standby, self._clock.now())
 
+    def is_limited(self, organisation: str) -> bool:
+        """Return whether the operations of an organisation are counted."""
+        known = (self._homes.organisations or {}).get(organisation)
+        return self.meter is not None and known is not None and known.is_limited
+
     def refund(self, charge: Any) -> None:
         """Take back the charge of an operation that certainly did not run."""
         if self.meter is not None and charge is not None:
--- a/goldcrestpond/serving/link_checkout.py
+++ b/goldcrestpond/serving/link_checkout.py
@@ -15,6 +15,7 @@
 from .route import ReadPolicy, Route
 from .served_database import ServedDatabase
 from .session_state import SessionState
+from .stage_times import CHECKOUT, SESSION, StageTimes
 
 _QUEUE_REFUSALS = (ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE)
 _DATABASE_FAILURES = (ResultCode.ENDPOINT_UNREACHABLE, ResultCode.ENDPOINT_LEAVING)
@@ -63,6 +64,7 @@
     arrived_at: timedelta,
     deadline: timedelta,
     clock: Clock,
+    stages: StageTimes,
 ) -> Link:
     """Acquire a link to a database and set a session's values on it.
 
@@ -74,9 +76,10 @@
     asked_at = clock.now()
     acquire_by = compute_queue_deadline(route, arrived_at, deadline, asked_at)
     try:
-        link = await served.pool.acquire(
-            0, acquire_by, requester, choose_lane(route), route.priority
-        )
+        with stages.measure(CHECKOUT):
+            link = await served.pool.acquire(
+                0, acquire_by, requester, choose_lane(route), route.priority
+            )
     except CodedError as error:
         now = clock.now()
         if error.code in _DATABASE_FAILURES:
@@ -91,7 +94,8 @@
         raise
     try:
         with anyio.fail_after((deadline - clock.now()).total_seconds()):
-            await apply_session_values(link, session)
+            with stages.measure(SESSION):
+                await apply_session_values(link, session)
     except (CodedError, TimeoutError) as error:
         link.is_broken = True
         served.pool.release(link)
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -15,6 +15,7 @@
 from ..errors.decode_errors import DECODE_ERRORS
 from ..settings.address import Address, parse_address
 from .expiring_rows import ExpiringRows, make_era_reader
+from .fleet_protocol import FIRST_PROTOCOL
 from .row_store import StoredRow
 
 TABLE = "member"
@@ -59,12 +60,16 @@
         Where it accepts channels from other instances; None if its row has none.
     link_mbps : float
         Bandwidth of its network link in megabits per second; 0 if unknown.
+    protocol : int
+        Highest version of the rules between instances that it follows; see
+        `fleet_protocol`.
     """
 
     name: str
     availability_zone: str
     address: Address | None
     link_mbps: float = 0
+    protocol: int = FIRST_PROTOCOL
 
 
 class MemberBody(msgspec.Struct, frozen=True):
@@ -78,6 +83,7 @@
     link_mbps: float = 0
     era: int = 0
     is_leaving: bool = False
+    protocol: int = FIRST_PROTOCOL
 
 
 class FollowersBody(msgspec.Struct, frozen=True):
@@ -113,7 +119,9 @@
 def encode_followers(members: Sequence[Member], era: int) -> bytes:
     """Return the value of a row that lists followers."""
     bodies = {
-        m.name: MemberBody(m.availability_zone, str(m.address), m.link_mbps)
+        m.name: MemberBody(
+            m.availability_zone, str(m.address), m.link_mbps, protocol=m.protocol
+        )
         for m in members
     }
     return msgspec.json.encode(FollowersBody(bodies, era))
@@ -121,8 +129,14 @@
 
 def encode_member(member: Member, era: int, is_leaving: bool = False) -> bytes:
     """Return the value of a member's row that is written in ``era`` of the store."""
-    zone = member.availability_zone
-    body = MemberBody(zone, str(member.address), member.link_mbps, era, is_leaving)
+    body = MemberBody(
+        member.availability_zone,
+        str(member.address),
+        member.link_mbps,
+        era,
+        is_leaving,
+        member.protocol,
+    )
     return msgspec.json.encode(body)
 
 
@@ -130,8 +144,7 @@
     """Return the member of a row; without zone and address if it cannot be decoded."""
     try:
         body = msgspec.json.decode(row.value, type=MemberBody)
-        address = parse_address(body.address)
-        return Member(row.key, body.availability_zone, address, body.link_mbps)
+        return _make_member(row.key, body)
     except (*DECODE_ERRORS, CodedError):
         return Member(row.key, "", None)
 
@@ -236,6 +249,11 @@
                 self._followers[row.key] = decoded
 
 
+def _make_member(name: str, body: MemberBody) -> Member:
+    address = parse_address(body.address)
+    return Member(name, body.availability_zone, address, body.link_mbps, body.protocol)
+
+
 def _by_time(item: tuple[str, _Followers]) -> tuple[int, int]:
     return item[1].era, item[1].version
 
@@ -251,13 +269,7 @@
     try:
         body = msgspec.json.decode(row.value, type=FollowersBody)
         members = tuple(
-            Member(
-                name,
-                each.availability_zone,
-                parse_address(each.address),
-                each.link_mbps,
-            )
-            for name, each in body.followers.items()
+            _make_member(name, each) for name, each in body.followers.items()
         )
         return _Followers(body.era, row.version, members)
     except (*DECODE_ERRORS, CodedError):
--- a/goldcrestpond/serving/min_position.py
+++ b/goldcrestpond/serving/min_position.py
@@ -1,6 +1,5 @@
 """Computes the least log position that a read must show."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from ..group.log_position import LogPosition
@@ -8,22 +7,6 @@
 from .route import ReadPolicy, Route
 
 
-@dataclass(frozen=True, slots=True)
-class SessionCommit:
-    """The last commit of a session.
-
-    Attributes
-    ----------
-    position : LogPosition
-        Log position after the commit.
-    epoch : int
-        Epoch of the service's leadership in which the commit was acknowledged.
-    """
-
-    position: LogPosition
-    epoch: int
-
-
 def compute_earliest_sample_time(route: Route, arrived_at: timedelta) -> timedelta:
     """Return the time at or after which a sample must have been requested for a read.
 
@@ -36,12 +19,13 @@
 
 
 def find_min_position(
-    leadership: Leadership, since: timedelta, last_commit: SessionCommit | None
+    leadership: Leadership, since: timedelta, last_commit: LogPosition | None
 ) -> LogPosition | None:
     """Return the least position that a read must show; None if a sample is needed.
 
-    A session's commit of an earlier epoch is not compared: acknowledged commits survive
-    a change of the leader, so every sample of the current epoch includes it.
+    A sample of a later term than the session's commit includes it, whatever their
+    numbers: acknowledged commits survive a change of the leader. One of an earlier term
+    comes from a leader that was replaced; the read must show the commit then.
 
     Parameters
     ----------
@@ -49,12 +33,12 @@
         Samples of the leader's position in the current epoch.
     since : timedelta
         Time at or after which the sample must have been requested.
-    last_commit : SessionCommit or None
-        Last commit of the session, if the read must show it.
+    last_commit : LogPosition or None
+        Position after the last commit of the session, if the read must show it.
     """
     sample = leadership.oldest_sample_since(since)
     if sample is None:
         return None
-    if last_commit is None or last_commit.epoch != leadership.epoch:
+    if last_commit is None:
         return sample.position
-    return max(sample.position, last_commit.position)
+    return max(sample.position, last_commit)  # by term first
--- a/goldcrestpond/serving/organisation.py
+++ b/goldcrestpond/serving/organisation.py
@@ -1,5 +1,6 @@
 """An organisation whose callers are served, from the operator's configuration."""
 
+import math
 from dataclasses import dataclass
 
 # An organisation of the next lower priority gets this part of the weight.
@@ -30,6 +31,11 @@
     rate_per_s: float = float("inf")
     burst: float = float("inf")
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether its operations are counted."""
+        return math.isfinite(self.rate_per_s) and math.isfinite(self.burst)
+
 
 def compute_weight(priority: int) -> float:
     """Return the weight of an organisation's requests relative to others.
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -10,6 +10,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
+from ..placement.rendezvous import compute_weight
 from ..pool.pace_reason import PaceReason
 from ..routing.estimate_wait import estimate_wait
 from .choose_database import ReadCandidate, choose_database
@@ -331,16 +332,39 @@
         """Return the database for an organisation's read, or None."""
         now = self._clock.now()
         epoch = self.leadership.epoch
-        candidates = [
-            self._make_candidate(served, min_position, organisation)
+        admitted = [
+            served
             for served in self.databases.values()
             if served.database_id not in excluded
             and self._admits_reads(served)
             and self._may_have_reached(served, min_position, epoch, now)
         ]
+        ranks = self._rank(admitted, organisation) if organisation else {}
+        candidates = [
+            self._make_candidate(
+                served, min_position, organisation, ranks.get(served.database_id)
+            )
+            for served in admitted
+        ]
         chosen = choose_database(candidates, self._rng)
         return None if chosen is None else self.databases[chosen.database_id]
 
+    def _rank(
+        self, admitted: Iterable[ServedDatabase], organisation: str
+    ) -> dict[str, int]:
+        """Return the order in which an organisation's reads prefer databases.
+
+        Each organisation has an order of its own, with the leader last. So its reads
+        mostly meet at one database, where they find a connection, and those of all
+        organisations spread over the replicas.
+        """
+        leader_id = self.leadership.leader_id
+        ids = sorted(
+            (served.database_id for served in admitted),
+            key=lambda each: (each == leader_id, -compute_weight(organisation, each)),
+        )
+        return {database_id: rank for rank, database_id in enumerate(ids)}
+
     def _is_relisted(self, database: Database) -> bool:
         served = self.databases.get(database.database_id)
         return (
@@ -365,7 +389,11 @@
         return self._registry.leaving_since(served.database_id) is None
 
     def _make_candidate(
-        self, served: ServedDatabase, min_position: LogPosition, organisation: str
+        self,
+        served: ServedDatabase,
+        min_position: LogPosition,
+        organisation: str,
+        rank: int | None,
     ) -> ReadCandidate:
         database = served.database
         load = served.pool.load(database.slots, organisation)
@@ -382,6 +410,7 @@
             served.database_id == self.leadership.leader_id,
             position is not None and min_position <= position,
             load.is_full or served.health.is_avoided(now),
+            rank,
         )
 
     def _estimate_latency(self, served: ServedDatabase, now: timedelta) -> timedelta:
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -14,13 +14,13 @@
 from .error_outcome import RETRYABLE, get_attempt_outcome
 from .leader_verifier import LEADERLESS_WAIT_FRACTION
 from .link_checkout import check_out_link, return_link
-from .min_position import SessionCommit
 from .reply import Reply
 from .route import Route
 from .run_on_link import run_on_link
 from .served_database import ServedDatabase
 from .service import Service
 from .session_state import SessionState
+from .stage_times import PAUSE, PROOF, RUN, StageTimes
 from .statement import Statement
 from .transaction_state import TransactionState
 
@@ -53,6 +53,8 @@
         Service of the route.
     directory : Directory
         Leader checks, retry budgets, clock, metrics and log.
+    stages : StageTimes
+        Receives how long its stages take.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "_route",
         "_service",
         "_session",
+        "_stages",
         "_statement",
         "_timed_out_count",
     )
@@ -76,7 +79,9 @@
         route: Route,
         service: Service,
         directory: Directory,
+        stages: StageTimes,
     ):
+        self._stages = stages
         self._requester = requester
         self._statement = statement
         self._session = session
@@ -89,7 +94,7 @@
         self._is_write = session.is_write(statement)
 
     async def run(
-        self, arrived_at: timedelta, last_commit: SessionCommit | None
+        self, arrived_at: timedelta, last_commit: LogPosition | None
     ) -> Reply:
         """Run the statement; retry a read, or a write that certainly did not run.
 
@@ -97,8 +102,8 @@
         ----------
         arrived_at : timedelta
             Time at which the statement arrived.
-        last_commit : SessionCommit or None
-            Last commit of the session on the service.
+        last_commit : LogPosition or None
+            Position after the last commit of the session on the service.
 
         Raises
         ------
@@ -133,15 +138,17 @@
                     detail=error.detail,
                     evidence=evidence.name,
                 )
-            await anyio.sleep(pause.total_seconds())
+            with self._stages.measure(PAUSE):
+                await anyio.sleep(pause.total_seconds())
 
     async def _write(self, deadline: timedelta) -> Reply:
-        await self._service.admit_write(self._compute_admission_deadline(deadline))
-        since = self._clock.now() - MAX_LEADER_CHECK_AGE
         leader_verifier = self._directory.leader_verifier(self._service.name)
-        leader = await leader_verifier.wait_for_leader(
-            since, leader_verifier.leader_wait_deadline(deadline)
-        )
+        with self._stages.measure(PROOF):
+            await self._service.admit_write(self._compute_admission_deadline(deadline))
+            since = self._clock.now() - MAX_LEADER_CHECK_AGE
+            leader = await leader_verifier.wait_for_leader(
+                since, leader_verifier.leader_wait_deadline(deadline)
+            )
         asked_at = self._clock.now()
         try:
             timeout = self._route.timeout
@@ -167,16 +174,17 @@
         self,
         arrived_at: timedelta,
         deadline: timedelta,
-        last_commit: SessionCommit | None,
+        last_commit: LogPosition | None,
     ) -> Reply:
-        min_position = await await_min_position(
-            self._service.leadership,
-            self._directory.leader_verifier(self._service.name),
-            self._route,
-            last_commit,
-            arrived_at,
-            deadline,
-        )
+        with self._stages.measure(PROOF):
+            min_position = await await_min_position(
+                self._service.leadership,
+                self._directory.leader_verifier(self._service.name),
+                self._route,
+                last_commit,
+                arrived_at,
+                deadline,
+            )
         excluded: set[str] = set()
         refusal: CodedError | None = None
         while True:
@@ -214,8 +222,7 @@
 
     def _compute_attempt_timeout(self, served: ServedDatabase) -> timedelta:
         organisation = self._requester.organisation
-        load = served.pool.load(served.database.slots, organisation)
-        service_time = timedelta(milliseconds=load.service_ms)
+        service_time = served.pool.service_time(organisation)
         objective = self._route.objective
         timeout = max(
             objective * READ_ATTEMPT_OBJECTIVE_FRACTION,
@@ -239,19 +246,21 @@
             self._arrived_at,
             deadline,
             self._clock,
+            self._stages,
         )
         # The timeout starts here: the wait for a connection does not show that the
         # database is slow.
         answer_by = min(deadline, self._clock.now() + timeout)
         try:
-            reply = await run_on_link(
-                link,
-                self._session,
-                self._statement,
-                min_position,
-                answer_by,
-                self._clock,
-            )
+            with self._stages.measure(RUN):
+                reply = await run_on_link(
+                    link,
+                    self._session,
+                    self._statement,
+                    min_position,
+                    answer_by,
+                    self._clock,
+                )
             served.record_reply(link, reply)
             return reply
         except CodedError as error:
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -6,6 +6,7 @@
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
+from ..group.log_position import LogPosition
 from ..pool.requester import Requester
 from ..retry.request_attempts import RequestAttempts
 from .await_min_position import await_min_position
@@ -13,7 +14,6 @@
 from .error_outcome import NOT_RUN, RETRYABLE, get_attempt_outcome
 from .leader_verifier import LEADERLESS_WAIT_FRACTION
 from .link_checkout import check_out_link, return_link
-from .min_position import SessionCommit
 from .open_transaction import OpenTransaction
 from .reply import Reply
 from .route import ReadPolicy
@@ -21,6 +21,7 @@
 from .served_database import ServedDatabase
 from .session_state import SessionState
 from .single_statement import MAX_LEADER_CHECK_AGE
+from .stage_times import BEGIN, PAUSE, PROOF, RUN, StageTimes
 from .statement import Statement
 from .statement_kind import StatementKind
 from .transaction_state import TransactionState
@@ -39,10 +40,12 @@
         State of the transaction.
     session : SessionState
         Session values and prepared statements of the caller.
-    last_commit : SessionCommit or None
-        Last commit of the session on the service.
+    last_commit : LogPosition or None
+        Position after the last commit of the session on the service.
     directory : Directory
         Leader checks, retry budgets, clock and log.
+    stages : StageTimes
+        Receives how long the stages of its statements take.
     """
 
     __slots__ = (
@@ -51,6 +54,7 @@
         "_last_commit",
         "_requester",
         "_session",
+        "_stages",
         "_transaction",
     )
 
@@ -59,9 +63,11 @@
         requester: Requester,
         transaction: OpenTransaction,
         session: SessionState,
-        last_commit: SessionCommit | None,
+        last_commit: LogPosition | None,
         directory: Directory,
+        stages: StageTimes,
     ):
+        self._stages = stages
         self._requester = requester
         self._transaction = transaction
         self._session = session
@@ -125,7 +131,8 @@
                     code=f"GP{error.code.number}",
                     detail=error.detail,
                 )
-            await anyio.sleep(pause.total_seconds())
+            with self._stages.measure(PAUSE):
+                await anyio.sleep(pause.total_seconds())
 
     async def _open_transaction(
         self, arrived_at: timedelta, deadline: timedelta
@@ -142,9 +149,10 @@
         service = transaction.service
         leader_verifier = self._directory.leader_verifier(service.name)
         since = self._clock.now() - MAX_LEADER_CHECK_AGE
-        leader = await leader_verifier.wait_for_leader(
-            since, leader_verifier.leader_wait_deadline(deadline)
-        )
+        with self._stages.measure(PROOF):
+            leader = await leader_verifier.wait_for_leader(
+                since, leader_verifier.leader_wait_deadline(deadline)
+            )
         await self._check_out_link(leader, arrived_at, deadline)
         asked_at = self._clock.now()
         reply = await self._begin(False, None, deadline)
@@ -157,14 +165,15 @@
     async def _open_for_reads(self, arrived_at: timedelta, deadline: timedelta) -> None:
         transaction = self._transaction
         service = transaction.service
-        min_position = await await_min_position(
-            service.leadership,
-            self._directory.leader_verifier(service.name),
-            transaction.route,
-            self._last_commit,
-            transaction.began_at,
-            deadline,
-        )
+        with self._stages.measure(PROOF):
+            min_position = await await_min_position(
+                service.leadership,
+                self._directory.leader_verifier(service.name),
+                transaction.route,
+                self._last_commit,
+                transaction.began_at,
+                deadline,
+            )
         excluded: set[str] = set()
         refusal: CodedError | None = None
         while True:
@@ -205,6 +214,7 @@
             arrived_at,
             deadline,
             self._clock,
+            self._stages,
         )
         transaction.served = served
 
@@ -215,7 +225,8 @@
         remaining = (deadline - self._clock.now()).total_seconds()
         try:
             with anyio.fail_after(max(0.0, remaining)):
-                reply = await link.begin(is_read_only, min_position)
+                with self._stages.measure(BEGIN):
+                    reply = await link.begin(is_read_only, min_position)
         except TimeoutError as error:
             link.is_broken = True
             served.health.record_failure(self._clock.now())
@@ -272,9 +283,10 @@
         link = transaction.link
         while True:
             try:
-                reply = await run_on_link(
-                    link, self._session, statement, None, deadline, self._clock
-                )
+                with self._stages.measure(RUN):
+                    reply = await run_on_link(
+                        link, self._session, statement, None, deadline, self._clock
+                    )
             except CodedError as error:
                 if error.code is ResultCode.QUEUE_DEADLINE:
                     raise CodedError(ResultCode.ROLLED_BACK, error.detail) from error
--- a/goldcrestpond/tables/table_server.py
+++ b/goldcrestpond/tables/table_server.py
@@ -120,13 +120,19 @@
         address = parse_address(peer.address)
     except CodedError as error:
         raise CodedError(ResultCode.PEER_MALFORMED, error.detail) from error
-    return Member(peer.name, peer.availability_zone, address, peer.link_mbps)
+    return Member(
+        peer.name, peer.availability_zone, address, peer.link_mbps, peer.protocol
+    )
 
 
 def to_peer(member: Member) -> messages.Peer:
     """Return the message part that describes a member."""
     return messages.Peer(
-        member.name, member.availability_zone, str(member.address), member.link_mbps
+        member.name,
+        member.availability_zone,
+        str(member.address),
+        member.link_mbps,
+        member.protocol,
     )
 
 
--- a/tests/serving/test_link_checkout.py
+++ b/tests/serving/test_link_checkout.py
@@ -13,6 +13,7 @@
 from goldcrestpond.serving.link_checkout import check_out_link, return_link
 from goldcrestpond.serving.route import ReadPolicy, Route
 from goldcrestpond.serving.session_state import SessionState
+from goldcrestpond.serving.stage_times import StageTimes
 
 from .test_leadership import ms
 from .test_load_patterns import count_reads_by_database, make_service
@@ -37,6 +38,7 @@
                 arrived_at,
                 arrived_at + ms(9),
                 clock,
+                StageTimes(clock),
             )
 
     anyio.run(body)
--- a/tests/serving/test_load_patterns.py
+++ b/tests/serving/test_load_patterns.py
@@ -35,6 +35,9 @@
     def load(self, slots, organisation=""):
         return DatabaseLoad(self.running, 0, 1, slots, 20)
 
+    def service_time(self, organisation=""):
+        return timedelta(milliseconds=20)
+
 
 def make_service(clock):
     registry = Registry()
