--- a/goldcrestpond/pool/requester.py
+++ b/goldcrestpond/pool/requester.py
@@ -17,8 +17,12 @@
     weight : float
         Part of a database's room that the organisation may claim, relative to others
         that wait.
+    is_charged : bool
+        Whether the operation was charged to the organisation's rate already, by an
+        earlier attempt that did not run.
     """
 
     session: str
     organisation: str = ""
     weight: float = 1.0
+    is_charged: bool = False
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -175,6 +175,42 @@
     priority: int
 
 
+class Open(Run, frozen=True):
+    """Opens a transaction with its first statement; the response is ``Opened``.
+
+    The connection is checked out over the channel from then on, as after ``Lend``.
+
+    Attributes
+    ----------
+    is_read_only : bool
+        Whether the transaction is read-only.
+    is_write : bool
+        Whether the statement writes.
+    """
+
+    is_read_only: bool
+    is_write: bool
+
+
+class Opened(Message, frozen=True):
+    """A transaction was opened.
+
+    Attributes
+    ----------
+    database_id : str
+        Id of the database.
+    values, prepared
+        See ``Lent``.
+    answer : Answer
+        Reply to the first statement.
+    """
+
+    database_id: str
+    values: dict[str, str]
+    prepared: list[tuple[bool, str]]
+    answer: "Answer"
+
+
 class Begin(Message, frozen=True):
     """Begins a transaction.
 
@@ -482,6 +518,7 @@
 Request = (
     Lend
     | Run
+    | Open
     | Execute
     | Begin
     | Rollback
@@ -498,7 +535,7 @@
     | HandOver
     | Probe
 )
-Response = Lent | Answer | Done | Refused | Proved | Sealed | Followed
+Response = Lent | Opened | Answer | Done | Refused | Proved | Sealed | Followed
 
 _ENCODER = msgspec.msgpack.Encoder()
 _REQUESTS = msgspec.msgpack.Decoder(Request)
--- a/goldcrestpond/relay/organisation_pool.py
+++ b/goldcrestpond/relay/organisation_pool.py
@@ -267,6 +267,7 @@
         is_charged: bool = False,
     ) -> Link:
         """Check out at a holder; give up as soon as it answers no probe."""
+        is_charged = is_charged or requester.is_charged
         try:
             with anyio.CancelScope() as scope:
                 holder.watch.add_waiting(scope)
@@ -296,6 +297,10 @@
         homes = self._find_homes(organisation)
         # The standby is asked only if the homes did not answer.
         lost = homes.homes if homes.own_role is HomeRole.STANDBY else ()
+        if requester.is_charged:
+            return await self._own_pool.acquire(
+                term, deadline, requester, lane, priority
+            )
         charge = self._meters.start(self._service, organisation, deadline, lost)
         try:
             if self._meters.is_at_limit(organisation):
@@ -365,12 +370,13 @@
         else:
             self._elsewhere_failed_at = self._clock.now()
             raise error
-        try:
-            charge = self._meters.start(self._service, organisation, deadline)
-        except BaseException:
-            pool.release(link)
-            raise
-        await self._finish_charge(charge, pool, link)
+        if not requester.is_charged:
+            try:
+                charge = self._meters.start(self._service, organisation, deadline)
+            except BaseException:
+                pool.release(link)
+                raise
+            await self._finish_charge(charge, pool, link)
         self._log.decision(
             "lent elsewhere",
             organisation=organisation,
--- a/goldcrestpond/relay/relay_pool.py
+++ b/goldcrestpond/relay/relay_pool.py
@@ -179,6 +179,11 @@
         self._checked_out_at[link] = self._clock.now()
         return link
 
+    def adopt(self, link: RemoteLink) -> None:
+        """Count a connection that was checked out with the first statement on it."""
+        link.holder.checkout_count += 1
+        self._checked_out_at[link] = self._clock.now()
+
     def release(self, link: RemoteLink) -> None:
         """Return a connection to its holder."""
         checked_out_at = self._checked_out_at.pop(link, None)
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -14,6 +14,7 @@
 from ..serving.late_statement import log_late_statement
 from ..serving.link import Link
 from ..serving.link_checkout import return_link
+from ..serving.open_transaction import OpenTransaction
 from ..serving.reply import Reply
 from ..serving.route import Route
 from ..serving.served_database import ServedDatabase
@@ -23,6 +24,7 @@
 from ..serving.stage_times import StageTimes
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
+from ..serving.transaction_runner import TransactionRunner
 from ..serving.transaction_state import TransactionState
 from ..settings.socket_timeouts import set_timeouts
 from . import messages
@@ -112,6 +114,8 @@
         match request:
             case messages.Lend():
                 return await self._check_out(request)
+            case messages.Open():
+                return await self._open_transaction(request)
             case messages.Run():
                 return await self._run_read(request)
             case messages.Prove():
@@ -180,31 +184,9 @@
         arrival there.
         """
         directory = self._directory
-        if request.organisation:
-            directory.admission.require_home(request.service, request.organisation)
-        else:
-            self._require_held(request.service)
+        self._require_home_or_holder(request)
+        route, statement, session = _read_run(request)
         stages = StageTimes(directory.clock)
-        session = SessionState()
-        session.values = request.values
-        if request.shape is not None:
-            session.prepared[request.name] = Shape(*request.shape)
-        route = Route(
-            "",
-            request.service,
-            request.policy,
-            request.max_age_ms * _MILLISECOND,
-            request.wait_ms * _MILLISECOND,
-            request.objective_ms * _MILLISECOND,
-            request.priority,
-        )
-        statement = Statement(
-            request.request_id,
-            request.kind,
-            request.text,
-            request.name,
-            request.argument,
-        )
         single = SingleStatement(
             Requester(request.caller, request.organisation, request.weight),
             statement,
@@ -219,18 +201,70 @@
         try:
             reply = await single.run(arrived_at, last_commit)
         finally:
-            elapsed = directory.clock.now() - arrived_at
-            if elapsed > route.objective:
-                log_late_statement(
-                    directory.log,
-                    statement,
-                    request.service,
-                    request.organisation,
-                    elapsed,
-                    stages,
-                )
+            self._log_if_late(request, statement, arrived_at, stages)
         return messages.to_answer(reply)
 
+    async def _open_transaction(self, request: messages.Open) -> messages.Response:
+        """Open a transaction of another instance's caller with its first statement."""
+        directory = self._directory
+        await self._return_link(is_broken=False)
+        self._require_home_or_holder(request)
+        route, statement, session = _read_run(request)
+        stages = StageTimes(directory.clock)
+        arrived_at = directory.clock.now()
+        transaction = OpenTransaction(
+            route, directory.service(request.service), request.is_read_only, arrived_at
+        )
+        runner = TransactionRunner(
+            Requester(request.caller, request.organisation, request.weight),
+            transaction,
+            session,
+            messages.to_position(request.last_commit),
+            directory,
+            stages,
+        )
+        try:
+            reply = await runner.run(statement, arrived_at)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await runner.return_link()
+            raise
+        finally:
+            self._log_if_late(request, statement, arrived_at, stages)
+        self._link, self._served = transaction.link, transaction.served
+        return messages.Opened(
+            transaction.served.database_id,
+            self._link.values,
+            list(self._link.prepared),
+            messages.to_answer(reply),
+        )
+
+    def _log_if_late(
+        self,
+        request: messages.Run,
+        statement: Statement,
+        arrived_at: timedelta,
+        stages: StageTimes,
+    ) -> None:
+        elapsed = self._directory.clock.now() - arrived_at
+        if elapsed > request.objective_ms * _MILLISECOND:
+            log_late_statement(
+                self._directory.log,
+                statement,
+                request.service,
+                request.organisation,
+                elapsed,
+                stages,
+            )
+
+    def _require_home_or_holder(self, request: messages.Run) -> None:
+        if request.organisation:
+            self._directory.admission.require_home(
+                request.service, request.organisation
+            )
+        else:
+            self._require_held(request.service)
+
     async def _verify_leader(self, request: messages.Prove) -> messages.Response:
         self._require_held(request.service)
         service = self._directory.service(request.service)
@@ -315,3 +349,29 @@
         link.is_broken = link.is_broken or is_broken
         is_open = link.state is not TransactionState.IDLE
         await return_link(self._served.pool, link, is_open)
+
+
+def _read_run(request: messages.Run) -> tuple[Route, Statement, SessionState]:
+    """Return what a caller of this instance would have declared and sent."""
+    session = SessionState()
+    session.values = request.values
+    if request.shape is not None:
+        session.prepared[request.name] = Shape(*request.shape)
+    route = Route(
+        "",
+        request.service,
+        request.policy,
+        request.max_age_ms * _MILLISECOND,
+        request.wait_ms * _MILLISECOND,
+        request.objective_ms * _MILLISECOND,
+        request.priority,
+    )
+    statement = Statement(
+        request.request_id,
+        request.kind,
+        request.text,
+        request.name,
+        request.argument,
+        isinstance(request, messages.Open) and request.is_write,
+    )
+    return route, statement, session
--- a/goldcrestpond/relay/switched_pool.py
+++ b/goldcrestpond/relay/switched_pool.py
@@ -123,6 +123,10 @@
             )
         return await self.acquire(0, deadline, requester, lane, priority)
 
+    def adopt(self, link: RemoteLink) -> None:
+        """Count a connection of a holder that was checked out with a statement."""
+        self._relay_pool.adopt(link)
+
     def release(self, link: Link) -> None:
         """Return a connection."""
         self._pool_of(link).release(link)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -33,8 +33,8 @@
 from ..rates.rate_meter import RateMeter
 from ..relay import messages
 from ..relay.holders import Holders, send_request
-from ..relay.read_relay import ReadRelay
 from ..relay.relay_server import RelayServer
+from ..relay.statement_relay import StatementRelay
 from ..serving.caller_session import CallerSession
 from ..serving.decision_log import DecisionLog
 from ..serving.directory import Directory
@@ -341,7 +341,7 @@
         )
         self._table_follower.on_reader_change = table_server.notify
         self._relay_server = RelayServer(self.directory, table_server.answer)
-        self._read_relay = ReadRelay(
+        self._statement_relay = StatementRelay(
             self.directory, settings.availability_zone, clock, rng
         )
         self.callers = CallerServer(
@@ -500,7 +500,7 @@
             key_digest,
             self._identity,
             self.directory,
-            self._read_relay.run,
+            self._statement_relay,
             self._clock,
             self._rng,
             self._log,
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -1,7 +1,6 @@
 """Runs the statements of one caller."""
 
 import random
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import anyio
@@ -13,6 +12,7 @@
 from ..pool.requester import Requester
 from .decision_log import DecisionLog
 from .directory import Directory
+from .elsewhere import Elsewhere
 from .identity_check import IdentityCheck
 from .late_statement import log_late_statement
 from .open_transaction import OpenTransaction
@@ -27,12 +27,6 @@
 from .transaction_runner import TransactionRunner
 from .transaction_state import TransactionState
 
-# Gets for whom, the statement, the session, its route, when the statement arrived and
-# the position after the session's last commit; returns None if it is to be run here.
-RunElsewhere = Callable[
-    [Requester, Statement, SessionState, Route, timedelta, LogPosition | None],
-    Awaitable[Reply | None],
-]
 _LOCAL_KINDS = frozenset(
     {StatementKind.SET, StatementKind.PREPARE, StatementKind.DEALLOCATE}
 )
@@ -56,8 +50,8 @@
         Finds the organisation that has the key.
     directory : Directory
         Routes, and services by name.
-    run_elsewhere : callable
-        Runs a read at an instance that holds its service, unless this one does.
+    elsewhere : Elsewhere
+        Runs statements at instances that hold their services, unless this one does.
     clock : Clock
         Monotonic clock.
     rng : random.Random
@@ -71,6 +65,7 @@
         "_clock",
         "_database",
         "_directory",
+        "_elsewhere",
         "_identity",
         "_is_refused",
         "_key_digest",
@@ -78,7 +73,6 @@
         "_log",
         "_requester",
         "_rng",
-        "_run_elsewhere",
         "_stages",
         "_state",
         "_transaction",
@@ -91,7 +85,7 @@
         key_digest: bytes,
         identity: IdentityCheck,
         directory: Directory,
-        run_elsewhere: RunElsewhere,
+        elsewhere: Elsewhere,
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
@@ -103,7 +97,7 @@
         self._identity = identity
         self._is_refused = False
         self._directory = directory
-        self._run_elsewhere = run_elsewhere
+        self._elsewhere = elsewhere
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -191,7 +185,7 @@
         last_commit = self._last_commits.get(route.service)
         if not self._state.is_write(statement):
             with self._stages.measure(RELAY):
-                reply = await self._run_elsewhere(
+                reply = await self._elsewhere.run_read(
                     self._requester,
                     statement,
                     self._state,
@@ -317,6 +311,7 @@
             self._last_commits.get(transaction.route.service),
             self._directory,
             self._stages,
+            self._elsewhere,
         )
 
     def _record_metrics(
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -1,5 +1,6 @@
 """Runs one statement outside a transaction, with retries."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -248,6 +249,7 @@
             self._clock,
             self._stages,
         )
+        self._requester = replace(self._requester, is_charged=True)
         # The timeout starts here: the wait for a connection does not show that the
         # database is slow.
         answer_by = min(deadline, self._clock.now() + timeout)
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -1,5 +1,6 @@
 """Runs the statements of one transaction on the connection checked out for it."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -11,6 +12,7 @@
 from ..retry.request_attempts import RequestAttempts
 from .await_min_position import await_min_position
 from .directory import Directory
+from .elsewhere import Elsewhere
 from .error_outcome import NOT_RUN, RETRYABLE, get_attempt_outcome
 from .leader_verifier import LEADERLESS_WAIT_FRACTION
 from .link_checkout import check_out_link, return_link
@@ -21,7 +23,7 @@
 from .served_database import ServedDatabase
 from .session_state import SessionState
 from .single_statement import MAX_LEADER_CHECK_AGE
-from .stage_times import BEGIN, PAUSE, PROOF, RUN, StageTimes
+from .stage_times import BEGIN, PAUSE, PROOF, RELAY, RUN, StageTimes
 from .statement import Statement
 from .statement_kind import StatementKind
 from .transaction_state import TransactionState
@@ -46,11 +48,15 @@
         Leader checks, retry budgets, clock and log.
     stages : StageTimes
         Receives how long the stages of its statements take.
+    elsewhere : Elsewhere or None, default=None
+        Opens the transaction at an instance that holds the service; None to open it
+        here.
     """
 
     __slots__ = (
         "_clock",
         "_directory",
+        "_elsewhere",
         "_last_commit",
         "_requester",
         "_session",
@@ -66,8 +72,10 @@
         last_commit: LogPosition | None,
         directory: Directory,
         stages: StageTimes,
+        elsewhere: Elsewhere | None = None,
     ):
         self._stages = stages
+        self._elsewhere = elsewhere
         self._requester = requester
         self._transaction = transaction
         self._session = session
@@ -104,6 +112,9 @@
     async def _run_first_statement(
         self, statement: Statement, arrived_at: timedelta, deadline: timedelta
     ) -> Reply:
+        reply = await self._open_elsewhere(statement, arrived_at)
+        if reply is not None:
+            return reply
         service = self._transaction.service
         retry_budget = self._directory.retry_budget(service.name)
         attempts = RequestAttempts(
@@ -134,6 +145,25 @@
             with self._stages.measure(PAUSE):
                 await anyio.sleep(pause.total_seconds())
 
+    async def _open_elsewhere(
+        self, statement: Statement, arrived_at: timedelta
+    ) -> Reply | None:
+        """Open the transaction at another instance; None if it is to be opened here."""
+        if self._elsewhere is None or statement.kind is StatementKind.COMMIT:
+            return None
+        with self._stages.measure(RELAY):
+            reply = await self._elsewhere.open_transaction(
+                self._requester,
+                statement,
+                self._session,
+                self._transaction,
+                arrived_at,
+                self._last_commit,
+            )
+        if reply is not None and self._session.is_write(statement):
+            self._transaction.has_written = True
+        return reply
+
     async def _open_transaction(
         self, arrived_at: timedelta, deadline: timedelta
     ) -> None:
@@ -217,6 +247,7 @@
             self._stages,
         )
         transaction.served = served
+        self._requester = replace(self._requester, is_charged=True)
 
     async def _begin(
         self, is_read_only: bool, min_position, deadline: timedelta
