--- a/goldcrestpond/endpoint/connection_pool.py
+++ b/goldcrestpond/endpoint/connection_pool.py
@@ -2,7 +2,7 @@
 
 import itertools
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -213,6 +213,15 @@
             raise
         return self._get_result(waiter)
 
+    def may_open_ahead(self) -> bool:
+        """Return whether there is room for a connection that nobody waits for."""
+        return self._decisions.may_open_ahead(self._clock.now())
+
+    def open_ahead(self, organisations: Iterable[str]) -> None:
+        """Open a connection for the first of the organisations that has none."""
+        actions = self._decisions.open_ahead(organisations, self._clock.now())
+        self._apply(actions)
+
     def release(self, connection: PooledLink) -> None:
         """Return a checked-out connection to the pool; a broken one is closed."""
         now = self._clock.now()
--- a/goldcrestpond/pool/database_pool.py
+++ b/goldcrestpond/pool/database_pool.py
@@ -1,5 +1,6 @@
 """State machine of the connection pool of one database on one instance."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from ..errors.result_code import ResultCode
@@ -201,6 +202,28 @@
         displaced = self._queues.refuse_displaced(request.lane, now)
         return [*displaced, *self._schedule(now)]
 
+    def may_open_ahead(self, now: timedelta) -> bool:
+        """Return whether there is room for a connection that nobody waits for."""
+        return self._scheduler.may_open_ahead(self._compute_room(now))
+
+    def open_ahead(
+        self, organisations: Iterable[str], now: timedelta
+    ) -> list[PoolAction]:
+        """Open a connection for the first of the organisations that has none.
+
+        To be called now and then with the organisations whose requests are expected,
+        in order of their rates. Does nothing while requests wait.
+        """
+        if not self.may_open_ahead(now):
+            return []
+        self._has_organisations = True
+        room = self._compute_room(now)
+        for organisation in organisations:
+            opened = self._scheduler.open_ahead(organisation, room, self._term, now)
+            if opened is not None:
+                return [opened]
+        return []
+
     def cancel_request(self, request_id: int, now: timedelta) -> list[PoolAction]:
         """Remove a waiting request that its caller has cancelled."""
         if self._queues.remove(request_id) is None:
@@ -661,10 +684,13 @@
             grant = GrantConnection(request.request_id, connection.connection_id)
             actions.append(grant)
 
-    def _needs_check(self, connection: PooledConnection, now: timedelta) -> bool:
+    def _needs_check(
+        self, connection: PooledConnection, now: timedelta, is_repeatable: bool = False
+    ) -> bool:
         inactive_time = now - connection.last_active_at
-        is_unconfirmed = connection.last_active_at <= self._last_stall_at
-        if is_unconfirmed or inactive_time > self._settings.idle_check_after:
+        if connection.last_active_at <= self._last_stall_at:
+            return True
+        if inactive_time > self._settings.idle_check_after and not is_repeatable:
             return True
         if not connection.organisation:
             return False
--- a/goldcrestpond/pool/organisation_scheduler.py
+++ b/goldcrestpond/pool/organisation_scheduler.py
@@ -9,6 +9,7 @@
 from .connection_state import ConnectionState
 from .connection_table import ConnectionTable
 from .grant_connection import GrantConnection
+from .lane import Lane
 from .lane_queues import LaneQueues
 from .lane_slots import LaneSlots
 from .open_connection import OpenConnection
@@ -49,7 +50,8 @@
     ConnectionState.BUSY,
     ConnectionState.CHECKING,
 )
-NeedsCheck = Callable[[PooledConnection, timedelta], bool]
+# Gets the connection, the time, and whether what it is for may run twice.
+NeedsCheck = Callable[[PooledConnection, timedelta, bool], bool]
 
 
 class OrganisationScheduler:
@@ -193,6 +195,31 @@
             return True
         return room.may_close and self._connections.count(ConnectionState.IDLE) > 0
 
+    def may_open_ahead(self, room: OpeningRoom) -> bool:
+        """Return whether a connection may be opened that nobody waits for.
+
+        Only while nobody waits and both a slot and room are free, the reserve aside;
+        none is closed for it.
+        """
+        is_idle = not len(self._queues) and self._slots.admits(Lane.SHORT)
+        return is_idle and room.free_count > RESERVE_COUNT
+
+    def open_ahead(
+        self, organisation: str, room: OpeningRoom, term: int, now: timedelta
+    ) -> OpenConnection | None:
+        """Open the first connection of an organisation before anybody waits for it.
+
+        None if it has one. `may_open_ahead` tells when this may be called.
+        """
+        if any(True for _ in self._connections.of_organisation(organisation)):
+            return None
+        connection = self._connections.add(term, now, organisation)
+        connection.lane = Lane.SHORT
+        connection.occupies_slot = True
+        self._slots.start(Lane.SHORT)
+        self._orphans[connection.connection_id] = connection
+        return OpenConnection(connection.connection_id, term, organisation)
+
     def finish(self, connection: PooledConnection, now: timedelta) -> list[PoolAction]:
         """Grant a connection that was opened or checked to the request it was for.
 
@@ -266,7 +293,8 @@
             if idle is None or not self._slots.admits(connection.lane):
                 continue
             is_checked = connection.state is ConnectionState.CHECKING
-            if is_checked and self._needs_check(idle, now):
+            is_repeatable = connection.request.requester.is_repeatable
+            if is_checked and self._needs_check(idle, now, is_repeatable):
                 continue
             request = self._release_request(connection)
             self._slots.start(request.lane)
@@ -277,7 +305,7 @@
         self, connection: PooledConnection, request: SlotRequest, now: timedelta
     ) -> PoolAction:
         """Grant or check an idle connection for a request that occupies a slot."""
-        if self._needs_check(connection, now):
+        if self._needs_check(connection, now, request.requester.is_repeatable):
             self._bind(connection, request)
             self._connections.move(connection, ConnectionState.CHECKING, now)
             return CheckConnection(connection.connection_id)
--- a/goldcrestpond/pool/requester.py
+++ b/goldcrestpond/pool/requester.py
@@ -17,6 +17,9 @@
     weight : float
         Part of a database's room that the organisation may claim, relative to others
         that wait.
+    is_repeatable : bool
+        Whether what it runs may run twice. A connection that was idle for a while is
+        used for it without a check: if it has been lost, another attempt follows.
     is_charged : bool
         Whether the operation was charged to the organisation's rate already, by an
         earlier attempt that did not run.
@@ -25,4 +28,5 @@
     session: str
     organisation: str = ""
     weight: float = 1.0
+    is_repeatable: bool = False
     is_charged: bool = False
--- a/goldcrestpond/rates/organisation_rate.py
+++ b/goldcrestpond/rates/organisation_rate.py
@@ -37,6 +37,8 @@
     """
 
     __slots__ = (
+        "_lower",
+        "_lower_due_at",
         "_organisation",
         "_promised_at",
         "is_limited",
@@ -51,6 +53,9 @@
         self.is_limited = False
         self.refusals = RefusalCount()
         self._organisation: Organisation | None = None
+        # A lower limit that is not in force yet.
+        self._lower: Organisation | None = None
+        self._lower_due_at = NEVER
         self._promised_at = NEVER
 
     @property
@@ -64,11 +69,37 @@
         return self.main.history.is_settled and self.reserve.history.is_settled
 
     def set_limit(
-        self, organisation: Organisation, bound: RateBound, now: timedelta
+        self,
+        organisation: Organisation,
+        bound: RateBound,
+        now: timedelta,
+        lowering_delay: timedelta = timedelta(0),
     ) -> None:
-        """Apply the organisation's limit; a lower one holds at once."""
-        if organisation == self._organisation:
+        """Apply the organisation's limit; a lower one after a delay.
+
+        Of several lower ones that come one after the other, the last is applied after
+        the delay of the first.
+        """
+        former = self._organisation
+        if organisation == former:
+            self._lower = None
+            return
+        if former is not None and _is_lower(organisation, former) and lowering_delay:
+            if self._lower is None:
+                self._lower_due_at = now + lowering_delay
+            self._lower = organisation
             return
+        self._apply_limit(organisation, bound, now)
+
+    def apply_lower_limit(self, bound: RateBound, now: timedelta) -> None:
+        """Apply a lower limit whose delay is over."""
+        if self._lower is not None and now >= self._lower_due_at:
+            self._apply_limit(self._lower, bound, now)
+
+    def _apply_limit(
+        self, organisation: Organisation, bound: RateBound, now: timedelta
+    ) -> None:
+        self._lower = None
         self._organisation = organisation
         rate, burst = organisation.rate_per_s, organisation.burst
         self.is_limited = math.isfinite(rate) and math.isfinite(burst)
@@ -124,3 +155,9 @@
         at = max(at, self._promised_at + spacing)
         self._promised_at = min(at, now + RETRY_AFTER_LIMIT)
         return self._promised_at - now
+
+
+def _is_lower(organisation: Organisation, former: Organisation) -> bool:
+    return (
+        organisation.rate_per_s < former.rate_per_s or organisation.burst < former.burst
+    )
--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -49,6 +49,9 @@
         Returns the state of the tables, which differs after each change of a row, and
         after the tables were read as a whole; None if unknown. If it is the same after
         the tables were too old, shares go on at once.
+    lowering_delay : timedelta, default=0
+        After which a lower limit is applied: callers are owed the former one until the
+        change must be in force.
 
     Attributes
     ----------
@@ -66,6 +69,7 @@
         "_has_lapsed",
         "_is_proven",
         "_log",
+        "_lowering_delay",
         "_pending",
         "_proof_limit",
         "_rates",
@@ -90,8 +94,10 @@
         log: DecisionLog,
         read_age: Callable[[], timedelta | None],
         read_version: Callable[[], TableVersion | None] = lambda: None,
+        lowering_delay: timedelta = timedelta(0),
     ):
         self._bound = bound
+        self._lowering_delay = lowering_delay
         self._proof_limit = proof_limit
         self._is_proven = is_proven
         self._log = log
@@ -149,7 +155,7 @@
                 rate = self._rates[name] = OrganisationRate()
                 role = roles.get(name, _NO_ROLE)
                 self._set_role(name, rate, role, self._seen_until, now)
-            rate.set_limit(organisation, self._bound, now)
+            rate.set_limit(organisation, self._bound, now, self._lowering_delay)
 
     def set_roles(
         self,
@@ -229,6 +235,7 @@
             self._refuse_unknown(organisation, now)
         if not self._observe(now):
             self._refuse(organisation, rate, is_standby, now, "tables too old")
+        rate.apply_lower_limit(self._bound, now)
         if not rate.is_limited:
             return Charge(organisation, now, None)
         if organisation in self._changing:
--- a/goldcrestpond/relay/holder.py
+++ b/goldcrestpond/relay/holder.py
@@ -53,6 +53,8 @@
         Outcomes of the requests to it.
     checkout_count : int
         Connections of the holder that are checked out or being requested.
+    has_opened : bool
+        Whether a channel was opened yet.
     watch : HolderWatch
         Whether it answers; used for requests that name an organisation.
     """
@@ -65,6 +67,7 @@
         "address",
         "availability_zone",
         "checkout_count",
+        "has_opened",
         "health",
         "name",
         "watch",
@@ -84,6 +87,7 @@
         self.availability_zone = availability_zone
         self.health = EndpointHealth()
         self.checkout_count = 0
+        self.has_opened = False
         self._clock = clock
         # Idle channels, each with the time of its release, when it last worked.
         self._idle: list[tuple[Channel, timedelta]] = []
@@ -124,6 +128,19 @@
             self.health.record_failure(self._clock.now())
             raise
 
+    async def open_ahead(self) -> None:
+        """Open a channel before it is needed, if none was opened yet.
+
+        It is not awaited by anybody: what it finds out is left to those who ask.
+        """
+        if self.has_opened:
+            return
+        try:
+            channel = await self._open()
+        except CodedError:
+            return  # the next request notices it too, and logs it
+        await self.release_channel(channel)
+
     async def release_channel(self, channel: Channel) -> None:
         """Keep a channel without an outstanding request for reuse, or close it."""
         if not channel.is_broken and len(self._idle) < MAX_IDLE_CHANNELS:
@@ -283,4 +300,5 @@
             detail = f"{self.name} at {self.address}: {error}"
             raise CodedError(ResultCode.PEER_UNREACHABLE, detail) from error
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
+        self.has_opened = True
         return Channel(stream)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -82,7 +82,13 @@
 ABSENT_CHECK_INTERVAL_S = 0.5
 # Several times within the greatest age of the tables by which rates are spent.
 RATE_OBSERVATION_INTERVAL_S = 0.25
+# Callers are owed what a former limit allows until a change must be in force; a lower
+# one is applied this part of that time after it is known here. The rest is for the way
+# of the change to an instance in touch.
+LOWER_LIMIT_DELAY_FRACTION = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0  # a changed file applies within seconds without SIGHUP
+# Between connections that are opened at a database before they are needed.
+OPEN_AHEAD_INTERVAL_S = 0.5
 # File descriptors that callers may not use: for files (200 according to the platform),
 # for connections to databases, holders and the store, and for probes.
 RESERVED_DESCRIPTORS = 800
@@ -272,6 +278,8 @@
                 log,
                 self._rate_proof.age,
                 self.directory.state_version,
+                timedelta(milliseconds=settings.apply_limit_ms)
+                * LOWER_LIMIT_DELAY_FRACTION,
             )
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         times = _table_times(settings, self._rate_proof.limit)
@@ -437,6 +445,7 @@
         tasks.start_loop(self._remove_unlisted_periodically)
         tasks.start_loop(self._mark_absent_periodically)
         tasks.start_loop(self._observe_rates_periodically)
+        tasks.start_loop(self._open_ahead_periodically)
         await self._listen(
             self._settings.ready_listen, self._ready_server.serve_connection
         )
@@ -552,6 +561,11 @@
             await anyio.sleep(UNLISTED_CHECK_INTERVAL_S)
             self.directory.remove_unlisted()
 
+    async def _open_ahead_periodically(self) -> None:
+        while not self._is_stopping:
+            await anyio.sleep(OPEN_AHEAD_INTERVAL_S)
+            self.directory.open_ahead()
+
     async def _observe_rates_periodically(self) -> None:
         while True:
             await anyio.sleep(RATE_OBSERVATION_INTERVAL_S)
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -66,6 +66,9 @@
 # A share of connections that grows is taken this much later: changes of the members
 # and of the configuration reach all instances within about this time.
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
+# Channels to so many holders are opened before they are needed, so many at a time.
+AHEAD_HOLDERS_MAX = 32
+AHEAD_CHANNELS_COUNT = 4
 # A log line names at most this many organisations.
 LOGGED_NAMES_MAX = 10
 OpenLink = Callable[..., Awaitable[Link]]
@@ -384,6 +387,23 @@
                 served.database = database
             service.notify_change()
 
+    def open_ahead(self) -> None:
+        """Open channels to holders, and connections for organisations of this home."""
+        self._open_channels_ahead()
+        if self.homes.organisations is None or not self._is_member:
+            return
+        for service in self.services.values():
+            if self.holds(service.name):
+                service.open_ahead(self.homes.expected(service.name))
+
+    def _open_channels_ahead(self) -> None:
+        names = {name for names in self._placed.values() for name in names}
+        members = map(self._find_other_member, sorted(names)[:AHEAD_HOLDERS_MAX])
+        holders = [self._holders.peer(member) for member in members if member]
+        unopened = [holder for holder in holders if not holder.has_opened]
+        for holder in unopened[:AHEAD_CHANNELS_COUNT]:
+            self._tasks.start_soon(holder.open_ahead)
+
     def remove_unlisted(self) -> None:
         """Remove databases that were unlisted for longer than the grace time."""
         if self.registry.remove_unlisted(self.clock.now()):
--- a/goldcrestpond/serving/home_table.py
+++ b/goldcrestpond/serving/home_table.py
@@ -149,6 +149,12 @@
                 roles[organisation] = RateRole(0.0, 1.0)
         return roles
 
+    def expected(self, service: str) -> list[str]:
+        """Return the organisations that have a home here, the largest first."""
+        homes = self._by_service.get(service, {})
+        here = [name for name in homes if self._instance in homes[name].homes]
+        return sorted(here, key=lambda name: (-self._parts[name], name))
+
     def holder_parts(self, service: str) -> dict[str, float]:
         """Return the part of all rates that has its home at each holder of a service.
 
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -349,6 +349,28 @@
         chosen = choose_database(candidates, self._rng)
         return None if chosen is None else self.databases[chosen.database_id]
 
+    def open_ahead(self, organisations: Iterable[str]) -> None:
+        """Open connections where the next operations of organisations will need them.
+
+        At the leader, for their writes, and at the replica that their reads prefer; one
+        a call at each database.
+        """
+        leader_id = self.leadership.leader_id
+        served = self.databases.values()
+        if not any(each.pool.local_pool.may_open_ahead() for each in served):
+            return
+        preferred: dict[str, list[str]] = {each.database_id: [] for each in served}
+        for organisation in organisations:
+            if leader_id in preferred:
+                preferred[leader_id].append(organisation)
+            order = self._rank(served, organisation)
+            first = min(order, key=order.__getitem__, default=leader_id)
+            if first != leader_id:
+                preferred[first].append(organisation)
+        for each in served:
+            if self._registry.leaving_since(each.database_id) is None:
+                each.pool.local_pool.open_ahead(preferred[each.database_id])
+
     def _rank(
         self, admitted: Iterable[ServedDatabase], organisation: str
     ) -> dict[str, int]:
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -83,7 +83,8 @@
         stages: StageTimes,
     ):
         self._stages = stages
-        self._requester = requester
+        is_write = session.is_write(statement)
+        self._requester = replace(requester, is_repeatable=not is_write)
         self._statement = statement
         self._session = session
         self._route = route
@@ -92,7 +93,7 @@
         self._arrived_at = timedelta(0)
         self._timed_out_count = 0
         self._clock = directory.clock
-        self._is_write = session.is_write(statement)
+        self._is_write = is_write
 
     async def run(
         self, arrived_at: timedelta, last_commit: LogPosition | None
