--- a/goldcrestpond/cli/instance.py
+++ b/goldcrestpond/cli/instance.py
@@ -2,6 +2,14 @@
 
 import os
 import sys
+import time
+
+# Read before the imports that take most of a start: on a slow machine they take as long
+# as a second.
+_STARTED_AT_S = time.clock_gettime(time.CLOCK_BOOTTIME)
+
+# ruff: noqa: E402
+from datetime import timedelta
 
 import anyio
 
@@ -15,7 +23,7 @@
     """Run until SIGTERM, with the settings file that the environment names."""
     path = os.environ.get(PATH_VARIABLE, "")
     try:
-        anyio.run(run_instance, path)
+        anyio.run(run_instance, path, timedelta(seconds=_STARTED_AT_S))
     except* CodedError as group:
         error = group.exceptions[0]
         print(error, file=sys.stderr)
--- a/goldcrestpond/rates/rate_meter.py
+++ b/goldcrestpond/rates/rate_meter.py
@@ -49,6 +49,9 @@
         Returns the state of the tables, which differs after each change of a row, and
         after the tables were read as a whole; None if unknown. If it is the same after
         the tables were too old, shares go on at once.
+    started_at : timedelta or None, default=None
+        When this process started, if known. A share that an earlier run of it spent
+        has earned since then what nobody has spent.
     lowering_delay : timedelta, default=0
         After which a lower limit is applied: callers are owed the former one until the
         change must be in force.
@@ -79,6 +82,7 @@
         "_seen_until",
         "_seen_version",
         "_settled_at",
+        "_started_at",
         "_unknown_refusals",
         "_version",
         "refused_count",
@@ -95,7 +99,9 @@
         read_age: Callable[[], timedelta | None],
         read_version: Callable[[], TableVersion | None] = lambda: None,
         lowering_delay: timedelta = timedelta(0),
+        started_at: timedelta | None = None,
     ):
+        self._started_at = started_at
         self._bound = bound
         self._lowering_delay = lowering_delay
         self._proof_limit = proof_limit
@@ -183,7 +189,8 @@
             Whether the table gave these roles to this instance for at least
             ``proof_limit``, and an earlier run of it spent them. Counts in the first
             call only, for the organisations that `set_limits` named before; their
-            shares then begin at once, and empty.
+            shares then begin at once, with what they have earned since the start of
+            this process.
         """
         after = self._seen_until
         is_resumed = is_resumed and self._roles is None
@@ -194,9 +201,16 @@
             self._set_role(name, rate, role, after, now)
             if is_resumed:
                 self._note_changing(name, rate)
-                rate.main.history.begin(role.main_share)
+                if role.main_share > 0:
+                    rate.main.resume(role.main_share, self._idle_since(now), now)
                 rate.reserve.history.begin(role.standby_share)
 
+    def _idle_since(self, now: timedelta) -> timedelta:
+        """Return since when no run of this process has spent anything, for sure."""
+        if self._started_at is None:
+            return now
+        return max(self._started_at, now - self._proof_limit)
+
     def observe(self, now: timedelta) -> None:
         """Note the age of the tables, and begin and end shares.
 
--- a/goldcrestpond/rates/rate_pot.py
+++ b/goldcrestpond/rates/rate_pot.py
@@ -83,6 +83,13 @@
         self._apply(share, now)
         self._bucket.put(tokens_millionths, now)
 
+    def resume(self, share: float, since: timedelta, now: timedelta) -> None:
+        """Begin a share at once, with what it has earned since a time."""
+        earned_count = (
+            share * self._rate_per_s * max(0.0, (now - since).total_seconds())
+        )
+        self.begin(share, int(earned_count * 1e6), now)
+
     def _apply(self, share: float, now: timedelta) -> None:
         self.share = share
         if share > 0 and self._bucket is None:
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -99,13 +99,15 @@
 BACKLOG = 512  # callers that reconnect at the same time after a restart
 
 
-async def run_instance(path: str) -> None:
+async def run_instance(path: str, started_at: timedelta) -> None:
     """Serve callers until SIGTERM; reload the settings on SIGHUP.
 
     Parameters
     ----------
     path : str
         Path of the settings file.
+    started_at : timedelta
+        When the process started, by the system's clock.
     """
     settings = load_instance_settings(path)
     clock = SystemClock()
@@ -115,7 +117,7 @@
     )
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
-            instance = Instance(settings, clock, log, tasks)
+            instance = Instance(settings, clock, log, tasks, started_at)
             await instance.start()
             instance.watch_settings(path)
             async for received_signal in signals:
@@ -161,6 +163,8 @@
         Sink of logged decisions.
     tasks : TaskGroup
         Runs the servers and background tasks.
+    started_at : timedelta or None, default=None
+        When the process started; None if that is now.
 
     Attributes
     ----------
@@ -180,7 +184,9 @@
         clock: Clock,
         log: DecisionLog,
         tasks: TaskGroup,
+        started_at: timedelta | None = None,
     ):
+        started_at = clock.now() if started_at is None else started_at
         rng = random.Random()
         metrics = Metrics()
         self._settings = settings
@@ -280,6 +286,7 @@
                 self.directory.state_version,
                 timedelta(milliseconds=settings.apply_limit_ms)
                 * LOWER_LIMIT_DELAY_FRACTION,
+                started_at,
             )
         registry_handler = RegistryRowHandler(self.directory, era, clock, log)
         times = _table_times(settings, self._rate_proof.limit)
--- a/goldcrestpond/serving/connection_share.py
+++ b/goldcrestpond/serving/connection_share.py
@@ -80,6 +80,23 @@
     return max(MIN_SHARE_STATEMENTS, min(share, part))
 
 
+def restart_share(connection_limit: int, holders: int) -> int:
+    """Return how many connections one holder opens right after its start.
+
+    If all holders have lost power, the database still counts their former connections:
+    only the part that is left free for restarts is there, for all of them.
+
+    Parameters
+    ----------
+    connection_limit : int
+        Connections that a database accepts from all its clients together.
+    holders : int
+        Instances that hold connections to it.
+    """
+    free = math.floor(connection_limit * RESTART_RESERVE_FRACTION)
+    return max(MIN_SHARE_CONNECTIONS, free // max(1, holders))
+
+
 def weigh_holders(
     holders: Sequence[str], home_parts: Mapping[str, float]
 ) -> dict[str, float]:
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -37,6 +37,7 @@
     connection_share,
     divide_connections,
     holder_count,
+    restart_share,
     statement_share,
     weigh_holders,
     weighted_statement_share,
@@ -66,6 +67,9 @@
 # A share of connections that grows is taken this much later: changes of the members
 # and of the configuration reach all instances within about this time.
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
+# A database counts the connections of instances that lost power for 3 s; these are back
+# a second later at the earliest.
+RESTART_SPAN = timedelta(seconds=2)
 # Channels to so many holders are opened before they are needed, so many at a time.
 AHEAD_HOLDERS_MAX = 32
 AHEAD_CHANNELS_COUNT = 4
@@ -118,6 +122,7 @@
         "_meter_client",
         "_open_link",
         "_placed",
+        "_restart_ends_at",
         "_retry_budgets",
         "_roles",
         "_settings",
@@ -173,6 +178,7 @@
         self._absent: frozenset[str] = frozenset()
         self._has_left = False
         self._roles: dict[str, RateRole] = {}
+        self._restart_ends_at = clock.now() + RESTART_SPAN
         self._is_listed = True
         self._was_listed_at_start = False
         self.homes = HomeTable(settings.instance)
@@ -590,6 +596,8 @@
         elif self.homes.organisations is not None:
             target, statements = self._compute_home_share(database, limits)
             present = self._shares.get(database.database_id, 0)
+            if self.clock.now() < self._restart_ends_at:
+                present = restart_share(limits.connection_limit, holders)
             share = target
             if target > present and not may_grow:
                 # Other holders, whose share falls, close their connections first.
@@ -626,7 +634,8 @@
             return
         self._growth_targets[database_id] = target
         is_scheduled = database_id in self._growth_due_at
-        self._growth_due_at[database_id] = self.clock.now() + SHARE_GROWTH_DELAY
+        due_at = self.clock.now() + SHARE_GROWTH_DELAY
+        self._growth_due_at[database_id] = max(due_at, self._restart_ends_at)
         if not is_scheduled:
             self._tasks.start_soon(self._grow_share, database_id)
 
--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    source : Path or None
+        Folder with the package to run at the next start; None for this one.
     restart_lock : anyio.Lock
         Held while a fault stops and restarts the process, so that overlapping
         faults do not start it twice.
@@ -43,6 +45,7 @@
         self._log_path = folder / f"{name}.log"
         self._path.write_text(json.dumps(settings), encoding="utf-8")
         self.restart_lock = anyio.Lock()
+        self.source: Path | None = None
         self._child: subprocess.Popen | None = None
 
     @property
@@ -73,6 +76,7 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
+                cwd=self.source,  # searched before what is installed
             )
 
     def send_signal(self, signal_number: signal.Signals) -> None:
@@ -80,6 +84,11 @@
         if self.is_running:
             self._child.send_signal(signal_number)
 
+    async def wait_stopped(self) -> None:
+        """Wait until the process has ended."""
+        while self.is_running:
+            await anyio.sleep(0.02)
+
     def kill(self) -> None:
         """Kill the process, also if it is paused, and wait until it has exited."""
         if self._child is None:
--- a/tests/rates/rate_fleet.py
+++ b/tests/rates/rate_fleet.py
@@ -81,6 +81,7 @@
             self.log,
             self._read_age,
             self._read_version,
+            started_at=self.now,
         )
         self.meter.set_limits(fleet.organisations, self.now)
 
--- a/tests/serving/test_directory.py
+++ b/tests/serving/test_directory.py
@@ -18,6 +18,7 @@
 from goldcrestpond.serving.connection_share import (
     RESTART_RESERVE_FRACTION,
     connection_share,
+    restart_share,
 )
 from goldcrestpond.serving.directory import Directory
 from goldcrestpond.serving.fleet_protocol import PROTOCOL
@@ -74,6 +75,12 @@
     directory.apply_registry()
 
 
+@pytest.fixture(autouse=True)
+def no_restart(monkeypatch):
+    """Let shares grow as if the processes had run for long."""
+    monkeypatch.setattr(directory_module, "RESTART_SPAN", ms(0))
+
+
 @pytest.mark.parametrize("known_first", [0, 1, 2, 3])
 def test_instances_agree_on_holders_if_some_know_few_databases_first(known_first):
     """Start of a large fleet: the members are known before all databases are."""
@@ -172,6 +179,30 @@
     anyio.run(body)
 
 
+# Failure: all holders lose power and open their whole shares at once, while databases
+# still count the lost connections: the first one takes all that is left, and the others
+# have none for half a second and more.
+def test_all_holders_that_restart_begin_with_what_is_left_for_restarts(monkeypatch):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            directories = {m.name: _directory(m.name, tasks) for m in _MEMBERS[:3]}
+            for directory in directories.values():
+                _list_databases(directory, _DATABASES)
+                directory.set_members(_MEMBERS[:3])
+                directory.apply_table(_organisation_table(1, {"a": 5.0, "b": 5.0}))
+            begun = [_shares(directory)[0] for directory in directories.values()]
+            assert_that(begun, Equals([restart_share(48, 3)] * 3))
+            assert_that(sum(begun) <= 48 * RESTART_RESERVE_FRACTION, Equals(True))
+            await anyio.sleep(0.25)
+            grown = [_shares(directory)[0] for directory in directories.values()]
+            assert_that(sum(grown) > sum(begun), Equals(True))
+            tasks.cancel_scope.cancel()
+
+    monkeypatch.setattr(directory_module, "SHARE_GROWTH_DELAY", ms(20))
+    monkeypatch.setattr(directory_module, "RESTART_SPAN", ms(150))
+    anyio.run(body)
+
+
 # Failure: a share never grows while the configuration changes often.
 def test_changes_that_leave_the_target_do_not_put_off_the_growth(monkeypatch):
     async def body():
