Log what tells the incident's hypotheses apart

The lines of a failover didn't say whether commits were blocked when a promotion was ordered, which databases were missing, when the platform accepted the order, when the takeover was seen and of whom, who resumed which replicas for what reason and how old the claim was then, or since when a wait counted that let an attempt choose without proof. Adds these to "promotion ordered" and "leader proved", and the lines "promotion accepted", "takeover seen", "takeover not seen", "replicas resumed", "commits blocked" and "wait for acknowledged commits over". No decision changes. tests/serving passes.

--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -34,6 +34,7 @@
 PAUSE_ATTEMPTS_MAX = 3
 CATCH_UP_TIMEOUT = timedelta(milliseconds=1000)
 CATCH_UP_POLL_S = 0.02
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,7 +180,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 if not is_requested:
-                    await self._resume(self._paused)
+                    await self._resume(self._paused, "given up")
                     if self._has_blocked_commits:
                         await self._commit_blocker.unblock_commits(self._claim.service)
                 await self._close()
@@ -189,7 +190,7 @@
         """Resume the replicas that are still paused after a promotion."""
         reports = await self._request_reports(self._databases, _report)
         still_paused = {i: r for i, r in reports.items() if r.paused_term}
-        await self._resume(still_paused)
+        await self._resume(still_paused, "promotion requested")
         await self._close()
 
     async def _replace(self) -> bool:
@@ -380,6 +381,9 @@
             term=term,
             planned=self._previous.is_leaving,
             paused={i: str(r.received) for i, r in self._paused.items()},
+            unlisted=sorted(self._unlisted_ids()),
+            has_blocked_commits=self._has_blocked_commits,
+            claim_age_ms=self._claim_age_ms(),
         )
         for _ in range(PROMOTE_ATTEMPTS_MAX):
             try:
@@ -397,6 +401,12 @@
                 if not self._is_claim_usable():
                     break
                 continue
+            self._log.decision(
+                "promotion accepted",
+                service=claim.service,
+                token=claim.token,
+                claim_age_ms=self._claim_age_ms(),
+            )
             return True
         # The promotion may still be carried out: the paused replicas stay paused until
         # it is, or until the next attempt.
@@ -405,12 +415,24 @@
     def _is_claim_usable(self) -> bool:
         return self._claim.is_usable(self._clock.now(), self._era.current)
 
-    async def _resume(self, reports: dict[str, DatabaseReport]) -> None:
+    def _claim_age_ms(self) -> int:
+        return (self._clock.now() - self._claim.claimed_at) // _MILLISECOND
+
+    async def _resume(self, reports: dict[str, DatabaseReport], reason: str) -> None:
         async def resume_replication(link: Link) -> DatabaseReport:
             return await link.resume_replication()
 
         databases = {i: self._databases[i] for i in reports}
         resumed = await self._request_reports(databases, resume_replication)
+        if resumed:
+            self._log.decision(
+                "replicas resumed",
+                service=self._claim.service,
+                token=self._claim.token,
+                claim_age_ms=self._claim_age_ms(),
+                paused_terms={i: r.paused_term for i, r in reports.items()},
+                reason=reason,
+            )
         for database_id in reports.keys() - resumed.keys():
             self._log.decision("replica not resumed", database=database_id)
 
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -48,6 +48,7 @@
 LOSSLESS_FAILOVER_WAIT = timedelta(seconds=30)
 TAKEOVER_TIMEOUT = timedelta(milliseconds=3500)
 TAKEOVER_POLL_INTERVAL = timedelta(milliseconds=50)
+_MILLISECOND = timedelta(milliseconds=1)
 
 OpenLink = Callable[[Database], Awaitable[Link]]
 
@@ -315,19 +316,39 @@
         if epoch != service.leadership.epoch:
             self._lossy_since.pop(service.name, None)
             return False
-        return self._clock.now() - since >= LOSSLESS_FAILOVER_WAIT
+        waited = self._clock.now() - since
+        if waited >= LOSSLESS_FAILOVER_WAIT:
+            newest = service.leadership.newest_sample()
+            self._log.decision(
+                "wait for acknowledged commits over",
+                service=service.name,
+                epoch=epoch,
+                waited_ms=waited // _MILLISECOND,
+                leader_proved_ms_ago=newest
+                and (self._clock.now() - newest.sampled_after) // _MILLISECOND,
+            )
+            return True
+        return False
 
     async def _wait_for_takeover(
         self, service: Service, previous_leader_id: str
     ) -> None:
         began_at = self._clock.now()
         leader_verifier = self._directory.leader_verifier(service.name)
-        while self._clock.now() - began_at < TAKEOVER_TIMEOUT:
+        is_seen = False
+        while not is_seen and self._clock.now() - began_at < TAKEOVER_TIMEOUT:
             leader_id = service.leadership.leader_id
-            if leader_id and leader_id != previous_leader_id:
-                return
-            leader_verifier.check_now()
-            await service.wait_change(TAKEOVER_POLL_INTERVAL)
+            is_seen = bool(leader_id) and leader_id != previous_leader_id
+            if not is_seen:
+                leader_verifier.check_now()
+                await service.wait_change(TAKEOVER_POLL_INTERVAL)
+        self._log.decision(
+            "takeover seen" if is_seen else "takeover not seen",
+            service=service.name,
+            leader=service.leadership.leader_id,
+            former=previous_leader_id,
+            after_ms=(self._clock.now() - began_at) // _MILLISECOND,
+        )
 
     def _replace_suspicions(self, rows) -> None:
         self._suspicions.replace(rows, self._clock.now(), self._era.current)
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -138,6 +138,8 @@
                 database=served.database_id,
                 position=position,
                 epoch=self.leadership.epoch,
+                unlisted=[each.database_id for each, _ in self.unlisted],
+                listed_as=served.database.role,
             )
             if had_leader:
                 served.pace.begin(PaceReason.LEADER, self._clock.now())
@@ -292,6 +294,15 @@
             return None
         now = self._clock.now()
         self.commit_tracker.block_commits(self.leadership.epoch, now)
+        self.log.decision(
+            "commits blocked",
+            service=self.name,
+            former=previous_leader_id,
+            leader=self.leadership.leader_id,
+            epoch=self.leadership.epoch,
+            acknowledged=str(self.commit_tracker.acknowledged),
+            is_idle=self.commit_tracker.is_idle,
+        )
         deadline = now + max_wait
         while not self.commit_tracker.is_idle:
             if self._clock.now() >= deadline:
