Model failovers of several instances, and reproduce commits that they lose

Cause: the present model plays one attempt at a time, so that no test showed what happens when several instances, restarts, returns and pending promotions overlap. Change: a world in virtual time with simulated databases, the platform's call, the store and connections, in which whole instances run the product's decisions; a scenario for each fault of the incident of 2026-12-04.

--- /dev/null
+++ b/tests/serving/test_failover_incident.py
@@ -0,0 +1,211 @@
+"""Scenarios in which failovers lost acknowledged commits, one for each fault."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from .failover_world import play
+
+START_S = 4.0  # nothing is claimed in the first seconds of a process
+BACK_S = 10.0  # writes come back within this time after the last fault
+
+
+def assert_kept(world):
+    """No acknowledged commit is lost, and nothing else went wrong."""
+    assert_that(world.losses, Equals([]), world.story())
+    assert_that(world.errors + world.faults, Equals([]), world.story())
+
+
+def assert_writable(world, since_s, limit_s=BACK_S):
+    assert_that(world.longest_gap_s(since_s), LessThan(limit_s), world.story())
+
+
+async def until_pending(world):
+    await world.until(lambda: world.pending)
+
+
+# Failure: commits that only a replica has which starts while a promotion is pending are
+# lost; the old leader works, and is cut off from some instances only.
+def test_replica_that_starts_while_a_promotion_is_pending():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.cut(["i1", "i2"], "d1")
+        await until_pending(world)
+        world.start_replica("d4")
+        await anyio.sleep(3)
+        world.heal()
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: the leader is back under a new id while its successor's promotion is pending;
+# the block of commits ends with the epoch.
+@pytest.mark.parametrize("is_killed", [True, False])
+def test_leader_that_returns_while_a_promotion_is_pending(is_killed):
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.crash("d1", "d3")
+        await until_pending(world)
+        if is_killed:
+            await world.kill(world.claimant(), down_s=0)
+        await anyio.sleep(0.1)
+        world.restore("d1", "d3")
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: instances that all start again don't know of a replica that was lost before,
+# which had commits that the only other one lacks; the leader would be back with them.
+def test_replica_that_is_forgotten_at_a_restart():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.deafen("d2")
+        await anyio.sleep(0.7)
+        world.crash("d3", is_gone=True)
+        await anyio.sleep(3.6)
+        world.crash("d1")
+        await anyio.sleep(3)
+        await world.kill("i1", "i2", "i3", "i4", down_s=1)
+        await anyio.sleep(6)
+        world.heal()
+        world.restore("d1")
+        await anyio.sleep(BACK_S)
+
+    assert_kept(play(script))
+
+
+async def first_incident(world):
+    """Let a failover be given up: a replica and an instance can't be read."""
+    await anyio.sleep(START_S)
+    world.crash("d3")
+    await anyio.sleep(0.6)
+    world.freeze("i4", 5.0)
+    world.cut(["i1", "i2", "i3"], "d1")
+
+
+# Failure: the time for which an incident waited counts for a later one, in which a
+# replica that is behind is promoted at once.
+def test_wait_of_an_earlier_incident():
+    async def script(world):
+        await first_incident(world)
+        await anyio.sleep(3)
+        world.heal()
+        world.restore("d3")
+        await anyio.sleep(35)
+        world.deafen("d2")
+        await anyio.sleep(3)
+        world.crash("d1", "d3'")
+        await anyio.sleep(4)
+        world.heal()
+        world.restore("d1", "d3'")
+        await anyio.sleep(BACK_S)
+
+    assert_kept(play(script))
+
+
+# Failure: a replica that a killed instance had paused is resumed by nobody: once the
+# other replica is lost, writes fail, and later the log of the pause is promoted.
+def test_replica_that_a_killed_instance_had_paused():
+    async def script(world):
+        await first_incident(world)
+        await world.until(lambda: world.databases["d2"].paused_term)
+        await world.kill(world.claimant(), down_s=1)
+        await anyio.sleep(2)
+        world.heal()
+        world.restore("d3")
+        await anyio.sleep(4)
+        world.crash("d3'", is_gone=True)
+        await anyio.sleep(42)
+        world.crash("d1")
+        await anyio.sleep(7)
+        world.restore("d1")
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: a promotion that was not answered is carried out later, when the leader
+# is back and the candidate lacks what it has acknowledged since.
+def test_promotion_that_is_carried_out_late():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.lose_answers(3, late_s=5.5, wait_s=0.7)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        await anyio.sleep(1)
+        world.restore("d1")
+        await anyio.sleep(2)
+        world.deafen(world.events("promotion ordered")[0]["candidate"])
+        await anyio.sleep(5)
+        world.heal()
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: an attempt that wasn't answered ends by resuming the replicas, which another
+# instance has paused since, under its own claim, for a promotion that is pending.
+def test_attempt_that_resumes_what_another_has_paused():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.lose_answers(3, late_s=1e6, wait_s=0.4)
+        world.cut(["i1", "i2"], "d1")
+        await until_pending(world)
+        world.deafen(world.pending[0])
+        await anyio.sleep(3)
+        world.heal()
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_that(len(world.events("promotion ordered")) > 1, Equals(True))
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: an instance that starts again while a promotion is pending doesn't know that
+# commits are held back.
+def test_instance_that_starts_again_while_commits_are_held_back():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.crash("d3")
+        world.cut(["i1", "i2"], "d1")
+        await until_pending(world)
+        world.restore("d3")
+        await world.kill("i4", down_s=0.1)
+        await anyio.sleep(3)
+        world.heal()
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_that(len(world.events("commits held back")) > 0, Equals(True))
+    assert_kept(world)
+    assert_writable(world, START_S)
+
+
+# Failure: in a switchover the candidate becomes deaf, and a replica that starts before
+# the promotion takes effect receives commits that the candidate lacks.
+def test_replica_that_starts_during_a_switchover():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.databases["d1"].is_draining = True
+        await until_pending(world)
+        world.deafen(world.pending[0])
+        world.start_replica("d4")
+        await anyio.sleep(3)
+        world.heal()
+        await anyio.sleep(BACK_S)
+
+    world = play(script)
+    assert_kept(world)
+    assert_writable(world, START_S)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop whose time passes only while every task waits."""
 
 import asyncio
+import contextvars
 import selectors
 from datetime import timedelta
 
@@ -31,6 +32,49 @@
         return self.passed_s
 
 
+class Process:
+    """A simulated process: while it is frozen, none of its tasks and timers runs.
+
+    The tasks that are started where `PROCESS` is set to it belong to it.
+    """
+
+    def __init__(self):
+        self.is_frozen = False
+        self._deferred = []
+
+    def defer(self, context, callback, args):
+        self._deferred.append((context, callback, args))
+
+    def thaw(self):
+        self.is_frozen = False
+        deferred, self._deferred = self._deferred, []
+        for context, callback, args in deferred:
+            asyncio.get_running_loop().call_soon(callback, *args, context=context)
+
+
+PROCESS = contextvars.ContextVar("process", default=None)
+
+
+def _run_unless_frozen(context, callback, args):
+    process = PROCESS.get()
+    if process is not None and process.is_frozen:
+        process.defer(context, callback, args)
+    else:
+        callback(*args)
+
+
+class _ProcessLoop(_Loop):
+    def call_soon(self, callback, *args, context=None):
+        context = context or contextvars.copy_context()
+        gated = (context, callback, args)
+        return super().call_soon(_run_unless_frozen, *gated, context=context)
+
+    def call_at(self, when, callback, *args, context=None):
+        context = context or contextvars.copy_context()
+        gated = (context, callback, args)
+        return super().call_at(when, _run_unless_frozen, *gated, context=context)
+
+
 class LoopClock(ManualClock):
     """Clock of the virtual loop; starts at a time as on a machine up for weeks."""
 
@@ -43,3 +87,8 @@
 def run_in_virtual_time(body):
     """Run an asynchronous function without input or output; return its result."""
     return anyio.run(body, backend_options={"loop_factory": _Loop})
+
+
+def run_processes_in_virtual_time(body):
+    """As `run_in_virtual_time`, for a function that freezes a `Process`."""
+    return anyio.run(body, backend_options={"loop_factory": _ProcessLoop})
