--- a/tests/serving/failover_world.py
+++ b/tests/serving/failover_world.py
@@ -431,11 +431,13 @@
                 self._replicate()
                 for member in self.members:
                     self.start(member.name)
-                yield self
-                self.is_over = True
-                for instance in [*self.instances.values(), *self._dead]:
-                    instance.process.thaw()
-                self._tasks.cancel_scope.cancel()
+                try:
+                    yield self
+                finally:
+                    self.is_over = True
+                    for instance in [*self.instances.values(), *self._dead]:
+                        instance.process.thaw()
+                    self._tasks.cancel_scope.cancel()
 
     # Time and records.
     def now_s(self):
@@ -494,13 +496,15 @@
             self.after(down_s, self.start, name)
 
     def freeze(self, name, for_s):
+        if name not in self.instances:
+            return  # it is about to start
         self.note("frozen", instance=name, for_s=for_s)
-        process = self.instances[name].process
-        process.is_frozen = True
+        instance = self.instances[name]
+        instance.process.is_frozen = True
 
         def thaw():
-            if self.instances.get(name) is not None:
-                self.instances[name].process.thaw()
+            if self.instances.get(name) is instance:
+                instance.process.thaw()
 
         self.after(for_s, thaw)
 
