Forget a removed database only once the replicas have what it had

Cause: `Service.recently_unlisted` took 30 s, or a new leader, for a proof that the listed replicas had received everything. Change: serving/log_members.py keeps a removed database until, 30 s after its removal, the leader's position was sampled and all listed replicas were seen at or above it in the same epoch; a change of the leader only starts this anew. A commit that the present leader lacks is lost already, and all others that the removed database can have had are below the sample, so that each listed replica has them. Without a listed replica nothing is proved. Of more than 32 the one removed first is dropped: what proves a later one covers it. Where no reads show the positions, the leader monitor asks: one leader check and one STATUS for each unproved replica, 35 s after the removal, one holder a second, repeated every 10 s (the next holders: 20 s to 60 s). Price: after a failover the former leader counts until it is proved, so that a second one soon after asks the instances for the acknowledged position.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -52,6 +52,7 @@
 from .home_table import HomeTable
 from .leader_verifier import LeaderVerifier
 from .link import Link
+from .log_members import record_removed
 from .members import Member
 from .metrics import Metrics
 from .organisation import Organisation
@@ -568,7 +569,7 @@
     def _remove_database(self, service: Service, served: ServedDatabase) -> None:
         del service.databases[served.database_id]
         self._shares.pop(served.database_id, None)
-        service.unlisted.append((served.database, self.clock.now()))
+        record_removed(service.log_members, served.database, self.clock.now())
         self.log.decision(
             "database gone", database=served.database_id, service=service.name
         )
--- a/goldcrestpond/serving/failover_delay.py
+++ b/goldcrestpond/serving/failover_delay.py
@@ -28,8 +28,13 @@
     holders : iterable of str
         Names of the instances that may claim; empty while they are unknown.
     """
-    preceding = sum(
+    rank = holder_rank(service, instance, holders)
+    return min(rank, DELAY_STEPS_MAX) * DELAY_STEP
+
+
+def holder_rank(service: str, instance: str, holders: Iterable[str]) -> int:
+    """Return how many holders of a service precede an instance in its order."""
+    return sum(
         compute_weight(service, name) < compute_weight(service, instance)
         for name in holders
     )
-    return min(preceding, DELAY_STEPS_MAX) * DELAY_STEP
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -17,6 +17,7 @@
 from .failover_claim import ClaimWriter
 from .failover_delay import failover_delay
 from .link import Link
+from .log_member_prover import LogMemberProver
 from .row_store import RowPut, RowStore, StoredRow
 from .service import Service
 from .store_era import StoreEra
@@ -96,6 +97,7 @@
         "_lossy_since",
         "_next_attempt_at",
         "_open_link",
+        "_prover",
         "_read_at",
         "_running",
         "_store",
@@ -128,6 +130,9 @@
         self._log = log
         self._tasks = tasks
         self._claims = ClaimWriter(instance, store, era, clock)
+        self._prover = LogMemberProver(
+            instance, directory, open_link, clock, log, tasks
+        )
         self._suspicions = Suspicions()
         self._written_at: dict[str, timedelta] = {}
         self._written_era = 0
@@ -165,6 +170,8 @@
 
     def _check_service(self, service: Service) -> None:
         now = self._clock.now()
+        if self._directory.holds(service.name):
+            self._prover.check(service)
         if service.name in self._running or not service.databases:
             return
         if not self._directory.holds(service.name):
--- a/goldcrestpond/serving/replica_progress.py
+++ b/goldcrestpond/serving/replica_progress.py
@@ -53,6 +53,14 @@
         self._lagging_until = now + self._backoff
         self._backoff = min(MAX_BACKOFF, self._backoff * 2)
 
+    def has_reached(self, position: LogPosition, epoch: int) -> bool:
+        """Return whether an answer in an epoch has shown a position, or a later one."""
+        return (
+            epoch == self._epoch
+            and self.position is not None
+            and position <= self.position
+        )
+
     def may_have_reached(
         self, min_position: LogPosition, epoch: int, now: timedelta
     ) -> bool:
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -19,7 +19,15 @@
 from .database import Database
 from .decision_log import DecisionLog
 from .leadership import Leadership
+from .log_members import (
+    LogMember,
+    LogMembers,
+    forget_proved,
+    identify_member,
+    record_listed,
+)
 from .registry import Registry
+from .replica_progress import ReplicaProgress
 from .reply import Reply
 from .served_database import ServedDatabase
 from .serving_settings import ServingSettings
@@ -31,9 +39,6 @@
 # waiters poll for them.
 _COMMIT_POLL_INTERVAL = timedelta(milliseconds=10)
 _WRITE_POLL_INTERVAL = timedelta(milliseconds=20)
-# A database that was removed from the registry longer ago no longer counts: replicas
-# that were behind have received the log within this time.
-UNLISTED_RETENTION = timedelta(seconds=30)
 # A draining leader gets new work only for this fraction of the drain limit.
 DRAIN_FRACTION = 0.7
 
@@ -47,8 +52,8 @@
         Name of the service.
     databases : dict of str to ServedDatabase
         Databases by id.
-    unlisted : list
-        Databases that were removed from the registry, with the time of removal.
+    log_members : LogMembers
+        Databases that were removed from the registry and may still be needed.
     leadership : Leadership
         Evidence on which database leads.
     stall_detector : CommitStallDetector
@@ -70,9 +75,9 @@
         "databases",
         "leadership",
         "log",
+        "log_members",
         "name",
         "stall_detector",
-        "unlisted",
     )
 
     def __init__(
@@ -86,7 +91,7 @@
     ):
         self.name = name
         self.databases: dict[str, ServedDatabase] = {}
-        self.unlisted: list[tuple[Database, timedelta]] = []
+        self.log_members = LogMembers()
         self.leadership = Leadership()
         self.stall_detector = CommitStallDetector()
         self.commit_tracker = CommitTracker()
@@ -142,7 +147,6 @@
             if had_leader:
                 served.pace.begin(PaceReason.LEADER, self._clock.now())
             self.stall_detector.reset()
-            self.unlisted.clear()  # the new leader has all commits that they had
             self.notify_change()
         served.progress.record_answer(position, self.leadership.epoch)
 
@@ -169,18 +173,41 @@
         return None if database is None else self.databases[database.database_id]
 
     def recently_unlisted(self) -> list[Database]:
-        """Return the databases that were removed from the registry recently.
+        """Return the databases that were removed from the registry and may be needed.
 
-        Their logs may hold commits that no other replica had received. A database that
-        has restarted under the same id still counts, since it may have lost its log.
+        Their logs may hold commits that a listed replica has not received. A database
+        that has restarted under the same id still counts, since it may have lost its
+        log.
         """
-        now = self._clock.now()
-        self.unlisted = [
-            (database, since)
-            for database, since in self.unlisted
-            if now - since < UNLISTED_RETENTION and not self._is_relisted(database)
-        ]
-        return [database for database, _ in self.unlisted]
+        self.update_log_members()
+        return [removed.database for removed in self.log_members.removed.values()]
+
+    def update_log_members(self) -> None:
+        """Forget the removed databases whose logs are proved not to be needed."""
+        members = self.log_members
+        if not members.removed:
+            return
+        listed = [served.database for served in self.databases.values()]
+        record_listed(members, listed)
+        forgotten = forget_proved(members, self.leadership, self.replica_progress())
+        for member, removed in forgotten.items():
+            self.log.decision(
+                "database forgotten",
+                service=self.name,
+                database=member.database_id,
+                started_at_ms=member.started_at_ms,
+                position=removed.required,
+                epoch=removed.epoch,
+                age_s=(self._clock.now() - removed.removed_at).total_seconds(),
+            )
+
+    def replica_progress(self) -> dict[LogMember, ReplicaProgress]:
+        """Return the progress of the listed databases other than the leader."""
+        return {
+            identify_member(served.database): served.progress
+            for database_id, served in self.databases.items()
+            if database_id != self.leadership.leader_id
+        }
 
     def can_spare(self, database_id: str) -> bool:
         """Return whether another database can do the work of one of them.
@@ -387,13 +414,6 @@
         )
         return {database_id: rank for rank, database_id in enumerate(ids)}
 
-    def _is_relisted(self, database: Database) -> bool:
-        served = self.databases.get(database.database_id)
-        return (
-            served is not None
-            and served.database.started_at_ms == database.started_at_ms
-        )
-
     def _may_have_reached(
         self,
         served: ServedDatabase,
