Record in the store which logs may hold acknowledged commits

Cause: removed databases were known in memory only, so that an instance that had just started found no unread database and didn't ask what was acknowledged. Change: table log_members, one row a service, with the listed databases and the removed ones that aren't forgotten by proof (id and start time), the last ones that are, and the last leader. The holders look one after the other when this changes; the first that finds the row outdated writes it under a condition on its version, reads it again after a conflict or a lost answer, and merges it first, so that it drops nothing but what it knows to be proved. The key names the era. A claimant reads the row before it uses its claim: what isn't listed counts as unread, without a link (Participants.unaddressed); if the row can't be read, nothing is promoted. An unreadable row is written anew. The last leader is in the row so that a removed one doesn't hold up the failover of processes that have just started: each commit that it acknowledged is on a replica too. In a quiet service a holder reads the row before it asks replicas: where another one has noted the proof, no STATUS is sent. Of more than 16 (32 before) removed databases the first ones are dropped.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -52,7 +52,6 @@
 from .home_table import HomeTable
 from .leader_verifier import LeaderVerifier
 from .link import Link
-from .log_members import record_removed
 from .members import Member
 from .metrics import Metrics
 from .organisation import Organisation
@@ -569,7 +568,7 @@
     def _remove_database(self, service: Service, served: ServedDatabase) -> None:
         del service.databases[served.database_id]
         self._shares.pop(served.database_id, None)
-        record_removed(service.log_members, served.database, self.clock.now())
+        service.record_removed(served.database)
         self.log.decision(
             "database gone", database=served.database_id, service=service.name
         )
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -26,6 +26,7 @@
 from .failover_claim import Claim
 from .highest_acknowledged import HighestAcknowledged
 from .link import Link
+from .log_members import LogMember, identify_member
 from .store_era import StoreEra
 
 REQUEST_TIMEOUT_S = 0.3  # a report takes a round trip and briefly uses a slot
@@ -68,11 +69,14 @@
         Databases that were removed from the registry recently.
     leaving_since : mapping of str to timedelta
         Time since which listed databases are leaving, by id.
+    unaddressed : frozenset of LogMember
+        Further databases that were removed, which cannot be read.
     """
 
     listed: list[Database]
     unlisted: list[Database]
     leaving_since: Mapping[str, timedelta]
+    unaddressed: frozenset[LogMember] = frozenset()
 
 
 class CommitBlocker(Protocol):
@@ -331,12 +335,14 @@
         An unlisted database that was started again under its id may have lost its
         log. It is named with its start time here, so that it counts as unread.
         """
+        known = {identify_member(d) for d in self._databases.values()}
+        unlisted = {identify_member(d) for d in self._participants.unlisted}
         return frozenset(
-            f"{d.database_id} started at {d.started_at_ms}"
-            if d.database_id in self._databases and d not in self._databases.values()
-            else d.database_id
-            for d in self._participants.unlisted
-            if d.database_id != self._previous.database_id
+            f"{m.database_id} started at {m.started_at_ms}"
+            if m.database_id in self._databases and m not in known
+            else m.database_id
+            for m in unlisted | self._participants.unaddressed
+            if m.database_id != self._previous.database_id
         )
 
     async def _pause_unlisted(self, term: int) -> None:
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -18,6 +18,8 @@
 from .failover_delay import failover_delay
 from .link import Link
 from .log_member_prover import LogMemberProver
+from .log_member_recorder import LogMemberRecorder
+from .log_members import find_unaddressed
 from .row_store import RowPut, RowStore, StoredRow
 from .service import Service
 from .store_era import StoreEra
@@ -99,6 +101,7 @@
         "_open_link",
         "_prover",
         "_read_at",
+        "_recorder",
         "_running",
         "_store",
         "_suspicions",
@@ -130,8 +133,11 @@
         self._log = log
         self._tasks = tasks
         self._claims = ClaimWriter(instance, store, era, clock)
+        self._recorder = LogMemberRecorder(
+            instance, directory, store, era, clock, log, tasks
+        )
         self._prover = LogMemberProver(
-            instance, directory, open_link, clock, log, tasks
+            instance, directory, open_link, clock, log, tasks, self._recorder.read
         )
         self._suspicions = Suspicions()
         self._written_at: dict[str, timedelta] = {}
@@ -172,6 +178,7 @@
         now = self._clock.now()
         if self._directory.holds(service.name):
             self._prover.check(service)
+            self._recorder.check(service)
         if service.name in self._running or not service.databases:
             return
         if not self._directory.holds(service.name):
@@ -284,17 +291,14 @@
 
     async def _replace_leader(self, service: Service, is_planned: bool) -> None:
         databases = [served.database for served in service.databases.values()]
-        participants = Participants(
-            databases, service.recently_unlisted(), service.leaving_since()
-        )
         leader_id = service.leadership.presumed_leader_id(databases)
         try:
             claim = await self._claims.claim(service.name, leader_id)
-            if claim is None:
+            if claim is None or not await self._recorder.read(service):
                 return
             attempt = FailoverAttempt(
                 claim,
-                participants,
+                _make_participants(service, leader_id),
                 PreviousLeader(leader_id, service.leadership.newest_term(), is_planned),
                 self._has_waited_for_commits(service),
                 self._failover,
@@ -341,3 +345,22 @@
 
     def _update_suspicions(self, rows) -> None:
         self._suspicions.update(rows, self._clock.now(), self._era.current)
+
+
+def _make_participants(service: Service, previous_leader_id: str) -> Participants:
+    """Return the databases of a service; the record was read before.
+
+    A removed database that led last has no acknowledged commit alone. A process that
+    has just started knows it from the record.
+    """
+    last_id = previous_leader_id or service.log_members.leader_id
+    return Participants(
+        [served.database for served in service.databases.values()],
+        [d for d in service.recently_unlisted() if d.database_id != last_id],
+        service.leaving_since(),
+        frozenset(
+            member
+            for member in find_unaddressed(service.log_members)
+            if member.database_id != last_id
+        ),
+    )
--- a/goldcrestpond/serving/log_member_prover.py
+++ b/goldcrestpond/serving/log_member_prover.py
@@ -1,5 +1,6 @@
 """Asks replicas how far they have received, where no traffic shows it."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import anyio
@@ -47,6 +48,8 @@
         Receives log events.
     tasks : SupervisedTasks
         Runs the requests.
+    read_record : callable
+        Reads the store's record, where another holder may have noted a proof.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_log",
         "_next_at",
         "_open_link",
+        "_read_record",
         "_running",
         "_tasks",
     )
@@ -68,7 +72,9 @@
         clock: Clock,
         log: DecisionLog,
         tasks: SupervisedTasks,
+        read_record: Callable[[Service], Awaitable[bool]],
     ):
+        self._read_record = read_record
         self._instance = instance
         self._directory = directory
         self._open_link = open_link
@@ -99,6 +105,9 @@
 
     async def _prove(self, service: Service) -> None:
         try:
+            await self._read_record(service)
+            if not service.log_members.removed:
+                return
             await self._sample_leader(service)
             replicas = find_unproved(service.log_members, service.replica_progress())
             for member in sorted(replicas):
--- a/goldcrestpond/serving/log_members.py
+++ b/goldcrestpond/serving/log_members.py
@@ -15,7 +15,8 @@
 
 # A database may run and receive for this long after its entry was removed.
 UNLISTED_RETENTION = timedelta(seconds=30)
-REMOVED_MAX = 32
+REMOVED_MAX = 16
+FORGOTTEN_MAX = 8
 
 
 class LogMember(NamedTuple):
@@ -38,10 +39,10 @@
 
     Attributes
     ----------
-    database : Database
-        Its last entry.
+    database : Database or None
+        Its last entry; None if it is known from the store's record only.
     removed_at : timedelta
-        When it was removed.
+        When it was removed, or when this process learned of it from the record.
     required : LogPosition or None
         Position of the leader after the retention, which covers all commits that the
         database may have received; None until such a position is known.
@@ -51,7 +52,7 @@
 
     __slots__ = ("database", "epoch", "removed_at", "required")
 
-    def __init__(self, database: Database, removed_at: timedelta):
+    def __init__(self, database: Database | None, removed_at: timedelta):
         self.database = database
         self.removed_at = removed_at
         self.required: LogPosition | None = None
@@ -66,15 +67,24 @@
     removed : dict of LogMember to RemovedDatabase
         Those whose logs may hold commits that a listed replica lacks, in the order of
         their removal.
+    forgotten : list of LogMember
+        The last ones whose logs are proved not to be needed.
     received : dict of LogMember to tuple of int and LogPosition
         Epoch, and the position that a listed replica reported to have received.
+    leader_id : str
+        Id of the last leader that this process or the record knows; empty if unknown.
+    leader_term : int
+        Its term.
     """
 
-    __slots__ = ("received", "removed")
+    __slots__ = ("forgotten", "leader_id", "leader_term", "received", "removed")
 
     def __init__(self) -> None:
         self.removed: dict[LogMember, RemovedDatabase] = {}
+        self.forgotten: list[LogMember] = []
         self.received: dict[LogMember, tuple[int, LogPosition]] = {}
+        self.leader_id = ""
+        self.leader_term = 0
 
 
 def identify_member(database: Database) -> LogMember:
@@ -82,17 +92,17 @@
     return LogMember(database.database_id, database.started_at_ms)
 
 
-def record_removed(members: LogMembers, database: Database, now: timedelta) -> None:
-    """Record that a database was removed from the registry.
+def record_leader(members: LogMembers, database_id: str, term: int) -> None:
+    """Record that a database led in a term; those of earlier terms are ignored."""
+    if term > members.leader_term:
+        members.leader_id, members.leader_term = database_id, term
 
-    Beyond ``REMOVED_MAX`` the one removed first is dropped: what proves that the logs
-    of later ones are not needed also proves it for its log.
-    """
+
+def record_removed(members: LogMembers, database: Database, now: timedelta) -> None:
+    """Record that a database was removed from the registry."""
     member = identify_member(database)
     members.removed.pop(member, None)
     members.removed[member] = RemovedDatabase(database, now)
-    while len(members.removed) > REMOVED_MAX:
-        del members.removed[next(iter(members.removed))]
 
 
 def record_listed(members: LogMembers, databases: Iterable[Database]) -> None:
@@ -102,7 +112,15 @@
     stays.
     """
     for database in databases:
-        members.removed.pop(identify_member(database), None)
+        member = identify_member(database)
+        members.removed.pop(member, None)
+        if member in members.forgotten:
+            members.forgotten.remove(member)
+
+
+def find_unaddressed(members: LogMembers) -> frozenset[LogMember]:
+    """Return the removed databases whose addresses are not known."""
+    return frozenset(m for m, each in members.removed.items() if each.database is None)
 
 
 def record_received(
@@ -141,10 +159,27 @@
         and not _missing(members, removed, replicas)
     }
     for member in forgotten:
-        del members.removed[member]
+        forget(members, member)
+    return forgotten
+
+
+def drop_excess(members: LogMembers) -> list[LogMember]:
+    """Forget the databases removed first beyond ``REMOVED_MAX``; return them.
+
+    What proves that the logs of later ones are not needed proves it for theirs too.
+    """
+    excess = list(members.removed)[: max(0, len(members.removed) - REMOVED_MAX)]
+    for member in excess:
+        forget(members, member)
+    return excess
+
+
+def forget(members: LogMembers, member: LogMember) -> None:
+    """Forget a removed database whose log is not needed."""
+    del members.removed[member]
+    members.forgotten = [*members.forgotten, member][-FORGOTTEN_MAX:]
     if not members.removed:
         members.received.clear()
-    return forgotten
 
 
 def find_unproved(
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -19,12 +19,16 @@
 from .database import Database
 from .decision_log import DecisionLog
 from .leadership import Leadership
+from .log_member_record import LogMemberRecord, make_record, merge_record
 from .log_members import (
     LogMember,
     LogMembers,
+    drop_excess,
     forget_proved,
     identify_member,
+    record_leader,
     record_listed,
+    record_removed,
 )
 from .registry import Registry
 from .replica_progress import ReplicaProgress
@@ -147,6 +151,7 @@
             if had_leader:
                 served.pace.begin(PaceReason.LEADER, self._clock.now())
             self.stall_detector.reset()
+            record_leader(self.log_members, served.database_id, position.term)
             self.notify_change()
         served.progress.record_answer(position, self.leadership.epoch)
 
@@ -180,26 +185,64 @@
         log.
         """
         self.update_log_members()
-        return [removed.database for removed in self.log_members.removed.values()]
+        removed = self.log_members.removed.values()
+        return [each.database for each in removed if each.database is not None]
+
+    def record_removed(self, database: Database) -> None:
+        """Record that a database was removed from the registry."""
+        record_removed(self.log_members, database, self._clock.now())
+        self.update_log_members()
 
     def update_log_members(self) -> None:
         """Forget the removed databases whose logs are proved not to be needed."""
         members = self.log_members
+        record_listed(members, self._listed())
         if not members.removed:
             return
-        listed = [served.database for served in self.databases.values()]
-        record_listed(members, listed)
         forgotten = forget_proved(members, self.leadership, self.replica_progress())
         for member, removed in forgotten.items():
-            self.log.decision(
-                "database forgotten",
-                service=self.name,
-                database=member.database_id,
-                started_at_ms=member.started_at_ms,
+            self._log_forgotten(
+                member,
+                "received by all",
                 position=removed.required,
                 epoch=removed.epoch,
                 age_s=(self._clock.now() - removed.removed_at).total_seconds(),
             )
+        for member in drop_excess(members):
+            self._log_forgotten(member, "many were removed later")
+
+    def record_log_members(self, record: LogMemberRecord) -> None:
+        """Take over what the store's record says of the service's databases."""
+        listed = {identify_member(database) for database in self._listed()}
+        now = self._clock.now()
+        taken, forgotten = merge_record(self.log_members, record, listed, now)
+        if taken:
+            self.log.decision(
+                "databases taken from record",
+                service=self.name,
+                databases=[f"{m.database_id}/{m.started_at_ms}" for m in taken],
+            )
+        for member in forgotten:
+            self._log_forgotten(member, "forgotten in record")
+        self.update_log_members()
+
+    def log_member_record(self) -> LogMemberRecord:
+        """Return what this process knows, for the store's record."""
+        self.update_log_members()
+        return make_record(self.log_members, map(identify_member, self._listed()))
+
+    def _listed(self) -> list[Database]:
+        return [served.database for served in self.databases.values()]
+
+    def _log_forgotten(self, member: LogMember, reason: str, **proof: object) -> None:
+        self.log.decision(
+            "database forgotten",
+            service=self.name,
+            database=member.database_id,
+            started_at_ms=member.started_at_ms,
+            reason=reason,
+            **proof,
+        )
 
     def replica_progress(self) -> dict[LogMember, ReplicaProgress]:
         """Return the progress of the listed databases other than the leader."""
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -10,7 +10,6 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.relay import messages
 from goldcrestpond.relay.relay_server import _ChannelSession
-from goldcrestpond.serving.log_members import record_removed
 
 from ..serving.test_leadership import database
 from ..serving.test_load_patterns import make_service
@@ -33,7 +32,7 @@
 ):
     service = make_service(clock)
     del service.databases["r1"]
-    record_removed(service.log_members, database("r1"), clock.now())
+    service.record_removed(database("r1"))
     directory = SimpleNamespace(services={"s": service}, holds=lambda name: True)
     session = _ChannelSession(None, directory, None, None)
     request = messages.Lend("s", database_id, "c", "short", 100.0, 1, organisation)
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -33,6 +33,7 @@
     HighestAcknowledged,
     combine_acknowledged,
 )
+from goldcrestpond.serving.log_members import LogMember
 from goldcrestpond.serving.metrics import Metrics
 from goldcrestpond.serving.row_store import RowRevision
 from goldcrestpond.serving.store_era import StoreEra
@@ -227,6 +228,7 @@
     leader_id="p",
     known_term=1,
     accepts_commit_loss=False,
+    participants=None,
 ):
     clock = clock or _PassingClock(timedelta(seconds=5))
 
@@ -238,7 +240,7 @@
 
     attempt = FailoverAttempt(
         Claim("s", RowRevision(0, 7), timedelta(seconds=5)),
-        _participants(group, leaving),
+        participants or _participants(group, leaving),
         PreviousLeader(leader_id, known_term, is_planned),
         accepts_commit_loss,
         failover,
@@ -493,3 +495,24 @@
     failover = _Failover(group, "done")
     assert_that(_run_attempt(group, failover, False), Is(False))
     assert_that(failover.promotions, Equals([]))
+
+
+# Failure: a database that is known by id and start time only is overlooked, or a link
+# to it is tried; or one that is listed again under its id is taken for another one.
+@pytest.mark.parametrize(
+    ("member", "is_promoted"),
+    [
+        (LogMember("c", 0), False),
+        (LogMember("b", 4), False),
+        (LogMember("b", 0), True),
+        (LogMember("p", 0), True),
+    ],
+)
+def test_database_without_an_address_counts_as_unread(member, is_promoted):
+    group, failover = _group_with_lagging_replicas()
+    group.unlisted = set()
+    listed = [d for d in _participants(group, ()).listed if d.database_id != "c"]
+    participants = Participants(listed, [], {}, frozenset({member}))
+    done = _run_attempt(group, failover, False, participants=participants)
+    assert_that(done, Is(is_promoted))
+    assert_that("c" in group.asked, Is(False))
--- a/tests/serving/test_log_members.py
+++ b/tests/serving/test_log_members.py
@@ -38,7 +38,7 @@
     ``received`` holds the position of each replica that answers its status.
     """
 
-    def __init__(self, clock, tasks):
+    def __init__(self, clock, tasks, names=("p", "a", "b")):
         self.clock = clock
         self.log = ListLog()
         self.received = {}
@@ -54,8 +54,8 @@
             supervised,
             Holders("i1", clock, supervised, self.log),
         )
-        for name in ("p", "a", "b"):
-            self.list(database(name))
+        for name in names:
+            self.list(database(name, Role.PRIMARY if name == "p" else Role.REPLICA))
         self.service = self.directory.service("s")
 
     async def open_link(self, to, organisation=""):
@@ -96,6 +96,12 @@
     async def report(self):
         return DatabaseReport(Role.REPLICA, 1, self._position, 0, 0)
 
+    async def pause_replication(self, term):
+        return DatabaseReport(Role.REPLICA, 1, self._position, term, 0)
+
+    async def resume_replication(self):
+        return await self.report()
+
     async def aclose(self):
         pass
 
@@ -254,12 +260,22 @@
         tasks.cancel_scope.cancel()
 
 
+async def _read_nothing(service):
+    return True
+
+
 # Failure: in a service without reads, a removed database is never forgotten, so that
 # each later failover needs answers of all instances; or a paused replica is overlooked.
 async def test_quiet_service_is_proved_by_asking_its_replicas(clock):
     async with open_group(clock) as group:
         prover = LogMemberProver(
-            "i1", group.directory, group.open_link, clock, group.log, group.tasks
+            "i1",
+            group.directory,
+            group.open_link,
+            clock,
+            group.log,
+            group.tasks,
+            _read_nothing,
         )
         group.lead("p", 1, 9)
         group.remove("a")
