--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -568,7 +568,7 @@
     def _remove_database(self, service: Service, served: ServedDatabase) -> None:
         del service.databases[served.database_id]
         self._shares.pop(served.database_id, None)
-        service.unlisted.append((served.database, self.clock.now()))
+        service.record_removed(served.database)
         self.log.decision(
             "database gone", database=served.database_id, service=service.name
         )
