Block commits to the service, not to an epoch, while a promotion is pending

What callers saw: commits that were acknowledged to them were gone once another database led.

Cause: replicas were paused once, when an attempt began, and other instances were asked to block commits only if a known database could not be read. The block belonged to the epoch of the leader. So a leader that was back under a new id, or that worked for some instances, acknowledged commits until the promotion took effect, by the receipt of a replica that had started or returned meanwhile. A release that ended an older attempt unblocked what a later one had blocked, and an attempt whose claim had expired resumed what another had paused.

Change: commits are blocked on all instances before a failover is ordered, for the service, whoever leads, until the candidate was verified as the leader, the claim's owner ends the block, or it expires. The block carries the claim's token: only the same claim or a later one ends it. A commit that is answered while commits are blocked is reported as unknown. Databases that are listed while an attempt runs or its promotion is pending are paused, and a switchover blocks commits from then on. Control statements to databases have a module of their own.

Tests that were wrong: the block was tested to hold for one epoch only, and to fail if another database leads, which is the fault; stricter ones replace them. That an expired claim resumes replicas is replaced by: it undoes nothing. The model of one attempt loses commits only without both defences now, and a test says so.

--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -13,6 +13,7 @@
 from ..errors.result_code import ResultCode
 from ..group.log_position import LogPosition
 from ..rates.handover import Handover
+from ..serving.commit_block import CommitBlock
 from ..serving.decision_log import DecisionLog
 from ..serving.members import Member
 from . import messages
@@ -149,16 +150,14 @@
         return response.database_id, LogPosition(*response.position)
 
     async def block_commits(
-        self, service: str, previous_leader: str, limit: timedelta
+        self, block: CommitBlock, limit: timedelta
     ) -> list[tuple[str, LogPosition | None]]:
-        """Ask the other instances to send no further commits to a leader.
+        """Ask the other instances to send no further commits to a service.
 
         Parameters
         ----------
-        service : str
-            The service.
-        previous_leader : str
-            Database id of the leader; empty if it is unknown.
+        block : CommitBlock
+            The service, and under which claim.
         limit : timedelta
             Time that commits under way are given to end.
 
@@ -170,9 +169,16 @@
             if it is unknown.
         """
         positions: list[tuple[str, LogPosition | None]] = []
-        request = messages.Seal(service, previous_leader, limit / _MILLISECOND)
+        service = block.service
+        request = messages.Seal(
+            service,
+            block.former_id,
+            limit / _MILLISECOND,
+            block.candidate_id,
+            block.token,
+        )
 
-        async def block(holder: Holder) -> None:
+        async def ask(holder: Holder) -> None:
             position = None
             try:
                 sealed = await send_request(holder, request, limit, messages.Sealed)
@@ -188,16 +194,16 @@
 
         async with anyio.create_task_group() as tasks:
             for holder in self._current_and_recent_holders(service):
-                tasks.start_soon(block, holder)
+                tasks.start_soon(ask, holder)
         return positions
 
-    async def unblock_commits(self, service: str, limit: timedelta) -> None:
+    async def unblock_commits(self, service: str, token: int, limit: timedelta) -> None:
         """Let the other instances send commits again; best effort within a limit."""
 
         async def unblock(holder: Holder) -> None:
             try:
                 await send_request(
-                    holder, messages.Release(service), limit, messages.Done
+                    holder, messages.Release(service, token), limit, messages.Done
                 )
             except CodedError as error:
                 # The block expires without a release.
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -297,7 +297,7 @@
 
 
 class Seal(Message, frozen=True):
-    """Asks to block commits to a leader and to report acknowledged commits.
+    """Asks to block commits to a service and to report acknowledged commits.
 
     Attributes
     ----------
@@ -307,11 +307,17 @@
         Database id of the leader; empty if it is unknown.
     wait_ms : float
         Time that commits under way are given to end.
+    candidate : str
+        Database id of the one whose promotion is ordered; empty if none is yet.
+    token : int
+        Fencing token of the claim; 0 from a release that sends none.
     """
 
     service: str
     previous_leader: str
     wait_ms: _SpanMs
+    candidate: str = ""
+    token: _Version = 0
 
 
 class Sealed(Message, frozen=True):
@@ -321,9 +327,10 @@
 
 
 class Release(Message, frozen=True):
-    """Unblocks commits: the leader is not replaced."""
+    """Unblocks commits: under this token no promotion is pending any more."""
 
     service: str
+    token: _Version = 0
 
 
 class Peer(msgspec.Struct, array_like=True, frozen=True):
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -11,6 +11,7 @@
 from ..errors.result_code import ResultCode
 from ..overload.admission import Admission
 from ..pool.requester import Requester
+from ..serving.commit_block import CommitBlock
 from ..serving.directory import Directory
 from ..serving.late_statement import log_late_statement
 from ..serving.link import Link
@@ -151,9 +152,7 @@
             case messages.Seal():
                 return await self._block_commits(request)
             case messages.Release():
-                self._directory.service(
-                    request.service
-                ).commit_tracker.unblock_commits()
+                self._directory.service(request.service).unblock_commits(request.token)
                 return messages.Done()
             case messages.Follow():
                 return await self._answer_follower(request)
@@ -328,7 +327,15 @@
         service = self._directory.service(request.service)
         limit = request.wait_ms * _MILLISECOND
         return messages.Sealed(
-            await service.block_commits(request.previous_leader, limit)
+            await service.block_commits(
+                CommitBlock(
+                    request.service,
+                    request.token,
+                    request.previous_leader,
+                    request.candidate,
+                ),
+                limit,
+            )
         )
 
     def _require_held(self, service: str) -> None:
--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -3,9 +3,10 @@
 from datetime import timedelta
 
 from ..group.log_position import LogPosition
+from .commit_block import CommitBlock
 
 # Longer than the time for which a claim may be used and that of a promotion together.
-# A failover that is given up unblocks commits earlier.
+# A failover that is given up unblocks commits earlier; one that is pending renews it.
 BLOCK_LIFETIME = timedelta(milliseconds=3500)
 
 
@@ -20,13 +21,20 @@
         leader.
     """
 
-    __slots__ = ("_blocked_epoch", "_blocked_until", "_in_flight", "acknowledged")
+    __slots__ = (
+        "_block",
+        "_blocked_at",
+        "_blocked_until",
+        "_in_flight",
+        "acknowledged",
+    )
 
     def __init__(self) -> None:
         self.acknowledged: LogPosition | None = None
         self._in_flight = 0
-        self._blocked_epoch = 0
+        self._blocked_at = timedelta.min
         self._blocked_until = timedelta.min
+        self._block: CommitBlock | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -54,15 +62,52 @@
         """Record that a commit is no longer in flight, whatever its outcome."""
         self._in_flight -= 1
 
-    def block_commits(self, epoch: int, now: timedelta) -> None:
-        """Block commits to the leader of an epoch for ``BLOCK_LIFETIME``."""
-        self._blocked_epoch = epoch
+    def block_commits(self, block: CommitBlock, now: timedelta) -> None:
+        """Block commits to every database of the service for ``BLOCK_LIFETIME``.
+
+        A leader that crashed may return under another id before its successor's
+        promotion takes effect, so that the block holds for whichever database leads,
+        other than the candidate. A block with a lower token than the present one does
+        not change its candidate.
+        """
+        if not self.is_blocked(now):
+            self._blocked_at = now
+            self._block = block
+        elif block.token > self._block.token or (
+            block.token == self._block.token and block.candidate_id
+        ):
+            self._block = block
         self._blocked_until = now + BLOCK_LIFETIME
 
-    def unblock_commits(self) -> None:
-        """Unblock commits before the block expires."""
+    def unblock_commits(self, token: int) -> bool:
+        """Unblock commits before the block expires, unless its token is higher.
+
+        Returns
+        -------
+        bool
+            False if the block of a later claim stays.
+        """
+        if self._block is not None and token < self._block.token:
+            return False
         self._blocked_until = timedelta.min
+        return True
+
+    def record_leader(self, database_id: str, asked_at: timedelta) -> None:
+        """Unblock commits if the candidate was verified as the leader.
 
-    def is_blocked(self, epoch: int, now: timedelta) -> bool:
-        """Return whether commits to the leader of an epoch are blocked."""
-        return epoch == self._blocked_epoch and now < self._blocked_until
+        Parameters
+        ----------
+        database_id : str
+            Id of the database that was verified.
+        asked_at : timedelta
+            Time at which the verification was requested.
+        """
+        block = self._block
+        if block is None or asked_at < self._blocked_at:
+            return
+        if database_id == block.candidate_id:
+            self.unblock_commits(block.token)
+
+    def is_blocked(self, now: timedelta) -> bool:
+        """Return whether commits are blocked."""
+        return now < self._blocked_until
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -32,6 +32,7 @@
 from ..retry.retry_budget import RetryBudget
 from ..tasks.supervised_tasks import SupervisedTasks
 from .absence import should_mark
+from .commit_block import CommitBlock
 from .connection_share import (
     MIN_SHARE_CONNECTIONS,
     connection_share,
@@ -62,8 +63,7 @@
 from .service import Service
 from .serving_settings import ServingSettings
 
-# Commits in flight are answered within milliseconds unless the leader is silent.
-BLOCK_TIMEOUT = timedelta(milliseconds=300)
+UNBLOCK_TIMEOUT = timedelta(milliseconds=300)  # a block that is not ended expires
 # A share of connections that grows is taken this much later: changes of the members
 # and of the configuration reach all instances within about this time.
 SHARE_GROWTH_DELAY = timedelta(milliseconds=500)
@@ -456,16 +456,17 @@
                 self._apply_share(served)
 
     async def block_commits(
-        self, service: str, previous_leader_id: str
+        self, block: CommitBlock, max_wait: timedelta
     ) -> HighestAcknowledged:
-        """Block commits to a leader on all instances.
+        """Block commits to a service on all instances while its leader is replaced.
 
         Parameters
         ----------
-        service : str
-            Service of the leader.
-        previous_leader_id : str
-            Its id; empty if unknown.
+        block : CommitBlock
+            The service, and under which claim. Each instance unblocks commits when it
+            has verified the candidate as the leader.
+        max_wait : timedelta
+            How long to wait for commits in flight.
 
         Returns
         -------
@@ -475,24 +476,20 @@
         answers: list[tuple[str, LogPosition | None]] = []
 
         async def ask_others() -> None:
-            answers.extend(
-                await self._holders.block_commits(
-                    service, previous_leader_id, BLOCK_TIMEOUT
-                )
-            )
+            answers.extend(await self._holders.block_commits(block, max_wait))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ask_others)
-            own_position = await self.service(service).block_commits(
-                previous_leader_id, BLOCK_TIMEOUT
+            own_position = await self.service(block.service).block_commits(
+                block, max_wait
             )
         answers.append((self._settings.instance, own_position))
         return combine_acknowledged(answers)
 
-    async def unblock_commits(self, service: str) -> None:
-        """Unblock commits on all instances, since the leader is not replaced."""
-        self.service(service).commit_tracker.unblock_commits()
-        await self._holders.unblock_commits(service, BLOCK_TIMEOUT)
+    async def unblock_commits(self, service: str, token: int) -> None:
+        """Unblock commits on all instances: nothing is pending under this token."""
+        self.service(service).unblock_commits(token)
+        await self._holders.unblock_commits(service, token, UNBLOCK_TIMEOUT)
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -1,8 +1,9 @@
 """Replaces the leader of one service: one failover or switchover."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum, auto
 from typing import Protocol
 
 import anyio
@@ -19,22 +20,32 @@
     has_caught_up,
     next_term,
 )
+from .commit_block import CommitBlock
 from .database import Database
 from .database_report import DatabaseReport
+from .database_requests import (
+    DatabaseRequests,
+    OpenLink,
+    Request,
+    pause_until,
+    report,
+    resume_replication,
+)
 from .decision_log import DecisionLog
 from .failover import Failover, PromotionRefused
 from .failover_claim import Claim
 from .highest_acknowledged import HighestAcknowledged
-from .link import Link
 from .log_members import LogMember, identify_member
 from .store_era import StoreEra
 
-REQUEST_TIMEOUT_S = 0.3  # a report takes a round trip and briefly uses a slot
 PROMOTE_ATTEMPTS_MAX = 3
 # Each attempt uses the next term; terms that no database reported may be in use.
 PAUSE_ATTEMPTS_MAX = 3
 CATCH_UP_TIMEOUT = timedelta(milliseconds=1000)
 CATCH_UP_POLL_S = 0.02
+# Commits in flight are answered within milliseconds unless the leader is silent.
+COMMIT_WAIT = timedelta(milliseconds=300)
+NO_WAIT = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -81,19 +92,24 @@
 
 
 class CommitBlocker(Protocol):
-    """Blocks commits to a leader on all instances while it is replaced."""
+    """Blocks commits to a service on all instances while its leader is replaced."""
 
     async def block_commits(
-        self, service: str, previous_leader_id: str
+        self, block: CommitBlock, max_wait: timedelta
     ) -> HighestAcknowledged:
         """Block commits; return the highest position acknowledged before."""
 
-    async def unblock_commits(self, service: str) -> None:
-        """Unblock commits before the block expires."""
+    async def unblock_commits(self, service: str, token: int) -> None:
+        """Unblock commits before the block expires, unless a later claim blocks."""
+
 
+class OrderOutcome(Enum):
+    """What is known of the order of a promotion."""
 
-OpenLink = Callable[[Database], Awaitable[Link]]
-Request = Callable[[Link], Awaitable[DatabaseReport]]
+    NOT_ORDERED = auto()
+    ACCEPTED = auto()
+    # At least one call got no answer; it may be carried out seconds later.
+    UNANSWERED = auto()
 
 
 class FailoverAttempt:
@@ -103,6 +119,9 @@
     ----------
     claim : Claim
         The claim; its token is used for one candidate only.
+    list_databases : callable
+        Returns the databases that are listed now. Those that appear while the attempt
+        runs, or while its promotion is pending, are paused too.
     participants : Participants
         The databases whose logs may have acknowledged commits.
     previous : PreviousLeader
@@ -113,7 +132,8 @@
     failover : Failover
         Requests the promotion.
     commit_blocker : CommitBlocker
-        Blocks commits and returns the highest acknowledged position.
+        Blocks commits and returns the highest acknowledged position. They are blocked
+        before a promotion is ordered, unless the leader works and is leaving.
     open_link : callable
         Opens a connection.
     clock : Clock
@@ -125,31 +145,45 @@
 
     Attributes
     ----------
+    is_ended : bool
+        Whether nothing is left of an attempt that ordered no promotion.
     may_lose_commits : bool
         Whether the attempt was given up because it could lose acknowledged commits.
+    candidate_id : str
+        The database whose promotion was ordered; empty if none was.
+    outcome : OrderOutcome
+        What is known of that order.
+    claim : Claim
+        The claim, or the one that renewed it.
     """
 
     __slots__ = (
         "_accepts_commit_loss",
-        "_claim",
+        "_acknowledged",
         "_clock",
         "_commit_blocker",
         "_databases",
         "_era",
         "_failover",
         "_has_blocked_commits",
-        "_links",
+        "_list_databases",
         "_log",
-        "_open_link",
         "_participants",
         "_paused",
         "_previous",
+        "_requests",
+        "_term",
+        "candidate_id",
+        "claim",
+        "is_ended",
         "may_lose_commits",
+        "outcome",
     )
 
     def __init__(
         self,
         claim: Claim,
+        list_databases: Callable[[], Iterable[Database]],
         participants: Participants,
         previous: PreviousLeader,
         accepts_commit_loss: bool,
@@ -160,67 +194,123 @@
         era: StoreEra,
         log: DecisionLog,
     ):
-        self._claim = claim
+        self.claim = claim
+        self._list_databases = list_databases
         self._participants = participants
         self._databases = {d.database_id: d for d in participants.listed}
         self._previous = previous
         self._accepts_commit_loss = accepts_commit_loss
         self._failover = failover
         self._commit_blocker = commit_blocker
-        self._open_link = open_link
         self._clock = clock
         self._era = era
         self._log = log
-        self._links: dict[str, Link] = {}
+        self._requests = DatabaseRequests(open_link, log)
         self._paused: dict[str, DatabaseReport] = {}
+        self._acknowledged = HighestAcknowledged(None)
         self._has_blocked_commits = False
+        self._term = 0
+        self.is_ended = False
         self.may_lose_commits = False
+        self.candidate_id = ""
+        self.outcome = OrderOutcome.NOT_ORDERED
 
     async def run(self) -> bool:
-        """Replace the leader; return whether a promotion was requested."""
-        is_requested = False
+        """Replace the leader; return whether a promotion was ordered.
+
+        If none was, replicas receive again and commits are sent again, unless another
+        instance may have claimed the service meanwhile.
+        """
+        is_ordered = False
         try:
-            is_requested = await self._replace()
+            is_ordered = await self._replace()
         finally:
             with anyio.CancelScope(shield=True):
-                if not is_requested:
-                    await self._resume(self._paused, "given up")
-                    if self._has_blocked_commits:
-                        await self._commit_blocker.unblock_commits(self._claim.service)
-                await self._close()
-        return is_requested
-
-    async def resume_receiving(self) -> None:
-        """Resume the replicas that are still paused after a promotion."""
-        reports = await self._request_reports(self._databases, _report)
-        still_paused = {i: r for i, r in reports.items() if r.paused_term}
-        await self._resume(still_paused, "promotion requested")
-        await self._close()
+                if not is_ordered and self.is_claim_usable():
+                    self.is_ended = await self.end("given up")
+                await self._requests.aclose()
+        return is_ordered
+
+    def is_claim_usable(self) -> bool:
+        """Return whether no other instance can have claimed the service since."""
+        return self.claim.is_usable(self._clock.now(), self._era.current)
+
+    async def pause_newly_listed(self) -> None:
+        """Stop databases from receiving that were listed since the attempt began.
+
+        What they receive may be acknowledged, though the candidate lacks it.
+        """
+        known = self._databases
+        new = [d for d in self._list_databases() if d.database_id not in known]
+        if not new:
+            return
+        self._databases |= {d.database_id: d for d in new}
+        self._log.decision(
+            "listed during a failover",
+            service=self.claim.service,
+            token=self.claim.token,
+            databases=[d.database_id for d in new],
+        )
+        new_ids = frozenset(d.database_id for d in new)
+        async with anyio.create_task_group() as tasks:
+            if not self._has_blocked_commits:
+                tasks.start_soon(self._block_commits, NO_WAIT)
+            tasks.start_soon(self._pause, new_ids, self._term)
+
+    async def keep_commits_blocked(self) -> None:
+        """Block commits anew, before the block expires, if they are blocked."""
+        if self._has_blocked_commits:
+            await self._block_commits(NO_WAIT)
+
+    async def end(self, reason: str) -> bool:
+        """Let replicas receive and commits be sent again: no promotion is pending.
+
+        To be called only while the claim can be used, since another instance that has
+        claimed the service relies on the replicas that it has paused.
+
+        Returns
+        -------
+        bool
+            Whether no replica is left paused.
+        """
+        still_paused, are_all_read = self._paused, True
+        if self.outcome is not OrderOutcome.NOT_ORDERED:
+            reports = await self._request_reports(self._databases, report)
+            still_paused = {i: r for i, r in reports.items() if r.paused_term}
+            are_all_read = self._paused.keys() <= reports.keys()
+        is_resumed = await self._resume(still_paused, reason)
+        if self._has_blocked_commits:
+            self._has_blocked_commits = False
+            await self._commit_blocker.unblock_commits(
+                self.claim.service, self.claim.token
+            )
+        await self._requests.aclose()
+        return are_all_read and is_resumed
 
     async def _replace(self) -> bool:
         reports = await self._read_reports()
         if not reports:
             self._give_up("no database answers")
             return False
-        term = next_term(reports, self._previous.term)
+        self._term = term = next_term(reports, self._previous.term)
         candidate = await self._find_candidate(reports, term)
         if not candidate:
             return False
-        if not self._is_claim_usable():
+        if not self.is_claim_usable():
             self._give_up("the claim has expired")
             return False
-        return await self._request_promotion(candidate, term)
+        return await self._request_promotion(candidate)
 
     async def _read_reports(self) -> dict[str, DatabaseReport]:
         if self._previous.is_leaving:
-            return await self._request_reports(self._databases, _report)
+            return await self._request_reports(self._databases, report)
         # Reading a failed leader would only delay the failover until the time limit.
         others = {
             database_id: database
             for database_id, database in self._databases.items()
             if database_id != self._previous.database_id
         }
-        return await self._request_reports(others, _report)
+        return await self._request_reports(others, report)
 
     async def _find_candidate(
         self, reports: dict[str, DatabaseReport], term: int
@@ -236,31 +326,34 @@
             replicas = frozenset(self._databases.keys() - {leader_id})
         if previous.is_leaving and leader_id in reports:
             return await self._find_planned(reports, leader_id, replicas, term)
-        await self._pause(replicas & reports.keys(), term)
-        choice = await self._choose(replicas)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._block_commits, NO_WAIT)
+            tasks.start_soon(self._pause, replicas & reports.keys(), term)
+        await self.pause_newly_listed()
+        choice = await self._choose(leader_id)
         if not choice.database_id and self._participants.unlisted:
             await self._pause_unlisted(term)
-            choice = await self._choose(replicas)
+            choice = await self._choose(leader_id)
         if not choice.database_id:
             self._give_up_as_lossy(choice.reason)
         return choice.database_id
 
-    async def _choose(self, replicas: frozenset[str]) -> CandidateChoice:
+    async def _choose(self, leader_id: str) -> CandidateChoice:
+        replicas = frozenset(self._databases.keys() - {leader_id})
         leaving_since = self._participants.leaving_since
         if self._accepts_commit_loss:
             choice = choose_longest_log(self._paused, leaving_since)
             self._log.decision(
                 "chosen without proof",
-                service=self._claim.service,
+                service=self.claim.service,
                 candidate=choice.database_id,
                 reason=choice.reason,
             )
             return choice
         unread = (replicas | self._unlisted_ids()) - self._paused.keys()
-        acknowledged = (
-            await self._block_commits() if unread else HighestAcknowledged(None)
-        )
-        return choose_candidate(self._paused, unread, acknowledged, leaving_since)
+        if unread and self._acknowledged.position is None:
+            await self._block_commits(COMMIT_WAIT)
+        return choose_candidate(self._paused, unread, self._acknowledged, leaving_since)
 
     async def _find_planned(
         self,
@@ -283,16 +376,16 @@
         unread = (others | self._unlisted_ids()) - self._paused.keys()
         if unread:
             # Commits that these receive may still be acknowledged.
-            acknowledged = await self._block_commits()
-            if acknowledged.position is None:
+            await self._block_commits(COMMIT_WAIT)
+            if self._acknowledged.position is None:
                 self._give_up_as_lossy(
                     f"databases not read: {', '.join(sorted(unread))}"
                 )
                 return ""
-            needed.append(acknowledged.position)
+            needed.append(self._acknowledged.position)
         # From here on a commit is acknowledged only after the candidate received it.
         leader = await self._request_reports(
-            {leader_id: self._databases[leader_id]}, _report
+            {leader_id: self._databases[leader_id]}, report
         )
         if leader_id not in leader:
             self._give_up(f"the leaving leader {leader_id} does not answer")
@@ -307,28 +400,27 @@
         began_at = self._clock.now()
         while self._clock.now() - began_at < CATCH_UP_TIMEOUT:
             candidate_only = {candidate: self._databases[candidate]}
-            reports = await self._request_reports(candidate_only, _report)
-            report = reports.get(candidate)
-            if report is not None and has_caught_up(report, needed):
+            reports = await self._request_reports(candidate_only, report)
+            if candidate in reports and has_caught_up(reports[candidate], needed):
                 return True
             await anyio.sleep(CATCH_UP_POLL_S)
         return False
 
-    async def _block_commits(self) -> HighestAcknowledged:
-        """Block commits until this attempt ends; return the highest acknowledged."""
+    async def _block_commits(self, max_wait: timedelta) -> None:
+        """Block commits until nothing is pending; learn the highest acknowledged."""
         self._has_blocked_commits = True
-        claim = self._claim
-        acknowledged = await self._commit_blocker.block_commits(
-            claim.service, self._previous.database_id
+        claim = self.claim
+        block = CommitBlock(
+            claim.service, claim.token, self._previous.database_id, self.candidate_id
         )
+        self._acknowledged = await self._commit_blocker.block_commits(block, max_wait)
         self._log.decision(
             "commits held back",
             service=claim.service,
             token=claim.token,
-            acknowledged=str(acknowledged.position),
-            unknown=acknowledged.missing_instances,
+            acknowledged=str(self._acknowledged.position),
+            unknown=self._acknowledged.missing_instances,
         )
-        return acknowledged
 
     def _unlisted_ids(self) -> frozenset[str]:
         """Return the ids of the unlisted databases other than the previous leader.
@@ -366,121 +458,91 @@
         a later term.
         """
         for attempt in range(PAUSE_ATTEMPTS_MAX):
-            databases = {i: self._databases[i] for i in database_ids}
-            reports = await self._request_reports(
-                databases, _pause_until(term + attempt)
-            )
+            databases = [self._databases[i] for i in database_ids]
+            reports = await self._requests.send(databases, pause_until(term + attempt))
             paused = {i: r for i, r in reports.items() if r.paused_term >= term}
             self._paused |= paused
             database_ids = frozenset(reports.keys() - paused.keys())
             if not database_ids:
                 return
 
-    async def _request_promotion(self, candidate: str, term: int) -> bool:
-        claim = self._claim
+    async def _request_promotion(self, candidate: str) -> bool:
+        claim = self.claim
+        self.candidate_id = candidate
         self._log.decision(
             "promotion ordered",
             service=claim.service,
             candidate=candidate,
             former=self._previous.database_id,
             token=claim.token,
-            term=term,
+            term=self._term,
             planned=self._previous.is_leaving,
             paused={i: str(r.received) for i, r in self._paused.items()},
             unlisted=sorted(self._unlisted_ids()),
             has_blocked_commits=self._has_blocked_commits,
             claim_age_ms=self._claim_age_ms(),
         )
-        for _ in range(PROMOTE_ATTEMPTS_MAX):
-            try:
-                await self._failover.promote(claim.service, candidate, claim.token)
-            except PromotionRefused as error:
-                self._give_up(f"promotion refused: {error.detail}")
-                return False
-            except CodedError as error:
-                self._log.decision(
-                    "promotion not answered",
-                    service=claim.service,
-                    token=claim.token,
-                    detail=error.detail,
-                )
-                if not self._is_claim_usable():
+        async with anyio.create_task_group() as tasks:
+            for _ in range(PROMOTE_ATTEMPTS_MAX):
+                # The instances learn the candidate, whose lead ends the block.
+                tasks.start_soon(self.keep_commits_blocked)
+                if await self._call_promotion() or not self.is_claim_usable():
                     break
-                continue
+        return self.outcome is not OrderOutcome.NOT_ORDERED
+
+    async def _call_promotion(self) -> bool:
+        """Order the promotion once; return whether the platform has answered."""
+        claim = self.claim
+        try:
+            await self._failover.promote(claim.service, self.candidate_id, claim.token)
+        except PromotionRefused as error:
+            # An earlier call without an answer may still be carried out, once the
+            # database runs again.
+            if self.outcome is OrderOutcome.NOT_ORDERED:
+                self._give_up(f"promotion refused: {error.detail}")
+            return True
+        except CodedError as error:
+            self.outcome = OrderOutcome.UNANSWERED
             self._log.decision(
-                "promotion accepted",
+                "promotion not answered",
                 service=claim.service,
                 token=claim.token,
-                claim_age_ms=self._claim_age_ms(),
+                detail=error.detail,
             )
-            return True
-        # The promotion may still be carried out: the paused replicas stay paused until
-        # it is, or until the next attempt.
+            return False
+        if self.outcome is OrderOutcome.NOT_ORDERED:
+            self.outcome = OrderOutcome.ACCEPTED
+        self._log.decision(
+            "promotion accepted",
+            service=claim.service,
+            token=claim.token,
+            claim_age_ms=self._claim_age_ms(),
+        )
         return True
 
-    def _is_claim_usable(self) -> bool:
-        return self._claim.is_usable(self._clock.now(), self._era.current)
-
     def _claim_age_ms(self) -> int:
-        return (self._clock.now() - self._claim.claimed_at) // _MILLISECOND
-
-    async def _resume(self, reports: dict[str, DatabaseReport], reason: str) -> None:
-        async def resume_replication(link: Link) -> DatabaseReport:
-            return await link.resume_replication()
+        return (self._clock.now() - self.claim.claimed_at) // _MILLISECOND
 
-        databases = {i: self._databases[i] for i in reports}
-        resumed = await self._request_reports(databases, resume_replication)
+    async def _resume(self, reports: dict[str, DatabaseReport], reason: str) -> bool:
+        databases = [self._databases[i] for i in reports]
+        resumed = await self._requests.send(databases, resume_replication)
         if resumed:
             self._log.decision(
                 "replicas resumed",
-                service=self._claim.service,
-                token=self._claim.token,
+                service=self.claim.service,
+                token=self.claim.token,
                 claim_age_ms=self._claim_age_ms(),
                 paused_terms={i: r.paused_term for i, r in reports.items()},
                 reason=reason,
             )
         for database_id in reports.keys() - resumed.keys():
             self._log.decision("replica not resumed", database=database_id)
+        return resumed.keys() == reports.keys()
 
     async def _request_reports(
-        self, databases: dict[str, Database], request: Request
+        self, databases: Mapping[str, Database], request: Request
     ) -> dict[str, DatabaseReport]:
-        reports: dict[str, DatabaseReport] = {}
-
-        async def request_report(database: Database) -> None:
-            database_id = database.database_id
-            try:
-                with anyio.fail_after(REQUEST_TIMEOUT_S):
-                    reports[database_id] = await request(await self._link_to(database))
-            except (CodedError, TimeoutError) as error:
-                await self._drop_link(database_id)
-                self._log.decision(
-                    "database not read",
-                    service=database.service,
-                    database=database_id,
-                    detail=str(error) or "no answer",
-                )
-
-        async with anyio.create_task_group() as tasks:
-            for database in databases.values():
-                tasks.start_soon(request_report, database)
-        return reports
-
-    async def _link_to(self, database: Database) -> Link:
-        link = self._links.get(database.database_id)
-        if link is None:
-            link = await self._open_link(database)
-            self._links[database.database_id] = link
-        return link
-
-    async def _drop_link(self, database_id: str) -> None:
-        link = self._links.pop(database_id, None)
-        if link is not None:
-            await link.aclose()
-
-    async def _close(self) -> None:
-        for database_id in list(self._links):
-            await self._drop_link(database_id)
+        return await self._requests.send(databases.values(), request)
 
     def _give_up_as_lossy(self, reason: str) -> None:
         self.may_lose_commits = True
@@ -489,18 +551,7 @@
     def _give_up(self, reason: str) -> None:
         self._log.decision(
             "succession given up",
-            service=self._claim.service,
-            token=self._claim.token,
+            service=self.claim.service,
+            token=self.claim.token,
             reason=reason,
         )
-
-
-async def _report(link: Link) -> DatabaseReport:
-    return await link.report()
-
-
-def _pause_until(term: int) -> Request:
-    async def pause_replication(link: Link) -> DatabaseReport:
-        return await link.pause_replication(term)
-
-    return pause_replication
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -9,6 +9,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..tasks.supervised_tasks import SupervisedTasks
+from .commit_tracker import BLOCK_LIFETIME
 from .database import Database
 from .decision_log import DecisionLog
 from .directory import Directory
@@ -291,7 +292,7 @@
             self._is_reading = False
 
     async def _replace_leader(self, service: Service, is_planned: bool) -> None:
-        databases = [served.database for served in service.databases.values()]
+        databases = _list_databases(service)
         leader_id = service.leadership.presumed_leader_id(databases)
         try:
             claim = await self._claims.claim(service.name, leader_id)
@@ -299,6 +300,7 @@
                 return
             attempt = FailoverAttempt(
                 claim,
+                lambda: _list_databases(service),
                 _make_participants(service, leader_id),
                 PreviousLeader(leader_id, service.leadership.newest_term(), is_planned),
                 self._has_waited_for_commits(service),
@@ -310,8 +312,8 @@
                 self._log,
             )
             if await attempt.run():
-                await self._wait_for_takeover(service, leader_id)
-                await attempt.resume_receiving()
+                await self._wait_for_takeover(service, attempt)
+                await attempt.end("promotion ordered")
             elif attempt.may_lose_commits:
                 epoch_and_time = (service.leadership.epoch, self._clock.now())
                 self._lossy_since.setdefault(service.name, epoch_and_time)
@@ -342,22 +344,26 @@
         return False
 
     async def _wait_for_takeover(
-        self, service: Service, previous_leader_id: str
+        self, service: Service, attempt: FailoverAttempt
     ) -> None:
-        began_at = self._clock.now()
+        """Wait until the candidate leads, and block commits that it may lack."""
+        began_at = renewed_at = self._clock.now()
         leader_verifier = self._directory.leader_verifier(service.name)
         is_seen = False
-        while not is_seen and self._clock.now() - began_at < TAKEOVER_TIMEOUT:
-            leader_id = service.leadership.leader_id
-            is_seen = bool(leader_id) and leader_id != previous_leader_id
+        while not is_seen and (now := self._clock.now()) - began_at < TAKEOVER_TIMEOUT:
+            is_seen = service.leadership.leader_id == attempt.candidate_id
             if not is_seen:
+                if now - renewed_at >= BLOCK_LIFETIME / 3:
+                    renewed_at = now
+                    await attempt.keep_commits_blocked()
+                await attempt.pause_newly_listed()
                 leader_verifier.check_now()
                 await service.wait_change(TAKEOVER_POLL_INTERVAL)
         self._log.decision(
             "takeover seen" if is_seen else "takeover not seen",
             service=service.name,
             leader=service.leadership.leader_id,
-            former=previous_leader_id,
+            candidate=attempt.candidate_id,
             after_ms=(self._clock.now() - began_at) // _MILLISECOND,
         )
 
@@ -368,6 +374,10 @@
         self._suspicions.update(rows, self._clock.now(), self._era.current)
 
 
+def _list_databases(service: Service) -> list[Database]:
+    return [served.database for served in service.databases.values()]
+
+
 def _make_participants(service: Service, previous_leader_id: str) -> Participants:
     """Return the databases of a service; the record was read before.
 
--- a/goldcrestpond/serving/log_member_prover.py
+++ b/goldcrestpond/serving/log_member_prover.py
@@ -8,9 +8,9 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..tasks.supervised_tasks import SupervisedTasks
+from .database_requests import REQUEST_TIMEOUT_S, OpenLink
 from .decision_log import DecisionLog
 from .directory import Directory
-from .failover_attempt import REQUEST_TIMEOUT_S, OpenLink
 from .failover_delay import holder_rank
 from .log_members import (
     LogMember,
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -14,6 +14,7 @@
 from ..pool.pace_reason import PaceReason
 from ..routing.estimate_wait import estimate_wait
 from .choose_database import ReadCandidate, choose_database
+from .commit_block import CommitBlock
 from .commit_stall_detector import CommitStallDetector
 from .commit_tracker import CommitTracker
 from .database import Database
@@ -147,7 +148,7 @@
                 database=served.database_id,
                 position=position,
                 epoch=self.leadership.epoch,
-                unlisted=[each.database_id for each, _ in self.unlisted],
+                unlisted=sorted(m.database_id for m in self.log_members.removed),
                 listed_as=served.database.role,
             )
             if had_leader:
@@ -155,6 +156,8 @@
             self.stall_detector.reset()
             record_leader(self.log_members, served.database_id, position.term)
             self.notify_change()
+        if served.database_id == self.leadership.leader_id:
+            self.commit_tracker.record_leader(served.database_id, asked_at)
         served.progress.record_answer(position, self.leadership.epoch)
 
     def record_leader_refusal(self, served: ServedDatabase) -> None:
@@ -326,27 +329,34 @@
         Raises
         ------
         CodedError
-            As for `run_commit`.
+            As for `run_commit`; OUTCOME_UNKNOWN if commits were blocked before the
+            answer, since the next leader may lack this one.
         """
         self._check_commits_allowed()
         self.commit_tracker.record_commit_sent()
         try:
             reply = await run()
             if reply.error is None and reply.position is not None:
+                if self._are_commits_blocked():
+                    detail = (
+                        f"{self.name}: answered after its leader was to be replaced"
+                    )
+                    raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail)
                 self.commit_tracker.record_answer(reply.position)
             return reply
         finally:
             self.commit_tracker.record_commit_ended()
 
     async def block_commits(
-        self, previous_leader_id: str, max_wait: timedelta
+        self, block: CommitBlock, max_wait: timedelta
     ) -> LogPosition | None:
-        """Stop sending commits to a leader that is being replaced.
+        """Stop sending commits to the service while its leader is replaced.
 
         Parameters
         ----------
-        previous_leader_id : str
-            Id of the leader; empty if it is unknown.
+        block : CommitBlock
+            Under which claim, and which databases. Nothing is blocked if the
+            candidate leads.
         max_wait : timedelta
             How long to wait for commits in flight.
 
@@ -357,22 +367,25 @@
             if that is not known, if commits are still in flight after ``max_wait``, or
             if another database leads.
         """
-        if previous_leader_id and self.leadership.leader_id not in (
-            "",
-            previous_leader_id,
-        ):
+        leader_id = self.leadership.leader_id
+        if block.candidate_id and block.candidate_id == leader_id:
+            self.unblock_commits(block.token)
             return None
         now = self._clock.now()
-        self.commit_tracker.block_commits(self.leadership.epoch, now)
+        self.commit_tracker.block_commits(block, now)
         self.log.decision(
             "commits blocked",
             service=self.name,
-            former=previous_leader_id,
-            leader=self.leadership.leader_id,
+            token=block.token,
+            former=block.former_id,
+            leader=leader_id,
+            candidate=block.candidate_id,
             epoch=self.leadership.epoch,
             acknowledged=str(self.commit_tracker.acknowledged),
             is_idle=self.commit_tracker.is_idle,
         )
+        if block.former_id and leader_id not in ("", block.former_id):
+            return None
         deadline = now + max_wait
         while not self.commit_tracker.is_idle:
             if self._clock.now() >= deadline:
@@ -380,8 +393,20 @@
             await self.wait_change(_COMMIT_POLL_INTERVAL)
         return self.commit_tracker.acknowledged
 
+    def unblock_commits(self, token: int) -> None:
+        """Send commits again, unless they are blocked under a later claim."""
+        if self.commit_tracker.is_blocked(self._clock.now()):
+            is_unblocked = self.commit_tracker.unblock_commits(token)
+            self.log.decision(
+                "commits unblocked" if is_unblocked else "later block stays",
+                service=self.name,
+                token=token,
+                leader=self.leadership.leader_id,
+            )
+            self.notify_change()
+
     def _are_commits_blocked(self) -> bool:
-        return self.commit_tracker.is_blocked(self.leadership.epoch, self._clock.now())
+        return self.commit_tracker.is_blocked(self._clock.now())
 
     def _check_commits_allowed(self) -> None:
         if self._are_commits_blocked():
--- a/tests/serving/test_commit_tracker.py
+++ b/tests/serving/test_commit_tracker.py
@@ -1,6 +1,7 @@
 """Tests of acknowledged-commit tracking and of blocked commits in one instance."""
 
 import random
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -11,6 +12,7 @@
 from goldcrestpond.errors.coded_error import CodedError
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.group.log_position import LogPosition
+from goldcrestpond.serving.commit_block import CommitBlock
 from goldcrestpond.serving.commit_tracker import BLOCK_LIFETIME, CommitTracker
 from goldcrestpond.serving.highest_acknowledged import combine_acknowledged
 from goldcrestpond.serving.registry import Registry
@@ -21,6 +23,8 @@
 from ..line_world import ListLog
 from .test_leadership import ms
 
+_BLOCK = CommitBlock("s", 7, "")
+
 
 @pytest.fixture
 def clock():
@@ -52,15 +56,49 @@
     assert_that(commit_tracker.acknowledged, Equals(_position(7)))
 
 
-def test_block_applies_to_one_epoch_and_expires():
+# Guards against: a leader that returns under another id acknowledges commits while its
+# successor's promotion is pending, since the block was only for the former leader.
+def test_block_applies_whichever_database_leads_until_the_candidate_does():
+    commit_tracker = CommitTracker()
+    commit_tracker.block_commits(_BLOCK, ms(0))
+    assert_that(commit_tracker.is_blocked(ms(1)), Is(True))
+    commit_tracker.record_leader("d1 under a new id", ms(2))
+    assert_that(commit_tracker.is_blocked(ms(3)), Is(True))
+    commit_tracker.block_commits(replace(_BLOCK, candidate_id="d2"), ms(4))
+    commit_tracker.record_leader("d1 under a new id", ms(5))
+    assert_that(commit_tracker.is_blocked(ms(6)), Is(True))
+    commit_tracker.record_leader("d2", ms(7))
+    assert_that(commit_tracker.is_blocked(ms(8)), Is(False))
+
+
+def test_leader_check_from_before_the_block_does_not_end_it():
+    commit_tracker = CommitTracker()
+    commit_tracker.block_commits(replace(_BLOCK, candidate_id="d2"), ms(4))
+    commit_tracker.record_leader("d2", ms(3))
+    assert_that(commit_tracker.is_blocked(ms(5)), Is(True))
+
+
+def test_block_expires_unless_it_is_renewed():
+    commit_tracker = CommitTracker()
+    commit_tracker.block_commits(_BLOCK, ms(0))
+    assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(False))
+    commit_tracker.block_commits(_BLOCK, ms(100))
+    assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(True))
+
+
+# Guards against: the end of an attempt unblocks commits while the promotion of the next
+# claimant is pending.
+def test_only_the_latest_claim_ends_a_block():
     commit_tracker = CommitTracker()
-    commit_tracker.block_commits(3, ms(0))
-    assert_that(commit_tracker.is_blocked(3, ms(1)), Is(True))
-    assert_that(commit_tracker.is_blocked(4, ms(1)), Is(False))
-    assert_that(commit_tracker.is_blocked(3, BLOCK_LIFETIME), Is(False))
-    commit_tracker.block_commits(3, BLOCK_LIFETIME)
-    commit_tracker.unblock_commits()
-    assert_that(commit_tracker.is_blocked(3, BLOCK_LIFETIME + ms(1)), Is(False))
+    commit_tracker.block_commits(_BLOCK, ms(0))
+    later = CommitBlock("s", _BLOCK.token + 1, "d1", "d3")
+    commit_tracker.block_commits(later, ms(1))
+    commit_tracker.block_commits(replace(_BLOCK, candidate_id="d2"), ms(2))
+    assert_that(commit_tracker.unblock_commits(_BLOCK.token), Is(False))
+    commit_tracker.record_leader("d2", ms(3))
+    assert_that(commit_tracker.is_blocked(ms(4)), Is(True))
+    assert_that(commit_tracker.unblock_commits(later.token), Is(True))
+    assert_that(commit_tracker.is_blocked(ms(5)), Is(False))
 
 
 def test_highest_acknowledged_needs_the_answers_of_all_instances():
@@ -76,7 +114,7 @@
     async def body():
         reply = await service.run_commit(lambda: _commit(4))
         assert_that(reply.position, Equals(_position(4)))
-        assert_that(await service.block_commits("", ms(100)), Equals(_position(4)))
+        assert_that(await service.block_commits(_BLOCK, ms(100)), Equals(_position(4)))
         with pytest.raises(CodedError) as raised:
             await service.run_commit(lambda: _commit(5))
         assert_that(raised.value.code, Is(ResultCode.NO_PRIMARY))
@@ -89,13 +127,14 @@
     async def body():
         answer = anyio.Event()
         positions = []
+        service.commit_tracker.record_leader_position(_position(4))
 
         async def commit():
             await answer.wait()
-            return Reply(position=_position(8))
+            return Reply(error=ResultCode.ENDPOINT_BUSY)
 
         async def block():
-            positions.append(await service.block_commits("", ms(100)))
+            positions.append(await service.block_commits(_BLOCK, ms(100)))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(service.run_commit, commit)
@@ -105,7 +144,7 @@
             await anyio.sleep(0.03)
             assert_that(positions, Equals([]))
             answer.set()
-        assert_that(positions, Equals([_position(8)]))
+        assert_that(positions, Equals([_position(4)]))
 
     anyio.run(body)
 
@@ -115,7 +154,7 @@
         positions = []
 
         async def block():
-            positions.append(await service.block_commits("", ms(100)))
+            positions.append(await service.block_commits(_BLOCK, ms(100)))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(service.run_commit, anyio.sleep_forever)
@@ -130,7 +169,45 @@
     anyio.run(body)
 
 
-def test_commits_are_not_blocked_if_another_database_leads(service):
+# Guards against: commits to a leader that is back under a new id are not blocked, and
+# the position of another leader is taken for that of the one that is replaced.
+def test_commits_are_blocked_but_no_position_is_told_if_another_database_leads(service):
     service.leadership.record_leader_verified("d2", _position(3), ms(10_000))
-    assert_that(anyio.run(service.block_commits, "d1", ms(10)), Is(None))
-    assert_that(service.commit_tracker.is_blocked(1, ms(10_001)), Is(False))
+    block = CommitBlock("s", 7, "d1")
+    assert_that(anyio.run(service.block_commits, block, ms(10)), Is(None))
+    assert_that(service.commit_tracker.is_blocked(ms(10_001)), Is(True))
+
+
+def test_nothing_is_blocked_if_the_candidate_leads(service):
+    service.leadership.record_leader_verified("d2", _position(3), ms(10_000))
+    block = CommitBlock("s", 7, "d1", "d2")
+    assert_that(anyio.run(service.block_commits, block, ms(10)), Is(None))
+    assert_that(service.commit_tracker.is_blocked(ms(10_001)), Is(False))
+
+
+# Guards against: a commit that was under way when commits were blocked is acknowledged
+# to its caller after the candidate's log had been read.
+def test_commit_answered_while_blocked_is_reported_as_unknown(service):
+    async def body():
+        answer = anyio.Event()
+        codes = []
+
+        async def commit():
+            await answer.wait()
+            return Reply(position=_position(8))
+
+        async def run_commit():
+            try:
+                await service.run_commit(commit)
+            except CodedError as error:
+                codes.append(error.code)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_commit)
+            await anyio.sleep(0)
+            assert_that(await service.block_commits(_BLOCK, ms(0)), Is(None))
+            answer.set()
+        assert_that(codes, Equals([ResultCode.OUTCOME_UNKNOWN]))
+        assert_that(service.commit_tracker.acknowledged, Is(None))
+
+    anyio.run(body)
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -65,7 +65,7 @@
     received it. A replica receives the whole log up to an entry.
     """
 
-    def __init__(self, rng, pauses_replicas=True):
+    def __init__(self, rng, pauses_replicas=True, blocks_commits=True):
         self.rng = rng
         self.leader = "p"
         self.term = 1
@@ -86,6 +86,7 @@
         self.has_lost_commits = False
         self.asked = []
         self.pauses_replicas = pauses_replicas
+        self.blocks_commits = blocks_commits
 
     def step(self):
         """Let the primary commit and replicate at random."""
@@ -133,14 +134,15 @@
         for other in IDS:
             self.log[other] = min(self.log[other], self.log[database_id])
 
-    async def block_commits(self, service, previous_leader_id):
+    async def block_commits(self, block, max_wait):
         answers = []
         for name in INSTANCES:
             self.step()
             if name in self.unanswering_instances:
                 answers.append((name, None))
                 continue
-            self.blocked_instances.add(name)
+            if self.blocks_commits:
+                self.blocked_instances.add(name)
             # The outcome of commits in flight is reported to their callers as unknown.
             self.senders = {n: i for n, i in self.senders.items() if i != name}
             answers.append(
@@ -148,7 +150,7 @@
             )
         return combine_acknowledged(answers)
 
-    async def unblock_commits(self, service):
+    async def unblock_commits(self, service, token):
         self.is_unblocked = True
         self.blocked_instances.clear()
 
@@ -238,9 +240,11 @@
             raise CodedError(ResultCode.ENDPOINT_UNREACHABLE, "cut")
         return _Link(group, database.database_id)
 
+    participants = participants or _participants(group, leaving)
     attempt = FailoverAttempt(
         Claim("s", RowRevision(0, 7), timedelta(seconds=5)),
-        participants or _participants(group, leaving),
+        lambda: participants.listed,
+        participants,
         PreviousLeader(leader_id, known_term, is_planned),
         accepts_commit_loss,
         failover,
@@ -270,8 +274,9 @@
 )
 
 
-def _play(world, pauses_replicas=True):
-    group = _Group(random.Random(world["seed"]), pauses_replicas)
+def _play(world, pauses_replicas=True, blocks_commits=True):
+    rng = random.Random(world["seed"])
+    group = _Group(rng, pauses_replicas, blocks_commits)
     for _ in range(world["seed"] % 4):
         group.step()
     if world["led_by"] != group.leader:
@@ -324,7 +329,7 @@
     )
 
 
-def _loses_commits(pauses_replicas=True, is_planned=False):
+def _loses_commits(pauses_replicas=True, is_planned=False, blocks_commits=True):
     for seed in range(600):
         world = {
             "seed": seed,
@@ -339,7 +344,7 @@
             "leader_id": "p",
             "led_by": "p",
         }
-        if _play(world, pauses_replicas)[0].has_lost_commits:
+        if _play(world, pauses_replicas, blocks_commits)[0].has_lost_commits:
             return True
     return False
 
@@ -352,8 +357,13 @@
     assert_that(_loses_commits(), Is(True))
 
 
-def test_failover_without_paused_replicas_loses_commits():
-    assert_that(_loses_commits(pauses_replicas=False), Is(True))
+def test_failover_without_paused_replicas_and_blocked_commits_loses_commits():
+    assert_that(_loses_commits(pauses_replicas=False, blocks_commits=False), Is(True))
+
+
+# Guards against: only one of the two defences is left.
+def test_either_paused_replicas_or_blocked_commits_keep_acknowledged_commits():
+    assert_that(_loses_commits(pauses_replicas=False), Is(False))
 
 
 def test_failover_that_ignores_unlisted_databases_loses_commits(monkeypatch):
@@ -381,7 +391,17 @@
     clock = ManualClock(timedelta(seconds=5) + CLAIM_USE_LIMIT)
     assert_that(_run_attempt(group, failover, False, clock=clock), Is(False))
     assert_that(failover.promotions, Equals([]))
-    assert_that(group.paused["a"], Equals(0))
+
+
+# Guards against: an attempt whose claim has expired resumes replicas, or unblocks
+# commits, on which the promotion of the next claimant relies.
+def test_nothing_is_undone_under_an_expired_claim():
+    group = _Group(random.Random(1))
+    group.crashed = {"p"}
+    clock = ManualClock(timedelta(seconds=5) + CLAIM_USE_LIMIT)
+    _run_attempt(group, _Failover(group, "done"), False, clock=clock)
+    assert_that(group.paused["a"], Equals(2))
+    assert_that(group.is_unblocked, Is(False))
 
 
 def test_failover_that_is_given_up_resumes_replicas_and_unblocks_commits():
