End every failover under a claim: void late orders, resume what was left paused

What callers saw: commits were gone seconds after they had been acknowledged, and before that writes to a service failed for up to 42 s.

Cause: what an attempt had begun was known to its own process only. An order without an answer was given up after 3.5 s and carried out up to 12 s later, over a leader that was back. What a killed instance had paused was resumed by nobody, so that its log fell behind, and was promoted later. A process that started while a promotion was pending didn't know of the block of commits, its own included. The end of an attempt resumed replicas without a claim.

Change: the claim's row says whether something is left of its attempt (open, or only paused replicas); rows of the former release say nothing and count as ended. An order without an answer is made void before anything is undone: the platform is told to promote the present leader under a newer token, which changes nothing but makes it refuse the older one; commits stay blocked for the time of an order that it may have accepted before. Replicas are resumed and commits unblocked only under a claim that can be used, renewed if needed. An instance whose block of commits isn't renewed ends the attempt itself, in the order of the holders, and so does one that finds an open claim at its start, before which it sends no commits; commits that reach no replica let it look for paused ones.

--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -26,6 +26,7 @@
         "_blocked_at",
         "_blocked_until",
         "_in_flight",
+        "_set_at",
         "acknowledged",
     )
 
@@ -34,6 +35,7 @@
         self._in_flight = 0
         self._blocked_at = timedelta.min
         self._blocked_until = timedelta.min
+        self._set_at = timedelta.min
         self._block: CommitBlock | None = None
 
     @property
@@ -77,6 +79,7 @@
             block.token == self._block.token and block.candidate_id
         ):
             self._block = block
+        self._set_at = now
         self._blocked_until = now + BLOCK_LIFETIME
 
     def unblock_commits(self, token: int) -> bool:
@@ -108,6 +111,21 @@
         if database_id == block.candidate_id:
             self.unblock_commits(block.token)
 
+    @property
+    def token(self) -> int:
+        """Token of the last block; 0 if there was none."""
+        return 0 if self._block is None else self._block.token
+
+    def is_unrenewed(self, now: timedelta, span: timedelta) -> bool:
+        """Return whether commits are blocked, and the block is older than ``span``."""
+        return self.is_blocked(now) and now - self._set_at >= span
+
+    def extend(self, now: timedelta, span: timedelta, limit: timedelta) -> None:
+        """Let a block last for ``span``, at most until ``limit`` after it was set."""
+        self._blocked_until = max(
+            self._blocked_until, min(now + span, self._set_at + limit)
+        )
+
     def is_blocked(self, now: timedelta) -> bool:
         """Return whether commits are blocked."""
         return now < self._blocked_until
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -109,6 +109,7 @@
 
     __slots__ = (
         "_absent",
+        "_blocks_at_start",
         "_holder_counts",
         "_holders",
         "_is_held",
@@ -180,6 +181,7 @@
         self._roles: dict[str, RateRole] = {}
         self._restart_ends_at = clock.now() + RESTART_SPAN
         self._is_listed = True
+        self._blocks_at_start = False
         self._was_listed_at_start = False
         self.homes = HomeTable(settings.instance)
         self.admission = HomeAdmission(self.homes, clock)
@@ -246,6 +248,10 @@
                 name, self.registry, self._settings, self.clock, self.rng, self.log
             )
             self.services[name] = service
+            if self._blocks_at_start:
+                service.commit_tracker.block_commits(
+                    CommitBlock(name, 0, ""), self.clock.now()
+                )
             self._leader_verifiers[name] = self._make_leader_verifier(service)
             self._retry_budgets[name] = RetryBudget(self.clock.now())
             self._assign_holders(service)
@@ -486,6 +492,16 @@
         answers.append((self._settings.instance, own_position))
         return combine_acknowledged(answers)
 
+    def begin_start_block(self) -> None:
+        """Block commits to each service until `end_start_block` is called."""
+        self._blocks_at_start = True
+
+    def end_start_block(self) -> None:
+        """Send commits to the services that no attempt is known to block."""
+        self._blocks_at_start = False
+        for service in self.services.values():
+            service.unblock_commits(0)
+
     async def unblock_commits(self, service: str, token: int) -> None:
         """Unblock commits on all instances: nothing is pending under this token."""
         self.service(service).unblock_commits(token)
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -1,8 +1,9 @@
 """Writes the claim to replace the leader of a service, which one instance may hold."""
 
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
+from enum import StrEnum
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from ..errors.coded_error import CodedError
 from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
+from .commit_block import CommitBlock
 from .row_store import FeedAnswer, RowConflict, RowPut, RowRevision, RowStore, StoredRow
 from .store_era import StoreEra
 
@@ -24,12 +26,27 @@
 _VERSION_BITS = 40
 
 
+class ClaimState(StrEnum):
+    """What is known of a claim's attempt.
+
+    A row without a state is from a release that wrote none.
+    """
+
+    UNKNOWN = ""
+    # A promotion may have been ordered, and replicas may be paused.
+    OPEN = "open"
+    # No promotion is pending, but some replica may be paused.
+    PAUSED = "paused"
+    ENDED = "ended"
+
+
 class ClaimBody(msgspec.Struct, frozen=True):
     """JSON value of a claim's row."""
 
     holder: str
     nonce: str
     former: str
+    state: str = ClaimState.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +61,14 @@
         Era and version of the claim's row.
     claimed_at : timedelta
         Time before the claim was written.
+    former : str
+        Id of the leader that is replaced.
     """
 
     service: str
     revision: RowRevision
     claimed_at: timedelta
+    former: str = ""
 
     @property
     def token(self) -> int:
@@ -60,6 +80,25 @@
         return era == self.revision.era and now - self.claimed_at < CLAIM_USE_LIMIT
 
 
+@dataclass(frozen=True, slots=True)
+class UnendedClaim:
+    """A claim in the store of which something may be left.
+
+    Attributes
+    ----------
+    block : CommitBlock
+        The block of commits that belongs to it.
+    may_be_pending : bool
+        Whether a promotion may be pending. If not, only replicas may be paused.
+    """
+
+    block: CommitBlock
+    may_be_pending: bool
+
+
+_UNENDED = (ClaimState.OPEN, ClaimState.PAUSED)
+
+
 def fencing_token(revision: RowRevision) -> int:
     """Return the fencing token of a revision."""
     return (revision.era << _VERSION_BITS) + revision.version
@@ -119,7 +158,7 @@
             body = _decode_body(row)
             if body is not None and body.nonce in nonces:
                 revision = RowRevision(answer.era, row.version)
-                return Claim(service, revision, self._clock.now())
+                return Claim(service, revision, self._clock.now(), previous_leader_id)
             is_own = body is not None and body.holder == self._instance
             if row is not None and not is_own and self._is_claimed(service, row):
                 return None
@@ -141,10 +180,86 @@
             if revision.era != answer.era:
                 return None
             self._first_seen[service] = (revision.version, claimed_at)
-            return Claim(service, revision, claimed_at)
+            return Claim(service, revision, claimed_at, previous_leader_id)
         detail = f"{service}: the claim was not answered"
         raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
 
+    async def renew(self, claim: Claim) -> Claim | None:
+        """Claim a service again under a new token; None if another one has claimed it.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
+        """
+        return await self._rewrite(claim, ClaimState.OPEN)
+
+    async def close(self, claim: Claim, state: ClaimState) -> bool:
+        """Record the end of an attempt; return False if another one has claimed it.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
+        """
+        return await self._rewrite(claim, state) is not None
+
+    async def _rewrite(self, claim: Claim, state: ClaimState) -> Claim | None:
+        key = claim_key(claim.service, claim.revision.era)
+        condition = StoredRow(TABLE, "", key, None, claim.revision.version)
+        body = ClaimBody(self._instance, uuid.uuid4().hex, claim.former, state)
+        put = RowPut(TABLE, "", key, msgspec.json.encode(body))
+        for _ in range(ATTEMPTS_MAX):
+            written_at = self._clock.now()
+            try:
+                revision = await self._store.write([condition], [put], [])
+            except RowConflict as conflict:
+                # An earlier try may have been applied without an answer.
+                own = [r for r in conflict.rows if _decode_body(r) == body]
+                if not own:
+                    return None
+                revision = RowRevision(conflict.era, own[0].version)
+            except CodedError:
+                continue
+            if revision.era != claim.revision.era:
+                return None
+            self._first_seen[claim.service] = (revision.version, written_at)
+            return replace(claim, revision=revision, claimed_at=written_at)
+        detail = f"{claim.service}: the claim was not answered"
+        raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
+
+    async def read_unended(self) -> dict[str, UnendedClaim]:
+        """Return the claims of which something may be left, by service.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if the store doesn't answer.
+        """
+        answer = await self._store.read(TABLE)
+        unended = {}
+        for row in answer.rows:
+            body, service = _decode_body(row), _get_service(row)
+            is_current = row.key == claim_key(service, answer.era)
+            if body is None or body.state not in _UNENDED or not is_current:
+                continue
+            self._is_claimed(service, row)  # from now on the claim's time counts
+            token = fencing_token(RowRevision(answer.era, row.version))
+            unended[service] = UnendedClaim(
+                CommitBlock(service, token, body.former), body.state == ClaimState.OPEN
+            )
+        return unended
+
+    def record_seen(self, service: str, token: int) -> None:
+        """Record that another instance has claimed a service under a token.
+
+        The time for which nobody else claims it then counts from when this instance
+        was told, not from when it reads the row.
+        """
+        version = token & ((1 << _VERSION_BITS) - 1)
+        if version > self._first_seen.get(service, (0, timedelta(0)))[0]:
+            self._first_seen[service] = (version, self._clock.now())
+
     def _is_era_young(self) -> bool:
         began_at = self._era.began_at
         return began_at is not None and self._clock.now() - began_at < CLAIM_LIFETIME
@@ -168,7 +283,7 @@
         key = claim_key(service, answer.era)
         version = 0 if row is None else row.version
         condition = StoredRow(TABLE, "", key, None, version)
-        body = ClaimBody(self._instance, nonce, previous_leader_id)
+        body = ClaimBody(self._instance, nonce, previous_leader_id, ClaimState.OPEN)
         put = RowPut(TABLE, "", key, msgspec.json.encode(body))
         earlier = [
             r for r in answer.rows if r.key != key and _get_service(r) == service
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -14,8 +14,14 @@
 from .decision_log import DecisionLog
 from .directory import Directory
 from .failover import Failover
-from .failover_attempt import FailoverAttempt, Participants, PreviousLeader
-from .failover_claim import ClaimWriter
+from .failover_attempt import (
+    NO_WAIT,
+    FailoverAttempt,
+    Participants,
+    PreviousLeader,
+)
+from .failover_claim import ClaimState, ClaimWriter
+from .failover_completion import LATE_ORDER_LIMIT, FailoverCompletion
 from .failover_delay import failover_delay
 from .link import Link
 from .log_member_prover import LogMemberProver
@@ -50,8 +56,10 @@
 # or another database that has the commit. Crashed databases restart sooner than this;
 # those that don't are considered lost.
 LOSSLESS_FAILOVER_WAIT = timedelta(seconds=30)
-TAKEOVER_TIMEOUT = timedelta(milliseconds=3500)
-TAKEOVER_POLL_INTERVAL = timedelta(milliseconds=50)
+# An attempt of another instance counts as abandoned this long before its block of
+# commits expires, so that no commit is sent before it has been ended.
+BLOCK_MARGIN = timedelta(milliseconds=500)
+RECOVERY_PAUSE = timedelta(milliseconds=1000)
 _MILLISECOND = timedelta(milliseconds=1)
 
 OpenLink = Callable[[Database], Awaitable[Link]]
@@ -91,6 +99,7 @@
     __slots__ = (
         "_claims",
         "_clock",
+        "_completion",
         "_directory",
         "_era",
         "_failover",
@@ -100,6 +109,7 @@
         "_log",
         "_lossy_since",
         "_next_attempt_at",
+        "_next_recovery_at",
         "_open_link",
         "_prover",
         "_read_at",
@@ -108,6 +118,7 @@
         "_store",
         "_suspicions",
         "_tasks",
+        "_unended",
         "_written_at",
         "_written_era",
         "suspicions_copy",
@@ -146,6 +157,14 @@
         self._written_era = 0
         self._next_attempt_at: dict[str, timedelta] = {}
         self._running: set[str] = set()
+        # Services with an attempt of which something may be left.
+        self._unended: set[str] = set()
+        self._next_recovery_at: dict[str, timedelta] = {}
+        self._completion = FailoverCompletion(
+            directory, self._claims, failover, open_link, clock, era, log
+        )
+        if failover is not None:
+            directory.begin_start_block()
         # Epoch of the leadership, and since when failovers in it could lose commits.
         self._lossy_since: dict[str, tuple[int, timedelta]] = {}
         self._is_reading = False
@@ -159,6 +178,7 @@
         """Monitor the leaders until cancelled."""
         if self._failover is None:
             return
+        self._tasks.start_soon(self._read_claims_at_start)
         while True:
             self._clear_writes_of_earlier_era()
             self._is_alert = False
@@ -185,6 +205,9 @@
             return
         if not self._directory.holds(service.name):
             return
+        self._check_unended(service, now)
+        if service.name in self._running:
+            return
         is_planned = self._is_leader_leaving(service, now)
         verifier = self._directory.leader_verifier(service.name)
         is_suspect = self._is_suspect(service, now)
@@ -296,7 +319,12 @@
         leader_id = service.leadership.presumed_leader_id(databases)
         try:
             claim = await self._claims.claim(service.name, leader_id)
-            if claim is None or not await self._recorder.read(service):
+            if claim is None:
+                return
+            self._unended.add(service.name)
+            if not await self._recorder.read(service):
+                await self._claims.close(claim, ClaimState.ENDED)
+                self._unended.discard(service.name)
                 return
             attempt = FailoverAttempt(
                 claim,
@@ -311,12 +339,12 @@
                 self._era,
                 self._log,
             )
-            if await attempt.run():
-                await self._wait_for_takeover(service, attempt)
-                await attempt.end("promotion ordered")
-            elif attempt.may_lose_commits:
+            await attempt.run()
+            if attempt.may_lose_commits:
                 epoch_and_time = (service.leadership.epoch, self._clock.now())
                 self._lossy_since.setdefault(service.name, epoch_and_time)
+            if await self._completion.complete(service, attempt):
+                self._unended.discard(service.name)
         except CodedError as error:
             self._log.decision(
                 "succession failed", service=service.name, detail=error.detail
@@ -324,6 +352,66 @@
         finally:
             self._running.discard(service.name)
 
+    def _check_unended(self, service: Service, now: timedelta) -> None:
+        """Start to end what is left of an attempt, if its owner seems not to do it."""
+        tracker = service.commit_tracker
+        # A former release sends no token, and ends what it blocks in time.
+        if tracker.token and tracker.is_blocked(now):
+            self._claims.record_seen(service.name, tracker.token)
+        is_abandoned = tracker.token and tracker.is_unrenewed(
+            now, BLOCK_LIFETIME - BLOCK_MARGIN
+        )
+        if is_abandoned:
+            tracker.extend(now, BLOCK_MARGIN, LATE_ORDER_LIMIT)
+        is_stalled = service.stall_detector.is_stalled(now)
+        if not (is_abandoned or is_stalled or service.name in self._unended):
+            self._next_recovery_at.pop(service.name, None)
+            return
+        if self._directory.leader_verifier(service.name).failing_for(now) is not None:
+            return  # the next attempt replaces the present one
+        next_recovery_at = self._next_recovery_at.setdefault(
+            service.name, now + self._failover_delay(service)
+        )
+        if now >= next_recovery_at:
+            self._next_recovery_at[service.name] = now + RECOVERY_PAUSE
+            self._running.add(service.name)
+            self._tasks.start_soon(self._recover, service)
+
+    async def _recover(self, service: Service) -> None:
+        try:
+            if await self._completion.recover(service):
+                self._unended.discard(service.name)
+        except CodedError as error:
+            self._log.decision(
+                "recovery failed", service=service.name, detail=error.detail
+            )
+        finally:
+            self._running.discard(service.name)
+
+    async def _read_claims_at_start(self) -> None:
+        """Learn which services an earlier attempt has left blocked.
+
+        Until then this process sends no commits: it may have started while a promotion
+        is pending, of which it was not told.
+        """
+        blocked_until = self._clock.now() + BLOCK_LIFETIME
+        while True:
+            try:
+                unended = await self._claims.read_unended()
+                break
+            except CodedError as error:
+                self._log.decision("claims not read", detail=error.detail)
+            if self._clock.now() >= blocked_until:
+                unended = {}
+                break
+            await anyio.sleep(RETRY_PAUSE.total_seconds())
+        for name, claim in unended.items():
+            self._unended.add(name)
+            if claim.may_be_pending:
+                await self._directory.service(name).block_commits(claim.block, NO_WAIT)
+        self._directory.end_start_block()
+        self._log.decision("claims read", unended=sorted(unended))
+
     def _has_waited_for_commits(self, service: Service) -> bool:
         epoch, since = self._lossy_since.get(service.name, (0, self._clock.now()))
         if epoch != service.leadership.epoch:
@@ -343,30 +431,6 @@
             return True
         return False
 
-    async def _wait_for_takeover(
-        self, service: Service, attempt: FailoverAttempt
-    ) -> None:
-        """Wait until the candidate leads, and block commits that it may lack."""
-        began_at = renewed_at = self._clock.now()
-        leader_verifier = self._directory.leader_verifier(service.name)
-        is_seen = False
-        while not is_seen and (now := self._clock.now()) - began_at < TAKEOVER_TIMEOUT:
-            is_seen = service.leadership.leader_id == attempt.candidate_id
-            if not is_seen:
-                if now - renewed_at >= BLOCK_LIFETIME / 3:
-                    renewed_at = now
-                    await attempt.keep_commits_blocked()
-                await attempt.pause_newly_listed()
-                leader_verifier.check_now()
-                await service.wait_change(TAKEOVER_POLL_INTERVAL)
-        self._log.decision(
-            "takeover seen" if is_seen else "takeover not seen",
-            service=service.name,
-            leader=service.leadership.leader_id,
-            candidate=attempt.candidate_id,
-            after_ms=(self._clock.now() - began_at) // _MILLISECOND,
-        )
-
     def _replace_suspicions(self, rows) -> None:
         self._suspicions.replace(rows, self._clock.now(), self._era.current)
 
@@ -374,10 +438,6 @@
         self._suspicions.update(rows, self._clock.now(), self._era.current)
 
 
-def _list_databases(service: Service) -> list[Database]:
-    return [served.database for served in service.databases.values()]
-
-
 def _make_participants(service: Service, previous_leader_id: str) -> Participants:
     """Return the databases of a service; the record was read before.
 
@@ -395,3 +455,7 @@
             if member.database_id != last_id
         ),
     )
+
+
+def _list_databases(service: Service) -> list[Database]:
+    return [served.database for served in service.databases.values()]
--- a/tests/serving/test_commit_tracker.py
+++ b/tests/serving/test_commit_tracker.py
@@ -78,12 +78,18 @@
     assert_that(commit_tracker.is_blocked(ms(5)), Is(True))
 
 
-def test_block_expires_unless_it_is_renewed():
+def test_block_expires_unless_it_is_renewed_or_extended():
     commit_tracker = CommitTracker()
     commit_tracker.block_commits(_BLOCK, ms(0))
     assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(False))
     commit_tracker.block_commits(_BLOCK, ms(100))
     assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(True))
+    assert_that(commit_tracker.is_unrenewed(ms(1100), ms(1001)), Is(False))
+    assert_that(commit_tracker.is_unrenewed(ms(1100), ms(1000)), Is(True))
+    commit_tracker.extend(BLOCK_LIFETIME, ms(1000), BLOCK_LIFETIME + ms(500))
+    limit = ms(100) + BLOCK_LIFETIME + ms(500)
+    assert_that(commit_tracker.is_blocked(limit - ms(1)), Is(True))
+    assert_that(commit_tracker.is_blocked(limit), Is(False))
 
 
 # Guards against: the end of an attempt unblocks commits while the promotion of the next
