Let the wait for acknowledged commits count for one incident only

What callers saw: 20 to 42 acknowledged commits were gone 1.3 s after two databases had crashed, though both came back some seconds later.

Cause: a failover that could lose commits waits for 30 s before it takes the longest log that can be read. The time was set by the first attempt that was given up and cleared only with the leader's epoch. A leader that becomes reachable again keeps its epoch, so that a later incident counted as one that had waited already.

Change: the wait is over as soon as a leader was verified after it began. Then a later incident begins a wait of its own, in which what could be lost may return.

--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -413,23 +413,27 @@
         self._log.decision("claims read", unended=sorted(unended))
 
     def _has_waited_for_commits(self, service: Service) -> bool:
+        """Return whether this incident has lasted for ``LOSSLESS_FAILOVER_WAIT``.
+
+        It is over once a leader was verified: what could be lost in a later one may
+        still return.
+        """
         epoch, since = self._lossy_since.get(service.name, (0, self._clock.now()))
-        if epoch != service.leadership.epoch:
+        newest = service.leadership.newest_sample()
+        is_over = newest is not None and newest.sampled_after > since
+        if epoch != service.leadership.epoch or is_over:
             self._lossy_since.pop(service.name, None)
             return False
         waited = self._clock.now() - since
-        if waited >= LOSSLESS_FAILOVER_WAIT:
-            newest = service.leadership.newest_sample()
-            self._log.decision(
-                "wait for acknowledged commits over",
-                service=service.name,
-                epoch=epoch,
-                waited_ms=waited // _MILLISECOND,
-                leader_proved_ms_ago=newest
-                and (self._clock.now() - newest.sampled_after) // _MILLISECOND,
-            )
-            return True
-        return False
+        if waited < LOSSLESS_FAILOVER_WAIT:
+            return False
+        self._log.decision(
+            "wait for acknowledged commits over",
+            service=service.name,
+            epoch=epoch,
+            waited_ms=waited // _MILLISECOND,
+        )
+        return True
 
     def _replace_suspicions(self, rows) -> None:
         self._suspicions.replace(rows, self._clock.now(), self._era.current)
