Verify a leaving leader that gets no more work

The switchover was given up each time: "databases not read", and "commits held back" with the instance that had started during the drain in "unknown".

Cause: Service.likely_leader left out a leader that is past its drain, as it is from the start for a process that starts meanwhile (UNKNOWN_DRAIN_AGE). So that process verified no leader and knew no highest acknowledged position, which a switchover needs as soon as one replica can't be read. It also suspected the leader, which was at work.

Change: the leader is verified also when it is past its drain. Work is still withheld, by Service.leader and by the choice for reads, and a statement then leaves half of its time to its caller, as before.

Why it is safe: a verification is a BEGIN of the proxy's own that is rolled back, which is none of a caller's requests. The first position that a process verifies covers all that its earlier process saw acknowledged, whether the leader leaves or not.

--- a/goldcrestpond/serving/leader_verifier.py
+++ b/goldcrestpond/serving/leader_verifier.py
@@ -137,11 +137,12 @@
     def leader_wait_deadline(self, deadline: timedelta) -> timedelta:
         """Return until when a statement with a deadline waits for a leader.
 
-        While none is known, half of the remaining time is left for the caller to
-        retry.
+        While none is known, or the known one is leaving and gets no more work, half of
+        the remaining time is left for the caller to retry.
         """
         now = self._clock.now()
-        if self.unverified_for(now) is None:
+        is_verified = self.unverified_for(now) is None
+        if is_verified and not self._service.is_leader_past_drain():
             return deadline
         return now + (deadline - now) * LEADERLESS_WAIT_FRACTION
 
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -158,14 +158,13 @@
             self.notify_change()
 
     def likely_leader(self) -> ServedDatabase | None:
-        """Return the database that most likely leads and may get work now."""
-        now = self._clock.now()
-        candidates = (
-            served.database
-            for served in self.databases.values()
-            if not self._is_past_drain(served, now)
-        )
-        database = self.leadership.next_to_verify(candidates, now)
+        """Return the database that most likely leads; None if all failed just now.
+
+        It may be leaving and get no new work: its position still proves the reads of
+        replicas, and a switchover needs it.
+        """
+        candidates = (served.database for served in self.databases.values())
+        database = self.leadership.next_to_verify(candidates, self._clock.now())
         return None if database is None else self.databases[database.database_id]
 
     def recently_unlisted(self) -> list[Database]:
@@ -314,6 +313,11 @@
             return None
         return served
 
+    def is_leader_past_drain(self) -> bool:
+        """Return whether the last verified leader leaves and gets no more work."""
+        is_known = self.leadership.leader_id in self.databases
+        return is_known and self.leader() is None
+
     def record_missing_position(
         self, served: ServedDatabase, min_position: LogPosition
     ) -> None:
--- a/tests/platform/test_instance_path.py
+++ b/tests/platform/test_instance_path.py
@@ -327,3 +327,22 @@
         assert_that("d1" in ran_at, Equals(False))
 
     run_in_world(body)
+
+
+# A leaving leader was not replaced until it had ended, and all writes were refused: an
+# instance that had started meanwhile didn't know up to where commits were acknowledged.
+def test_leaving_leader_is_replaced_though_an_instance_started_during_its_drain():
+    async def body(world):
+        await world.servers.crash("d2")
+        world.register(d1={"state": "draining"})
+        late = await world.start_instance("late")
+        async with world.caller("own") as caller, world.caller("own", late) as other:
+            with anyio.fail_after(8):
+                while not world.platform.promotions:
+                    await other.ask("WRITE a 1")
+                    await caller.ask("WRITE a 2")
+            answer = await other.ask("WRITE a 3")
+            assert_that(answer[0], StartsWith("COMPLETE r"), world.failures())
+        assert_that(world.group.lost_acknowledged, Equals([]))
+
+    run_in_world(body)
