Verify a leaving leader only until commits' position is known

Cause: five of six instances verified that leader, the sixth didn't. Asked to block the commits to it, the sixth answered that another database leads, so that its highest acknowledged position stayed unknown and each failover was given up.

The unit test also asserts that the leader is left out once the position is known.

--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -158,13 +158,19 @@
             self.notify_change()
 
     def likely_leader(self) -> ServedDatabase | None:
-        """Return the database that most likely leads; None if all failed just now.
+        """Return the database that most likely leads and is to be verified now.
 
-        It may be leaving and get no new work: its position still proves the reads of
-        replicas, and a switchover needs it.
+        One that leaves and gets no more work is verified only until this process knows
+        up to where commits were acknowledged: a switchover needs this.
         """
-        candidates = (served.database for served in self.databases.values())
-        database = self.leadership.next_to_verify(candidates, self._clock.now())
+        now = self._clock.now()
+        candidates = (
+            served.database
+            for served in self.databases.values()
+            if self.commit_tracker.acknowledged is None
+            or not self._is_past_drain(served, now)
+        )
+        database = self.leadership.next_to_verify(candidates, now)
         return None if database is None else self.databases[database.database_id]
 
     def recently_unlisted(self) -> list[Database]:
--- a/tests/serving/test_leader_verifier.py
+++ b/tests/serving/test_leader_verifier.py
@@ -144,3 +144,4 @@
     # A statement leaves half of its time to its caller, who tries again.
     limit = verifier.leader_wait_deadline(now + ms(1000)) - now
     assert_that(limit, LessThan(ms(600)))
+    assert_that(service.likely_leader(), Is(None))
