--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -172,12 +172,17 @@
             self.notify_change()
 
     def likely_leader(self) -> ServedDatabase | None:
-        """Return the database that most likely leads and may get work now."""
+        """Return the database that most likely leads and is to be verified now.
+
+        One that leaves and gets no more work is verified only until this process knows
+        up to where commits were acknowledged: a switchover needs this.
+        """
         now = self._clock.now()
         candidates = (
             served.database
             for served in self.databases.values()
-            if not self._is_past_drain(served, now)
+            if self.commit_tracker.acknowledged is None
+            or not self._is_past_drain(served, now)
         )
         database = self.leadership.next_to_verify(candidates, now)
         return None if database is None else self.databases[database.database_id]
@@ -420,6 +425,11 @@
             return None
         return served
 
+    def is_leader_past_drain(self) -> bool:
+        """Return whether the last verified leader leaves and gets no more work."""
+        is_known = self.leadership.leader_id in self.databases
+        return is_known and self.leader() is None
+
     def record_missing_position(
         self, served: ServedDatabase, min_position: LogPosition
     ) -> None:
