Tell the acknowledged position whichever database an instance takes for the leader

Cause: an instance that was asked for the highest position that it had seen acknowledged told none if it took another database for the leader, for instance since it had missed a short lead. Then each failover was given up.

Change: it tells the position. Positions of a later term are higher, so that one of a newer leader still prevents the promotion of a log that lacks it, and commits are blocked whoever leads.

--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -368,9 +368,10 @@
         Returns
         -------
         LogPosition or None
-            No commit that this process sent was acknowledged above this position. None
-            if that is not known, if commits are still in flight after ``max_wait``, or
-            if another database leads.
+            No commit that this process sent was acknowledged above this position,
+            whichever database led then: positions of later terms are higher. None if
+            that is not known, if commits are still in flight after ``max_wait``, or if
+            the candidate leads.
         """
         leader_id = self.leadership.leader_id
         if block.candidate_id and block.candidate_id == leader_id:
@@ -389,8 +390,6 @@
             acknowledged=str(self.commit_tracker.acknowledged),
             is_idle=self.commit_tracker.is_idle,
         )
-        if block.former_id and leader_id not in ("", block.former_id):
-            return None
         deadline = now + max_wait
         while not self.commit_tracker.is_idle:
             if self._clock.now() >= deadline:
