Stand-in feed: send the rows that changed in the last moment of a wait

Cause: LinePlatform._feed looks for changes every 10 ms. Change: it looks once more before it answers.

--- a/goldcrestpond/standin/line_platform.py
+++ b/goldcrestpond/standin/line_platform.py
@@ -152,7 +152,9 @@
             return self._make_status_response(503)
         if not self._has_history(after):
             return self._make_status_response(410)
-        return self._make_response({"rows": []})
+        # Changes since the last look: the answer names the newest version.
+        changed = self._find_changed_rows(query["tableName"], after)
+        return self._make_response({"rows": changed})
 
     async def _failover(self, request: Request) -> Response:
         if self.is_down:
