Stand-in databases: delayed promotions, late orders, returns under a new id

Cause: a promotion of the stand-in took effect within the call, a crashed database came back under its id, and replicas received at once, so that nothing could fall into the time between the order of a promotion and its effect, in which users lost commits. Change: failover calls are executed by FailoverOrders, at once or later, with the token checked then; a promotion takes effect after a delay. LineGroup has a delay of replication for each replica, replicas without a log, restarts under a new id, LeadLost for a commit that a crash or a promotion overtakes, and tells which acknowledged commits a promotion lost and who else has them. STATUS tells lag, statements and connections; STEPDOWN.

--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from ..settings.address import Address
+from ..standin.failover_orders import FailoverOrder
 from ..standin.line_bodies import make_configuration_body, make_registry_entry
 from ..standin.line_group import LineGroup
 from ..standin.line_platform import LinePlatform
@@ -39,7 +40,7 @@
     def __init__(self, folder: Path):
         self.folder = folder
         self.platform = LinePlatform()
-        self.platform.promote = self._promote
+        self.platform.failover.promote = self._promote
         self.group = LineGroup(SERVICE, list(DATABASES))
         self.servers = LineServer(self.group)
         self.database_links: dict[str, FaultProxy] = {}
@@ -103,8 +104,8 @@
         instance.start()
         self.instances.append(instance)
 
-    def _promote(self, service: str, database_id: str) -> None:
-        self.group.promote(database_id)
+    def _promote(self, order: FailoverOrder) -> None:
+        self.group.promote(order.database_id)
         self.write_registry()
 
 
--- a/goldcrestpond/standin/line_bodies.py
+++ b/goldcrestpond/standin/line_bodies.py
@@ -99,15 +99,17 @@
     availability_zone: str,
     is_draining: bool = False,
 ) -> dict:
-    """Return the registry entry of a database."""
+    """Return the next registry entry of a database."""
+    database.sequence += 1
     return {
         "serviceName": service,
         "address": str(address),
         "zone": availability_zone,
         "configVersion": "v1",
         "slots": 5,
-        "state": "draining" if is_draining else "ready",
+        "state": "draining" if is_draining or database.is_draining else "ready",
         "warmupLeftMs": 0,
         "dbRole": str(database.role),
-        "sequence": 1,
+        "born": database.born_ms,
+        "sequence": database.sequence,
     }
--- a/goldcrestpond/standin/line_platform.py
+++ b/goldcrestpond/standin/line_platform.py
@@ -10,6 +10,10 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from ..clock.clock import Clock
+from ..clock.system_clock import SystemClock
+from .failover_orders import OK_STATUS, FailoverOrders
+
 _FEED_POLL_INTERVAL_S = 0.01
 # Tables of the operator and the databases, which write their rows again after a
 # snapshot was restored.
@@ -19,6 +23,11 @@
 class LinePlatform:
     """Store of versioned rows, all versions from one counter, and failover call.
 
+    Parameters
+    ----------
+    clock : Clock or None
+        Source of the time; None for the system's.
+
     Attributes
     ----------
     rows : dict
@@ -28,21 +37,18 @@
     should_lose_answer : callable
         Called with the path of each write or failover that was carried out; if it
         returns True, the answer is status 500 nevertheless.
-    promotions : list of tuple
-        Service, database and fencing token of each failover call accepted.
-    promote : callable
-        Called with service and database to carry out a failover.
+    failover : FailoverOrders
+        Executes the failover calls.
     era : int
         Sent in the header ``Store-Era`` of the answers; increased each time a snapshot
         is restored.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None):
         self.rows: dict[tuple[str, str, str], tuple[str | None, int]] = {}
         self.is_down = False
         self.should_lose_answer: Callable[[str], bool] = lambda path: False
-        self.promotions: list[tuple[str, str, int]] = []
-        self.promote: Callable[[str, str], None] = lambda service, database: None
+        self.failover = FailoverOrders(clock or SystemClock())
         self.first_version = 0
         self.era = 1
         self._snapshot: tuple[
@@ -52,7 +58,12 @@
             0,
         )
         self._version = 0
-        self._highest_tokens: dict[str, int] = {}
+
+    @property
+    def promotions(self) -> list[tuple[str, str, int]]:
+        """Service, database and fencing token of each failover call accepted."""
+        accepted = (o for o in self.failover.orders if o.status == OK_STATUS)
+        return [(o.service, o.database_id, o.token) for o in accepted]
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -160,16 +171,19 @@
         if self.is_down:
             return Response(status_code=503)
         body = msgspec.json.decode(await request.body())
+        holder = request.headers["X-Goldcrestpond-Duty-Holder"]
         token = int(request.headers["X-Goldcrestpond-Fencing-Token"])
-        service = body["serviceName"]
-        if token < self._highest_tokens.get(service, 0):
-            return Response(status_code=409)
-        self._highest_tokens[service] = token
-        self.promotions.append((service, body["id"], token))
-        self.promote(service, body["id"])
-        if self.should_lose_answer("/failover"):
+        service, database_id = body["serviceName"], body["id"]
+        status = self.failover.call(service, database_id, holder, token)
+        if not status:
+            await self._wait_disconnected(request)
+        if not status or (status == OK_STATUS and self.should_lose_answer("/failover")):
             return Response(status_code=500)
-        return Response()
+        return Response(status_code=status)
+
+    async def _wait_disconnected(self, request: Request) -> None:
+        while not (self.is_down or await request.is_disconnected()):
+            await anyio.sleep(_FEED_POLL_INTERVAL_S)
 
     def _has_history(self, after: int) -> bool:
         return self.first_version - 1 <= after <= self._version
--- a/goldcrestpond/standin/line_server.py
+++ b/goldcrestpond/standin/line_server.py
@@ -6,7 +6,7 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from ..settings.address import Address
-from .line_group import LineDatabase, LineGroup
+from .line_group import LeadLost, LineDatabase, LineGroup
 from .line_session import LineSession
 
 LOOPBACK = "127.0.0.1"
@@ -43,19 +43,27 @@
         self.should_lose_answer: Callable[[str], bool] = lambda text: False
         self.connected: list[tuple[str, str]] = []
         self._streams: dict[str, set[SocketStream]] = {}
+        self._tasks: TaskGroup | None = None
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start listening for every database."""
+        self._tasks = tasks
         for database in self.group.databases.values():
-            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
-            port = listener.extra(SocketAttribute.local_port)
-            self.addresses[database.database_id] = Address(LOOPBACK, port)
-            self._streams[database.database_id] = set()
-            tasks.start_soon(listener.serve, self._make_handler(database))
+            await self.add(database)
+
+    async def add(self, database: LineDatabase) -> Address:
+        """Start listening for one database and return its address."""
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        port = listener.extra(SocketAttribute.local_port)
+        address = Address(LOOPBACK, port)
+        self.addresses[database.database_id] = address
+        self._streams[database.database_id] = set()
+        self._tasks.start_soon(listener.serve, self._make_handler(database))
+        return address
 
     async def crash(self, database_id: str) -> None:
         """Stop a database: close its connections and refuse new ones."""
-        self.group.databases[database_id].is_running = False
+        self.group.crash(database_id)
         for stream in list(self._streams[database_id]):
             await anyio.aclose_forcefully(stream)
 
@@ -63,12 +71,16 @@
         async def serve_connection(stream: SocketStream) -> None:
             streams = self._streams[database.database_id]
             streams.add(stream)
+            database.connection_count += 1
             try:
                 if database.is_running:
                     await self._serve(database, stream)
             except _CONNECTION_ERRORS:
                 pass  # the proxy disconnected
+            except LeadLost:
+                pass  # nothing is known of the commit: it gets no answer
             finally:
+                database.connection_count -= 1
                 streams.discard(stream)
                 await anyio.aclose_forcefully(stream)
 
--- a/goldcrestpond/standin/line_session.py
+++ b/goldcrestpond/standin/line_session.py
@@ -7,6 +7,7 @@
 from .line_group import LineDatabase, LineGroup
 
 _RECEIPT_NUMBERS = itertools.count(1)
+_SLOT_WORDS = ("BEGIN", "READ", "WRITE", "EXECUTE", "STATUS")  # refused while busy
 
 
 class LineSession:
@@ -30,7 +31,11 @@
 
     async def answer(self, request_id: str, text: str) -> list[str]:
         """Run a query and return the lines of its answer."""
-        lines = await self._answer(request_id, text)
+        self._database.running_count += 1
+        try:
+            lines = await self._answer(request_id, text)
+        finally:
+            self._database.running_count -= 1
         if lines[-1].startswith("ERROR") and self._status == "T":
             self._status = "E"
         shown = self._database.visible_position
@@ -44,6 +49,9 @@
             if self._database.visible_position < LogPosition(int(term), int(number)):
                 return ["ERROR LAGGING behind"]
             word, _, rest = text.partition(" ")
+        is_busy = self._group.clock.now() < self._database.busy_until
+        if is_busy and word in _SLOT_WORDS:
+            return ["ERROR BUSY rolls back"]
         if self._status == "E" and word != "ROLLBACK":
             return ["ERROR MALFORMED the transaction failed"]
         if self._is_read_write and self._status == "T" and not self._is_primary():
@@ -128,18 +136,24 @@
     async def _do_status(self, request_id: str, rest: str) -> list[str]:
         database = self._database
         received = database.received_position
+        lag_ms = self._group.compute_lag_ms(database)
         row = (
             f"ROW {database.role} {database.term} {received.term}.{received.position} "
-            f"{database.paused_term} 0 0 1"
+            f"{database.paused_term} {lag_ms} {database.running_count - 1} "
+            f"{database.connection_count}"
         )
         return [row, "COMPLETE -"]
 
     async def _do_pause(self, request_id: str, rest: str) -> list[str]:
-        highest_term = max(d.term for d in self._group.databases.values())
-        if int(rest) > highest_term and self._database.role is Role.REPLICA:
+        is_replica = self._database.role is Role.REPLICA
+        if int(rest) > self._group.newest_term() and is_replica:
             self._database.paused_term = int(rest)
         return await self._do_status(request_id, "")
 
+    async def _do_stepdown(self, request_id: str, rest: str) -> list[str]:
+        self._group.step_down(self._database, int(rest))
+        return await self._do_status(request_id, "")
+
     async def _do_resume(self, request_id: str, rest: str) -> list[str]:
         self._database.paused_term = 0
         self._group.replicate()
--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -92,15 +92,15 @@
         self.platform = LinePlatform()
         self.group = LineGroup(SERVICE, DATABASES)
         self.servers = LineServer(self.group)
-        self.platform.promote = self._promote
+        self.platform.failover.promote = self._promote
         self.logs = []
         self.instances = []
         self.version = 0
         self.connection_limit = 34
         self.address = Address("127.0.0.1", 0)
 
-    def _promote(self, service, database_id):
-        self.group.promote(database_id)
+    def _promote(self, order):
+        self.group.promote(order.database_id)
         self.register()
 
     def register(self, **changes):
