--- a/goldcrestpond/cli/soak.py
+++ b/goldcrestpond/cli/soak.py
@@ -5,10 +5,17 @@
 import msgspec
 
 from ..soak.run_soak import run_soak
+from ..soak.soak_plan import SoakPlan, load_plan
 from .run_program import run_commands, run_program
 
 
-def run(seed: int = 1, duration_s: float = 30, processes: int = 4) -> None:
+def run(
+    seed: int = 1,
+    duration_s: float = 30,
+    processes: int = 6,
+    plan: str = "",
+    logs: str = "",
+) -> None:
     """Run one soak test and print its report; the exit status is 1 if a check failed.
 
     Parameters
@@ -19,10 +26,16 @@
         Time under load.
     processes : int, default=4
         Number of instances.
+    plan : str, default=""
+        Path of a plan in TOML, which may have a duration and a number of instances of
+        its own; empty for random series of faults.
+    logs : str, default=""
+        Folder for the logs; if empty, they are kept only if a check failed.
     """
+    soak_plan = load_plan(plan) if plan else SoakPlan()
 
     async def run_and_print() -> None:
-        report = await run_soak(seed, duration_s, processes)
+        report = await run_soak(seed, duration_s, processes, soak_plan, logs)
         print(msgspec.json.encode(report).decode(), flush=True)
         if report.findings:
             sys.exit(1)
--- a/goldcrestpond/soak/fault_proxy.py
+++ b/goldcrestpond/soak/fault_proxy.py
@@ -1,5 +1,6 @@
 """A loopback TCP proxy that delays, resets, cuts or silences connections."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -48,12 +49,16 @@
         Address on which it listens; None before ``start``.
     faults : LinkFaults
         Current faults.
+    is_cut : callable
+        Called with the port of the caller of each new connection; whether all its
+        bytes are discarded.
     """
 
     def __init__(self, target: Address):
         self.target = target
         self.address: Address | None = None
         self.faults = LinkFaults()
+        self.is_cut: Callable[[int], bool] = lambda port: False
         self._pairs: set[_StreamPair] = set()
 
     async def start(self, tasks: TaskGroup) -> Address:
@@ -64,15 +69,24 @@
         tasks.start_soon(listener.serve, self._forward_connection)
         return self.address
 
-    async def reset_connections(self) -> None:
-        """Close every open connection at once."""
+    async def reset_connections(self, is_silent_only: bool = False) -> None:
+        """Close every open connection, or every silent one, at once."""
         for pair in list(self._pairs):
-            await pair.aclose()
+            if pair.is_silent or not is_silent_only:
+                await pair.aclose()
+
+    def silence_connections(
+        self, is_silenced: Callable[[int], bool] = lambda port: True
+    ) -> None:
+        """Discard all further bytes of open connections; new connections work.
 
-    def silence_connections(self) -> None:
-        """Discard all further bytes of open connections; new connections work."""
+        Parameters
+        ----------
+        is_silenced : callable
+            Called with the port of the caller of each connection; whether to do so.
+        """
         for pair in self._pairs:
-            pair.is_silent = True
+            pair.is_silent = pair.is_silent or is_silenced(pair.caller_port)
 
     async def _forward_connection(self, caller_stream: SocketStream) -> None:
         try:
@@ -81,6 +95,7 @@
             await anyio.aclose_forcefully(caller_stream)
             return
         pair = _StreamPair(caller_stream, target_stream)
+        pair.is_silent = self.is_cut(pair.caller_port)
         self._pairs.add(pair)
         try:
             async with anyio.create_task_group() as tasks:
@@ -119,6 +134,7 @@
     def __init__(self, caller_stream: SocketStream, target_stream: SocketStream):
         self._caller_stream = caller_stream
         self._target_stream = target_stream
+        self.caller_port = caller_stream.extra(SocketAttribute.remote_port)
         self.is_silent = False
 
     async def aclose(self) -> None:
--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -54,6 +54,11 @@
         host, _, port = self.settings["listen"].rpartition(":")
         return Address(host, int(port))
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process; 0 if it isn't running."""
+        return self._child.pid if self.is_running else 0
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
--- a/goldcrestpond/soak/promise_checker.py
+++ b/goldcrestpond/soak/promise_checker.py
@@ -26,6 +26,7 @@
     counts: Counter = field(default_factory=Counter)
     _acknowledged: dict[str, list[tuple[timedelta, int]]] = field(default_factory=dict)
     _refused: set[tuple[str, int]] = field(default_factory=set)
+    _rolled_back: set[tuple[str, int]] = field(default_factory=set)
 
     def record_acknowledged(self, item: str, number: int, now: timedelta) -> None:
         """Record that the write of a number was acknowledged."""
@@ -36,6 +37,17 @@
         if error_code in NOT_EXECUTED_CODES:
             self._refused.add((item, number))
 
+    def record_rolled_back(self, item: str, number: int) -> None:
+        """Record that a promotion, which is a finding, rolled a write back.
+
+        No read needs to show it any more.
+        """
+        self._rolled_back.add((item, number))
+
+    def is_acknowledged(self, item: str, number: int) -> bool:
+        """Return whether a write was acknowledged to its caller."""
+        return any(n == number for _, n in self._acknowledged.get(item, []))
+
     def get_newest_acknowledged(self, item: str, moment: timedelta) -> int:
         """Return the highest number acknowledged at or before ``moment``, or 0."""
         acknowledged = self._acknowledged.get(item, [])
@@ -43,13 +55,17 @@
             (
                 number
                 for acknowledged_at, number in acknowledged
-                if acknowledged_at <= moment
+                if acknowledged_at <= moment and (item, number) not in self._rolled_back
             ),
             default=0,
         )
 
     def check_read(self, item: str, number: int, required: int, why: str) -> None:
         """Check that a read showed at least the required number."""
+        if (item, required) in self._rolled_back:
+            kept = (n for _, n in self._acknowledged[item] if n < required)
+            kept = (n for n in kept if (item, n) not in self._rolled_back)
+            required = max(kept, default=0)
         if number < required:
             self.findings.append(f"{why}: {item} shows {number}, must show {required}")
 
--- a/goldcrestpond/soak/run_soak.py
+++ b/goldcrestpond/soak/run_soak.py
@@ -16,15 +16,16 @@
 from .fault_proxy import LOOPBACK
 from .promise_checker import PromiseChecker
 from .soak_caller import SoakCaller
-from .soak_faults import FAULTS
-from .soak_site import SoakSite
+from .soak_faults import FAULTS, SINGLE_FAULTS
+from .soak_plan import SINGLE_FAULT_PLAN, PlannedFault, SoakPlan, draw_series
+from .soak_site import Loss, SoakSite
 
 CALLERS_PER_INSTANCE = 4
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 60.0
 # Faults start within this fraction of the duration; the rest is for recovery.
 FAULT_FRACTION = 0.7
 MAX_RECOVERY = timedelta(seconds=12)
-# Mean time between the starts of two faults; faults last longer, so they overlap.
+# Mean time between the starts of two single faults, which last longer and overlap.
 FAULT_PAUSE_S = 1.0
 
 
@@ -33,6 +34,8 @@
 
     Attributes
     ----------
+    plan : str
+        Name of the plan.
     seed : int
         Seed of callers and faults.
     duration_s : float
@@ -46,20 +49,33 @@
         exception name.
     faults : dict of str to int
         Number of faults by name.
+    promotions : int
+        Number of promotions that took effect.
+    lost : int
+        Number of acknowledged commits that they lost.
     logs : str
-        Folder with the logs, kept only if there are findings; otherwise empty.
+        Folder with the logs; empty if they were not kept.
     """
 
+    plan: str
     seed: int
     duration_s: float
     processes: int
     findings: list[str]
     outcomes: dict[str, int]
     faults: dict[str, int]
+    promotions: int
+    lost: int
     logs: str
 
 
-async def run_soak(seed: int, duration_s: float, processes: int) -> SoakReport:
+async def run_soak(
+    seed: int,
+    duration_s: float,
+    processes: int,
+    plan: SoakPlan = SINGLE_FAULT_PLAN,
+    logs: str = "",
+) -> SoakReport:
     """Run one soak.
 
     Parameters
@@ -67,14 +83,23 @@
     seed : int
         Seed of callers and faults.
     duration_s : float
-        Duration of the load in seconds.
+        Duration of the load in seconds, unless the plan has one.
     processes : int
-        Number of instances.
+        Number of instances, unless the plan has one.
+    plan : SoakPlan
+        Services, the delays of their databases, and faults.
+    logs : str
+        Folder for the logs, which are kept then; empty for a temporary one, kept only
+        if there are findings.
     """
-    folder = Path(tempfile.mkdtemp(prefix="goldcrestpond-soak-"))
+    folder = Path(logs or tempfile.mkdtemp(prefix="goldcrestpond-soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
     rng = random.Random(seed)
-    site = SoakSite(folder)
+    duration_s = plan.duration_s or duration_s
+    processes = plan.processes or processes
+    site = SoakSite(folder, plan, seed)
     checker = PromiseChecker()
+    site.record_loss = lambda loss: _record_loss(checker, loss)
     faults: Counter[str] = Counter()
     try:
         async with anyio.create_task_group() as tasks:
@@ -82,24 +107,26 @@
             async with serve_http(application, Address(LOOPBACK, 0)) as store:
                 await site.start(tasks, store, processes)
                 await _wait_until_started(site)
-                await _run_load(site, checker, rng, duration_s, faults)
+                await _run_load(site, checker, rng, duration_s, faults, plan)
                 site.kill_instances()
                 tasks.cancel_scope.cancel()
                 site.platform.is_down = True  # pending requests of feeds end at once
     finally:
         site.kill_instances()
     _check_logs(site, checker)
-    logs = str(folder) if checker.findings else ""
-    if not checker.findings:
+    if not (logs or checker.findings):
         _remove_folder(folder)
     return SoakReport(
+        plan.name,
         seed,
         duration_s,
         processes,
         checker.findings,
         dict(checker.counts),
         dict(faults),
-        logs,
+        sum(len(service.promotions) for service in site.services),
+        sum(len(loss.promotion.lost) for loss in site.losses),
+        str(folder) if logs or checker.findings else "",
     )
 
 
@@ -123,6 +150,7 @@
     rng: random.Random,
     duration_s: float,
     faults: Counter,
+    plan: SoakPlan,
 ) -> None:
     clock = SystemClock()
     count = CALLERS_PER_INSTANCE * len(site.instances)
@@ -137,20 +165,54 @@
             fault_tasks.start_soon(
                 _check_versions, site, checker, duration_s * FAULT_FRACTION
             )
+            for fault in _list_faults(site, rng, duration_s, plan):
+                fault_rng = random.Random(rng.random())
+                limit_s = duration_s * FAULT_FRACTION
+                fault_tasks.start_soon(
+                    _cause_fault, site, fault_rng, fault, faults, limit_s
+                )
             with anyio.move_on_after(duration_s * FAULT_FRACTION):
-                await _start_random_faults(site, rng, fault_tasks, faults)
+                if plan.random_faults == "single":
+                    await _start_single_faults(site, rng, fault_tasks, faults)
+                await anyio.sleep_forever()
         await anyio.sleep(duration_s * (1 - FAULT_FRACTION))
         _check_recovery(callers, checker, clock, duration_s)
         for caller in callers:
             caller.is_ending = True
 
 
-async def _start_random_faults(
+def _list_faults(
+    site: SoakSite, rng: random.Random, duration_s: float, plan: SoakPlan
+) -> list[PlannedFault]:
+    names = [service.name for service in site.services]
+    drawn = draw_series(rng, duration_s * FAULT_FRACTION, names)
+    return [*plan.faults, *(drawn if plan.random_faults == "series" else ())]
+
+
+async def _cause_fault(
+    site: SoakSite,
+    rng: random.Random,
+    fault: PlannedFault,
+    faults: Counter,
+    limit_s: float,
+) -> None:
+    await anyio.sleep(fault.at_s)
+    if fault.after_order_s is not None:
+        with anyio.move_on_after(limit_s - fault.at_s) as scope:
+            await site.wait_for_order(fault.service)
+        if scope.cancelled_caught:
+            return
+        await anyio.sleep(fault.after_order_s)
+    faults[fault.kind] += 1
+    await FAULTS[fault.kind](site, rng, fault)
+
+
+async def _start_single_faults(
     site: SoakSite, rng: random.Random, fault_tasks: TaskGroup, faults: Counter
 ) -> None:
     while True:
         await anyio.sleep(rng.expovariate(1 / FAULT_PAUSE_S))
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(SINGLE_FAULTS)
         faults[fault.__name__] += 1
         fault_tasks.start_soon(fault, site, random.Random(rng.random()))
 
@@ -214,22 +276,59 @@
 
 
 def _check_logs(site: SoakSite, checker: PromiseChecker) -> None:
-    leader = site.group.primary
-    numbers: dict[str, list[int]] = {}
-    for entry in leader.log:
-        for item, data in entry.writes:
-            numbers.setdefault(item, []).append(int(data))
-    for item, logged_numbers in numbers.items():
-        checker.check_log(item, logged_numbers)
-        for number, count in Counter(logged_numbers).items():
-            if count > 1:
-                checker.findings.append(f"doubled: {item} holds {number} {count} times")
-    runs = Counter(
-        request for _, request, kind in site.group.executions if kind == "WRITE"
-    )
+    runs: Counter[str] = Counter()
+    for service in site.services:
+        numbers: dict[str, list[int]] = {}
+        primary = service.group.find_primary()
+        if primary is None:
+            checker.findings.append(f"{service.name}: no primary at the end")
+            continue
+        for entry in primary.log:
+            for item, data in entry.writes:
+                numbers.setdefault(item, []).append(int(data))
+        for item, logged_numbers in numbers.items():
+            checker.check_log(item, logged_numbers)
+            for number, count in Counter(logged_numbers).items():
+                if count > 1:
+                    checker.findings.append(
+                        f"doubled: {item} holds {number} {count} times"
+                    )
+        executions = service.group.executions
+        runs.update(request for _, request, kind in executions if kind == "WRITE")
     checker.check_executions(runs)
-    for entry in site.group.lost_acknowledged:
-        checker.findings.append(f"lost by a promotion: {entry.position}")
+    checker.findings += [_describe_loss(loss, checker) for loss in site.losses]
+
+
+def _record_loss(checker: PromiseChecker, loss: Loss) -> None:
+    for commit in loss.promotion.lost:
+        for item, data in commit.entry.writes:
+            checker.record_rolled_back(item, int(data))
+
+
+def _describe_loss(loss: Loss, checker: PromiseChecker) -> str:
+    """Return a finding: what a promotion lost, and whose order it was."""
+    order, promotion = loss.order, loss.promotion
+    first, last = promotion.lost[0], promotion.lost[-1]
+    to_callers = sum(
+        checker.is_acknowledged(item, int(data))
+        for commit in promotion.lost
+        for item, data in commit.entry.writes
+    )
+
+    def after_call_s(moment: timedelta) -> str:
+        return f"{(moment - order.called_at).total_seconds():+.3f} s"
+
+    return (
+        f"lost by a promotion: {loss.service} {promotion.database_id} "
+        f"(term {promotion.term}, log ends at {promotion.end}) lacks "
+        f"{len(promotion.lost)} commits acknowledged by databases, {to_callers} of "
+        f"them to callers: {first.entry.position} of {first.database_id} at "
+        f"{after_call_s(first.acknowledged_at)} to {last.entry.position} of "
+        f"{last.database_id} at {after_call_s(last.acknowledged_at)}; the first is in "
+        f"the logs of {list(promotion.holders)}; ordered by {order.holder} with token "
+        f"{order.token}, executed at {after_call_s(order.executed_at)}, in effect at "
+        f"{after_call_s(loss.effective_at)} after the call"
+    )
 
 
 def _remove_folder(folder: Path) -> None:
--- a/goldcrestpond/soak/soak_caller.py
+++ b/goldcrestpond/soak/soak_caller.py
@@ -49,6 +49,7 @@
         rng: random.Random,
     ):
         self.item = f"item{number}"
+        self._suffix = site.services[number % len(site.services)].suffix
         self._site = site
         self._checker = checker
         self._clock = clock
@@ -77,7 +78,7 @@
         self._received = b""
         own_number = 0
         try:
-            await stream.send(f"CONNECT {route} soak\r\n".encode())
+            await stream.send(f"CONNECT {route}{self._suffix} soak\r\n".encode())
             if not (await self._receive_line(stream)).startswith("READY"):
                 return
             for _ in range(self._rng.randint(1, 40)):
--- /dev/null
+++ b/goldcrestpond/soak/soak_plan.py
@@ -0,0 +1,162 @@
+"""The faults of a soak: listed in a plan, or drawn at random."""
+
+import random
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+# Database faults of a random series with their weights.
+_DATABASE_KINDS = {
+    "crash_primary": 5,
+    "crash_replica": 3,
+    "lose_replica": 2,
+    "deafen_replica": 3,
+    "cut_primary": 3,
+    "release_primary": 2,
+    "release_replica": 1,
+}
+# Faults of instances, of the store and of single links, with their weights.
+_OTHER_KINDS = {
+    "kill_orderer": 4,
+    "kill_instance": 2,
+    "pause_instance": 2,
+    "delay_orders": 3,
+    "kill_all_instances": 1,
+    "harm_store_link": 1,
+    "harm_database_link": 1,
+    "stop_store": 1,
+    "lose_answers": 1,
+}
+_SERIES_SPREAD_S = 3.0  # between the first and the last fault of one series
+_SHORTEST_PAUSE_S = 5.0
+_LONGEST_PAUSE_S = 9.0
+_SHORTEST_FAULT_S = 0.8
+_LONGEST_FAULT_S = 5.0
+
+
+class PlannedFault(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """One fault.
+
+    Attributes
+    ----------
+    kind : str
+        Name of the fault, a function of `soak_faults` or `database_faults`.
+    at_s : float
+        Time of its start, in seconds after the start of the load.
+    after_order_s : float or None
+        If set, it starts this time after the first failover call that follows
+        ``at_s``, for its service if it has one.
+    service : str
+        Service that it strikes; empty for a random one.
+    for_s : float or None
+        Duration in seconds; None for a random one.
+    until_order_s : float or None
+        If set, it ends this time after the first failover call that follows its start,
+        or after its duration if that is sooner.
+    count : int
+        Number of instances that it strikes, if it strikes several.
+    share : float
+        Part of the instances or of the calls that it strikes.
+    """
+
+    kind: str
+    at_s: float = 0.0
+    after_order_s: float | None = None
+    service: str = ""
+    for_s: float | None = None
+    until_order_s: float | None = None
+    count: int = 1
+    share: float = 0.5
+
+    def duration_s(
+        self, rng: random.Random, shortest_s: float, longest_s: float
+    ) -> float:
+        """Return the duration in seconds; a random one if none is given."""
+        return rng.uniform(shortest_s, longest_s) if self.for_s is None else self.for_s
+
+
+class SoakPlan(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Size and faults of a soak.
+
+    Attributes
+    ----------
+    name : str
+        What the plan is called in reports.
+    services : int
+        Number of services, of three databases each.
+    processes : int or None
+        Number of instances; None to leave it to the caller.
+    duration_s : float or None
+        Duration of the load; None to leave it to the caller.
+    promotion_delay_ms : tuple of int
+        Shortest and longest time from the execution of a failover call to its effect.
+    replication_delay_ms : tuple of int
+        Shortest and longest time that a commit takes to reach a replica.
+    random_faults : str
+        ``series`` for overlapping series of faults of databases and instances,
+        ``single`` for single faults, ``none`` for those of the plan alone.
+    faults : tuple of PlannedFault
+        Faults besides.
+    """
+
+    name: str = "random"
+    services: int = 3
+    processes: int | None = None
+    duration_s: float | None = None
+    promotion_delay_ms: tuple[int, int] = (600, 1000)
+    replication_delay_ms: tuple[int, int] = (1, 15)
+    random_faults: str = "series"
+    faults: tuple[PlannedFault, ...] = ()
+
+
+# Single faults of one service, of the kinds that the product is known to bear.
+SINGLE_FAULT_PLAN = SoakPlan(name="single", services=1, random_faults="single")
+
+
+def load_plan(path: str) -> SoakPlan:
+    """Read a plan in TOML.
+
+    Raises
+    ------
+    OSError, msgspec.DecodeError
+        If the file can't be read, or isn't a plan.
+    """
+    return msgspec.toml.decode(Path(path).read_bytes(), type=SoakPlan)
+
+
+def draw_series(
+    rng: random.Random, duration_s: float, services: list[str]
+) -> Iterator[PlannedFault]:
+    """Draw overlapping series of faults that start within ``duration_s``."""
+    start_s = rng.uniform(1, 3)
+    while start_s < duration_s:
+        struck = rng.sample(services, rng.randint(1, len(services)))
+        for service in struck:
+            for kind in _draw_kinds(rng, _DATABASE_KINDS, 2, 4):
+                yield _draw_fault(rng, kind, start_s, service)
+        for kind in _draw_kinds(rng, _OTHER_KINDS, 0, 3):
+            yield _draw_fault(rng, kind, start_s, rng.choice(struck))
+        start_s += rng.uniform(_SHORTEST_PAUSE_S, _LONGEST_PAUSE_S)
+
+
+def _draw_kinds(
+    rng: random.Random, kinds: dict[str, int], fewest: int, most: int
+) -> list[str]:
+    count = rng.randint(fewest, most)
+    return rng.choices(list(kinds), list(kinds.values()), k=count)
+
+
+def _draw_fault(
+    rng: random.Random, kind: str, start_s: float, service: str
+) -> PlannedFault:
+    return PlannedFault(
+        kind=kind,
+        at_s=start_s + rng.uniform(0, _SERIES_SPREAD_S),
+        service=service,
+        for_s=rng.uniform(_SHORTEST_FAULT_S, _LONGEST_FAULT_S),
+        count=rng.randint(1, 2),
+        share=rng.uniform(0.3, 0.7),
+    )
--- a/goldcrestpond/standin/line_bodies.py
+++ b/goldcrestpond/standin/line_bodies.py
@@ -25,6 +25,7 @@
     objective_ms: int = 200,
     organisations: list[dict] | None = None,
     open_names: tuple[str, ...] = (),
+    suffix: str = "",
 ) -> dict:
     """Return a version of the configuration with one route for each name.
 
@@ -49,11 +50,13 @@
         configuration without organisations.
     open_names : tuple of str
         Database names whose routes need no key.
+    suffix : str
+        Appended to the names of routes and databases.
     """
     routes = [
         {
-            "name": f"r-{name}",
-            "database": name,
+            "name": f"r-{name}{suffix}",
+            "database": f"{name}{suffix}",
             "prefix": "/",
             "routeType": ROUTE_KINDS[name],
             "maxStalenessMs": max_age_ms.get(name, 0),
@@ -80,6 +83,15 @@
     }
 
 
+def merge_configuration_bodies(bodies: list[dict]) -> dict:
+    """Return the first configuration with the routes and services of all."""
+    merged = dict(bodies[0])
+    for name in ("routes", "services"):
+        rows = [row for body in bodies for row in body[name]["rows"]]
+        merged[name] = {**merged[name], "rows": rows}
+    return merged
+
+
 def make_organisation_body(name: str, keys: list[str], **more: object) -> dict:
     """Return an organisation of a configuration; ``more`` are further fields."""
     return {"name": name, "apiKeys": keys, **more}
