--- a/tests/soak/test_fault_proxy.py
+++ b/tests/soak/test_fault_proxy.py
@@ -1,5 +1,6 @@
 """Faults of a ``FaultProxy``: delay, reset, cut and silence."""
 
+import os
 import time
 
 import anyio
@@ -9,6 +10,7 @@
 
 from goldcrestpond.settings.address import Address
 from goldcrestpond.soak.fault_proxy import LOOPBACK, FaultProxy, LinkFaults
+from goldcrestpond.soak.socket_owner import find_owner
 
 
 def _run(body):
@@ -81,3 +83,22 @@
         await anyio.aclose_forcefully(new_stream)
 
     _run(body)
+
+
+# Guards against: a cut that strikes every caller, instead of some processes.
+def test_cut_affects_callers_of_some_processes():
+    async def body(proxy, stream):
+        def is_cut(port):
+            return find_owner(port, processes) is not None
+
+        processes = [os.getppid()]
+        proxy.silence_connections(is_cut)
+        assert_that(await _is_silent(stream), Is(False))
+        processes = [os.getppid(), os.getpid()]
+        proxy.is_cut = is_cut
+        new_stream = await anyio.connect_tcp(proxy.address.host, proxy.address.port)
+        assert_that(await _is_silent(new_stream), Is(True))
+        assert_that(await _is_silent(stream), Is(False))
+        await anyio.aclose_forcefully(new_stream)
+
+    _run(body)
--- a/tests/soak/test_promise_checker.py
+++ b/tests/soak/test_promise_checker.py
@@ -69,3 +69,15 @@
 def test_configuration_version_that_goes_back_is_found(checker):
     checker.check_version("i1", 4, 3)
     _assert_one_finding(checker, "config")
+
+
+# Guards against: a read that is called stale for want of a commit which a promotion, a
+# finding of its own, has rolled back; and one that lacks an older write as well.
+def test_read_need_not_show_a_write_that_a_promotion_rolled_back(checker):
+    required = checker.get_newest_acknowledged("a", ms(60))
+    checker.record_rolled_back("a", 2)
+    assert_that(checker.get_newest_acknowledged("a", ms(60)), Equals(1))
+    checker.check_read("a", 1, required, "stale current read")
+    assert_that(checker.findings, Equals([]))
+    checker.check_read("a", 0, required, "stale current read")
+    _assert_one_finding(checker, "must show 1")
