Soak: time a part of the drawn faults by the failover calls

Change: 0.4 of the faults that follow an order, and each kill of the instance that gave it, start up to 0.7 s after it; 0.4 of the joint crashes end up to 0.7 s after it.

--- a/goldcrestpond/soak/soak_plan.py
+++ b/goldcrestpond/soak/soak_plan.py
@@ -28,7 +28,13 @@
     "stop_store": 1,
     "lose_answers": 1,
 }
+# Faults that may make an instance order a promotion, or that delay it.
+_CAUSES_OF_ORDERS = ("crash_primary", "cut_primary", "delay_orders")
 _RELEASES = ("release_primary", "release_replica")  # their time is that of a drain
+# Part of the faults that are timed by a failover call, so that they fall into the time
+# in which a promotion is pending.
+_ORDER_SHARE = 0.4
+_LONGEST_AFTER_ORDER_S = 0.7
 # A joint crash strikes primary and replicas of several services at one moment.
 _JOINT_CRASH_SHARE = 0.5
 _JOINT_SPREAD_S = 0.3
@@ -158,6 +164,7 @@
     rng: random.Random, start_s: float, services: list[str]
 ) -> Iterator[PlannedFault]:
     for_s = rng.uniform(_SHORTEST_FAULT_S, _LONGEST_FAULT_S)
+    until_order_s = _draw_after_order_s(rng)
     for service in services:
         for kind in ("crash_primary", "crash_replica"):
             yield PlannedFault(
@@ -165,6 +172,7 @@
                 at_s=start_s + rng.uniform(0, _JOINT_SPREAD_S),
                 service=service,
                 for_s=for_s + rng.uniform(0, _JOINT_SPREAD_S),
+                until_order_s=until_order_s,
             )
 
 
@@ -179,11 +187,21 @@
     rng: random.Random, kind: str, start_s: float, service: str
 ) -> PlannedFault:
     for_s = rng.uniform(_SHORTEST_FAULT_S, _LONGEST_FAULT_S)
+    after_order_s = _draw_after_order_s(rng)
+    if kind == "kill_orderer":
+        after_order_s = rng.uniform(0, _LONGEST_AFTER_ORDER_S)
     return PlannedFault(
         kind=kind,
         at_s=start_s + rng.uniform(0, _SERIES_SPREAD_S),
+        after_order_s=None if kind in _CAUSES_OF_ORDERS else after_order_s,
         service=service,
         for_s=None if kind in _RELEASES else for_s,
         count=rng.randint(1, 2),
         share=rng.uniform(0.3, 0.7),
     )
+
+
+def _draw_after_order_s(rng: random.Random) -> float | None:
+    if rng.random() >= _ORDER_SHARE:
+        return None
+    return rng.uniform(0, _LONGEST_AFTER_ORDER_S)
