--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -35,6 +35,8 @@
 CONNECTION_LIMIT = 200  # the stand-in databases accept any number
 TIMEOUT_MS = 800
 _ORDER_POLL_S = 0.01
+# Below the ports that Linux gives to outgoing connections.
+_LOWEST_PORT, _HIGHEST_PORT = 20000, 32000
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,6 +223,15 @@
 
 
 def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody uses, also while its instance is down.
+
+    Ports that the system chooses may be given to an outgoing connection meanwhile.
+    """
+    while True:
+        port = random.SystemRandom().randint(_LOWEST_PORT, _HIGHEST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
