--- a/goldcrestpond/soak/soak_faults.py
+++ b/goldcrestpond/soak/soak_faults.py
@@ -139,10 +139,9 @@
 ) -> None:
     """Delay, reset, silence or cut the connections to one database."""
     service = pick_service(site, rng, fault)
-    databases = service.group.databases.values()
-    running = [d.database_id for d in databases if d.is_running]
+    running = service.running_databases()
     if running:
-        await _disturb_link(service.links[rng.choice(running)], rng)
+        await _disturb_link(service.links[rng.choice(running).database_id], rng)
 
 
 async def harm_store_link(
--- a/goldcrestpond/soak/soak_service.py
+++ b/goldcrestpond/soak/soak_service.py
@@ -92,13 +92,17 @@
 
     def running_primary(self) -> LineDatabase | None:
         """Return the primary if it is running."""
-        primary = self.group.find_primary()
-        return primary if primary is not None and primary.is_running else None
+        running = self.running_databases()
+        return next((d for d in running if d.role is Role.PRIMARY), None)
 
     def running_replicas(self) -> list[LineDatabase]:
         """Return the replicas that are running."""
+        return [d for d in self.running_databases() if d.role is Role.REPLICA]
+
+    def running_databases(self) -> list[LineDatabase]:
+        """Return the databases that are running and have a link."""
         databases = self.group.databases.values()
-        return [d for d in databases if d.role is Role.REPLICA and d.is_running]
+        return [d for d in databases if d.is_running and d.database_id in self.links]
 
     async def crash(self, database: LineDatabase) -> None:
         """Crash a database. Its entry expires later."""
@@ -146,9 +150,8 @@
 
     def write_entries(self) -> None:
         """Write the entries of all running databases."""
-        for database in self.group.databases.values():
-            if database.is_running and database.database_id in self.links:
-                self._write_entry(database)
+        for database in self.running_databases():
+            self._write_entry(database)
 
     def log(self, event: str, database: LineDatabase, **more: object) -> None:
         """Log what happens to a database."""
