--- a/goldcrestpond/soak/database_faults.py
+++ b/goldcrestpond/soak/database_faults.py
@@ -85,15 +85,18 @@
 ) -> None:
     """Keep a replica from receiving anything for a while."""
     service = pick_service(site, rng, fault)
-    replica = _pick_replica(service, rng)
-    if replica is None:
-        return
-    service.log("replica deaf", replica)
-    replica.is_cut_off = True
-    await wait_out(site, rng, fault, 1, 6)
-    replica.is_cut_off = False
-    service.group.replicate()
-    service.log("replica receives", replica)
+    await _deafen(site, rng, fault, service, _pick_replica(service, rng))
+
+
+async def deafen_candidate(
+    site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
+) -> None:
+    """Keep the replica that the last failover call named from receiving anything."""
+    service = pick_service(site, rng, fault)
+    orders = [o for o in site.platform.failover.orders if o.service == service.name]
+    named = orders[-1].database_id if orders else ""
+    replicas = (r for r in service.running_replicas() if r.database_id == named)
+    await _deafen(site, rng, fault, service, next(replicas, None))
 
 
 async def cut_primary(
@@ -193,6 +196,23 @@
     await service.restart(database)
 
 
+async def _deafen(
+    site: SoakSite,
+    rng: random.Random,
+    fault: PlannedFault,
+    service: SoakService,
+    replica: LineDatabase | None,
+) -> None:
+    if replica is None:
+        return
+    service.log("replica deaf", replica)
+    replica.is_cut_off = True
+    await wait_out(site, rng, fault, 1, 6)
+    replica.is_cut_off = False
+    service.group.replicate()
+    service.log("replica receives", replica)
+
+
 async def _lose(
     site: SoakSite,
     rng: random.Random,
