--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -12,7 +12,7 @@
 from ..platform.instance_settings import PATH_VARIABLE
 from ..settings.address import Address
 
-KILL_TIMEOUT_S = 8.0  # far longer than a killed process takes to exit
+KILL_TIMEOUT_S = 30.0  # far longer than a killed process takes to exit
 
 
 class InstanceProcess:
@@ -95,7 +95,7 @@
             await anyio.sleep(0.02)
 
     def send_kill(self) -> None:
-        """Kill the process, also if it is paused."""
+        """Kill the process, if it is running, also if it is paused."""
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGKILL)
 
--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -172,6 +172,8 @@
 
     def kill_instances(self) -> None:
         """Kill the process of every instance."""
+        for instance in self.instances:
+            instance.send_kill()
         for instance in self.instances:
             instance.kill()
 
