--- a/goldcrestpond/soak/database_faults.py
+++ b/goldcrestpond/soak/database_faults.py
@@ -54,12 +54,12 @@
     await _crash(site, rng, fault, service, replica)
 
 
-async def crash_hearing_replica(
+async def crash_receiving_replica(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
     """Crash a replica that receives commits; it returns as others do."""
     service = pick_service(site, rng, fault)
-    replica = _pick_replica(service, rng, is_hearing=True)
+    replica = _pick_replica(service, rng, is_receiving=True)
     await _crash(site, rng, fault, service, replica)
 
 
@@ -71,24 +71,24 @@
     await _lose(site, rng, fault, service, _pick_replica(service, rng))
 
 
-async def lose_hearing_replica(
+async def lose_receiving_replica(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
     """Crash a replica that receives commits for good; a new one replaces it."""
     service = pick_service(site, rng, fault)
-    replica = _pick_replica(service, rng, is_hearing=True)
+    replica = _pick_replica(service, rng, is_receiving=True)
     await _lose(site, rng, fault, service, replica)
 
 
-async def deafen_replica(
+async def isolate_replica(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
     """Keep a replica from receiving anything for a while."""
     service = pick_service(site, rng, fault)
-    await _deafen(site, rng, fault, service, _pick_replica(service, rng))
+    await _isolate(site, rng, fault, service, _pick_replica(service, rng))
 
 
-async def deafen_candidate(
+async def isolate_candidate(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
     """Keep the replica that the last failover call named from receiving anything."""
@@ -96,7 +96,7 @@
     orders = [o for o in site.platform.failover.orders if o.service == service.name]
     named = orders[-1].database_id if orders else ""
     replicas = (r for r in service.running_replicas() if r.database_id == named)
-    await _deafen(site, rng, fault, service, next(replicas, None))
+    await _isolate(site, rng, fault, service, next(replicas, None))
 
 
 async def cut_primary(
@@ -172,12 +172,12 @@
 
 
 def _pick_replica(
-    service: SoakService, rng: random.Random, is_hearing: bool = False
+    service: SoakService, rng: random.Random, is_receiving: bool = False
 ) -> LineDatabase | None:
     replicas = [
         replica
         for replica in service.running_replicas()
-        if not (is_hearing and (replica.is_cut_off or replica.paused_term))
+        if not (is_receiving and (replica.is_cut_off or replica.paused_term))
     ]
     return rng.choice(replicas) if replicas else None
 
@@ -196,7 +196,7 @@
     await service.restart(database)
 
 
-async def _deafen(
+async def _isolate(
     site: SoakSite,
     rng: random.Random,
     fault: PlannedFault,
@@ -205,12 +205,12 @@
 ) -> None:
     if replica is None:
         return
-    service.log("replica deaf", replica)
+    service.log("replica isolated", replica)
     replica.is_cut_off = True
     await wait_out(site, rng, fault, 1, 6)
     replica.is_cut_off = False
     service.group.replicate()
-    service.log("replica receives", replica)
+    service.log("replica reconnected", replica)
 
 
 async def _lose(
--- a/goldcrestpond/soak/soak_faults.py
+++ b/goldcrestpond/soak/soak_faults.py
@@ -8,15 +8,15 @@
 
 from .database_faults import (
     RANDOM_FAULT,
-    crash_hearing_replica,
     crash_primary,
+    crash_receiving_replica,
     crash_replica,
     cut_primary,
-    deafen_candidate,
-    deafen_replica,
     drain_primary,
+    isolate_candidate,
+    isolate_replica,
     lag_replica,
-    lose_hearing_replica,
+    lose_receiving_replica,
     lose_replica,
     pick_service,
     release_primary,
@@ -44,7 +44,7 @@
     await _kill_for(rng.choice(site.instances), fault.duration_s(rng, 0.1, 1))
 
 
-async def kill_orderer(
+async def kill_promoter(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
     """Kill the instance that gave the last failover order, and start it again."""
@@ -228,16 +228,16 @@
     fault.__name__: fault
     for fault in (
         *SINGLE_FAULTS,
-        kill_orderer,
+        kill_promoter,
         kill_all_instances,
         delay_orders,
         kill_claimant,
         crash_replica,
-        crash_hearing_replica,
+        crash_receiving_replica,
         lose_replica,
-        lose_hearing_replica,
-        deafen_candidate,
-        deafen_replica,
+        lose_receiving_replica,
+        isolate_candidate,
+        isolate_replica,
         cut_primary,
         release_primary,
         release_replica,
--- a/goldcrestpond/soak/soak_plan.py
+++ b/goldcrestpond/soak/soak_plan.py
@@ -11,14 +11,14 @@
 _DATABASE_KINDS = {
     "crash_primary": 5,
     "crash_replica": 3,
-    "deafen_replica": 3,
+    "isolate_replica": 3,
     "cut_primary": 3,
     "lose_replica": 1,
     "release_primary": 1,
     "release_replica": 1,
 }
 _OTHER_KINDS = {
-    "kill_orderer": 4,
+    "kill_promoter": 4,
     "delay_orders": 3,
     "kill_instance": 2,
     "pause_instance": 2,
@@ -188,7 +188,7 @@
 ) -> PlannedFault:
     for_s = rng.uniform(_SHORTEST_FAULT_S, _LONGEST_FAULT_S)
     after_order_s = _draw_after_order_s(rng)
-    if kind == "kill_orderer":
+    if kind == "kill_promoter":
         after_order_s = rng.uniform(0, _LONGEST_AFTER_ORDER_S)
     return PlannedFault(
         kind=kind,
