--- a/tests/standin/test_line_group.py
+++ b/tests/standin/test_line_group.py
@@ -91,7 +91,7 @@
     return outcomes
 
 
-# Guards against: acknowledged commits that only a paused or cut-off replica would stand for.
+# Guards against: acknowledged commits that only a paused or cut-off replica has.
 def test_commit_waits_until_a_replica_that_receives_has_it():
     async def body(group):
         group.replicate()
