--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -12,7 +12,7 @@
 from ..platform.instance_settings import PATH_VARIABLE
 from ..settings.address import Address
 
-KILL_TIMEOUT_S = 8.0  # far longer than a killed process takes to exit
+KILL_TIMEOUT_S = 30.0  # far longer than a killed process takes to exit
 
 
 class InstanceProcess:
@@ -54,6 +54,11 @@
         host, _, port = self.settings["listen"].rpartition(":")
         return Address(host, int(port))
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process; 0 if it isn't running."""
+        return self._child.pid if self.is_running else 0
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -89,10 +94,14 @@
         while self.is_running:
             await anyio.sleep(0.02)
 
+    def send_kill(self) -> None:
+        """Kill the process, if it is running, also if it is paused."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
+
     def kill(self) -> None:
-        """Kill the process, also if it is paused, and wait until it has exited."""
+        """Kill the process and wait until it has exited, without other tasks."""
         if self._child is None:
             return
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(signal.SIGKILL)
+        self.send_kill()
         self._child.wait(KILL_TIMEOUT_S)
