Bound what the end of a failover costs: one close, no block without end

Cause: a claim that was ended but could not be closed, since the store was away, was taken for open again later, which blocked commits for two seconds; one whose orders could not be made void, since the platform didn't answer, blocked them for as long as that lasted; and while replicas received nothing each holder looked for paused ones every second. Change: a claim that was ended is only closed; an open claim counts as pending for LATE_ORDER_LIMIT from when it was seen; paused replicas are looked for every 5 s.

--- a/goldcrestpond/serving/failover_completion.py
+++ b/goldcrestpond/serving/failover_completion.py
@@ -20,7 +20,7 @@
 from .store_era import StoreEra
 
 # Longer than a promotion takes once the platform has accepted its order.
-PROMOTION_LIMIT = timedelta(milliseconds=1500)
+PROMOTION_LIMIT = timedelta(milliseconds=2000)
 # While no database leads, the wait for the candidate is longer: it may be overloaded.
 TAKEOVER_TIMEOUT = timedelta(milliseconds=3500)
 # The platform may carry out a call that it has not answered up to 12 s later.
@@ -78,6 +78,8 @@
         "_failover",
         "_log",
         "_open_link",
+        "_pending_since",
+        "_unclosed",
     )
 
     def __init__(
@@ -97,6 +99,10 @@
         self._clock = clock
         self._era = era
         self._log = log
+        # Since when the open claim of a service is known.
+        self._pending_since: dict[str, timedelta] = {}
+        # Claims that were ended but not closed, and whether no replica is paused.
+        self._unclosed: dict[str, tuple[Claim, bool]] = {}
 
     async def complete(self, service: Service, attempt: FailoverAttempt) -> bool:
         """Wait for the takeover of an attempt, or make sure that none will come.
@@ -148,10 +154,13 @@
         CodedError
             As for `complete`.
         """
+        if service.name in self._unclosed:
+            claim, is_resumed = self._unclosed[service.name]
+            await self._close(claim, is_resumed)
+            return is_resumed
         began_at = self._clock.now()
         self._directory.leader_verifier(service.name).check_now()
-        unended = (await self._claims.read_unended()).get(service.name)
-        may_be_pending = unended is not None and unended.may_be_pending
+        may_be_pending = await self._may_be_pending(service.name)
         if not may_be_pending:
             service.unblock_commits(service.commit_tracker.token)
             paused, unread = await self._read_paused(service)
@@ -188,6 +197,21 @@
         )
         return is_resumed
 
+    def forget(self, service: str) -> None:
+        """Discard what is known of earlier claims: a new one has replaced them."""
+        self._unclosed.pop(service, None)
+        self._pending_since.pop(service, None)
+
+    async def _may_be_pending(self, service: str) -> bool:
+        """Return whether an order of an open claim may still be carried out."""
+        unended = (await self._claims.read_unended()).get(service)
+        if unended is None or not unended.may_be_pending:
+            self._pending_since.pop(service, None)
+            return False
+        now = self._clock.now()
+        since = self._pending_since.setdefault(service, now)
+        return now - since < LATE_ORDER_LIMIT
+
     async def _wait_for_takeover(
         self, service: Service, attempt: FailoverAttempt, timeout: timedelta
     ) -> Takeover:
@@ -284,7 +308,9 @@
 
     async def _close(self, claim: Claim, is_resumed: bool) -> None:
         state = ClaimState.ENDED if is_resumed else ClaimState.PAUSED
+        self._unclosed[claim.service] = (claim, is_resumed)
         await self._claims.close(claim, state)
+        self._unclosed.pop(claim.service, None)
 
     async def _renew(self, attempt: FailoverAttempt) -> bool:
         renewed = await self._claims.renew(attempt.claim)
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -60,6 +60,8 @@
 # commits expires, so that no commit is sent before it has been ended.
 BLOCK_MARGIN = timedelta(milliseconds=500)
 RECOVERY_PAUSE = timedelta(milliseconds=1000)
+# While commits reach no replica, each holder looks for paused ones at this interval.
+STALL_CHECK_PAUSE = timedelta(milliseconds=5000)
 _MILLISECOND = timedelta(milliseconds=1)
 
 OpenLink = Callable[[Database], Awaitable[Link]]
@@ -321,6 +323,7 @@
             claim = await self._claims.claim(service.name, leader_id)
             if claim is None:
                 return
+            self._completion.forget(service.name)
             self._unended.add(service.name)
             if not await self._recorder.read(service):
                 await self._claims.close(claim, ClaimState.ENDED)
@@ -373,7 +376,9 @@
             service.name, now + self._failover_delay(service)
         )
         if now >= next_recovery_at:
-            self._next_recovery_at[service.name] = now + RECOVERY_PAUSE
+            is_left = is_abandoned or service.name in self._unended
+            pause = RECOVERY_PAUSE if is_left else STALL_CHECK_PAUSE
+            self._next_recovery_at[service.name] = now + pause
             self._running.add(service.name)
             self._tasks.start_soon(self._recover, service)
 
