Let the model's timers run outside the process whose call they carry out

An empty context is false, so that the world's own timers ran in the process of the caller: the order of a killed claimant was never carried out, and the commits of a frozen one never arrived.

--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -65,12 +65,14 @@
 
 class _ProcessLoop(_Loop):
     def call_soon(self, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        # An empty context is false.
+        context = contextvars.copy_context() if context is None else context
         gated = (context, callback, args)
         return super().call_soon(_run_unless_frozen, *gated, context=context)
 
     def call_at(self, when, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        # An empty context is false.
+        context = contextvars.copy_context() if context is None else context
         gated = (context, callback, args)
         return super().call_at(when, _run_unless_frozen, *gated, context=context)
 
