Block and count prepared writes over a lent connection

What callers saw: nothing yet; found by the review of the incident's fix. Cause: a holder took a statement for a write by its own flag, which a prepared one doesn't have: it is in the shape. So it ran it while commits were blocked, and told no position for it. Change: the shape counts too. The test failed before for the prepared statement, and passes now.

--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -371,7 +371,8 @@
             return await link.execute(statement, shape, min_position)
 
         is_commit = statement.kind is StatementKind.COMMIT
-        if is_commit or (request.is_write and link.state is TransactionState.IDLE):
+        is_write = request.is_write or (shape is not None and shape.is_write)
+        if is_commit or (is_write and link.state is TransactionState.IDLE):
             service = self._directory.service(self._served.database.service)
             return await service.track_commit(execute)
         return await execute()
