Resume every replica that was told to pause, and watch for new ones during an order

And databases that were listed while the platform didn't answer an order were paused only after the last call; one that had restarted under its id was taken for a known one. Change: the attempt resumes all that it told to pause, and leaves its claim open if one of them doesn't answer; it looks for new databases, by id and start, from the order on.

--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -43,6 +43,7 @@
 PAUSE_ATTEMPTS_MAX = 3
 CATCH_UP_TIMEOUT = timedelta(milliseconds=1000)
 CATCH_UP_POLL_S = 0.02
+WATCH_INTERVAL_S = 0.05
 # Commits in flight are answered within milliseconds unless the leader is silent.
 COMMIT_WAIT = timedelta(milliseconds=300)
 NO_WAIT = timedelta(0)
@@ -173,6 +174,7 @@
         "_previous",
         "_requests",
         "_term",
+        "_told_to_pause",
         "candidate_id",
         "claim",
         "is_ended",
@@ -207,6 +209,8 @@
         self._log = log
         self._requests = DatabaseRequests(open_link, log)
         self._paused: dict[str, DatabaseReport] = {}
+        # Also those that have not answered: they may be paused.
+        self._told_to_pause: frozenset[str] = frozenset()
         self._acknowledged = HighestAcknowledged(None)
         self._has_blocked_commits = False
         self._term = 0
@@ -240,8 +244,7 @@
 
         What they receive may be acknowledged, though the candidate lacks it.
         """
-        known = self._databases
-        new = [d for d in self._list_databases() if d.database_id not in known]
+        new = [d for d in self._list_databases() if not self._is_known(d)]
         if not new:
             return
         self._databases |= {d.database_id: d for d in new}
@@ -257,6 +260,16 @@
                 tasks.start_soon(self._block_commits, NO_WAIT)
             tasks.start_soon(self._pause, new_ids, self._term)
 
+    def _is_known(self, database: Database) -> bool:
+        known = self._databases.get(database.database_id)
+        return known is not None and known.started_at_ms == database.started_at_ms
+
+    async def _watch_listed(self, end: anyio.Event) -> None:
+        while not end.is_set():
+            await self.pause_newly_listed()
+            with anyio.move_on_after(WATCH_INTERVAL_S):
+                await end.wait()
+
     async def keep_commits_blocked(self) -> None:
         """Block commits anew, before the block expires, if they are blocked."""
         if self._has_blocked_commits:
@@ -273,19 +286,14 @@
         bool
             Whether no replica is left paused.
         """
-        still_paused, are_all_read = self._paused, True
-        if self.outcome is not OrderOutcome.NOT_ORDERED:
-            reports = await self._request_reports(self._databases, report)
-            still_paused = {i: r for i, r in reports.items() if r.paused_term}
-            are_all_read = self._paused.keys() <= reports.keys()
-        is_resumed = await self._resume(still_paused, reason)
+        is_resumed = await self._resume(reason)
         if self._has_blocked_commits:
             self._has_blocked_commits = False
             await self._commit_blocker.unblock_commits(
                 self.claim.service, self.claim.token
             )
         await self._requests.aclose()
-        return are_all_read and is_resumed
+        return is_resumed
 
     async def _replace(self) -> bool:
         reports = await self._read_reports()
@@ -458,6 +466,7 @@
         a later term.
         """
         for attempt in range(PAUSE_ATTEMPTS_MAX):
+            self._told_to_pause |= database_ids
             databases = [self._databases[i] for i in database_ids]
             reports = await self._requests.send(databases, pause_until(term + attempt))
             paused = {i: r for i, r in reports.items() if r.paused_term >= term}
@@ -482,13 +491,20 @@
             has_blocked_commits=self._has_blocked_commits,
             claim_age_ms=self._claim_age_ms(),
         )
+        is_answered = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_listed, is_answered)
+            await self._call_until_answered()
+            is_answered.set()
+        return self.outcome is not OrderOutcome.NOT_ORDERED
+
+    async def _call_until_answered(self) -> None:
         async with anyio.create_task_group() as tasks:
             for _ in range(PROMOTE_ATTEMPTS_MAX):
                 # The instances learn the candidate, whose lead ends the block.
                 tasks.start_soon(self.keep_commits_blocked)
                 if await self._call_promotion() or not self.is_claim_usable():
                     break
-        return self.outcome is not OrderOutcome.NOT_ORDERED
 
     async def _call_promotion(self) -> bool:
         """Order the promotion once; return whether the platform has answered."""
@@ -523,21 +539,22 @@
     def _claim_age_ms(self) -> int:
         return (self._clock.now() - self.claim.claimed_at) // _MILLISECOND
 
-    async def _resume(self, reports: dict[str, DatabaseReport], reason: str) -> bool:
-        databases = [self._databases[i] for i in reports]
+    async def _resume(self, reason: str) -> bool:
+        """Resume each replica that may be paused; return whether all have answered."""
+        databases = [self._databases[i] for i in self._told_to_pause]
         resumed = await self._requests.send(databases, resume_replication)
-        if resumed:
+        unread = sorted(self._told_to_pause - resumed.keys())
+        if databases:
             self._log.decision(
                 "replicas resumed",
                 service=self.claim.service,
                 token=self.claim.token,
                 claim_age_ms=self._claim_age_ms(),
-                paused_terms={i: r.paused_term for i, r in reports.items()},
+                resumed=sorted(resumed),
+                unread=unread,
                 reason=reason,
             )
-        for database_id in reports.keys() - resumed.keys():
-            self._log.decision("replica not resumed", database=database_id)
-        return resumed.keys() == reports.keys()
+        return not unread
 
     async def _request_reports(
         self, databases: Mapping[str, Database], request: Request
