Keep commits blocked for as long as any order may be carried out

Cause, of one kind: the end of a block rested on a clock or a belief of one process. A block that nobody could renew, since its holders stood still, expired after 3.5 s, while an order without an answer may come for 12 s. The call that makes an order void may itself be carried out late, and named a leader that was verified before the claim. A recovery unblocked what a later claim had blocked meanwhile, and took the age of an earlier open claim for that of a new one. An answer that came after the end of a block, to a commit sent before it, counted as acknowledged. After a lost answer of the store a claim's time was counted from a later write than the one that others see. What was paused was not resumed by an instance that doesn't reach the leader. Change: a block with a token lasts for CLAIM_USE_LIMIT and LATE_ORDER_LIMIT unless it is ended; its age starts the recovery. Orders are made void under a block without a candidate, by a newer token for each call, which names a leader verified after the block and within the claim; the wait counts from the last call. The claim's row says since when an order may be pending, by the store's clock. A commit counts only if no block began since it was sent. A claim's time counts from its first write. The test that a block expires after 3.5 s is replaced by ones for both releases.

--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -4,10 +4,15 @@
 
 from ..group.log_position import LogPosition
 from .commit_block import CommitBlock
+from .failover import LATE_ORDER_LIMIT
+from .failover_claim import CLAIM_USE_LIMIT
 
 # Longer than the time for which a claim may be used and that of a promotion together.
-# A failover that is given up unblocks commits earlier; one that is pending renews it.
+# Whoever replaces the leader renews or ends the block within this time.
 BLOCK_LIFETIME = timedelta(milliseconds=3500)
+# A block that is neither renewed nor ended lasts for as long as an order of its claim
+# may be carried out.
+BLOCK_LIMIT = CLAIM_USE_LIMIT + LATE_ORDER_LIMIT
 
 
 class CommitTracker:
@@ -19,6 +24,8 @@
         Upper limit of the acknowledged commits that this process, or an earlier
         process of this instance, has sent; None until this process has verified a
         leader.
+    block_count : int
+        How often commits were blocked.
     """
 
     __slots__ = (
@@ -28,10 +35,12 @@
         "_in_flight",
         "_set_at",
         "acknowledged",
+        "block_count",
     )
 
     def __init__(self) -> None:
         self.acknowledged: LogPosition | None = None
+        self.block_count = 0
         self._in_flight = 0
         self._blocked_at = timedelta.min
         self._blocked_until = timedelta.min
@@ -65,7 +74,7 @@
         self._in_flight -= 1
 
     def block_commits(self, block: CommitBlock, now: timedelta) -> None:
-        """Block commits to every database of the service for ``BLOCK_LIFETIME``.
+        """Block commits to every database of the service, until it is ended.
 
         A leader that crashed may return under another id before its successor's
         promotion takes effect, so that the block holds for whichever database leads,
@@ -73,6 +82,7 @@
         not change its candidate.
         """
         if not self.is_blocked(now):
+            self.block_count += 1
             self._blocked_at = now
             self._block = block
         elif block.token > self._block.token or (
@@ -80,7 +90,8 @@
         ):
             self._block = block
         self._set_at = now
-        self._blocked_until = now + BLOCK_LIFETIME
+        # A former release sends no token, and may not end what it blocks.
+        self._blocked_until = now + (BLOCK_LIMIT if block.token else BLOCK_LIFETIME)
 
     def unblock_commits(self, token: int) -> bool:
         """Unblock commits before the block expires, unless its token is higher.
@@ -120,12 +131,6 @@
         """Return whether commits are blocked, and the block is older than ``span``."""
         return self.is_blocked(now) and now - self._set_at >= span
 
-    def extend(self, now: timedelta, span: timedelta, limit: timedelta) -> None:
-        """Let a block last for ``span``, at most until ``limit`` after it was set."""
-        self._blocked_until = max(
-            self._blocked_until, min(now + span, self._set_at + limit)
-        )
-
     def is_blocked(self, now: timedelta) -> bool:
         """Return whether commits are blocked."""
         return now < self._blocked_until
--- a/goldcrestpond/serving/failover.py
+++ b/goldcrestpond/serving/failover.py
@@ -1,10 +1,14 @@
 """Port to the platform's call that promotes a database."""
 
+from datetime import timedelta
 from typing import Protocol
 
 from ..errors.coded_error import CodedError
 from ..errors.result_code import ResultCode
 
+# The platform may carry out a call that it has not answered up to 12 s later.
+LATE_ORDER_LIMIT = timedelta(seconds=12)
+
 
 class PromotionRefused(CodedError):
     """The platform refused the promotion; it will not be carried out later either."""
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -12,6 +12,7 @@
 from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
 from .commit_block import CommitBlock
+from .failover import LATE_ORDER_LIMIT
 from .row_store import FeedAnswer, RowConflict, RowPut, RowRevision, RowStore, StoredRow
 from .store_era import StoreEra
 
@@ -24,6 +25,7 @@
 # A token has the version in its low bits and the era above them. It stays small enough
 # to be exact in a double.
 _VERSION_BITS = 40
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 class ClaimState(StrEnum):
@@ -47,6 +49,8 @@
     nonce: str
     former: str
     state: str = ClaimState.UNKNOWN
+    # Time on the store's clock since when an order may be pending; 0 if unknown.
+    pending_since_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +67,15 @@
         Time before the claim was written.
     former : str
         Id of the leader that is replaced.
+    pending_since_ms : float
+        Time on the store's clock since when an order may be pending.
     """
 
     service: str
     revision: RowRevision
     claimed_at: timedelta
     former: str = ""
+    pending_since_ms: float = 0.0
 
     @property
     def token(self) -> int:
@@ -90,10 +97,13 @@
         The block of commits that belongs to it.
     may_be_pending : bool
         Whether a promotion may be pending. If not, only replicas may be paused.
+    pending_since_ms : float
+        Time on the store's clock since when one may be.
     """
 
     block: CommitBlock
     may_be_pending: bool
+    pending_since_ms: float
 
 
 _UNENDED = (ClaimState.OPEN, ClaimState.PAUSED)
@@ -138,36 +148,56 @@
         self._clock = clock
         self._first_seen: dict[str, tuple[int, timedelta]] = {}
 
-    async def claim(self, service: str, previous_leader_id: str) -> Claim | None:
+    async def claim(
+        self,
+        service: str,
+        previous_leader_id: str,
+        pending_since_ms: float | None = None,
+    ) -> Claim | None:
         """Claim a service; return None if another instance holds it or may hold it.
 
         A claim of an earlier era may be lost from the store and still be in use.
         Therefore nothing is claimed until ``CLAIM_LIFETIME`` after an era began.
 
+        Parameters
+        ----------
+        service : str
+            The service.
+        previous_leader_id : str
+            Id of the leader that is replaced; empty if unknown.
+        pending_since_ms : float or None
+            Time on the store's clock since when an order of an earlier claim may be
+            pending; None for now.
+
         Raises
         ------
         CodedError
             PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
         """
         nonces: set[str] = set()
+        first_written_at: timedelta | None = None
         for _ in range(ATTEMPTS_MAX):
             answer = await self._store.read(TABLE)
             if self._is_era_young():
                 return None
             row = _find_claim(answer, service)
             body = _decode_body(row)
+            since_ms = answer.now_ms if pending_since_ms is None else pending_since_ms
             if body is not None and body.nonce in nonces:
                 revision = RowRevision(answer.era, row.version)
-                return Claim(service, revision, self._clock.now(), previous_leader_id)
+                return Claim(
+                    service, revision, first_written_at, previous_leader_id, since_ms
+                )
             is_own = body is not None and body.holder == self._instance
             if row is not None and not is_own and self._is_claimed(service, row):
                 return None
             nonce = uuid.uuid4().hex
             nonces.add(nonce)
-            claimed_at = self._clock.now()
+            # Others count the time from when any of these writes was applied.
+            first_written_at = first_written_at or self._clock.now()
             try:
                 revision = await self._write(
-                    service, answer, row, nonce, previous_leader_id
+                    service, answer, row, nonce, previous_leader_id, since_ms
                 )
             except RowConflict as conflict:
                 bodies = [(_decode_body(r), r) for r in conflict.rows]
@@ -179,8 +209,10 @@
                 continue  # it may have been written; read the row again
             if revision.era != answer.era:
                 return None
-            self._first_seen[service] = (revision.version, claimed_at)
-            return Claim(service, revision, claimed_at, previous_leader_id)
+            self._first_seen[service] = (revision.version, first_written_at)
+            return Claim(
+                service, revision, first_written_at, previous_leader_id, since_ms
+            )
         detail = f"{service}: the claim was not answered"
         raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
 
@@ -207,10 +239,13 @@
     async def _rewrite(self, claim: Claim, state: ClaimState) -> Claim | None:
         key = claim_key(claim.service, claim.revision.era)
         condition = StoredRow(TABLE, "", key, None, claim.revision.version)
-        body = ClaimBody(self._instance, uuid.uuid4().hex, claim.former, state)
+        nonce = uuid.uuid4().hex
+        body = ClaimBody(
+            self._instance, nonce, claim.former, state, claim.pending_since_ms
+        )
         put = RowPut(TABLE, "", key, msgspec.json.encode(body))
+        written_at = self._clock.now()
         for _ in range(ATTEMPTS_MAX):
-            written_at = self._clock.now()
             try:
                 revision = await self._store.write([condition], [put], [])
             except RowConflict as conflict:
@@ -245,8 +280,12 @@
                 continue
             self._is_claimed(service, row)  # from now on the claim's time counts
             token = fencing_token(RowRevision(answer.era, row.version))
+            pending_for = (answer.now_ms - body.pending_since_ms) * _MILLISECOND
+            is_recent = pending_for < CLAIM_USE_LIMIT + LATE_ORDER_LIMIT
             unended[service] = UnendedClaim(
-                CommitBlock(service, token, body.former), body.state == ClaimState.OPEN
+                CommitBlock(service, token, body.former),
+                body.state == ClaimState.OPEN and is_recent,
+                body.pending_since_ms,
             )
         return unended
 
@@ -279,11 +318,18 @@
         row: StoredRow | None,
         nonce: str,
         previous_leader_id: str,
+        pending_since_ms: float,
     ) -> RowRevision:
         key = claim_key(service, answer.era)
         version = 0 if row is None else row.version
         condition = StoredRow(TABLE, "", key, None, version)
-        body = ClaimBody(self._instance, nonce, previous_leader_id, ClaimState.OPEN)
+        body = ClaimBody(
+            self._instance,
+            nonce,
+            previous_leader_id,
+            ClaimState.OPEN,
+            pending_since_ms,
+        )
         put = RowPut(TABLE, "", key, msgspec.json.encode(body))
         earlier = [
             r for r in answer.rows if r.key != key and _get_service(r) == service
--- a/goldcrestpond/serving/failover_completion.py
+++ b/goldcrestpond/serving/failover_completion.py
@@ -1,10 +1,9 @@
 """Brings a failover to its end: a takeover, or no order that may be carried out."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from enum import Enum, auto
 
-import anyio
-
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from .commit_block import CommitBlock
@@ -13,7 +12,7 @@
 from .database_requests import DatabaseRequests, OpenLink, report, resume_replication
 from .decision_log import DecisionLog
 from .directory import Directory
-from .failover import Failover, PromotionRefused
+from .failover import LATE_ORDER_LIMIT, Failover, PromotionRefused
 from .failover_attempt import NO_WAIT, FailoverAttempt, OrderOutcome
 from .failover_claim import Claim, ClaimState, ClaimWriter
 from .service import Service
@@ -23,8 +22,6 @@
 PROMOTION_LIMIT = timedelta(milliseconds=2000)
 # While no database leads, the wait for the candidate is longer: it may be overloaded.
 TAKEOVER_TIMEOUT = timedelta(milliseconds=3500)
-# The platform may carry out a call that it has not answered up to 12 s later.
-LATE_ORDER_LIMIT = timedelta(seconds=12)
 POLL_INTERVAL = timedelta(milliseconds=50)
 # A leader that fails for this long is left to the next attempt.
 LEADERLESS_LIMIT = timedelta(milliseconds=400)
@@ -32,6 +29,11 @@
 # Commits stay blocked meanwhile, with room for one renewal that gets lost.
 BLOCK_RENEWAL_INTERVAL = BLOCK_LIFETIME / 3
 _MILLISECOND = timedelta(milliseconds=1)
+Watch = Callable[[], Awaitable[None]]
+
+
+async def _watch_nothing() -> None:
+    pass
 
 
 class Takeover(Enum):
@@ -78,7 +80,6 @@
         "_failover",
         "_log",
         "_open_link",
-        "_pending_since",
         "_unclosed",
     )
 
@@ -99,8 +100,6 @@
         self._clock = clock
         self._era = era
         self._log = log
-        # Since when the open claim of a service is known.
-        self._pending_since: dict[str, timedelta] = {}
         # Claims that were ended but not closed, and whether no replica is paused.
         self._unclosed: dict[str, tuple[Claim, bool]] = {}
 
@@ -125,13 +124,19 @@
                 attempt.is_ended = await attempt.end("given up")
             await self._close(attempt.claim, attempt.is_ended)
             return attempt.is_ended
-        takeover = await self._wait_for_takeover(service, attempt, TAKEOVER_TIMEOUT)
-        if takeover is not Takeover.SEEN:
-            if attempt.outcome is OrderOutcome.UNANSWERED:
-                if not await self._void(service, attempt):
-                    return False
-                # The order may have been accepted before it was made void.
-                await self._wait_for_takeover(service, attempt, PROMOTION_LIMIT)
+        takeover = await self._wait_for_takeover(service, attempt)
+        if takeover is not Takeover.SEEN and attempt.outcome is OrderOutcome.UNANSWERED:
+            # From now on the candidate's lead proves nothing: a call that makes its
+            # order void may be carried out late, too.
+            if not await self._renew(attempt):
+                return True
+            attempt.candidate_id = ""
+            claim = await self._settle(
+                service, attempt.claim, attempt.pause_newly_listed
+            )
+            if claim is None:
+                return False
+            attempt.claim = claim
         if not attempt.is_claim_usable() and not await self._renew(attempt):
             return True
         is_ended = await attempt.end(takeover.name.lower())
@@ -158,62 +163,44 @@
             claim, is_resumed = self._unclosed[service.name]
             await self._close(claim, is_resumed)
             return is_resumed
-        began_at = self._clock.now()
-        self._directory.leader_verifier(service.name).check_now()
-        may_be_pending = await self._may_be_pending(service.name)
-        if not may_be_pending:
-            service.unblock_commits(service.commit_tracker.token)
+        token = service.commit_tracker.token
+        unended = (await self._claims.read_unended()).get(service.name)
+        if unended is None or not unended.may_be_pending:
+            service.unblock_commits(token)
             paused, unread = await self._read_paused(service)
             if not paused:
                 return not unread
-        await service.wait_sample(SAMPLE_WAIT)
-        leader_id = _find_leader(service, began_at)
+            return await self._resume_left_paused(service)
+        leader_id = await self._verify_leader(service, self._clock.now())
         if not leader_id:
             return False
-        claim = await self._claims.claim(service.name, leader_id)
+        claim = await self._claims.claim(
+            service.name, leader_id, unended.pending_since_ms
+        )
+        if claim is None:
+            return False
+        claim = await self._settle(service, claim)
+        if claim is None:
+            return False
+        is_resumed = await self._resume_all(claim, service)
+        await self._directory.unblock_commits(service.name, claim.token)
+        await self._close(claim, is_resumed)
+        return is_resumed
+
+    async def _resume_left_paused(self, service: Service) -> bool:
+        claim = await self._claims.claim(service.name, service.leadership.leader_id)
         if claim is None:
             return False
-        if may_be_pending:
-            block = CommitBlock(service.name, claim.token, leader_id)
-            await self._directory.block_commits(block, NO_WAIT)
-            if not await self._call_for_leader(claim, leader_id):
-                return False
-            # An order may have been accepted before it was made void.
-            await anyio.sleep(PROMOTION_LIMIT.total_seconds())
-            claim = await self._claims.renew(claim)
-            if claim is None:
-                return True
         is_resumed = await self._resume_all(claim, service)
-        if may_be_pending:
-            await self._directory.unblock_commits(service.name, claim.token)
         await self._close(claim, is_resumed)
-        self._log.decision(
-            "attempt of another instance ended",
-            service=service.name,
-            token=claim.token,
-            leader=leader_id,
-            was_pending=may_be_pending,
-            is_resumed=is_resumed,
-        )
         return is_resumed
 
     def forget(self, service: str) -> None:
-        """Discard what is known of earlier claims: a new one has replaced them."""
+        """Discard an earlier claim that was not closed: a new one has replaced it."""
         self._unclosed.pop(service, None)
-        self._pending_since.pop(service, None)
-
-    async def _may_be_pending(self, service: str) -> bool:
-        """Return whether an order of an open claim may still be carried out."""
-        unended = (await self._claims.read_unended()).get(service)
-        if unended is None or not unended.may_be_pending:
-            self._pending_since.pop(service, None)
-            return False
-        now = self._clock.now()
-        since = self._pending_since.setdefault(service, now)
-        return now - since < LATE_ORDER_LIMIT
 
     async def _wait_for_takeover(
-        self, service: Service, attempt: FailoverAttempt, timeout: timedelta
+        self, service: Service, attempt: FailoverAttempt
     ) -> Takeover:
         began_at = renewed_at = self._clock.now()
         leader_verifier = self._directory.leader_verifier(service.name)
@@ -223,14 +210,12 @@
             if service.leadership.leader_id == attempt.candidate_id:
                 takeover = Takeover.SEEN
                 break
-            if now - began_at >= timeout:
+            if now - began_at >= TAKEOVER_TIMEOUT:
                 break
             if _find_leader(service, began_at):
                 # The former one is back.
                 is_unanswered = attempt.outcome is OrderOutcome.UNANSWERED
-                if timeout > PROMOTION_LIMIT and is_unanswered:
-                    break
-                if now - began_at >= PROMOTION_LIMIT:
+                if is_unanswered or now - began_at >= PROMOTION_LIMIT:
                     break
             if now - renewed_at >= BLOCK_RENEWAL_INTERVAL:
                 renewed_at = now
@@ -250,43 +235,73 @@
         )
         return takeover
 
-    async def _void(self, service: Service, attempt: FailoverAttempt) -> bool:
-        """Make the platform refuse an order that may still be carried out.
+    async def _settle(
+        self, service: Service, claim: Claim, watch: Watch = _watch_nothing
+    ) -> Claim | None:
+        """Make the platform refuse all earlier orders; commits are blocked meanwhile.
 
         It refuses a token that is lower than one that it has seen. Naming the present
-        leader under a newer one changes nothing else. Until it has answered, commits
-        stay blocked, for as long as the order may be carried out.
+        leader under a newer one changes nothing else. That call may be carried out late
+        as well, so that the next one needs a newer token, and names the leader that is
+        verified then. Once it was accepted, an order that had been accepted before may
+        still take effect.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+        claim : Claim
+            The claim, whose token is newer than that of any earlier order.
+        watch : callable
+            Called again and again meanwhile.
 
         Returns
         -------
-        bool
-            False if no leader works, or if another instance has claimed the service:
-            then its order replaces this one.
+        Claim or None
+            The claim, renewed; None if no leader works, or if another instance has
+            claimed the service: then its order replaces the earlier ones.
         """
-        began_at = self._clock.now()
-        if not await self._renew(attempt):
-            return False
-        while self._clock.now() - began_at < LATE_ORDER_LIMIT:
-            await attempt.keep_commits_blocked()
-            await attempt.pause_newly_listed()
-            verifier = self._directory.leader_verifier(service.name)
-            leader_id = _find_leader(service, began_at)
-            if leader_id == attempt.candidate_id:
-                return True
+        verifier = self._directory.leader_verifier(service.name)
+        ends_at = self._clock.now() + LATE_ORDER_LIMIT
+        is_accepted = False
+        while not is_accepted and self._clock.now() < ends_at:
+            await self._block(claim)
+            await watch()
+            asked_at = self._clock.now()
+            leader_id = await self._verify_leader(service, asked_at)
             failing_for = verifier.failing_for(self._clock.now())
             if failing_for is not None and failing_for >= LEADERLESS_LIMIT:
-                return False
+                return None
             if not leader_id:
-                verifier.check_now()
-                await service.wait_change(POLL_INTERVAL)
                 continue
-            if not attempt.is_claim_usable() and not await self._renew(attempt):
-                return False
-            if await self._call_for_leader(attempt.claim, leader_id):
-                return True
+            renewed = await self._claims.renew(claim)
+            if renewed is None:
+                return None
+            claim = renewed
+            is_accepted = await self._call_for_leader(claim, leader_id)
+            ends_at = self._clock.now() + LATE_ORDER_LIMIT
+        await self._block(claim)
+        settled_at = self._clock.now() + PROMOTION_LIMIT
+        while self._clock.now() < settled_at:
+            await watch()
             verifier.check_now()
             await service.wait_change(POLL_INTERVAL)
-        return True
+        return await self._claims.renew(claim)
+
+    async def _block(self, claim: Claim) -> None:
+        block = CommitBlock(claim.service, claim.token, claim.former)
+        await self._directory.block_commits(block, NO_WAIT)
+
+    async def _verify_leader(self, service: Service, asked_at: timedelta) -> str:
+        """Verify the leader once more; return its id, or "" if none was verified."""
+        ends_at = asked_at + SAMPLE_WAIT
+        while not (leader_id := _find_leader(service, asked_at)):
+            remaining = ends_at - self._clock.now()
+            if remaining <= timedelta(0):
+                return ""
+            self._directory.leader_verifier(service.name).check_now()
+            await service.wait_sample(remaining)
+        return leader_id
 
     async def _call_for_leader(self, claim: Claim, leader_id: str) -> bool:
         """Order the promotion of the present leader; return whether it was accepted."""
@@ -297,14 +312,15 @@
             detail = f"refused: {error.detail}"
         except CodedError as error:
             detail = f"not answered: {error.detail}"
+        is_accepted = detail == "accepted"
         self._log.decision(
-            "earlier orders made void" if detail == "accepted" else "orders not voided",
+            "earlier orders made void" if is_accepted else "orders not voided",
             service=claim.service,
             token=claim.token,
             leader=leader_id,
             detail=detail,
         )
-        return detail == "accepted"
+        return is_accepted
 
     async def _close(self, claim: Claim, is_resumed: bool) -> None:
         state = ClaimState.ENDED if is_resumed else ClaimState.PAUSED
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -21,7 +21,7 @@
     PreviousLeader,
 )
 from .failover_claim import ClaimState, ClaimWriter
-from .failover_completion import LATE_ORDER_LIMIT, FailoverCompletion
+from .failover_completion import FailoverCompletion
 from .failover_delay import failover_delay
 from .link import Link
 from .log_member_prover import LogMemberProver
@@ -205,10 +205,8 @@
             self._recorder.check(service)
         if service.name in self._running or not service.databases:
             return
-        if not self._directory.holds(service.name):
-            return
         self._check_unended(service, now)
-        if service.name in self._running:
+        if not self._directory.holds(service.name) or service.name in self._running:
             return
         is_planned = self._is_leader_leaving(service, now)
         verifier = self._directory.leader_verifier(service.name)
@@ -221,10 +219,7 @@
             if suspects and not is_suspect:
                 self._is_alert = True
                 verifier.check_now()
-            has_quorum = len(suspects) >= quorum(
-                self._directory.holder_count(service.name)
-            )
-            if not (is_suspect and has_quorum):
+            if not (is_suspect and self._has_quorum(service, now)):
                 self._next_attempt_at.pop(service.name, None)
                 return
         next_attempt_at = self._next_attempt_at.setdefault(
@@ -239,6 +234,10 @@
         failing_for = self._directory.leader_verifier(service.name).failing_for(now)
         return failing_for is not None and failing_for >= SUSPECT_AFTER
 
+    def _has_quorum(self, service: Service, now: timedelta) -> bool:
+        suspects = self._suspicions.suspecting_instances(service.name, now)
+        return len(suspects) >= quorum(self._directory.holder_count(service.name))
+
     def _is_leader_leaving(self, service: Service, now: timedelta) -> bool:
         leader_id = service.leadership.leader_id
         registry = self._directory.registry
@@ -358,19 +357,17 @@
     def _check_unended(self, service: Service, now: timedelta) -> None:
         """Start to end what is left of an attempt, if its owner seems not to do it."""
         tracker = service.commit_tracker
-        # A former release sends no token, and ends what it blocks in time.
+        # The block of a former release, without a token, expires.
         if tracker.token and tracker.is_blocked(now):
             self._claims.record_seen(service.name, tracker.token)
         is_abandoned = tracker.token and tracker.is_unrenewed(
             now, BLOCK_LIFETIME - BLOCK_MARGIN
         )
-        if is_abandoned:
-            tracker.extend(now, BLOCK_MARGIN, LATE_ORDER_LIMIT)
         is_stalled = service.stall_detector.is_stalled(now)
         if not (is_abandoned or is_stalled or service.name in self._unended):
             self._next_recovery_at.pop(service.name, None)
             return
-        if self._directory.leader_verifier(service.name).failing_for(now) is not None:
+        if self._is_suspect(service, now) and self._has_quorum(service, now):
             return  # the next attempt replaces the present one
         next_recovery_at = self._next_recovery_at.setdefault(
             service.name, now + self._failover_delay(service)
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -44,6 +44,8 @@
 # waiters poll for them.
 _COMMIT_POLL_INTERVAL = timedelta(milliseconds=10)
 _WRITE_POLL_INTERVAL = timedelta(milliseconds=20)
+# A leader that was verified longer ago may have been replaced since.
+_PROOF_AGE_MAX = timedelta(milliseconds=500)
 # A draining leader gets new work only for this fraction of the drain limit.
 DRAIN_FRACTION = 0.7
 
@@ -339,14 +341,15 @@
         """
         self._check_commits_allowed()
         self.commit_tracker.record_commit_sent()
+        block_count = self.commit_tracker.block_count
         try:
             reply = await run()
-            if reply.error is None and reply.position is not None:
-                if self._are_commits_blocked():
-                    detail = (
-                        f"{self.name}: answered after its leader was to be replaced"
-                    )
-                    raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail)
+            if reply.error is not None:
+                return reply
+            if block_count != self.commit_tracker.block_count:
+                detail = f"{self.name}: answered after its leader was to be replaced"
+                raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail)
+            if reply.position is not None:
                 self.commit_tracker.record_answer(reply.position)
             return reply
         finally:
@@ -361,7 +364,7 @@
         ----------
         block : CommitBlock
             Under which claim, and which databases. Nothing is blocked if the
-            candidate leads.
+            candidate was just verified as the leader.
         max_wait : timedelta
             How long to wait for commits in flight.
 
@@ -371,13 +374,15 @@
             No commit that this process sent was acknowledged above this position,
             whichever database led then: positions of later terms are higher. None if
             that is not known, if commits are still in flight after ``max_wait``, or if
-            the candidate leads.
+            nothing is blocked.
         """
         leader_id = self.leadership.leader_id
-        if block.candidate_id and block.candidate_id == leader_id:
-            self.unblock_commits(block.token)
-            return None
         now = self._clock.now()
+        if block.candidate_id and block.candidate_id == leader_id:
+            sample = self.leadership.newest_sample()
+            if sample is not None and now - sample.sampled_after < _PROOF_AGE_MAX:
+                self.unblock_commits(block.token)
+                return None
         self.commit_tracker.block_commits(block, now)
         self.log.decision(
             "commits blocked",
--- a/tests/serving/failover_world.py
+++ b/tests/serving/failover_world.py
@@ -626,9 +626,10 @@
             answer(Reply(receipt=str(entry[1]), position=position))
 
     # Promotions, and what is judged.
-    def lose_answers(self, count, late_s, wait_s):
+    def lose_answers(self, count, late_s, wait_s, is_added=False):
         """Let the next calls fail after a wait; carry them out later, or never."""
-        self._next_calls = [(late_s, wait_s)] * count
+        earlier = self._next_calls if is_added else []
+        self._next_calls = earlier + [(late_s, wait_s)] * count
 
     def next_call(self):
         """Return when the next call is carried out, and when it fails, if it does."""
--- a/tests/serving/test_commit_tracker.py
+++ b/tests/serving/test_commit_tracker.py
@@ -13,7 +13,13 @@
 from goldcrestpond.errors.result_code import ResultCode
 from goldcrestpond.group.log_position import LogPosition
 from goldcrestpond.serving.commit_block import CommitBlock
-from goldcrestpond.serving.commit_tracker import BLOCK_LIFETIME, CommitTracker
+from goldcrestpond.serving.commit_tracker import (
+    BLOCK_LIFETIME,
+    BLOCK_LIMIT,
+    CommitTracker,
+)
+from goldcrestpond.serving.failover import LATE_ORDER_LIMIT
+from goldcrestpond.serving.failover_claim import CLAIM_USE_LIMIT
 from goldcrestpond.serving.highest_acknowledged import combine_acknowledged
 from goldcrestpond.serving.registry import Registry
 from goldcrestpond.serving.reply import Reply
@@ -78,18 +84,24 @@
     assert_that(commit_tracker.is_blocked(ms(5)), Is(True))
 
 
-def test_block_expires_unless_it_is_renewed_or_extended():
+# Guards against: commits are sent again while an order that got no answer may still be
+# carried out, since nobody could renew the block.
+def test_block_lasts_as_long_as_an_order_may_be_carried_out():
     commit_tracker = CommitTracker()
     commit_tracker.block_commits(_BLOCK, ms(0))
+    assert_that(commit_tracker.is_unrenewed(ms(1000), ms(1001)), Is(False))
+    assert_that(commit_tracker.is_unrenewed(ms(1000), ms(1000)), Is(True))
+    commit_tracker.block_commits(_BLOCK, ms(900))
+    assert_that(commit_tracker.is_unrenewed(ms(1000), ms(1000)), Is(False))
+    assert_that(commit_tracker.is_blocked(ms(899) + BLOCK_LIMIT), Is(True))
+    assert_that(commit_tracker.is_blocked(ms(900) + BLOCK_LIMIT), Is(False))
+    assert_that(BLOCK_LIMIT >= LATE_ORDER_LIMIT + CLAIM_USE_LIMIT, Is(True))
+
+
+def test_block_of_a_former_release_expires_sooner():
+    commit_tracker = CommitTracker()
+    commit_tracker.block_commits(CommitBlock("s", 0, "d1"), ms(0))
     assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(False))
-    commit_tracker.block_commits(_BLOCK, ms(100))
-    assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(True))
-    assert_that(commit_tracker.is_unrenewed(ms(1100), ms(1001)), Is(False))
-    assert_that(commit_tracker.is_unrenewed(ms(1100), ms(1000)), Is(True))
-    commit_tracker.extend(BLOCK_LIFETIME, ms(1000), BLOCK_LIFETIME + ms(500))
-    limit = ms(100) + BLOCK_LIFETIME + ms(500)
-    assert_that(commit_tracker.is_blocked(limit - ms(1)), Is(True))
-    assert_that(commit_tracker.is_blocked(limit), Is(False))
 
 
 # Guards against: the end of an attempt unblocks commits while the promotion of the next
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -5,7 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from .failover_world import play
+from .failover_world import Link, play
 
 START_S = 4.0  # nothing is claimed in the first seconds of a process
 BACK_S = 8.0  # writes are back within this time
@@ -201,9 +201,11 @@
 
 # Failure: in a switchover the candidate becomes deaf, and a replica that starts before
 # the promotion takes effect receives commits that the candidate lacks.
-def test_replica_that_starts_during_a_switchover():
+@pytest.mark.parametrize("lost_answers", [0, 3])
+def test_replica_that_starts_during_a_switchover(lost_answers):
     async def script(world):
         await anyio.sleep(START_S)
+        world.lose_answers(lost_answers, late_s=0.002, wait_s=0.7)
         world.databases["d1"].is_draining = True
         await until_pending(world)
         world.deafen(world.pending[0])
@@ -215,3 +217,103 @@
     world = play(script)
     assert_kept(world)
     assert_writable(world, START_S)
+
+
+# Failure: the order that makes an earlier one void gets no answer either, and is
+# carried out after it: the database that it names lacks what was acknowledged since.
+def test_order_that_voids_is_carried_out_late():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.lose_answers(3, late_s=4.0, wait_s=0.7)
+        world.lose_answers(8, late_s=4.5, wait_s=0.5, is_added=True)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        await anyio.sleep(1)
+        world.restore("d1")
+        await world.until(lambda: world.primary.database_id not in ("d1", "d1'"))
+        world.lose_answers(0, late_s=None, wait_s=0)
+        world.deafen("d1'")
+        await anyio.sleep(END_S)
+        world.heal()
+        await anyio.sleep(END_S)
+
+    assert_kept(play(script))
+
+
+# Failure: an answer to PAUSE is lost; nobody resumes that replica, since it isn't known
+# to be paused, and writes fail once the other one is lost.
+def test_replica_whose_answer_to_a_pause_was_lost(monkeypatch):
+    lost = []
+    pause = Link.pause_replication
+
+    async def pause_unanswered(link, term):
+        answer = await pause(link, term)
+        if link._database.database_id == "d2" and not lost:
+            lost.append(link)
+            await anyio.sleep(100)
+        return answer
+
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.deafen("d3")
+        await anyio.sleep(0.3)
+        world.cut(["i1", "i2", "i3"], "d1")
+        await world.until(lambda: lost)
+        await anyio.sleep(0.05)
+        world.heal()
+        await anyio.sleep(END_S)
+        paused = [d.paused_term for d in world.databases.values()]
+        assert_that(paused, Equals([0, 0, 0]), world.story())
+
+    monkeypatch.setattr(Link, "pause_replication", pause_unanswered)
+    world = play(script)
+    assert_that(len(lost), Equals(1))
+    assert_kept(world)
+
+
+# Failure: the claimant is killed and the others stand still for longer than a block
+# lasts, so that nobody renews it: commits are sent, and the late order is carried out.
+def test_block_that_nobody_can_renew():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.lose_answers(1, late_s=7.0, wait_s=0.9)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        await anyio.sleep(0.05)
+        claimant = world.claimant()
+        world.kill(claimant, down_s=20)
+        for member in world.members:
+            if member.name != claimant:
+                world.freeze(member.name, 3.6)
+        await anyio.sleep(1)
+        world.restore("d1")
+        await anyio.sleep(2.62)
+        world.start_replica("d4")
+        await anyio.sleep(12)
+        world.healed_at_s = world.now_s()
+        await anyio.sleep(END_S)
+
+    assert_kept(play(script, instance_count=3))
+
+
+# Failure: an instance that has left a replica paused, and is cut off from the leader,
+# does not resume it, and no other knows of it.
+def test_paused_replica_is_resumed_by_an_instance_that_does_not_reach_the_leader():
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.crash("d3")
+        await anyio.sleep(0.6)
+        world.freeze("i4", 1.5)
+        world.cut(["i1", "i2", "i3"], "d1")
+        await world.until(lambda: world.databases["d2"].paused_term)
+        claimant = world.claimant()
+        world.cuts = {(claimant, "d1"), (claimant, "d2")}
+        await world.until(lambda: world.events("succession given up"))
+        await anyio.sleep(0.8)
+        world.restore("d3")
+        await anyio.sleep(2)
+        world.cuts = {(claimant, "d1")}
+        await anyio.sleep(END_S)
+        assert_that(world.databases["d2"].paused_term, Equals(0), world.story())
+
+    assert_that(play(script).losses, Equals([]))
