--- a/goldcrestpond/soak/soak_plan.py
+++ b/goldcrestpond/soak/soak_plan.py
@@ -38,6 +38,8 @@
 # A joint crash strikes primary and replicas of several services at one moment.
 _JOINT_CRASH_SHARE = 0.5
 _JOINT_SPREAD_S = 0.3
+# Part of the joint crashes that end with a failover call whose instance is killed too.
+_PROMOTER_SHARE = 0.7
 _SERIES_SPREAD_S = 3.0  # between the first and the last fault of one series
 _SHORTEST_PAUSE_S = 6.0
 _LONGEST_PAUSE_S = 10.0
@@ -174,6 +176,14 @@
                 for_s=for_s + rng.uniform(0, _JOINT_SPREAD_S),
                 until_order_s=until_order_s,
             )
+    if until_order_s is not None and rng.random() < _PROMOTER_SHARE:
+        yield PlannedFault(
+            kind="kill_promoter",
+            at_s=start_s,
+            after_order_s=until_order_s + rng.uniform(0, _JOINT_SPREAD_S),
+            service=rng.choice(services),
+            for_s=rng.uniform(_SHORTEST_FAULT_S, _LONGEST_FAULT_S),
+        )
 
 
 def _draw_kinds(
