--- a/goldcrestpond/soak/soak_service.py
+++ b/goldcrestpond/soak/soak_service.py
@@ -175,6 +175,7 @@
     def _write_entry(self, database: LineDatabase) -> None:
         database_id = database.database_id
         address = self.links[database_id].address
+        database.sequence += 1
         entry = make_registry_entry(self.name, database, address, "z1")
         self._platform.put("servers", database_id, entry)
         self._written_at[database_id] = self._clock.now()
--- a/goldcrestpond/standin/line_bodies.py
+++ b/goldcrestpond/standin/line_bodies.py
@@ -109,17 +109,15 @@
     database: LineDatabase,
     address: Address,
     availability_zone: str,
-    is_draining: bool = False,
 ) -> dict:
-    """Return the next registry entry of a database."""
-    database.sequence += 1
+    """Return the registry entry of a database."""
     return {
         "serviceName": service,
         "address": str(address),
         "zone": availability_zone,
         "configVersion": "v1",
         "slots": 5,
-        "state": "draining" if is_draining or database.is_draining else "ready",
+        "state": "draining" if database.is_draining else "ready",
         "warmupLeftMs": 0,
         "dbRole": str(database.role),
         "born": database.born_ms,
--- a/goldcrestpond/standin/line_group.py
+++ b/goldcrestpond/standin/line_group.py
@@ -118,7 +118,7 @@
     current_at: timedelta = timedelta(0)
     busy_until: timedelta = timedelta(0)
     born_ms: int = 0
-    sequence: int = 0
+    sequence: int = 1
     connection_count: int = 0
     running_count: int = 0
 
@@ -326,15 +326,15 @@
 
     def compute_lag_ms(self, database: LineDatabase) -> int:
         """Return the age in milliseconds of the data that a database's reads show."""
-        now = self.clock.now()
         primary = self.find_primary()
-        if database is not primary:
-            is_fed = primary is not None and self._can_send(primary)
-            if is_fed and self._can_receive(database):
-                if database.applied_count == len(primary.log):
-                    database.current_at = now
-            return int((now - database.current_at) / timedelta(milliseconds=1))
-        return 0
+        if database is primary:
+            return 0
+        now = self.clock.now()
+        is_fed = primary is not None and self._can_send(primary)
+        if is_fed and self._can_receive(database):
+            if database.applied_count == len(primary.log):
+                database.current_at = now
+        return int((now - database.current_at) / timedelta(milliseconds=1))
 
     def _put(self, database: LineDatabase) -> LineDatabase:
         database.born_ms = int(self.clock.wall().timestamp() * 1000)
