--- a/goldcrestpond/soak/run_soak.py
+++ b/goldcrestpond/soak/run_soak.py
@@ -94,6 +94,11 @@
     logs : str
         Folder for the logs, which are kept then; empty for a temporary one, kept only
         if there are findings.
+
+    Raises
+    ------
+    ValueError
+        If the plan names a fault or a service that does not exist.
     """
     folder = Path(logs or tempfile.mkdtemp(prefix="goldcrestpond-soak-"))
     folder.mkdir(parents=True, exist_ok=True)
@@ -101,6 +106,7 @@
     duration_s = plan.duration_s or duration_s
     processes = plan.processes or processes
     site = SoakSite(folder, plan, seed)
+    _check_plan(site, plan)
     checker = PromiseChecker()
     site.record_loss = lambda loss: _record_loss(checker, loss)
     faults: Counter[str] = Counter()
@@ -134,6 +140,13 @@
     )
 
 
+def _check_plan(site: SoakSite, plan: SoakPlan) -> None:
+    services = {"", *(service.name for service in site.services)}
+    for fault in plan.faults:
+        if fault.kind not in FAULTS or fault.service not in services:
+            raise ValueError(f"{plan.name}: unknown fault or service: {fault}")
+
+
 async def _wait_until_started(site: SoakSite) -> None:
     with anyio.fail_after(START_TIMEOUT_S):
         for instance in site.instances:
--- a/tests/soak/test_run_soak.py
+++ b/tests/soak/test_run_soak.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Equals
 
 from goldcrestpond.soak.run_soak import run_soak
-from goldcrestpond.soak.soak_plan import load_plan
+from goldcrestpond.soak.soak_plan import PlannedFault, SoakPlan, load_plan
 
 PLANS = Path(__file__).parent / "plans"
 # Each seed with the failure that it found.
@@ -24,6 +24,16 @@
     assert_that(report.outcomes.get("COMPLETE", 0) > 0, Equals(True))
 
 
+# Guards against: a plan with a misspelt name that seems to find nothing.
+@pytest.mark.parametrize(
+    "fault", [PlannedFault(kind="x"), PlannedFault(kind="crash_primary", service="x")]
+)
+def test_plan_with_an_unknown_name_is_refused(fault, tmp_path):
+    plan = SoakPlan(faults=(fault,))
+    with pytest.raises(ValueError):
+        anyio.run(run_soak, 1, 1.0, 1, plan, str(tmp_path))
+
+
 # Guards against: acknowledged commits that the old primary, back under a new id,
 # acknowledges while its successor's promotion is pending (lost on lsv-archive).
 def test_primary_that_returns_during_a_promotion_loses_no_commit():
