--- a/tests/soak/test_soak_service.py
+++ b/tests/soak/test_soak_service.py
@@ -51,7 +51,7 @@
     return None if value is None else msgspec.json.decode(base64.b64decode(value))
 
 
-# Guards against: a registry in which a crashed database leaves at once, or keeps its id,
+# Guards against: a registry in which a crashed database leaves at once or keeps its id,
 # so that no instance ever knows a database by two ids.
 def test_old_entry_stays_for_three_heartbeats_beside_the_new_one(platform):
     async def body(service):
