--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -5,7 +5,7 @@
 import json
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -123,6 +123,7 @@
         self.losses: list[Loss] = []
         self.record_loss: Callable[[Loss], None] = lambda loss: None
         self.version = 0
+        self._ports = _free_ports()
 
     async def start(self, tasks: TaskGroup, store: Address, count: int) -> None:
         """Start the stand-ins, the links and ``count`` instances."""
@@ -184,10 +185,10 @@
         settings = {
             "instance": name,
             "availability_zone": "z1",
-            "listen": f"{LOOPBACK}:{_free_port()}",
-            "ready_listen": f"{LOOPBACK}:{_free_port()}",
-            "peer_listen": f"{LOOPBACK}:{_free_port()}",
-            "metrics_listen": f"{LOOPBACK}:{_free_port()}",
+            "listen": f"{LOOPBACK}:{next(self._ports)}",
+            "ready_listen": f"{LOOPBACK}:{next(self._ports)}",
+            "peer_listen": f"{LOOPBACK}:{next(self._ports)}",
+            "metrics_listen": f"{LOOPBACK}:{next(self._ports)}",
             "store": str(address),
             "duties": str(store),
             "grace_s": SHUTDOWN_GRACE_S,
@@ -224,16 +225,17 @@
             self.record_loss(loss)
 
 
-def _free_port() -> int:
-    """Return a port that nobody uses, also while its instance is down.
+def _free_ports() -> Iterator[int]:
+    """Yield ports that nobody uses, each once.
 
-    Ports that the system chooses may be given to an outgoing connection meanwhile.
+    An instance may be down for a while: a port that the system chose could be given to
+    an outgoing connection meanwhile.
     """
-    while True:
-        port = random.SystemRandom().randint(_LOWEST_PORT, _HIGHEST_PORT)
+    first = random.SystemRandom().randint(_LOWEST_PORT, _HIGHEST_PORT)
+    for port in (*range(first, _HIGHEST_PORT), *range(_LOWEST_PORT, first)):
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
-                continue
-            return port
+                continue  # somebody uses it
+        yield port
