Let an instance learn from the claims that commits are blocked

Cause: an instance that the claimant doesn't reach, but that reaches the store and the leader, was told of no block. With all replicas read its silence counts for nothing, and a replica that restarts while it is paused receives what that instance sends. A block that was ended doesn't begin again under its token. Result: test_instance_that_its_peers_do_not_reach_blocks_commits failed before and passes; scenarios and exploration pass.

--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -32,6 +32,7 @@
         "_block",
         "_blocked_at",
         "_blocked_until",
+        "_ended_token",
         "_in_flight",
         "_set_at",
         "acknowledged",
@@ -41,6 +42,7 @@
     def __init__(self) -> None:
         self.acknowledged: LogPosition | None = None
         self.block_count = 0
+        self._ended_token = 0
         self._in_flight = 0
         self._blocked_at = timedelta.min
         self._blocked_until = timedelta.min
@@ -79,8 +81,10 @@
         A leader that crashed may return under another id before its successor's
         promotion takes effect, so that the block holds for whichever database leads,
         other than the candidate. A block with a lower token than the present one does
-        not change its candidate.
+        not change its candidate, and one that was ended does not begin again.
         """
+        if block.token and block.token <= self._ended_token:
+            return
         if not self.is_blocked(now):
             self.block_count += 1
             self._blocked_at = now
@@ -103,6 +107,7 @@
         """
         if self._block is not None and token < self._block.token:
             return False
+        self._ended_token = max(self._ended_token, token)
         self._blocked_until = timedelta.min
         return True
 
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -100,6 +100,7 @@
 
     __slots__ = (
         "_claims",
+        "_claims_read_at",
         "_clock",
         "_completion",
         "_directory",
@@ -108,6 +109,7 @@
         "_instance",
         "_is_alert",
         "_is_reading",
+        "_is_reading_claims",
         "_log",
         "_lossy_since",
         "_next_attempt_at",
@@ -170,6 +172,8 @@
         # Epoch of the leadership, and since when failovers in it could lose commits.
         self._lossy_since: dict[str, tuple[int, timedelta]] = {}
         self._is_reading = False
+        self._is_reading_claims = False
+        self._claims_read_at: timedelta | None = None
         self._is_alert = False
         self._read_at: timedelta | None = None
         self.suspicions_copy = TableCopy(
@@ -216,6 +220,8 @@
         self._update_suspicion(service, is_suspect, now)
         if not is_planned:
             suspects = self._suspicions.suspecting_instances(service.name, now)
+            if self._has_quorum(service, now):
+                self._start_reading_claims(service, now)
             if suspects and not is_suspect:
                 self._is_alert = True
                 verifier.check_now()
@@ -390,6 +396,31 @@
         finally:
             self._running.discard(service.name)
 
+    def _start_reading_claims(self, service: Service, now: timedelta) -> None:
+        """Read the claims of a service whose leader is being replaced.
+
+        The claimant may not reach this instance, to have it block commits.
+        """
+        if self._is_reading_claims or service.commit_tracker.is_blocked(now):
+            return
+        read_at = self._claims_read_at
+        if read_at is not None and now - read_at < SUSPICION_READ_INTERVAL:
+            return
+        self._is_reading_claims = True
+        self._claims_read_at = now
+        self._tasks.start_soon(self._read_claims)
+
+    async def _read_claims(self) -> None:
+        try:
+            for name, claim in (await self._claims.read_unended()).items():
+                if claim.may_be_pending and name not in self._running:
+                    service = self._directory.service(name)
+                    await service.block_commits(claim.block, NO_WAIT)
+        except CodedError as error:
+            self._log.decision("claims not read", detail=error.detail)
+        finally:
+            self._is_reading_claims = False
+
     async def _read_claims_at_start(self) -> None:
         """Learn which services an earlier attempt has left blocked.
 
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -404,8 +404,9 @@
 
     def unblock_commits(self, token: int) -> None:
         """Send commits again, unless they are blocked under a later claim."""
-        if self.commit_tracker.is_blocked(self._clock.now()):
-            is_unblocked = self.commit_tracker.unblock_commits(token)
+        was_blocked = self.commit_tracker.is_blocked(self._clock.now())
+        is_unblocked = self.commit_tracker.unblock_commits(token)
+        if was_blocked:
             self.log.decision(
                 "commits unblocked" if is_unblocked else "later block stays",
                 service=self.name,
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -5,7 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from .failover_world import Link, play
+from .failover_world import FailoverWorld, Link, play
 
 START_S = 4.0  # nothing is claimed in the first seconds of a process
 BACK_S = 8.0  # writes are back within this time
@@ -317,3 +317,31 @@
         assert_that(world.databases["d2"].paused_term, Equals(0), world.story())
 
     assert_that(play(script).losses, Equals([]))
+
+
+# Failure: an instance that the others don't reach isn't told to block commits, and
+# sends them to the leader, whose replica has restarted, and receives, while paused.
+def test_instance_that_its_peers_do_not_reach_blocks_commits(monkeypatch):
+    is_cut = []
+    connect = FailoverWorld._connect
+
+    async def connect_unless_cut(world, host, port):
+        if is_cut and port == 4:
+            raise OSError("cut")
+        return await connect(world, host, port)
+
+    async def script(world):
+        await anyio.sleep(START_S)
+        is_cut.append(True)
+        for stream in world.instances["i4"].streams:
+            stream.close()
+        world.cut(["i1", "i2", "i3"], "d1")
+        await until_pending(world)
+        world.crash("d3")
+        world.restore("d3")
+        await anyio.sleep(6)
+        world.heal()
+        await anyio.sleep(END_S)
+
+    monkeypatch.setattr(FailoverWorld, "_connect", connect_unless_cut)
+    assert_kept(play(script, instance_count=4))
