Block commits at a start without the store, and over a store's return from a copy

Cause: a process that could not read the claims sent commits 3.5 s after its start, while an order may come for 12 s. A claim that the store had lost, since it came back from a copy, or that stood under an earlier era there, was taken for ended or for another's. Change: the block at the start lasts until the claims are read, or for the time of a late order. Claims of earlier eras count until one of the present era replaces them; a block whose token is of an earlier era is ended like an open claim. Result: the two tests failed before and pass.

--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -249,9 +249,7 @@
             )
             self.services[name] = service
             if self._blocks_at_start:
-                service.commit_tracker.block_commits(
-                    CommitBlock(name, 0, ""), self.clock.now()
-                )
+                self._block_at_start(service)
             self._leader_verifiers[name] = self._make_leader_verifier(service)
             self._retry_budgets[name] = RetryBudget(self.clock.now())
             self._assign_holders(service)
@@ -493,8 +491,17 @@
         return combine_acknowledged(answers)
 
     def begin_start_block(self) -> None:
-        """Block commits to each service until `end_start_block` is called."""
+        """Block commits to each service until `end_start_block` is called.
+
+        The block expires unless this is called again.
+        """
         self._blocks_at_start = True
+        for service in self.services.values():
+            self._block_at_start(service)
+
+    def _block_at_start(self, service: Service) -> None:
+        block = CommitBlock(service.name, 0, "")
+        service.commit_tracker.block_commits(block, self.clock.now())
 
     def end_start_block(self) -> None:
         """Send commits to the services that no attempt is known to block."""
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -114,6 +114,11 @@
     return (revision.era << _VERSION_BITS) + revision.version
 
 
+def token_era(token: int) -> int:
+    """Return the era of the store in which a fencing token was drawn."""
+    return token >> _VERSION_BITS
+
+
 def claim_key(service: str, era: int) -> str:
     """Return the key of a claim's row.
 
@@ -222,7 +227,8 @@
         Raises
         ------
         CodedError
-            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
+            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written, or
+            if it has come back from a copy since.
         """
         return await self._rewrite(claim, ClaimState.OPEN)
 
@@ -237,6 +243,9 @@
         return await self._rewrite(claim, state) is not None
 
     async def _rewrite(self, claim: Claim, state: ClaimState) -> Claim | None:
+        if self._era.current != claim.revision.era:
+            detail = f"{claim.service}: the claim is of an earlier era of the store"
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
         key = claim_key(claim.service, claim.revision.era)
         condition = StoredRow(TABLE, "", key, None, claim.revision.version)
         nonce = uuid.uuid4().hex
@@ -273,13 +282,14 @@
         """
         answer = await self._store.read(TABLE)
         unended = {}
-        for row in answer.rows:
+        for row in sorted(answer.rows, key=_get_era):
             body, service = _decode_body(row), _get_service(row)
-            is_current = row.key == claim_key(service, answer.era)
-            if body is None or body.state not in _UNENDED or not is_current:
+            if _get_era(row) == answer.era:
+                unended.pop(service, None)  # it has replaced those of earlier eras
+            if body is None or body.state not in _UNENDED:
                 continue
             self._is_claimed(service, row)  # from now on the claim's time counts
-            token = fencing_token(RowRevision(answer.era, row.version))
+            token = fencing_token(RowRevision(_get_era(row), row.version))
             pending_for = (answer.now_ms - body.pending_since_ms) * _MILLISECOND
             is_recent = pending_for < CLAIM_USE_LIMIT + LATE_ORDER_LIMIT
             unended[service] = UnendedClaim(
@@ -337,6 +347,11 @@
         return await self._store.write([condition], [put], earlier)
 
 
+def _get_era(row: StoredRow) -> int:
+    era = row.key.partition("/")[0]
+    return int(era) if era.isdecimal() else 0
+
+
 def _get_service(row: StoredRow) -> str:
     return row.key.partition("/")[2]
 
--- a/goldcrestpond/serving/failover_completion.py
+++ b/goldcrestpond/serving/failover_completion.py
@@ -14,7 +14,7 @@
 from .directory import Directory
 from .failover import LATE_ORDER_LIMIT, Failover, PromotionRefused
 from .failover_attempt import NO_WAIT, FailoverAttempt, OrderOutcome
-from .failover_claim import Claim, ClaimState, ClaimWriter
+from .failover_claim import Claim, ClaimState, ClaimWriter, token_era
 from .service import Service
 from .store_era import StoreEra
 
@@ -163,9 +163,14 @@
             claim, is_resumed = self._unclosed[service.name]
             await self._close(claim, is_resumed)
             return is_resumed
-        token = service.commit_tracker.token
+        tracker = service.commit_tracker
+        token = tracker.token
         unended = (await self._claims.read_unended()).get(service.name)
-        if unended is None or not unended.may_be_pending:
+        may_be_pending = unended is not None and unended.may_be_pending
+        if tracker.is_blocked(self._clock.now()):
+            # The store may have lost a claim of an earlier era.
+            may_be_pending |= bool(token) and token_era(token) < self._era.current
+        if not may_be_pending:
             service.unblock_commits(token)
             paused, unread = await self._read_paused(service)
             if not paused:
@@ -175,7 +180,7 @@
         if not leader_id:
             return False
         claim = await self._claims.claim(
-            service.name, leader_id, unended.pending_since_ms
+            service.name, leader_id, unended and unended.pending_since_ms
         )
         if claim is None:
             return False
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -9,7 +9,7 @@
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
 from ..tasks.supervised_tasks import SupervisedTasks
-from .commit_tracker import BLOCK_LIFETIME
+from .commit_tracker import BLOCK_LIFETIME, BLOCK_LIMIT
 from .database import Database
 from .decision_log import DecisionLog
 from .directory import Directory
@@ -427,23 +427,24 @@
         Until then this process sends no commits: it may have started while a promotion
         is pending, of which it was not told.
         """
-        blocked_until = self._clock.now() + BLOCK_LIFETIME
-        while True:
+        ends_at = self._clock.now() + BLOCK_LIMIT
+        unended = None
+        while unended is None and self._clock.now() < ends_at:
             try:
                 unended = await self._claims.read_unended()
-                break
             except CodedError as error:
                 self._log.decision("claims not read", detail=error.detail)
-            if self._clock.now() >= blocked_until:
-                unended = {}
-                break
-            await anyio.sleep(RETRY_PAUSE.total_seconds())
+                self._directory.begin_start_block()
+                await anyio.sleep(RETRY_PAUSE.total_seconds())
+        is_read = unended is not None
+        unended = unended or {}
         for name, claim in unended.items():
             self._unended.add(name)
             if claim.may_be_pending:
                 await self._directory.service(name).block_commits(claim.block, NO_WAIT)
         self._directory.end_start_block()
-        self._log.decision("claims read", unended=sorted(unended))
+        if is_read:
+            self._log.decision("claims read", unended=sorted(unended))
 
     def _has_waited_for_commits(self, service: Service) -> bool:
         """Return whether this incident has lasted for ``LOSSLESS_FAILOVER_WAIT``.
--- a/tests/serving/failover_world.py
+++ b/tests/serving/failover_world.py
@@ -232,7 +232,7 @@
         raise CodedError(ResultCode.ANSWER_INTERRUPTED, served.database_id)
 
 
-class _Store(FakeRowStore):
+class StoreOfInstance(FakeRowStore):
     """The store's client, whose calls take time."""
 
     async def read(self, table, part=""):
@@ -293,7 +293,7 @@
         async with anyio.create_task_group() as group:
             self.tasks = tasks = SupervisedTasks(group, self.world.report_error)
             era = StoreEra(clock, log, Metrics())
-            store = _Store(self.world.rows, era)
+            store = StoreOfInstance(self.world.rows, era)
             self.directory = Directory(
                 ServingSettings(self.name, "z1", is_paced=False),
                 self.open_link,
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -5,7 +5,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from .failover_world import FailoverWorld, Link, play
+from goldcrestpond.errors.coded_error import CodedError
+from goldcrestpond.errors.result_code import ResultCode
+
+from .failover_world import FailoverWorld, Link, StoreOfInstance, play
 
 START_S = 4.0  # nothing is claimed in the first seconds of a process
 BACK_S = 8.0  # writes are back within this time
@@ -345,3 +348,61 @@
 
     monkeypatch.setattr(FailoverWorld, "_connect", connect_unless_cut)
     assert_kept(play(script, instance_count=4))
+
+
+# Failure: all instances start again while the store is away, send commits after 3.5 s
+# without knowing of a pending order, and that is carried out late.
+def test_start_without_the_store_while_an_order_is_pending(monkeypatch):
+    away = []
+    read = StoreOfInstance.read
+
+    async def read_unless_away(store, table, part=""):
+        if away:
+            await anyio.sleep(0.3)
+            raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, "away")
+        return await read(store, table, part)
+
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.lose_answers(1, late_s=9.0, wait_s=0.9)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        world.kill("i1", "i2", "i3", down_s=0.3)
+        away.append(True)
+        await anyio.sleep(1)
+        world.restore("d1")
+        await anyio.sleep(2)
+        world.start_replica("d4")
+        await anyio.sleep(7)
+        away.clear()
+        await anyio.sleep(END_S)
+        world.healed_at_s = world.now_s()
+        await anyio.sleep(END_S)
+
+    monkeypatch.setattr(StoreOfInstance, "read", read_unless_away)
+    assert_that(play(script, instance_count=3).losses, Equals([]))
+
+
+# Failure: the store comes back from a copy that lacks the claim while its order is
+# pending: nobody makes the order void, and commits are sent.
+def test_store_that_comes_back_without_a_claim():
+    async def script(world):
+        await anyio.sleep(3.5)
+        world.rows.save_snapshot()
+        await anyio.sleep(0.5)
+        world.lose_answers(3, late_s=9.0, wait_s=0.7)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        await anyio.sleep(0.3)
+        world.rows.restore_copy()
+        await anyio.sleep(0.7)
+        world.restore("d1")
+        await anyio.sleep(2)
+        world.start_replica("d4")
+        await anyio.sleep(2)
+        world.deafen("d2")
+        await anyio.sleep(END_S)
+        world.heal()
+        await anyio.sleep(END_S)
+
+    assert_kept(play(script, instance_count=3))
