Let the block of a former release not shorten that of a present one

A block without a token lasts for 3.5 s; told while one with a token holds, it cut that to as long. The test of the former release's block covers it.

--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -95,7 +95,8 @@
             self._block = block
         self._set_at = now
         # A former release sends no token, and may not end what it blocks.
-        self._blocked_until = now + (BLOCK_LIMIT if block.token else BLOCK_LIFETIME)
+        lifetime = BLOCK_LIMIT if block.token else BLOCK_LIFETIME
+        self._blocked_until = max(self._blocked_until, now + lifetime)
 
     def unblock_commits(self, token: int) -> bool:
         """Unblock commits before the block expires, unless its token is higher.
--- a/tests/serving/test_commit_tracker.py
+++ b/tests/serving/test_commit_tracker.py
@@ -102,6 +102,21 @@
     commit_tracker = CommitTracker()
     commit_tracker.block_commits(CommitBlock("s", 0, "d1"), ms(0))
     assert_that(commit_tracker.is_blocked(BLOCK_LIFETIME), Is(False))
+    commit_tracker.block_commits(_BLOCK, BLOCK_LIFETIME)
+    commit_tracker.block_commits(CommitBlock("s", 0, "d1"), BLOCK_LIFETIME)
+    assert_that(commit_tracker.is_blocked(2 * BLOCK_LIFETIME), Is(True))
+
+
+# Guards against: an instance that reads an open claim after the block was ended blocks
+# commits again, with nobody left to end it.
+def test_block_that_was_ended_does_not_begin_again_under_its_token():
+    commit_tracker = CommitTracker()
+    commit_tracker.block_commits(_BLOCK, ms(0))
+    commit_tracker.unblock_commits(_BLOCK.token)
+    commit_tracker.block_commits(_BLOCK, ms(1))
+    assert_that(commit_tracker.is_blocked(ms(2)), Is(False))
+    commit_tracker.block_commits(CommitBlock("s", _BLOCK.token + 1, ""), ms(3))
+    assert_that(commit_tracker.is_blocked(ms(4)), Is(True))
 
 
 # Guards against: the end of an attempt unblocks commits while the promotion of the next
