--- a/goldcrestpond/platform/store_tables.py
+++ b/goldcrestpond/platform/store_tables.py
@@ -94,22 +94,45 @@
 
 
 class RegistryRowHandler:
-    """Applies rows of the table in which databases register themselves."""
+    """Applies rows of the table in which databases register themselves.
+
+    Parameters
+    ----------
+    directory : Directory
+        Has the registry.
+    era : StoreEra
+        Era of the store.
+    clock : Clock
+        Source of the time.
+    log : DecisionLog
+        Receives a line for each entry that can't be read.
+    get_confirmed_at : callable
+        Returns the time at which the table's rows were last known to be complete;
+        None if they never were. Rows are applied before they are confirmed, so that
+        they have changed since then.
+    """
 
     __slots__ = (
         "_clock",
         "_directory",
         "_era",
+        "_get_confirmed_at",
         "_last_list_era",
         "_log",
         "_unreadable_keys",
     )
 
     def __init__(
-        self, directory: Directory, era: StoreEra, clock: Clock, log: DecisionLog
+        self,
+        directory: Directory,
+        era: StoreEra,
+        clock: Clock,
+        log: DecisionLog,
+        get_confirmed_at: Callable[[], timedelta | None],
     ):
         self._directory = directory
         self._era = era
+        self._get_confirmed_at = get_confirmed_at
         self._last_list_era = 0
         self._clock = clock
         self._log = log
@@ -122,20 +145,29 @@
         era = self._era.current
         # A store that was restored from a copy may list older entries than are known.
         is_copy, self._last_list_era = era != self._last_list_era, era
-        self._directory.registry.replace(listed, self._clock.now(), is_copy)
+        now = self._clock.now()
+        changed_after = self._find_changed_after(now)
+        self._directory.registry.replace(listed, now, changed_after, is_copy)
         self._directory.apply_registry()
 
     def update(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed rows; a removed or unreadable entry becomes unlisted."""
         now = self._clock.now()
+        changed_after = self._find_changed_after(now)
+        registry = self._directory.registry
         for row in rows:
             database = None if row.value is None else self._decode(row)
             if database is None:
-                self._directory.registry.mark_unlisted(row.key, now)
+                registry.mark_unlisted(row.key, now, changed_after)
             else:
-                self._directory.registry.put(database, now)
+                registry.put(database, changed_after)
         self._directory.apply_registry()
 
+    def _find_changed_after(self, now: timedelta) -> timedelta:
+        """Return the latest time before which no row has changed that comes now."""
+        confirmed_at = self._get_confirmed_at()
+        return now if confirmed_at is None else min(now, confirmed_at)
+
     def _decode(self, row: StoredRow) -> Database | None:
         try:
             database = database_entry.decode_entry(row.key, row.value)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -289,7 +289,13 @@
                 * LOWER_LIMIT_DELAY_FRACTION,
                 started_at,
             )
-        registry_handler = RegistryRowHandler(self.directory, era, clock, log)
+        registry_handler = RegistryRowHandler(
+            self.directory,
+            era,
+            clock,
+            log,
+            lambda: copies["registry"].confirmed_at,
+        )
         times = _table_times(settings, self._rate_proof.limit)
         copies = {
             "configuration": TableCopy(
