Review: a replica that lost its log counts as read in a failover

Cause: a replica that starts again under its id is told from the former one only once its entry was read; until then its empty log stands for the lost one, and what was acknowledged is not looked at.

--- a/review/standins_2/databases.py
+++ b/review/standins_2/databases.py
@@ -74,6 +74,7 @@
         self.is_deaf = False
         self.port = 0
         self.sequence = 0
+        self.born_ms = int(time.time() * 1000)
         self.state = "ready"
         self.connections: set[asyncio.StreamWriter] = set()
 
@@ -119,6 +120,7 @@
         self.runs: list[Run] = []
         self.commits: list[tuple[Position, str]] = []
         self.losses: list[tuple[str, list[str]]] = []
+        self.names_birth = False
         self.promote_s = 1.0
         self.drain_s = 7.0
         self._tasks: set[asyncio.Task] = set()
@@ -171,6 +173,8 @@
             "dbRole": database.role,
             "sequence": database.sequence,
         }
+        if self.names_birth:
+            entry["born"] = database.born_ms
         self._store.put("servers", database.database_id, entry)
 
     async def _register_regularly(self) -> None:
@@ -212,9 +216,22 @@
         database.is_running = False
         for writer in list(database.connections):
             writer.transport.abort()
-        asyncio.get_running_loop().call_later(
-            3.6, self._store.remove, "servers", database.database_id
-        )
+        asyncio.get_running_loop().call_later(3.6, self._expire, database)
+
+    def _expire(self, database: Database) -> None:
+        if not database.is_running:
+            self._store.remove("servers", database.database_id)
+
+    def restart(self, database: Database, is_empty: bool) -> None:
+        """Start a crashed database again, at its address and under its id."""
+        database.born_ms = int(time.time() * 1000)
+        database.sequence = 0
+        database.paused_term = 0
+        if is_empty:
+            database.term, database.log, database.values = 1, [], {}
+        database.is_running = True
+        self.register(database)
+        self._replicate()
 
     def release(self, database: Database, start_s: float, copy_s: float) -> None:
         """Replace a database: the new one starts first, then the old one drains."""
