A caller that logs in while a proxy's shutdown begins is told of it

Callers saw: a session that was logging in at the SIGTERM served on, with new requests sent to the database, until the deadline, when its last request was cut with an unknown outcome.

Cause: the shutdown tells the sessions that it finds; one that registers later was told nothing.

Change: a session that registers during the shutdown is stopped as the others are.

Result: test_caller_that_logs_in_while_the_shutdown_begins failed before and passes now; the other seven tests of its file pass.

--- a/goldcrestpond/wire/caller_server.py
+++ b/goldcrestpond/wire/caller_server.py
@@ -231,6 +231,8 @@
         key = self._cancel_registry.register(lambda: self._cancel_running(session))
         with anyio.CancelScope() as scope:
             self._sessions[session] = scope
+            if self._is_stopping:
+                session.stop()  # the shutdown began while the caller logged in
             try:
                 await stream.send(build_greeting(*key, self._instance))
                 await session.run()
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -10,6 +10,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength
 
+from goldcrestpond.wire.caller_server import CallerServer
+
 from .site import connect_with_asyncpg, connect_with_psycopg, run_fuel_site
 
 pytestmark = pytest.mark.anyio
@@ -108,6 +110,39 @@
     assert_that(await _count_rows(site), Equals(2))
 
 
+# Failure: a caller that logs in while the shutdown begins isn't told of it: its
+# requests go to the database until the deadline, when the last one is cut.
+async def test_caller_that_logs_in_while_the_shutdown_begins(site, monkeypatch):
+    log_in, is_logging_in, may_log_in = (
+        CallerServer._log_in,
+        anyio.Event(),
+        anyio.Event(),
+    )
+
+    async def log_in_slowly(server, stream, message):
+        await log_in(server, stream, message)
+        is_logging_in.set()
+        await may_log_in.wait()
+
+    async def run_requests():
+        async with await connect_with_psycopg(site) as caller:
+            with pytest.raises(psycopg.errors.AdminShutdown):
+                await caller.execute(INSERT, (1,))
+
+    async with await connect_with_psycopg(site, autocommit=False) as other_caller:
+        await other_caller.execute(INSERT, (2,))  # keeps the shutdown from ending
+        monkeypatch.setattr(CallerServer, "_log_in", log_in_slowly)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_requests)
+            await is_logging_in.wait()
+            tasks.start_soon(site.proxies[0].shutdown.run)
+            await anyio.sleep(0.1)
+            may_log_in.set()
+            await anyio.sleep(0.2)
+            await other_caller.rollback()
+    assert_that(await _count_rows(site), Equals(0))
+
+
 async def test_process_finishes_its_request_after_two_sigterms(tmp_path):
     async with run_fuel_site(proxy_count=1) as site:
         settings = tmp_path / "proxy.json"
