An odd value in one row makes only that row unreadable

Odd claims kept every instance from ending failovers, odd members took the readers' place or put all back to older rules, and on the PostgreSQL side odd shares, reports, records and entries of instances stopped what reads their table.

Cause: decoders checked types and not ranges; values failed where they were used.

Change: `serving/row_fields.py` has the types, with ranges, of all fields of rows that others can reach. Names must be one word that a line can carry. On the PostgreSQL side each row is decoded for itself; an unreadable record of a group issues no term.

--- a/goldcrestpond/api/drain_progress_reader.py
+++ b/goldcrestpond/api/drain_progress_reader.py
@@ -8,6 +8,7 @@
 from ..drain.drain_keys import DRAIN_PREFIX, parse_drain_progress_key
 from ..drain.drain_progress import DrainProgress
 from ..errors.coded_error import CodedError
+from ..errors.decode_errors import DECODE_ERRORS
 from ..store.platform import Platform
 from ..store.read_all_changes import read_all_changes
 
@@ -63,6 +64,10 @@
             if row.value is None:
                 reports.pop(instance, None)
             else:
-                progress = msgspec.json.decode(row.value, type=DrainProgress)
+                try:
+                    progress = msgspec.json.decode(row.value, type=DrainProgress)
+                except DECODE_ERRORS as error:
+                    _log.warning("api: unreadable progress %s: %s", row.key, error)
+                    continue
                 reports[instance] = (row.revision, progress)
         self._revision = changes.revision
--- a/goldcrestpond/configuration/stored_resource.py
+++ b/goldcrestpond/configuration/stored_resource.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..errors.decode_errors import DECODE_ERRORS
 from .configuration_change import ConfigurationChange
 from .keys import parse_resource_key
 from .resource import SPEC_TYPES, Resource, Spec
@@ -27,6 +28,9 @@
         If the key or the value is not that of a resource that this version knows.
     """
     kind, name = parse_resource_key(change.key)
-    stored = msgspec.json.decode(change.value or b"", type=_StoredResource)
-    spec = msgspec.json.decode(stored.spec, type=SPEC_TYPES[kind])
+    try:
+        stored = msgspec.json.decode(change.value or b"", type=_StoredResource)
+        spec = msgspec.json.decode(stored.spec, type=SPEC_TYPES[kind])
+    except DECODE_ERRORS as error:
+        raise ValueError(str(error)) from error
     return Resource(kind, name, spec, stored.generation, change.revision)
--- a/goldcrestpond/endpoint/group_monitor_record.py
+++ b/goldcrestpond/endpoint/group_monitor_record.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ..errors.coded_error import CodedError
+from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
 from ..store.platform import Platform
 from ..store.platform_conflict import PlatformConflict
@@ -67,7 +68,7 @@
         Raises
         ------
         CodedError
-            PLATFORM_UNAVAILABLE if the platform did not answer.
+            PLATFORM_UNAVAILABLE if the platform did not answer, or not readably.
         """
         row = await self._platform.read(self._key)
         if row is not None:
@@ -133,5 +134,10 @@
             self._revision = 0
             self.record = None
         elif revision >= self._revision:
+            try:
+                self.record = msgspec.json.decode(value, type=TermRecord)
+            except DECODE_ERRORS as error:
+                # It may have issued terms that must not be issued again.
+                detail = f"{self._key} is unreadable: {error}"
+                raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail) from error
             self._revision = revision
-            self.record = msgspec.json.decode(value, type=TermRecord)
--- a/goldcrestpond/endpoint/share_updater.py
+++ b/goldcrestpond/endpoint/share_updater.py
@@ -11,6 +11,7 @@
 
 from ..clock.clock import Clock
 from ..errors.coded_error import CodedError
+from ..errors.decode_errors import DECODE_ERRORS
 from ..pool.instance_lease import InstanceLease
 from ..pool.lease_observer import LeaseObserver
 from ..pool.share_demand import ShareDemand
@@ -201,7 +202,12 @@
             instance = row.key.removeprefix(_LEASE_PREFIX)
             self._other_leases.observe(instance, row.revision, answered_at)
             return
-        value = msgspec.json.decode(row.value or b"{}", type=ShareRow)
+        try:
+            value = msgspec.json.decode(row.value or b"{}", type=ShareRow)
+        except DECODE_ERRORS as error:
+            # The shares that are known hold; nothing is written over the row.
+            _log.warning("pool: unreadable shares %s: %s", row.key, error)
+            return
         self._rows[row.key] = (value, row.revision if row.value else 0)
         database = self._databases.get(row.key)
         if database is not None:
--- a/goldcrestpond/platform/database_entry.py
+++ b/goldcrestpond/platform/database_entry.py
@@ -2,9 +2,12 @@
 
 import msgspec
 
+from ..errors.coded_error import CodedError
 from ..errors.decode_errors import DECODE_ERRORS
+from ..errors.result_code import ResultCode
 from ..group.role import Role
 from ..serving.database import Database
+from ..serving.row_fields import Count, Slots, SpanMs, is_name
 from ..settings.address import parse_address
 
 TABLE = "servers"
@@ -42,15 +45,20 @@
     state: str
     db_role: str
     zone: str = ""
-    slots: int = 1
-    warmup_left_ms: float = 0
-    born: int = 0
-    sequence: int = 0
+    slots: Slots = 1
+    warmup_left_ms: SpanMs = 0
+    born: Count = 0
+    sequence: Count = 0
 
 
 _DECODER = msgspec.json.Decoder(_EntryBody)
 
 
+def _can_send(name: str) -> bool:
+    """Return whether a name can be a field of a line, which has a byte a character."""
+    return is_name(name) and max(name) <= "\xff"
+
+
 def is_heartbeat(old: bytes, new: bytes) -> bool:
     """Return whether two values of an entry differ in their sequence at most."""
     try:
@@ -70,10 +78,15 @@
         If the entry is not valid. Other entries are not affected.
     """
     body = _DECODER.decode(value)
+    address = parse_address(body.address)
+    can_connect = address.port and _can_send(key) and _can_send(body.service_name)
+    if not can_connect:
+        detail = "the id or the service is no name, or the port is 0"
+        raise CodedError(ResultCode.ENDPOINT_MALFORMED, detail)
     return Database(
         key,
         body.service_name,
-        parse_address(body.address),
+        address,
         body.zone,
         max(1, body.slots),
         _IS_DRAINING[body.state],
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -18,6 +18,7 @@
 from ..serving.fleet_protocol import FIRST_PROTOCOL
 from ..serving.reply import Reply
 from ..serving.route import ReadPolicy
+from ..serving.row_fields import Bandwidth, SpanMs
 from ..serving.statement import Statement
 from ..serving.statement_kind import StatementKind
 from ..serving.transaction_state import TransactionState
@@ -26,13 +27,9 @@
 MESSAGE_LIMIT_BYTES = 2 << 20  # twice the limit of a caller's message
 
 _Position = tuple[int, int]
-_SPAN_LIMIT_MS = 1e9  # a day is 8.6e7
-_BANDWIDTH_LIMIT_MBPS = 1e9
 _WEIGHT_LIMIT = 1e9
 # Limits that also exclude what is not a number, so that no computation with a value of
 # another instance fails.
-_SpanMs = Annotated[float, msgspec.Meta(ge=-_SPAN_LIMIT_MS, le=_SPAN_LIMIT_MS)]
-_Bandwidth = Annotated[float, msgspec.Meta(ge=0, le=_BANDWIDTH_LIMIT_MBPS)]
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=_WEIGHT_LIMIT)]
 _Version = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
@@ -72,7 +69,7 @@
     database_id: str
     caller: str
     lane: Lane
-    wait_ms: _SpanMs
+    wait_ms: SpanMs
     priority: int = 0
     organisation: str = ""
     is_charged: bool = False
@@ -168,10 +165,10 @@
     shape: tuple[bool, str] | None
     values: dict[str, str]
     policy: ReadPolicy
-    max_age_ms: _SpanMs
+    max_age_ms: SpanMs
     last_commit: _Position | None
-    wait_ms: _SpanMs
-    objective_ms: _SpanMs
+    wait_ms: SpanMs
+    objective_ms: SpanMs
     priority: int
 
 
@@ -286,7 +283,7 @@
     """
 
     service: str
-    wait_ms: _SpanMs
+    wait_ms: SpanMs
 
 
 class Proved(Message, frozen=True):
@@ -315,7 +312,7 @@
 
     service: str
     previous_leader: str
-    wait_ms: _SpanMs
+    wait_ms: SpanMs
     candidate: str = ""
     token: _Version = 0
 
@@ -351,7 +348,7 @@
     name: str
     availability_zone: str
     address: str
-    link_mbps: _Bandwidth
+    link_mbps: Bandwidth
     protocol: _Version = FIRST_PROTOCOL
 
 
@@ -384,7 +381,7 @@
     follower: Peer
     followers: list[Peer] | None
     tables: list[KnownTable]
-    wait_ms: _SpanMs
+    wait_ms: SpanMs
     is_leaving: bool = False
 
 
@@ -419,7 +416,7 @@
     version: _Version
     rows: list[ChangedRow]
     is_whole: bool
-    age_ms: _SpanMs
+    age_ms: SpanMs
 
 
 class Followed(Message, frozen=True):
@@ -438,7 +435,7 @@
 
     tables: list[ChangedTable]
     reader: str
-    held_ms: _SpanMs
+    held_ms: SpanMs
 
 
 class Charge(Message, frozen=True):
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -13,6 +13,7 @@
 from ..errors.result_code import ResultCode
 from .commit_block import CommitBlock
 from .failover import LATE_ORDER_LIMIT
+from .row_fields import TimeMs
 from .row_store import FeedAnswer, RowConflict, RowPut, RowRevision, RowStore, StoredRow
 from .store_era import StoreEra
 
@@ -50,7 +51,7 @@
     former: str
     state: str = ClaimState.UNKNOWN
     # Time on the store's clock since when an order may be pending; 0 if unknown.
-    pending_since_ms: float = 0.0
+    pending_since_ms: TimeMs = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,6 +285,8 @@
         unended = {}
         for row in sorted(answer.rows, key=_get_era):
             body, service = _decode_body(row), _get_service(row)
+            if _get_era(row) > answer.era:
+                continue  # nobody can have claimed in it yet
             if _get_era(row) == answer.era:
                 unended.pop(service, None)  # it has replaced those of earlier eras
             if body is None or body.state not in _UNENDED:
--- a/goldcrestpond/serving/log_member_record.py
+++ b/goldcrestpond/serving/log_member_record.py
@@ -15,11 +15,12 @@
     forget,
     record_leader,
 )
+from .row_fields import Count
 
 
 class _MemberBody(msgspec.Struct, frozen=True):
     id: str
-    born: int = 0
+    born: Count = 0
 
 
 class _RecordBody(msgspec.Struct, frozen=True):
@@ -40,7 +41,7 @@
     members: list[_MemberBody]
     forgotten: list[_MemberBody] = []
     leader: str = ""
-    term: int = 0
+    term: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestpond/serving/members.py
+++ b/goldcrestpond/serving/members.py
@@ -16,6 +16,7 @@
 from ..settings.address import Address, parse_address
 from .expiring_rows import ExpiringRows, make_era_reader
 from .fleet_protocol import FIRST_PROTOCOL
+from .row_fields import Bandwidth, Count
 from .row_store import StoredRow
 
 TABLE = "member"
@@ -80,17 +81,17 @@
 
     availability_zone: str
     address: str
-    link_mbps: float = 0
-    era: int = 0
+    link_mbps: Bandwidth = 0
+    era: Count = 0
     is_leaving: bool = False
-    protocol: int = FIRST_PROTOCOL
+    protocol: Count = FIRST_PROTOCOL
 
 
 class FollowersBody(msgspec.Struct, frozen=True):
     """JSON value of a row with followers: their names and member bodies."""
 
     followers: dict[str, MemberBody]
-    era: int = 0
+    era: Count = 0
 
 
 def followers_key(writer: str, index: int) -> str:
--- a/goldcrestpond/serving/suspicions.py
+++ b/goldcrestpond/serving/suspicions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .expiring_rows import ExpiringRows, make_era_reader
+from .row_fields import Count
 from .row_store import StoredRow
 
 TABLE = "suspicion"
@@ -29,7 +30,7 @@
         the copy that the store was restored from.
     """
 
-    era: int = 0
+    era: Count = 0
 
 
 def suspicion_key(service: str, instance: str) -> str:
--- a/goldcrestpond/store/http_platform.py
+++ b/goldcrestpond/store/http_platform.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform, with conditional requests."""
 
+import logging
 from collections.abc import Sequence
 from datetime import timedelta
 from types import TracebackType
@@ -36,6 +37,7 @@
 DEFAULT_TIMEOUT = timedelta(seconds=1)
 # Enough that some are free while requests to a store that does not answer hold others.
 _MAX_CONNECTIONS = 64
+_log = logging.getLogger("goldcrestpond.store")
 _EXPECTED_STATUSES = frozenset({200, 404, 412})
 
 
@@ -127,8 +129,15 @@
         return response.content
 
     async def instances(self) -> list[InstanceEntry]:
-        """Return the platform's list of instances, which lags behind."""
-        return _decode(await self._request("GET", "/instances"), list[InstanceEntry])
+        """Return the readable entries of the list of instances, which lags behind."""
+        response = await self._request("GET", "/instances")
+        entries = []
+        for entry in _decode(response, list[msgspec.Raw]):
+            try:
+                entries.append(msgspec.json.decode(entry, type=InstanceEntry))
+            except DECODE_ERRORS as error:
+                _log.warning("store: unreadable entry of an instance: %s", error)
+        return entries
 
     async def _request(
         self,
