A candidate must reach what is known to be acknowledged, also if all logs were read

Cause: the acknowledged position was looked at only if a log was unread, and that a database has started again is known up to a second later. An instance with a commit in flight told no position at all.

Change: the longest log must reach the acknowledged position wherever that is known. A replica that reports less than it has shown in this epoch counts as unread, as does one that changes its `born` during the attempt.

Evidence: "paused" 1/0 in `promotion ordered` beside a higher "acknowledged".

--- a/goldcrestpond/serving/choose_candidate.py
+++ b/goldcrestpond/serving/choose_candidate.py
@@ -49,9 +49,10 @@
 
     An acknowledged commit is in the leader's log and in the log of at least one
     replica. Once every replica has stopped receiving, no further commit can be
-    acknowledged, and the longest of their logs contains all acknowledged ones. A
-    replica that could not be read, listed or not, may have a commit that no other
-    replica has: then the longest log must reach the highest acknowledged position.
+    acknowledged, and the longest of their logs contains all acknowledged ones, unless
+    a replica could not be read, listed or not, or has lost its log, as one that has
+    started again may have before that is known. So the longest log must reach the
+    highest acknowledged position wherever that is known.
 
     Parameters
     ----------
@@ -60,25 +61,21 @@
     unread : frozenset of str
         Other databases that may have received commits of the current leader.
     acknowledged : HighestAcknowledged
-        Highest acknowledged position; used only if some databases are unread.
+        Highest acknowledged position.
     leaving_since : mapping of str to timedelta
         Time since which databases are leaving; their logs are lost when they end.
     """
     if not paused:
         return CandidateChoice("", "no replica was read")
     longest = max(report.received for report in paused.values())
-    unread_names = ", ".join(sorted(unread))
-    if unread and acknowledged.position is None:
-        detail = (
-            f"databases not read: {unread_names}; "
-            f"no answer from instances {', '.join(acknowledged.missing_instances)}"
-        )
-        return CandidateChoice("", detail)
-    if unread and longest < acknowledged.position:
-        detail = (
-            f"databases not read: {unread_names}; longest log {longest} "
-            f"is below {acknowledged.position}"
-        )
+    detail = f"databases not read: {', '.join(sorted(unread)) or 'none'}; "
+    if acknowledged.position is None:
+        if not unread:
+            return _choose_longest(paused, longest, leaving_since)
+        missing = ", ".join(acknowledged.missing_instances)
+        return CandidateChoice("", f"{detail}no answer from instances {missing}")
+    if longest < acknowledged.position:
+        detail += f"longest log {longest} is below {acknowledged.position}"
         return CandidateChoice("", detail)
     return _choose_longest(paused, longest, leaving_since)
 
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -1,7 +1,7 @@
 """Replaces the leader of one service: one failover or switchover."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum, auto
 from typing import Protocol
@@ -88,12 +88,16 @@
         Time since which listed databases are leaving, by id.
     unaddressed : frozenset of LogMember
         Further databases that were removed, which cannot be read.
+    received : mapping of str to LogPosition
+        What listed databases have shown of the present leader's log, by id. One that
+        reports less now has started again without its log.
     """
 
     listed: list[Database]
     unlisted: list[Database]
     leaving_since: Mapping[str, timedelta]
     unaddressed: frozenset[LogMember] = frozenset()
+    received: Mapping[str, LogPosition] = field(default_factory=dict)
 
 
 class CommitBlocker(Protocol):
@@ -176,6 +180,7 @@
         "_participants",
         "_paused",
         "_previous",
+        "_replaced",
         "_requests",
         "_term",
         "_told_to_pause",
@@ -213,6 +218,8 @@
         self._log = log
         self._requests = DatabaseRequests(open_link, log)
         self._paused: dict[str, DatabaseReport] = {}
+        # Databases that have started again under their ids since the attempt began.
+        self._replaced: set[LogMember] = set()
         # Also those that have not answered: they may be paused.
         self._told_to_pause: frozenset[str] = frozenset()
         self._acknowledged = HighestAcknowledged(None)
@@ -251,6 +258,11 @@
         new = [d for d in self._list_databases() if not self._is_known(d)]
         if not new:
             return
+        self._replaced |= {
+            identify_member(self._databases[d.database_id])
+            for d in new
+            if d.database_id in self._databases
+        }
         self._databases |= {d.database_id: d for d in new}
         self._log.decision(
             "listed during a failover",
@@ -369,6 +381,7 @@
             )
             return choice
         unread = (replicas | self._unlisted_ids()) - self._paused.keys()
+        unread |= self._lost_logs()
         if unread and self._acknowledged.position is None:
             # An instance may have been too busy to answer.
             await self._block_commits(COMMIT_WAIT)
@@ -462,10 +475,19 @@
             f"{m.database_id} started at {m.started_at_ms}"
             if m.database_id in self._databases and m not in known
             else m.database_id
-            for m in unlisted | self._participants.unaddressed
+            for m in unlisted | self._participants.unaddressed | self._replaced
             if m.database_id != self._previous.database_id
         )
 
+    def _lost_logs(self) -> frozenset[str]:
+        """Return names for the former logs of replicas that report to have less now."""
+        received = self._participants.received
+        return frozenset(
+            f"{database_id} up to {received[database_id]}"
+            for database_id, paused in self._paused.items()
+            if database_id in received and paused.received < received[database_id]
+        )
+
     async def _pause_unlisted(self, term: int) -> None:
         """Pause replicas that are no longer listed but may still run."""
         unlisted = {
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -509,6 +509,11 @@
             for member in find_unaddressed(service.log_members)
             if member.database_id != last_id
         ),
+        {
+            database_id: position
+            for database_id, served in service.databases.items()
+            if (position := served.progress.position_in(service.leadership.epoch))
+        },
     )
 
 
--- a/goldcrestpond/serving/replica_progress.py
+++ b/goldcrestpond/serving/replica_progress.py
@@ -61,6 +61,10 @@
             and position <= self.position
         )
 
+    def position_in(self, epoch: int) -> LogPosition | None:
+        """Return the highest position that answers in an epoch have shown."""
+        return self.position if epoch == self._epoch else None
+
     def may_have_reached(
         self, min_position: LogPosition, epoch: int, now: timedelta
     ) -> bool:
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -235,6 +236,7 @@
     known_term=1,
     accepts_commit_loss=False,
     participants=None,
+    list_databases=None,
 ):
     clock = clock or _PassingClock(timedelta(seconds=5))
 
@@ -247,7 +249,7 @@
     participants = participants or _participants(group, leaving)
     attempt = FailoverAttempt(
         Claim("s", RowRevision(0, 7), timedelta(seconds=5)),
-        lambda: participants.listed,
+        list_databases or (lambda: participants.listed),
         participants,
         PreviousLeader(leader_id, known_term, is_planned),
         accepts_commit_loss,
@@ -469,6 +471,40 @@
     assert_that(len(failover.promotions), Equals(1))
 
 
+# Failure: a replica that has started again without its log counts as read, and a log
+# shorter than the one it had is promoted, while an instance doesn't say what it knows.
+@pytest.mark.parametrize("is_shown", [True, False])
+def test_replica_that_reports_less_than_it_had_counts_as_unread(is_shown):
+    group = _Group(random.Random(3))
+    group.log = {"p": 9, "a": 7, "b": 0, "c": 7}
+    group.crashed, group.unanswering_instances = {"p"}, {"i1"}
+    listed = _participants(group, ()).listed
+    received = {"b": LogPosition(1, 9), "a": LogPosition(1, 6)} if is_shown else {}
+    participants = Participants(listed, [], {}, received=received)
+    failover = _Failover(group, "done")
+    is_promoted = _run_attempt(group, failover, False, participants=participants)
+    assert_that(is_promoted, Is(not is_shown))
+
+
+# Failure: a replica that starts again without its log while an attempt runs counts as
+# read, since what was unread is known from the beginning of the attempt.
+def test_replica_that_starts_again_during_an_attempt_counts_as_unread():
+    group = _Group(random.Random(3))
+    group.log = {"p": 9, "a": 7, "b": 0, "c": 7}
+    group.crashed, group.unanswering_instances = {"p"}, {"i1"}
+    listed = _participants(group, ()).listed
+    restarted = [replace(d, started_at_ms=5 * (d.database_id == "b")) for d in listed]
+    failover = _Failover(group, "done")
+    is_promoted = _run_attempt(
+        group,
+        failover,
+        False,
+        participants=Participants(listed, [], {}),
+        list_databases=lambda: restarted,
+    )
+    assert_that(is_promoted, Is(False))
+
+
 def test_no_switchover_if_the_leaving_leader_has_crashed():
     """An unlisted database may be the only one with the last commits."""
     group, failover = _group_with_lagging_replicas()
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -427,3 +427,24 @@
     world = play(script, seed, registry_spacing=REGISTRY_SPACING)
     assert_kept(world)
     assert_writable(world, START_S)
+
+
+# Failure: the leader and a replica crash, and the replica starts again under its id
+# without its log, which counts as read: a replica that lacks acknowledged commits is
+# promoted although the leader returns with them.
+@pytest.mark.parametrize("seed", range(5))
+def test_replica_that_starts_again_without_its_log(seed):
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.databases["d3"].lag_s = 0.1
+        await anyio.sleep(1)
+        world.crash("d1", "d2")
+        await anyio.sleep(0.5)
+        world.restart_empty("d2")
+        await anyio.sleep(6)
+        world.restore("d1")
+        world.heal()
+        await anyio.sleep(END_S)
+
+    world = play(script, seed, registry_spacing=REGISTRY_SPACING)
+    assert_kept(world)
