The soak replaces databases in turn, and judges what a planned stop cuts

It never replaced two databases of a service in quick succession, its new replicas were listed before they received, its callers' transactions were three statements without work, and a connection that ended was not judged.

Change: a fault that releases databases one after the other, in random series too; databases that work for a time; long transactions of reads; a finding for each request that a database got and a planned stop left unanswered.

--- a/goldcrestpond/soak/database_faults.py
+++ b/goldcrestpond/soak/database_faults.py
@@ -12,6 +12,7 @@
 
 # The instances stop sending to a draining database before (setting drain_limit_ms).
 SHORTEST_DRAIN_S = 7.2
+_RELEASE_GAP_S = 1.5
 RANDOM_FAULT = PlannedFault(kind="random")
 
 
@@ -142,6 +143,18 @@
     await _release(site, rng, fault, service, replica)
 
 
+async def release_databases(
+    site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
+) -> None:
+    """Replace the databases of a service one after the other, the primary first."""
+    service = pick_service(site, rng, fault)
+    replaced = [service.running_primary(), _pick_replica(service, rng)]
+    async with anyio.create_task_group() as tasks:
+        for database in replaced:
+            tasks.start_soon(_release, site, rng, fault, service, database, False)
+            await anyio.sleep(_RELEASE_GAP_S)
+
+
 async def lag_replica(
     site: SoakSite, rng: random.Random, fault: PlannedFault = RANDOM_FAULT
 ) -> None:
@@ -234,10 +247,11 @@
     fault: PlannedFault,
     service: SoakService,
     database: LineDatabase | None,
+    is_listed_first: bool = True,
 ) -> None:
     if database is None:
         return
-    await service.add_replica()
+    await service.add_replica(is_listed_first)
     await anyio.sleep(COPY_S)
     if not database.is_running:
         return  # it crashed meanwhile, and returns under another id
--- a/goldcrestpond/soak/instance_process.py
+++ b/goldcrestpond/soak/instance_process.py
@@ -36,6 +36,8 @@
     restart_lock : anyio.Lock
         Held while a fault stops and restarts the process, so that overlapping
         faults do not start it twice.
+    is_stopping : bool
+        Whether it was told to end, and nothing keeps it from answering before.
     """
 
     def __init__(self, name: str, folder: Path, settings: dict):
@@ -46,6 +48,7 @@
         self._path.write_text(json.dumps(settings), encoding="utf-8")
         self.restart_lock = anyio.Lock()
         self.source: Path | None = None
+        self.is_stopping = False
         self._child: subprocess.Popen | None = None
 
     @property
--- a/goldcrestpond/soak/promise_checker.py
+++ b/goldcrestpond/soak/promise_checker.py
@@ -90,6 +90,10 @@
             if (item, number) in self._refused:
                 self.findings.append(f"untrue: {item} holds refused {number}")
 
+    def record_cut(self, request: str, instance: str) -> None:
+        """Record a request that a database got and a planned stop left unanswered."""
+        self.findings.append(f"cut: {request} by the stop of {instance}")
+
     def check_version(self, instance: str, previous: int, current: int) -> None:
         """Check that the configuration version of a process does not go back."""
         if current < previous:
--- a/goldcrestpond/soak/run_soak.py
+++ b/goldcrestpond/soak/run_soak.py
@@ -173,7 +173,14 @@
     clock = SystemClock()
     count = CALLERS_PER_INSTANCE * len(site.instances)
     callers = [
-        SoakCaller(number, site, checker, clock, random.Random(rng.random()))
+        SoakCaller(
+            number,
+            site,
+            checker,
+            clock,
+            random.Random(rng.random()),
+            plan.report_share,
+        )
         for number in range(count)
     ]
     async with anyio.create_task_group() as caller_tasks:
--- a/goldcrestpond/soak/soak_caller.py
+++ b/goldcrestpond/soak/soak_caller.py
@@ -6,11 +6,14 @@
 import anyio
 
 from ..clock.clock import Clock
+from .instance_process import InstanceProcess
 from .promise_checker import PromiseChecker
 from .soak_site import MAX_AGE_MS, SoakSite
 
 ANSWER_TIMEOUT_S = 4.0  # several times the timeout of a statement
 PAUSE_S = 0.02
+REPORT_READS_MAX = 12
+REPORT_PAUSE_S = 0.1
 # Callers record a commit as acknowledged when its answer arrives, which is later than
 # the commit itself.
 AGE_TOLERANCE = timedelta(milliseconds=50)
@@ -38,6 +41,8 @@
         Monotonic clock.
     rng : random.Random
         Source of random choices.
+    report_share : float, default=0
+        Part of its operations that are long transactions of reads.
     """
 
     def __init__(
@@ -47,9 +52,13 @@
         checker: PromiseChecker,
         clock: Clock,
         rng: random.Random,
+        report_share: float = 0.0,
     ):
+        self._report_share = report_share
+        self._instance: InstanceProcess | None = None
         self.item = f"item{number}"
-        self._suffix = site.services[number % len(site.services)].suffix
+        self._service = site.services[number % len(site.services)]
+        self._suffix = self._service.suffix
         self._site = site
         self._checker = checker
         self._clock = clock
@@ -70,7 +79,7 @@
             await anyio.sleep(PAUSE_S)
 
     async def _run_session(self) -> None:
-        instance = self._rng.choice(self._site.instances)
+        instance = self._instance = self._rng.choice(self._site.instances)
         address = instance.address
         route = self._rng.choice(["current", "aged", "own"])
         with anyio.fail_after(ANSWER_TIMEOUT_S):
@@ -90,6 +99,9 @@
             await anyio.aclose_forcefully(stream)
 
     async def _run_operation(self, stream, route: str, own_number: int) -> int:
+        if self._rng.random() < self._report_share:
+            await self._run_report(stream)
+            return own_number
         if route != "aged" and self._rng.random() < 0.3:
             return await self._write(stream, own_number)
         required, why = self._get_required_number(route, own_number)
@@ -100,6 +112,17 @@
             self._checker.check_read(self.item, number, required, why)
         return own_number
 
+    async def _run_report(self, stream) -> None:
+        """Read several times in a transaction, with pauses."""
+        await self._run_query(stream, "BEGIN READ")
+        for _ in range(self._rng.randint(1, REPORT_READS_MAX)):
+            lines = await self._run_query(stream, f"READ {self.item}")
+            if lines[0].startswith("ERROR"):
+                await self._run_query(stream, "ROLLBACK")
+                return
+            await anyio.sleep(self._rng.random() * REPORT_PAUSE_S)
+        await self._run_query(stream, "COMMIT")
+
     def _get_required_number(self, route: str, own_number: int) -> tuple[int, str]:
         now = self._clock.now()
         if route == "current":
@@ -137,9 +160,14 @@
         self._query_count += 1
         request = f"{self.item}.{self._query_count}"
         await stream.send(f"QUERY {request} {text}\r\n".encode())
-        lines = [await self._receive_line(stream)]
-        while not lines[-1].startswith("READY"):
-            lines.append(await self._receive_line(stream))
+        try:
+            lines = [await self._receive_line(stream)]
+            while not lines[-1].startswith("READY"):
+                lines.append(await self._receive_line(stream))
+        except _CONNECTION_ERRORS:
+            if self._instance.is_stopping and self._service.has_run(request):
+                self._checker.record_cut(f"{request} {text}", self._instance.name)
+            raise
         words = lines[0].split(" ")
         self._checker.counts[words[1] if words[0] == "ERROR" else words[0]] += 1
         if words[0] != "ERROR":
--- a/goldcrestpond/soak/soak_faults.py
+++ b/goldcrestpond/soak/soak_faults.py
@@ -19,6 +19,7 @@
     lose_receiving_replica,
     lose_replica,
     pick_service,
+    release_databases,
     release_primary,
     release_replica,
     wait_out,
@@ -92,8 +93,10 @@
     """Stop an instance gracefully and start it again."""
     instance = rng.choice(site.instances)
     async with instance.restart_lock:
+        instance.is_stopping = True
         instance.send_signal(signal.SIGTERM)
         await anyio.sleep(SHUTDOWN_GRACE_S + 0.5)
+        instance.is_stopping = False
         instance.send_kill()
         await instance.wait_stopped()
         instance.start()
@@ -105,6 +108,7 @@
     """Pause the processes of some instances for a while."""
     paused = rng.sample(site.instances, min(fault.count, len(site.instances)))
     for instance in paused:
+        instance.is_stopping = False  # it may have no time to answer
         instance.send_signal(signal.SIGSTOP)
     await wait_out(site, rng, fault, 0.5, 3)
     for instance in paused:
@@ -241,6 +245,7 @@
         cut_primary,
         release_primary,
         release_replica,
+        release_databases,
     )
 }
 
--- a/goldcrestpond/soak/soak_plan.py
+++ b/goldcrestpond/soak/soak_plan.py
@@ -16,6 +16,7 @@
     "lose_replica": 1,
     "release_primary": 1,
     "release_replica": 1,
+    "release_databases": 1,
 }
 _OTHER_KINDS = {
     "kill_promoter": 4,
@@ -23,6 +24,7 @@
     "kill_instance": 2,
     "pause_instance": 2,
     "kill_all_instances": 1,
+    "stop_instance": 1,
     "harm_store_link": 1,
     "harm_database_link": 1,
     "stop_store": 1,
@@ -30,7 +32,11 @@
 }
 # Faults that may make an instance order a promotion, or that delay it.
 _CAUSES_OF_ORDERS = ("crash_primary", "cut_primary", "delay_orders")
-_RELEASES = ("release_primary", "release_replica")  # their time is that of a drain
+_RELEASES = (
+    "release_primary",
+    "release_replica",
+    "release_databases",
+)  # their time is that of a drain
 # Part of the faults that are timed by a failover call, so that they fall into the time
 # in which a promotion is pending.
 _ORDER_SHARE = 0.4
@@ -107,6 +113,10 @@
         Shortest and longest time from the execution of a failover call to its effect.
     replication_delay_ms : tuple of int
         Shortest and longest time that a commit takes to reach a replica.
+    work_ms : tuple of int
+        Shortest and longest time that a database works on a read or write.
+    report_share : float
+        Part of the callers' operations that are long transactions of reads.
     random_faults : str
         ``series`` for overlapping series of faults of databases and instances,
         ``single`` for single faults, ``none`` for those of the plan alone.
@@ -123,6 +133,8 @@
     duration_s: float | None = None
     promotion_delay_ms: tuple[int, int] = (600, 1000)
     replication_delay_ms: tuple[int, int] = (1, 15)
+    work_ms: tuple[int, int] = (0, 0)
+    report_share: float = 0.05
     random_faults: str = "series"
     recovered_share: float = 0.25
     faults: tuple[PlannedFault, ...] = ()
--- a/goldcrestpond/soak/soak_service.py
+++ b/goldcrestpond/soak/soak_service.py
@@ -38,8 +38,10 @@
         Holds the registry.
     replication_delay_ms : tuple of int
         Shortest and longest time that a commit takes to reach a replica.
+    work_ms : tuple of int
+        Shortest and longest time that a database works on a read or write.
     rng : random.Random
-        Draws that time for each database.
+        Draws these times.
     clock : Clock
         Source of the time.
     log : DecisionLog
@@ -62,6 +64,7 @@
         ids: Iterator[str],
         platform: LinePlatform,
         replication_delay_ms: tuple[int, int],
+        work_ms: tuple[int, int],
         rng: random.Random,
         clock: Clock,
         log: DecisionLog,
@@ -69,6 +72,7 @@
         self.name = name
         self.suffix = suffix
         self.group = LineGroup(name, [next(ids) for _ in range(3)], clock)
+        self.group.draw_work_s = lambda: rng.uniform(*work_ms) / 1000
         self.servers = LineServer(self.group)
         self.links: dict[str, FaultProxy] = {}
         self.promotions: list[LinePromotion] = []
@@ -117,9 +121,14 @@
         await self._register(restarted)
         self.log("database returned", restarted, former=database.database_id)
 
-    async def add_replica(self) -> LineDatabase:
-        """Start a new replica."""
+    async def add_replica(self, is_listed_first: bool = True) -> LineDatabase:
+        """Start a new replica.
+
+        It receives commits after the time that it copies, before or after it is listed.
+        """
         replica = self.group.add_replica(next(self._ids), COPY_S)
+        if not is_listed_first:
+            await anyio.sleep(COPY_S)
         await self.servers.add(replica)
         await self._register(replica)
         self.log("replica started", replica)
@@ -131,6 +140,10 @@
         self._remove_entry(database.database_id)
         self.log("database ended", database)
 
+    def has_run(self, request_id: str) -> bool:
+        """Return whether a database got a request."""
+        return any(run[1] == request_id for run in self.group.executions)
+
     def remove(self, database: LineDatabase) -> None:
         """Remove a stopped database for good; a primary goes with its successor."""
         if database.role is Role.REPLICA:
--- a/goldcrestpond/soak/soak_site.py
+++ b/goldcrestpond/soak/soak_site.py
@@ -112,6 +112,7 @@
                 ids,
                 self.platform,
                 plan.replication_delay_ms,
+                plan.work_ms,
                 rng,
                 self.clock,
                 self.log,
--- a/tests/soak/test_run_soak.py
+++ b/tests/soak/test_run_soak.py
@@ -41,3 +41,21 @@
     report = anyio.run(run_soak, 3, 14.0, 4, plan)
     assert_that(report.findings, Equals([]))
     assert_that(report.promotions > 0, Equals(True))
+
+
+# Failure: acknowledged commits are lost while databases are replaced one after the other
+# (8 of them on the code before, with this seed).
+def test_releases_in_quick_succession_lose_no_commit():
+    plan = load_plan(str(PLANS / "releases.toml"))
+    report = anyio.run(run_soak, 1, 24.0, 8, plan)
+    assert_that(report.findings, Equals([]))
+    assert_that(report.promotions > 0, Equals(True))
+
+
+# Failure: requests that a database got are cut by a planned stop, in long transactions
+# (7 of them on the code before, with this seed).
+def test_stops_cut_no_request_of_a_transaction():
+    plan = load_plan(str(PLANS / "stops-in-transactions.toml"))
+    report = anyio.run(run_soak, 2, 20.0, 4, plan)
+    assert_that(report.findings, Equals([]))
+    assert_that(report.outcomes.get("ABORTED", 0) > 0, Equals(True))
--- a/tests/soak/test_soak_service.py
+++ b/tests/soak/test_soak_service.py
@@ -35,7 +35,15 @@
     async def run():
         ids = (f"d{number}" for number in itertools.count(1))
         service = SoakService(
-            "s", "", ids, platform, (0, 0), random.Random(1), SystemClock(), ListLog()
+            "s",
+            "",
+            ids,
+            platform,
+            (0, 0),
+            (0, 0),
+            random.Random(1),
+            SystemClock(),
+            ListLog(),
         )
         with anyio.fail_after(10):
             async with anyio.create_task_group() as tasks:
