The model replaces databases in turn, and starts some again without their logs

Change: random worlds with releases in turn, databases that return empty under their ids, delayed replicas and a registry that is read as seldom as in the product.

--- a/tests/serving/failover_world.py
+++ b/tests/serving/failover_world.py
@@ -464,6 +464,10 @@
         """Call a function later, whatever becomes of the process that asks for it."""
         self._loop.call_later(delay_s, function, *args, context=self._context)
 
+    def begin(self, function, *args):
+        """Start a task of this world."""
+        self._tasks.start_soon(function, *args)
+
     async def until(self, condition, limit_s=20.0):
         with anyio.fail_after(limit_s):
             while not condition():
--- a/tests/serving/test_failover_exploration.py
+++ b/tests/serving/test_failover_exploration.py
@@ -6,12 +6,15 @@
 import os
 import random
 import time
+from datetime import timedelta
 
 import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from goldcrestpond.root.instance import REGISTRY_SPACING
+
 from .failover_world import play
 
 SEEDS = os.environ.get("GOLDCRESTPOND_FAILOVER_SEEDS", "0:100")
@@ -25,6 +28,9 @@
     233: "a replica started while a promotion was pending",
     258: "leader back under a new id; a replica started before",
 }
+# The same of worlds with releases; all: commits acknowledged during a switchover, or a
+# replica that was back without its log.
+RELEASE_REGRESSION_SEEDS = [20, 69, 90, 131, 138, 148, 198]
 BACK_S = 12.0  # after the last fault, and once no promotion is late
 LOSSY_WAIT_S = 45.0  # where a database is gone for good
 
@@ -163,24 +169,61 @@
         self.world.cut([name], self.rng.choice(list(self.world.databases)))
 
 
-def explore(seed):
+class ReleasingExplorer(Explorer):
+    """Also replaces databases in turn, and lets some start again without their logs.
+
+    Replicas are behind, and the registry is read as seldom as in the product.
+    """
+
+    def __init__(self, world):
+        super().__init__(world)
+        for database in world.databases.values():
+            database.lag_s = self.rng.choice([0.0, self.rng.uniform(0.01, 0.15)])
+
+    def _more(self):
+        return [*super()._more(), self._release, self._release, self._restart_empty]
+
+    def _drain_leader(self):
+        self._start_release(self.world.primary.database_id)
+        if self._running():
+            later_s = self.rng.uniform(0.5, 2.5)
+            self.world.after(later_s, self._release)
+
+    def _release(self):
+        if self._running():
+            self._start_release(self.rng.choice(self._running()))
+
+    def _start_release(self, database_id):
+        self.started_count += 1
+        new_id, lag_s = f"r{self.started_count}", self.rng.uniform(0, 0.15)
+        self.world.begin(self.world.release, database_id, new_id, lag_s)
+
+    def _restart_empty(self):
+        if self._running():
+            database_id = self.rng.choice(self._running())
+            self.world.crash(database_id)
+            delay_s = self.rng.uniform(0.1, 2.0)
+            self.world.after(delay_s, self.world.restart_empty, database_id)
+
+
+def explore(seed, explorer_type=Explorer, registry_spacing=timedelta(0)):
     """Play the world of a seed; return it with its explorer."""
     explorers = []
 
     async def script(world):
-        explorers.append(Explorer(world))
+        explorers.append(explorer_type(world))
         await anyio.sleep(2.5)
         for _ in range(1 + (seed % 3 == 0)):
             await explorers[0].incident()
         await explorers[0].end()
 
-    world = play(script, seed, instance_count=3)
+    world = play(script, seed, instance_count=3, registry_spacing=registry_spacing)
     return world, explorers[0]
 
 
-def find_faults(seed):
+def find_faults(seed, *more):
     """Return what went wrong in the world of a seed, with its story."""
-    world, explorer = explore(seed)
+    world, explorer = explore(seed, *more)
     limit_s = LOSSY_WAIT_S if explorer.is_any_gone else BACK_S
     found = [f"lost: {loss}" for loss in world.losses if loss.holders]
     gap_s = world.longest_gap_s(world.healed_at_s)
@@ -198,10 +241,22 @@
 # don't come back, after faults that nobody thought of together.
 @pytest.mark.parametrize("seeds", _groups(), ids=str)
 def test_failovers_under_random_faults(seeds):
+    check_worlds(seeds)
+
+
+# Failure: as above, where databases are also replaced one after the other, and start
+# again without their logs, and are listed long after they receive.
+@pytest.mark.parametrize("seeds", _groups(), ids=str)
+def test_failovers_beside_releases(seeds):
+    check_worlds(seeds, ReleasingExplorer, REGISTRY_SPACING)
+
+
+def check_worlds(seeds, *more):
+    """Play the worlds of some seeds, and fail if any finds a fault."""
     began_at = time.monotonic()
     failed, events_count, played_s = {}, 0, 0.0
     for seed in seeds:
-        world, found = find_faults(seed)
+        world, found = find_faults(seed, *more)
         events_count += len(world.lines)
         played_s += world.now_s()
         if found:
@@ -220,6 +275,13 @@
     assert_that(found, Equals([]), world.story())
 
 
+# Failure: as above; these worlds failed before.
+@pytest.mark.parametrize("seed", RELEASE_REGRESSION_SEEDS)
+def test_worlds_with_releases_that_failed_before(seed):
+    world, found = find_faults(seed, ReleasingExplorer, REGISTRY_SPACING)
+    assert_that(found, Equals([]), world.story())
+
+
 # Failure: the model finds faults where there are none, or plays nothing.
 def test_single_crash_loses_nothing():
     async def script(world):
--- a/tests/soak/test_run_soak.py
+++ b/tests/soak/test_run_soak.py
@@ -43,8 +43,8 @@
     assert_that(report.promotions > 0, Equals(True))
 
 
-# Failure: acknowledged commits are lost while databases are replaced one after the other
-# (8 of them on the code before, with this seed).
+# Failure: acknowledged commits are lost while databases are replaced one after the
+# other (8 of them on the code before, with this seed).
 def test_releases_in_quick_succession_lose_no_commit():
     plan = load_plan(str(PLANS / "releases.toml"))
     report = anyio.run(run_soak, 1, 24.0, 8, plan)
