A log that is known to lack an acknowledged commit is never promoted

Cause: after 30 s without a proof the longest log that can be read was promoted, whatever instances knew of commits beyond it.

Change: instances tell the highest position that they have seen acknowledged, apart from the upper limit that a proof needs; the claimant keeps what it is told. The wait ends for what nobody knows, and never for a log that lacks such a commit.

The service that lost its commits refuses writes until a database is back; that its requests wait first is open.

--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -178,11 +178,14 @@
         )
 
         async def ask(holder: Holder) -> None:
-            position, has_answered = None, False
+            answer = InstanceAnswer(holder.name, None, has_answered=False)
             try:
                 sealed = await send_request(holder, request, limit, messages.Sealed)
-                position = messages.to_position(sealed.position)
-                has_answered = True
+                answer = InstanceAnswer(
+                    holder.name,
+                    messages.to_position(sealed.position),
+                    answered=messages.to_position(sealed.answered),
+                )
             except CodedError as error:
                 self._log.decision(
                     "holder not sealed",
@@ -190,7 +193,7 @@
                     holder=holder.name,
                     detail=str(error),
                 )
-            answers.append(InstanceAnswer(holder.name, position, has_answered))
+            answers.append(answer)
 
         async with anyio.create_task_group() as tasks:
             for holder in self._current_and_recent_holders(service):
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -318,9 +318,19 @@
 
 
 class Sealed(Message, frozen=True):
-    """No commit above this position was acknowledged; None if that is unknown."""
+    """No commit above a position was acknowledged; None if that is unknown.
+
+    Attributes
+    ----------
+    position : tuple of int and int, or None
+        The position.
+    answered : tuple of int and int, or None
+        Highest position at which a commit was acknowledged; None if unknown, also from
+        a former release.
+    """
 
     position: _Position | None
+    answered: _Position | None = None
 
 
 class Release(Message, frozen=True):
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -395,17 +395,11 @@
         # A previous holder responds too: it may have sent commits before.
         service = self._directory.service(request.service)
         limit = request.wait_ms * _MILLISECOND
-        return messages.Sealed(
-            await service.block_commits(
-                CommitBlock(
-                    request.service,
-                    request.token,
-                    request.previous_leader,
-                    request.candidate,
-                ),
-                limit,
-            )
+        block = CommitBlock(
+            request.service, request.token, request.previous_leader, request.candidate
         )
+        position = await service.block_commits(block, limit)
+        return messages.Sealed(position, service.commit_tracker.answered)
 
     def _require_held(self, service: str) -> None:
         if not self._directory.holds(service):
--- a/goldcrestpond/serving/choose_candidate.py
+++ b/goldcrestpond/serving/choose_candidate.py
@@ -81,12 +81,20 @@
 
 
 def choose_longest_log(
-    paused: Mapping[str, DatabaseReport], leaving_since: Mapping[str, timedelta]
+    paused: Mapping[str, DatabaseReport],
+    acknowledged: HighestAcknowledged,
+    leaving_since: Mapping[str, timedelta],
 ) -> CandidateChoice:
-    """Choose the longest log that could be read, even if commits may be lost."""
+    """Choose the longest log that could be read, though it may lack commits.
+
+    One that lacks a commit that is known to be acknowledged is not chosen.
+    """
     if not paused:
         return CandidateChoice("", "no replica was read")
     longest = max(report.received for report in paused.values())
+    if acknowledged.answered is not None and longest < acknowledged.answered:
+        detail = f"longest log {longest} lacks {acknowledged.answered}, acknowledged"
+        return CandidateChoice("", detail)
     return _choose_longest(paused, longest, leaving_since)
 
 
--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -24,6 +24,9 @@
         Upper limit of the acknowledged commits that this process, or an earlier
         process of this instance, has sent; None until this process has verified a
         leader.
+    answered : LogPosition or None
+        Highest position at which this process knows a commit to be acknowledged; None
+        if it knows of none. The last leader that it has verified has this commit.
     seal_count : int
         How often commits in flight were given up: their answers count as unknown.
     """
@@ -36,11 +39,13 @@
         "_in_flight",
         "_set_at",
         "acknowledged",
+        "answered",
         "seal_count",
     )
 
     def __init__(self) -> None:
         self.acknowledged: LogPosition | None = None
+        self.answered: LogPosition | None = None
         self.seal_count = 0
         self._ended_token = 0
         self._in_flight = 0
@@ -70,6 +75,17 @@
     def record_answer(self, position: LogPosition) -> None:
         """Record that a commit was acknowledged at a position."""
         self.acknowledged = max(position, self.acknowledged or position)
+        self.answered = max(position, self.answered or position)
+
+    def record_answered_elsewhere(self, position: LogPosition | None) -> None:
+        """Record at which position another instance has seen a commit acknowledged."""
+        if position is not None:
+            self.answered = max(position, self.answered or position)
+
+    def record_leader_change(self, position: LogPosition) -> None:
+        """Record that another database leads; what it lacks is lost already."""
+        if self.answered is not None:
+            self.answered = min(position, self.answered)
 
     def record_commit_ended(self) -> None:
         """Record that a commit is no longer in flight, whatever its outcome."""
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -488,11 +488,19 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ask_others)
-            own_position = await self.service(block.service).block_commits(
-                block, max_wait
+            service = self.service(block.service)
+            own_position = await service.block_commits(block, max_wait)
+        answers.append(
+            InstanceAnswer(
+                self._settings.instance,
+                own_position,
+                answered=service.commit_tracker.answered,
             )
-        answers.append(InstanceAnswer(self._settings.instance, own_position))
-        return combine_acknowledged(answers)
+        )
+        combined = combine_acknowledged(answers)
+        # Kept for later attempts, in which another instance may not answer.
+        service.commit_tracker.record_answered_elsewhere(combined.answered)
+        return combined
 
     def begin_start_block(self) -> None:
         """Block commits to each service until `end_start_block` is called.
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -135,9 +135,9 @@
         The databases whose logs may have acknowledged commits.
     previous : PreviousLeader
         The leader that is replaced.
-    accepts_commit_loss : bool
+    accepts_unproved : bool
         Whether to promote the longest log that can be read, even if other databases
-        may have acknowledged commits beyond it.
+        may have acknowledged commits beyond it, unless one is known to be.
     failover : Failover
         Requests the promotion.
     commit_blocker : CommitBlocker
@@ -167,7 +167,7 @@
     """
 
     __slots__ = (
-        "_accepts_commit_loss",
+        "_accepts_unproved",
         "_acknowledged",
         "_clock",
         "_commit_blocker",
@@ -197,7 +197,7 @@
         list_databases: Callable[[], Iterable[Database]],
         participants: Participants,
         previous: PreviousLeader,
-        accepts_commit_loss: bool,
+        accepts_unproved: bool,
         failover: Failover,
         commit_blocker: CommitBlocker,
         open_link: OpenLink,
@@ -210,7 +210,7 @@
         self._participants = participants
         self._databases = {d.database_id: d for d in participants.listed}
         self._previous = previous
-        self._accepts_commit_loss = accepts_commit_loss
+        self._accepts_unproved = accepts_unproved
         self._failover = failover
         self._commit_blocker = commit_blocker
         self._clock = clock
@@ -371,14 +371,17 @@
     async def _choose(self, leader_id: str) -> CandidateChoice:
         replicas = frozenset(self._databases.keys() - {leader_id})
         leaving_since = self._participants.leaving_since
-        if self._accepts_commit_loss:
-            choice = choose_longest_log(self._paused, leaving_since)
-            self._log.decision(
-                "chosen without proof",
-                service=self.claim.service,
-                candidate=choice.database_id,
-                reason=choice.reason,
-            )
+        if self._accepts_unproved:
+            if self._acknowledged.position is None:
+                await self._block_commits(COMMIT_WAIT)
+            choice = choose_longest_log(self._paused, self._acknowledged, leaving_since)
+            if choice.database_id:
+                self._log.decision(
+                    "chosen without proof",
+                    service=self.claim.service,
+                    candidate=choice.database_id,
+                    reason=choice.reason,
+                )
             return choice
         unread = (replicas | self._unlisted_ids()) - self._paused.keys()
         unread |= self._lost_logs()
--- a/goldcrestpond/serving/highest_acknowledged.py
+++ b/goldcrestpond/serving/highest_acknowledged.py
@@ -18,11 +18,14 @@
         No commit that it sent is acknowledged above this position; None if unknown.
     has_answered : bool
         Whether it answered, and so sends no more commits.
+    answered : LogPosition or None
+        Highest position at which it has seen a commit acknowledged; None if unknown.
     """
 
     instance: str
     position: LogPosition | None
     has_answered: bool = True
+    answered: LogPosition | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,11 +41,15 @@
         Instances that did not report a position.
     silent_instances : tuple of str
         Those of them that did not answer, and may send commits.
+    answered : LogPosition or None
+        Highest position at which those that answered have seen a commit acknowledged;
+        None if they know of none.
     """
 
     position: LogPosition | None
     missing_instances: tuple[str, ...] = ()
     silent_instances: tuple[str, ...] = ()
+    answered: LogPosition | None = None
 
 
 def combine_acknowledged(answers: Iterable[InstanceAnswer]) -> HighestAcknowledged:
@@ -53,4 +60,7 @@
     position = None
     if by_name and not missing:
         position = max(answer.position for answer in by_name.values())
-    return HighestAcknowledged(position, tuple(missing), tuple(silent))
+    known = [each.answered for each in by_name.values() if each.answered is not None]
+    return HighestAcknowledged(
+        position, tuple(missing), tuple(silent), max(known, default=None)
+    )
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -56,7 +56,7 @@
 UNLISTED_LEADER_WAIT = timedelta(milliseconds=2200)
 # While an acknowledged commit could be lost, a failover waits for the previous leader
 # or another database that has the commit. Crashed databases restart sooner than this;
-# those that don't are considered lost.
+# those that don't are considered lost, with the commits of which no instance knows.
 LOSSLESS_FAILOVER_WAIT = timedelta(seconds=30)
 # An attempt of another instance counts as abandoned this long before its block of
 # commits expires, so that no commit is sent before it has been ended.
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -156,6 +156,7 @@
             if had_leader:
                 served.pace.begin(PaceReason.LEADER, self._clock.now())
             self.stall_detector.reset()
+            self.commit_tracker.record_leader_change(position)
             record_leader(self.log_members, served.database_id, position.term)
             self.notify_change()
         if served.database_id == self.leadership.leader_id:
--- a/tests/serving/failover_world.py
+++ b/tests/serving/failover_world.py
@@ -739,6 +739,12 @@
         self.losses.append(loss)
         self.note("lost", commits=len(lost), holders=holders)
 
+    def has_lost_logs(self):
+        """Return whether acknowledged commits are in no log that is still there."""
+        logs = [each.log for each in self.databases.values() if not each.is_gone]
+        kept = {commit for log in logs for _, commit in log}
+        return bool(self.acknowledged - kept)
+
     def acknowledge(self, name, receipt):
         """Record that a caller was told that its commit is kept."""
         commit = int(receipt)
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -120,6 +120,29 @@
     assert_kept(play(script))
 
 
+# Failure: the leader and the only replica that received its commits are lost for good,
+# and after a wait the other replica is promoted, although instances know what it lacks.
+# Where none knows, since all have started again, the service must go on.
+@pytest.mark.parametrize("is_known", [True, False])
+def test_databases_with_the_last_commits_are_lost_for_good(is_known):
+    async def script(world):
+        await anyio.sleep(START_S)
+        world.deafen("d3")
+        await anyio.sleep(2)
+        world.crash("d1", "d2", is_gone=True)
+        if not is_known:
+            world.kill(*world.instances)
+        await anyio.sleep(1)
+        world.heal()
+        await anyio.sleep(60)
+
+    world = play(script)
+    assert_that(world.errors + world.faults, Equals([]), world.story())
+    assert_that(len(world.events("promoted")), Equals(0 if is_known else 1))
+    if is_known:
+        assert_that(world.losses, Equals([]), world.story())
+
+
 # Failure: a replica that a killed instance had paused is resumed by nobody: once the
 # other replica is lost, writes fail, and later the log of the pause is promoted.
 def test_replica_that_a_killed_instance_had_paused():
