A block of commits that ends while it waits gives nothing up

Cause: found in reading the diff. An instance that waits for commits in flight gave up those that were sent after the block had ended, if the attempt was given up meanwhile. An instance that read several claims at once blocked one service after the other.

Change: nothing is given up unless commits are still blocked; services are blocked at once.

Result: test_block_that_ends_while_it_waits_gives_no_later_commit_up failed before; a test shows how long a switchover waits for a silent instance.

--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -425,7 +425,7 @@
         try:
             for name, claim in (await self._claims.read_unended()).items():
                 if claim.may_be_pending and name not in self._running:
-                    await self._block_as_claimed(claim.block)
+                    self._tasks.start_soon(self._block_as_claimed, claim.block)
         except CodedError as error:
             self._log.decision("claims not read", detail=error.detail)
         finally:
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -416,6 +416,8 @@
         deadline = now + max_wait
         while not self.commit_tracker.is_idle and self._clock.now() < deadline:
             await self.wait_change(_COMMIT_POLL_INTERVAL)
+        if not self._are_commits_blocked():
+            return None  # the attempt has ended meanwhile
         self.commit_tracker.give_up_in_flight()
         return self.commit_tracker.acknowledged
 
--- a/tests/serving/test_commit_tracker.py
+++ b/tests/serving/test_commit_tracker.py
@@ -235,6 +235,23 @@
     anyio.run(body)
 
 
+# Guards against: commits that are sent after a block has ended are reported as unknown.
+def test_block_that_ends_while_it_waits_gives_no_later_commit_up(service, clock):
+    async def body():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.run_commit, anyio.sleep_forever)
+            await anyio.sleep(0)
+            tasks.start_soon(service.block_commits, _BLOCK, ms(100))
+            await anyio.sleep(0.02)
+            service.unblock_commits(_BLOCK.token)
+            clock.advance(ms(100))
+            await anyio.sleep(0.03)
+            assert_that(service.commit_tracker.seal_count, Equals(0))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(body)
+
+
 # Guards against: commits to a leader that is back under a new id are not blocked; or
 # each failover is given up because an instance still takes another database for the
 # leader, and so tells no position.
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -538,6 +538,26 @@
     assert_that([group.paused[i] for i in ("a", "b")], Equals([8, 8]))
 
 
+# Failure: a switchover is ordered while an instance that does not answer may commit,
+# since it had no time yet to read from the store that the leader is replaced.
+@pytest.mark.parametrize("known_for_s", [0, 3])
+def test_switchover_waits_until_a_silent_instance_can_know_of_it(known_for_s):
+    group = _Group(random.Random(1))
+    group.unanswering_instances = {"i2"}
+    now = timedelta(seconds=5)
+    listed = _participants(group, {"p"}).listed
+    leaving_since = {"p": now - timedelta(seconds=known_for_s)}
+    failover = _Failover(group, "done")
+    done = _run_attempt(
+        group,
+        failover,
+        True,
+        clock=_PassingClock(now),
+        participants=Participants(listed, [], leaving_since),
+    )
+    assert_that((done, group.is_unblocked), Equals((known_for_s > 0, not known_for_s)))
+
+
 def test_no_second_switchover_from_the_same_leader():
     """Another database leads already; the previous leader may be its replica."""
     group = _Group(random.Random(1))
