A commit that a holder holds back is answered as not run, and a write waits

Callers of an instance that holds no connections would have seen, in each switchover: an unknown outcome for a COMMIT that was never sent, and a refusal at once for a write, where those of a holder wait.

A holder that blocks commits refused the message, which the caller's instance takes for an error of the channel: the connection was dropped, and of a COMMIT nothing was known.

Change: the holder answers it as a statement that has not run. A single write is sent there again until half of its time is over, as the holder's own callers wait.

--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -437,7 +437,14 @@
         is_write = request.is_write or (shape is not None and shape.is_write)
         if is_commit or (is_write and link.state is TransactionState.IDLE):
             service = self._directory.service(self._served.database.service)
-            return await service.track_commit(execute)
+            try:
+                return await service.track_commit(execute)
+            except CodedError as error:
+                if error.code is not ResultCode.NO_PRIMARY:
+                    raise
+                # Nothing was sent: as an answer it leaves the connection usable, and
+                # the caller is told so.
+                return Reply(error=error.code, detail=error.detail, state=link.state)
         return await execute()
 
     async def _prepare_session(
--- a/goldcrestpond/serving/single_statement.py
+++ b/goldcrestpond/serving/single_statement.py
@@ -35,6 +35,9 @@
 # Each attempt that times out lengthens the next ones by this factor: a read that takes
 # longer than the first timeout on every database would otherwise never be answered.
 READ_ATTEMPT_GROWTH_FACTOR = 2
+# Pause before a write that a holder did not send is sent there again; a promotion takes
+# several hundred milliseconds.
+HELD_BACK_RETRY_PAUSE_S = 0.1
 
 
 class SingleStatement:
@@ -144,9 +147,21 @@
                 await anyio.sleep(pause.total_seconds())
 
     async def _write(self, deadline: timedelta) -> Reply:
+        admit_by = self._compute_admission_deadline(deadline)
+        while True:
+            reply = await self._write_once(deadline, admit_by)
+            # Only the holder of a connection knows that commits are blocked there.
+            is_held_back = reply.error is ResultCode.NO_PRIMARY
+            if not is_held_back or self._clock.now() >= admit_by:
+                reply.raise_error()
+                return reply
+            with self._stages.measure(PROOF):
+                await anyio.sleep(HELD_BACK_RETRY_PAUSE_S)
+
+    async def _write_once(self, deadline: timedelta, admit_by: timedelta) -> Reply:
         leader_verifier = self._directory.leader_verifier(self._service.name)
         with self._stages.measure(PROOF):
-            await self._service.admit_write(self._compute_admission_deadline(deadline))
+            await self._service.admit_write(admit_by)
             since = self._clock.now() - MAX_LEADER_CHECK_AGE
             leader = await leader_verifier.wait_for_leader(
                 since, leader_verifier.leader_wait_deadline(deadline)
@@ -163,8 +178,7 @@
             raise
         if reply.error is ResultCode.PRIMARY_REPLACED:
             self._service.record_leader_refusal(leader)
-        reply.raise_error()
-        if reply.position is not None:
+        if reply.error is None and reply.position is not None:
             self._service.record_leader_verified(leader, reply.position, asked_at)
         return reply
 
