An empty replica beside others that aren't counts as unread

Cause: an instance had not answered within 100 ms, so that the acknowledged position was not known, and no statement had read the replica that came back empty, so that nothing spoke against its log.

Change: a replica that is empty beside others that aren't counts as unread: the instances are asked again, and nothing is promoted until they tell what is acknowledged.

Result: test_empty_replica_counts_as_unread promoted a log in both cases before.

--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -483,13 +483,20 @@
         )
 
     def _lost_logs(self) -> frozenset[str]:
-        """Return names for the former logs of replicas that report to have less now."""
+        """Return names for the former logs of replicas that report to have less now.
+
+        One that has started again without its log may be known to have had none. It is
+        empty then, beside others that aren't.
+        """
         received = self._participants.received
-        return frozenset(
-            f"{database_id} up to {received[database_id]}"
-            for database_id, paused in self._paused.items()
-            if database_id in received and paused.received < received[database_id]
-        )
+        has_commits = any(paused.received.position for paused in self._paused.values())
+        lost = set()
+        for database_id, paused in self._paused.items():
+            if paused.received < received.get(database_id, paused.received):
+                lost.add(f"{database_id} up to {received[database_id]}")
+            elif has_commits and not paused.received.position:
+                lost.add(f"{database_id}, which is empty")
+        return frozenset(lost)
 
     async def _pause_unlisted(self, term: int) -> None:
         """Pause replicas that are no longer listed but may still run."""
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -477,7 +477,7 @@
 @pytest.mark.parametrize("is_shown", [True, False])
 def test_replica_that_reports_less_than_it_had_counts_as_unread(is_shown):
     group = _Group(random.Random(3))
-    group.log = {"p": 9, "a": 7, "b": 0, "c": 7}
+    group.log = {"p": 9, "a": 7, "b": 1, "c": 7}
     group.crashed, group.unanswering_instances = {"p"}, {"i1"}
     listed = _participants(group, ()).listed
     received = {"b": LogPosition(1, 9), "a": LogPosition(1, 6)} if is_shown else {}
@@ -487,11 +487,23 @@
     assert_that(is_promoted, Is(not is_shown))
 
 
+# Failure: an empty replica that nobody has read before counts as read, and a log that
+# lacks commits is promoted, while a busy instance doesn't say what it knows.
+@pytest.mark.parametrize("silent", [set(), {"i1"}])
+def test_empty_replica_counts_as_unread(silent):
+    group = _Group(random.Random(3))
+    group.log = {"p": 9, "a": 9, "b": 0, "c": 7}
+    group.acknowledged = group.acknowledged_by_instance["i2"] = 9
+    group.crashed, group.unanswering_instances = {"p"}, silent
+    is_promoted = _run_attempt(group, _Failover(group, "done"), False)
+    assert_that(is_promoted, Is(not silent))
+
+
 # Failure: a replica that starts again without its log while an attempt runs counts as
 # read, since what was unread is known from the beginning of the attempt.
 def test_replica_that_starts_again_during_an_attempt_counts_as_unread():
     group = _Group(random.Random(3))
-    group.log = {"p": 9, "a": 7, "b": 0, "c": 7}
+    group.log = {"p": 9, "a": 7, "b": 1, "c": 7}
     group.crashed, group.unanswering_instances = {"p"}, {"i1"}
     listed = _participants(group, ()).listed
     restarted = [replace(d, started_at_ms=5 * (d.database_id == "b")) for d in listed]
