A switchover waits a second for the commits in flight

Its caller had been told that the outcome is unknown.

Cause: the leader ran it later than the 300 ms for which commits in flight are waited for, and after its position had been read.

Change: it has the time of a statement, 1 s.

--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -47,6 +47,9 @@
 # Commits in flight are answered within milliseconds unless the leader is silent.
 COMMIT_WAIT = timedelta(milliseconds=300)
 NO_WAIT = timedelta(0)
+# A leader that works answers them all, if it is given the time of a statement. One that
+# it runs only after its position was read could be acknowledged without the candidate.
+SWITCHOVER_COMMIT_WAIT = timedelta(milliseconds=1000)
 # An instance that can't be asked to block commits learns of the claim from the store
 # within this time: it reads the registry once a second, and the claims of services
 # whose leader leaves several times a second.
@@ -362,7 +365,7 @@
         the candidate lacks from being acknowledged where the other fails: at a
         replica whose entry has not been read yet, or at an instance that is cut off.
         """
-        max_wait = COMMIT_WAIT if self._previous.is_leaving else NO_WAIT
+        max_wait = SWITCHOVER_COMMIT_WAIT if self._previous.is_leaving else NO_WAIT
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._block_commits, max_wait)
             tasks.start_soon(self._pause, replicas, term)
