A switchover is put off while commits are in flight

Its caller had been told that the outcome is unknown.

Cause: it was in flight when the wait was over, so that the leader ran it after its position had been read. A longer wait alone makes that rarer.

Change: instances tell whether commits are still in flight; a former release tells none. The attempt is given up then, until the leader has been known to leave for 3 s: it may end before a service under overload is idle.

--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -185,6 +185,7 @@
                     holder.name,
                     messages.to_position(sealed.position),
                     known_position=messages.to_position(sealed.known_position),
+                    has_in_flight=sealed.has_in_flight,
                 )
             except CodedError as error:
                 self._log.decision(
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -327,10 +327,13 @@
     known_position : tuple of int and int, or None
         Highest position at which a commit is known to be acknowledged; None if it knows
         of none, also from a former release.
+    has_in_flight : bool
+        Whether commits were still in flight; False from a former release.
     """
 
     position: _Position | None
     known_position: _Position | None = None
+    has_in_flight: bool = False
 
 
 class Release(Message, frozen=True):
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -383,7 +383,10 @@
             request.service, request.token, request.previous_leader, request.candidate
         )
         position = await service.block_commits(block, limit)
-        return messages.Sealed(position, service.commit_tracker.known_acknowledged)
+        tracker = service.commit_tracker
+        return messages.Sealed(
+            position, tracker.known_acknowledged, not tracker.is_idle
+        )
 
     def _require_held(self, service: str) -> None:
         if not self._directory.holds(service):
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -495,6 +495,7 @@
                 self._settings.instance,
                 own_position,
                 known_position=service.commit_tracker.known_acknowledged,
+                has_in_flight=not service.commit_tracker.is_idle,
             )
         )
         combined = combine_acknowledged(answers)
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -47,13 +47,15 @@
 # Commits in flight are answered within milliseconds unless the leader is silent.
 COMMIT_WAIT = timedelta(milliseconds=300)
 NO_WAIT = timedelta(0)
-# A leader that works answers them all, if it is given the time of a statement. One that
-# it runs only after its position was read could be acknowledged without the candidate.
+# A leader that works answers them all, if it is given the time of a statement.
 SWITCHOVER_COMMIT_WAIT = timedelta(milliseconds=1000)
 # An instance that can't be asked to block commits learns of the claim from the store
 # within this time: it reads the registry once a second, and the claims of services
 # whose leader leaves several times a second.
 SWITCHOVER_NOTICE = timedelta(milliseconds=1500)
+# A leader that is known to leave is replaced after this time also if commits are still
+# in flight: it may end before they do. Their callers are told that nothing is known.
+BUSY_SWITCHOVER_LIMIT = timedelta(milliseconds=3000)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -410,9 +412,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._stop_commits, others & reports.keys(), term)
             tasks.start_soon(self._pause_unlisted, term)
-        if not self._is_notice_given(leaving_since.get(leader_id)):
-            names = ", ".join(self._acknowledged.silent_instances)
-            self._give_up(f"instances that do not answer may send commits: {names}")
+        reason = self._find_reason_to_wait(leaving_since.get(leader_id))
+        if reason:
+            self._give_up(reason)
             return ""
         needed = [report.received for report in self._paused.values()]
         unread = (others | self._unlisted_ids()) - self._paused.keys()
@@ -434,14 +436,28 @@
         self._give_up(f"{candidate} does not catch up in time")
         return ""
 
-    def _is_notice_given(self, leaving_since: timedelta | None) -> bool:
-        """Return whether all instances know that the leader is being replaced.
+    def _find_reason_to_wait(self, leaving_since: timedelta | None) -> str:
+        """Return why a leaving leader is not replaced yet; empty if it may be.
 
-        One that does not answer has read it from the store in time, if it reaches that.
+        An instance that does not answer may send commits, until it has read from the
+        store that the leader is replaced. A commit in flight may be run by the leader
+        after its position was read.
         """
-        if not self._acknowledged.silent_instances or leaving_since is None:
-            return True
-        return self._clock.now() - leaving_since >= SWITCHOVER_NOTICE
+        if leaving_since is None:
+            return ""
+        known_for = self._clock.now() - leaving_since
+        silent, busy = (
+            ", ".join(names)
+            for names in (
+                self._acknowledged.silent_instances,
+                self._acknowledged.busy_instances,
+            )
+        )
+        if silent and known_for < SWITCHOVER_NOTICE:
+            return f"no answer from instances {silent}"
+        if busy and known_for < BUSY_SWITCHOVER_LIMIT:
+            return f"commits in flight at instances {busy}"
+        return ""
 
     async def _wait_caught_up(self, candidate: str, needed: list[LogPosition]) -> bool:
         began_at = self._clock.now()
--- a/goldcrestpond/serving/highest_acknowledged.py
+++ b/goldcrestpond/serving/highest_acknowledged.py
@@ -21,12 +21,15 @@
     known_position : LogPosition or None
         Highest position at which it knows a commit to be acknowledged; None if it knows
         of none.
+    has_in_flight : bool
+        Whether commits were still in flight, which their leader may run later.
     """
 
     instance: str
     position: LogPosition | None
     has_answered: bool = True
     known_position: LogPosition | None = None
+    has_in_flight: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +48,15 @@
     known_position : LogPosition or None
         Highest position at which those that answered know a commit to be acknowledged;
         None if they know of none. Unlike ``position`` it is no upper limit.
+    busy_instances : tuple of str
+        Those that had commits in flight.
     """
 
     position: LogPosition | None
     missing_instances: tuple[str, ...] = ()
     silent_instances: tuple[str, ...] = ()
     known_position: LogPosition | None = None
+    busy_instances: tuple[str, ...] = ()
 
 
 def combine_acknowledged(answers: Iterable[InstanceAnswer]) -> HighestAcknowledged:
@@ -58,10 +64,11 @@
     by_name = {answer.instance: answer for answer in answers}
     missing = sorted(name for name, each in by_name.items() if each.position is None)
     silent = sorted(name for name, each in by_name.items() if not each.has_answered)
+    busy = sorted(name for name, each in by_name.items() if each.has_in_flight)
     position = None
     if by_name and not missing:
         position = max(answer.position for answer in by_name.values())
     known = [each.known_position for each in by_name.values() if each.known_position]
     return HighestAcknowledged(
-        position, tuple(missing), tuple(silent), max(known, default=None)
+        position, tuple(missing), tuple(silent), max(known, default=None), tuple(busy)
     )
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -202,3 +202,18 @@
     assert_that(errors, Equals([ResultCode.ENDPOINT_BUSY] * 2))
     code = ResultCode.PEER_HOLDS_NOTHING.number
     assert_that(responses[2].code, Equals(code))
+
+
+# Failure: a holder does not tell that a commit is still in flight, and a switchover
+# that must wait for it is ordered.
+@pytest.mark.parametrize("count", [0, 1])
+async def test_holder_tells_whether_commits_are_in_flight(clock, count):
+    service = make_service(clock)
+    for _ in range(count):
+        service.commit_tracker.record_commit_sent()
+    directory = SimpleNamespace(service=lambda name: service)
+    session = _ChannelSession(None, directory, None, _SERVING)
+    sealed = await session._respond(messages.Seal("s", "d1", 0.0, "", 7))
+    assert_that(sealed.has_in_flight, Is(bool(count)))
+    body = messages.encode(sealed)[messages.LENGTH_BYTES :]
+    assert_that(messages.decode_response(body), Equals(sealed))
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -82,6 +82,7 @@
         self.senders = {}
         self.acknowledged_by_instance = dict.fromkeys(INSTANCES, 0)
         self.unanswering_instances = set()
+        self.busy_instances = set()
         self.blocked_instances = set()
         self.is_unblocked = False
         self.acknowledged = 0
@@ -154,7 +155,8 @@
             position = LogPosition(term, self.acknowledged_by_instance[name])
             number = self.acknowledged_by_instance[name]
             known = LogPosition(term, number) if number else None
-            answers.append(InstanceAnswer(name, position, known_position=known))
+            is_busy = name in self.busy_instances
+            answers.append(InstanceAnswer(name, position, True, known, is_busy))
         return combine_acknowledged(answers)
 
     async def unblock_commits(self, service, token):
@@ -550,12 +552,21 @@
     assert_that([group.paused[i] for i in ("a", "b")], Equals([8, 8]))
 
 
-# Failure: a switchover is ordered while an instance that does not answer may commit,
-# since it had no time yet to read from the store that the leader is replaced.
-@pytest.mark.parametrize("known_for_s", [0, 3])
-def test_switchover_waits_until_a_silent_instance_can_know_of_it(known_for_s):
+# Failure: a switchover is ordered while an instance that does not answer may commit, as
+# it had no time yet to read from the store that the leader is replaced; or while a
+# commit is in flight, which the leader may run after its position was read.
+@pytest.mark.parametrize(
+    ("kind", "known_for_s", "is_promoted"),
+    [
+        ("unanswering_instances", 0, False),
+        ("unanswering_instances", 2, True),
+        ("busy_instances", 2, False),
+        ("busy_instances", 4, True),
+    ],
+)
+def test_switchover_waits_for_instances(kind, known_for_s, is_promoted):
     group = _Group(random.Random(1))
-    group.unanswering_instances = {"i2"}
+    setattr(group, kind, {"i2"})
     now = timedelta(seconds=5)
     listed = _participants(group, {"p"}).listed
     leaving_since = {"p": now - timedelta(seconds=known_for_s)}
@@ -567,7 +578,7 @@
         clock=_PassingClock(now),
         participants=Participants(listed, [], leaving_since),
     )
-    assert_that((done, group.is_unblocked), Equals((known_for_s > 0, not known_for_s)))
+    assert_that((done, group.is_unblocked), Equals((is_promoted, not is_promoted)))
 
 
 def test_no_second_switchover_from_the_same_leader():
