The outage test waits until the primary is known to have failed

Cause: the tests gave the monitor 0.3 s to see that its primary had failed, and then asked for one. The monitor needs a poll (every 200 ms), and refusals over 60 ms, asked every 25 ms.

Change: the tests wait until the monitor knows, for 2 s at most, the target for a whole failover. Only then the 0.7 and 1.5 s begin in which no primary may be named, so these are all spent without one. The test over sockets also asserts the databases' terms, so that a promotion without a term can't be taken for a late detection.

--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -32,6 +32,8 @@
 from goldcrestpond.standin.platform_standin import run_platform
 from goldcrestpond.store.http_platform import HttpPlatform
 
+from .primary_loss import wait_until_lost
+
 CLOCK = SystemClock()
 LOGIN = Login("proxy", "depot")
 SETTINGS = DatabaseGroupSettings(
@@ -269,10 +271,12 @@
             monitor, _ = await site.start_monitor("p1")
             await site.write(monitor)
             site.group.kill(site.group.primary().name)
-            await anyio.sleep(0.3)
+            await wait_until_lost(monitor)
             with pytest.raises(CodedError) as raised:
                 await monitor.wait_primary(deadline_in(700))
             assert_that(raised.value.code, Is(ResultCode.NO_PRIMARY))
+            terms = [server.database.term for server in site.group.databases]
+            assert_that(terms, Equals([1, 1, 1]))
             site.platform.faults.down = False
             await site.write(monitor)
 
--- a/tests/test_group_monitor.py
+++ b/tests/test_group_monitor.py
@@ -27,6 +27,7 @@
 from .fake_connections import FakeEndpoints
 from .fake_group import Refused, make_group
 from .fake_platform import FakePlatform
+from .primary_loss import wait_until_lost
 
 
 @pytest.fixture
@@ -313,8 +314,8 @@
     async def scenario():
         await write_confirmed(monitor, endpoints, "x")
         endpoints.refusing.add("a")
+        await wait_until_lost(monitor)
         with pytest.raises(CodedError) as raised:
-            await anyio.sleep(0.3)
             await monitor.wait_primary(deadline_in(1500))
         assert_that(code_of(raised), Is(ResultCode.NO_PRIMARY))
         assert_that([d.term for d in databases.values()], Equals([1, 1, 1]))
