An unreadable outcome of a change is reported as unknown

What callers saw: an operator who repeats a change with an Idempotency-Key whose stored outcome another writer made unreadable got an internal error, which doesn't say whether the change took effect.

Change: the change is refused with OUTCOME_UNKNOWN, which names the row and says what to read. It isn't tried again, and nothing is written: an earlier attempt with the key may have taken effect, and the resource shows it.

Result: six new cases of tests/test_odd_rows.py fail before, with the decoder's errors in a group of exceptions, and pass after.

--- a/goldcrestpond/api/change_executor.py
+++ b/goldcrestpond/api/change_executor.py
@@ -22,6 +22,7 @@
     outcome_key,
 )
 from ..errors.coded_error import CodedError
+from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
 from ..store.condition import Condition
 from ..store.platform import Platform
@@ -124,6 +125,7 @@
             The change is refused and has no effect.
         CodedError
             IDEMPOTENCY_MISMATCH if the key belongs to another request;
+            OUTCOME_UNKNOWN if the outcome stored under the key is unreadable;
             PLATFORM_UNAVAILABLE if no attempt ended in time; the detail says
             whether the outcome is unknown, and the request may be repeated with
             the same key.
@@ -170,13 +172,16 @@
         row = await self._platform.read(outcome_key(change.key))
         if row is None or row.value is None:
             return None
-        stored = msgspec.json.decode(row.value, type=StoredOutcome)
+        try:
+            stored = msgspec.json.decode(row.value, type=StoredOutcome)
+            resource = decode_outcome_resource(stored, row.revision)
+        except DECODE_ERRORS as error:
+            detail = f"{row.key} is unreadable; read the resource: {error}"
+            raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail) from error
         if stored.digest != compute_request_digest(change.request):
             detail = "the idempotency key belongs to another request"
             raise CodedError(ResultCode.IDEMPOTENCY_MISMATCH, detail)
-        return ChangeOutcome(
-            stored.action, decode_outcome_resource(stored, row.revision)
-        )
+        return ChangeOutcome(stored.action, resource)
 
     async def _write(self, change: PendingChange, plan: ChangePlan) -> ChangeOutcome:
         batch = make_change_batch(change.request, plan, change.key)
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -8,11 +8,16 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from goldcrestpond.api.change_executor import ChangeExecutor
 from goldcrestpond.api.drain_progress_reader import DrainProgressReader
 from goldcrestpond.clock.manual_clock import ManualClock
+from goldcrestpond.configuration.change_action import ChangeAction
+from goldcrestpond.configuration.change_batch import compute_request_digest
+from goldcrestpond.configuration.change_request import ChangeRequest
 from goldcrestpond.configuration.configuration_change import ConfigurationChange
 from goldcrestpond.configuration.keys import resource_key
 from goldcrestpond.configuration.kind import Kind
+from goldcrestpond.configuration.stored_outcome import outcome_key
 from goldcrestpond.configuration.stored_resource import decode_resource_row
 from goldcrestpond.drain.drain_keys import DRAIN_PREFIX
 from goldcrestpond.drain.drain_phase import DrainPhase
@@ -39,6 +44,8 @@
 NESTED = b"[" * 20_000 + b"]" * 20_000
 ODD_VALUES = [b"?", b"{", b'{"more":' + NESTED + b"}", b'{"era":' + b"9" * 400 + b"}"]
 
+_CREATE = ChangeRequest(ChangeAction.CREATE, Kind.READ_POLICY, "p", {"max_age_ms": 1})
+
 
 class _ListingPlatform(FakePlatform):
     """Platform that also lists its rows."""
@@ -59,6 +66,14 @@
     return rows, ClaimWriter("i1", FakeRowStore(rows, era), era, clock)
 
 
+def _outcome(spec):
+    digest = compute_request_digest(_CREATE).encode()
+    return (
+        b'{"digest":"%s","action":"create","kind":"ReadPolicy","name":"p",'
+        b'"generation":1,"spec":%s}' % (digest, spec)
+    )
+
+
 def _claim(**fields):
     body = {"holder": "i2", "nonce": "n", "former": "d1", "state": "open"}
     return msgspec.json.encode(body | fields)
@@ -152,3 +167,18 @@
     reader = DrainProgressReader(platform)
     await reader._read_changes()
     assert_that(reader.read("order", 0), Equals([progress]))
+
+
+# Failure: an odd outcome under an operator's idempotency key ends the change with an
+# internal error, which doesn't say that an earlier attempt may have taken effect.
+@pytest.mark.parametrize(
+    "value", [*ODD_VALUES, _outcome(b'{"max_age_ms":[]}'), _outcome(NESTED)]
+)
+async def test_odd_outcome_of_a_change_is_reported_as_unknown(value):
+    platform = _ListingPlatform()
+    platform.rows[outcome_key("k")] = Row(outcome_key("k"), value, 1)
+    executor = ChangeExecutor(platform, random.Random(1), lambda: None, list)
+    with pytest.raises(CodedError) as raised:
+        await executor.execute(_CREATE, "k")
+    assert_that(raised.value.code, Is(ResultCode.OUTCOME_UNKNOWN))
+    assert_that(list(platform.rows), Equals([outcome_key("k")]))
