The shutdown test's callers log in before its time begins

Cause: the four callers logged in within the 0.3 s after which the test shuts the proxy down. Under that load one was still logging in, and was told the truth.

Change: the four log in first; then they write for 0.3 s before the shutdown, as the test means them to. What it asks of their writes is the same.

The trace shows the login as what failed; the failure was not brought about again.

--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import AsyncExitStack
 
 import anyio
 import psycopg
@@ -57,19 +58,23 @@
 async def test_stream_of_requests_ends_between_two_requests(site):
     confirmed_ids = []
 
-    async def write(writer_number):
-        async with await connect_with_psycopg(site) as caller:
-            with pytest.raises(psycopg.errors.AdminShutdown):
-                for turn in range(10_000):
-                    row_id = writer_number * 10_000 + turn
-                    await caller.execute(INSERT, (row_id,))
-                    confirmed_ids.append(row_id)
-
-    async with anyio.create_task_group() as tasks:
-        for number in range(4):
-            tasks.start_soon(write, number)
-        await anyio.sleep(0.3)
-        await site.proxies[0].shutdown.run()
+    async def write(writer_number, caller):
+        with pytest.raises(psycopg.errors.AdminShutdown):
+            for turn in range(10_000):
+                row_id = writer_number * 10_000 + turn
+                await caller.execute(INSERT, (row_id,))
+                confirmed_ids.append(row_id)
+
+    async with AsyncExitStack() as stack:
+        callers = [
+            await stack.enter_async_context(await connect_with_psycopg(site))
+            for _ in range(4)
+        ]
+        async with anyio.create_task_group() as tasks:
+            for number, caller in enumerate(callers):
+                tasks.start_soon(write, number, caller)
+            await anyio.sleep(0.3)
+            await site.proxies[0].shutdown.run()
     assert_that(len(confirmed_ids) > 0, Equals(True))
     assert_that(await _count_rows(site), Equals(len(confirmed_ids)))
 
