--- a/goldcrestpond/overload/admission.py
+++ b/goldcrestpond/overload/admission.py
@@ -28,14 +28,17 @@
         What is admitted.
     refused_count : int
         Statements that were refused.
+    is_stopped : bool
+        Whether the instance is about to end, so that there may be no time to answer.
     """
 
-    __slots__ = ("_clock", "_lag", "limit", "refused_count")
+    __slots__ = ("_clock", "_lag", "is_stopped", "limit", "refused_count")
 
     def __init__(self, clock: Clock, tasks: SupervisedTasks):
         self._clock = clock
         self.limit = LoadLimit()
         self.refused_count = 0
+        self.is_stopped = False
         self._lag = LoopLag(
             clock,
             tasks,
@@ -52,6 +55,17 @@
             "loop_lag_ms": self.limit.lag / timedelta(milliseconds=1),
         }
 
+    def require_time_left(self) -> None:
+        """Check that there is time to answer what begins now.
+
+        Raises
+        ------
+        CodedError
+            SHUTTING_DOWN if the instance is about to end; nothing was run.
+        """
+        if self.is_stopped:
+            raise CodedError(ResultCode.SHUTTING_DOWN, "not run")
+
     @contextmanager
     def admit(self, objective: timedelta) -> Iterator[None]:
         """Count a statement while the block runs it.
@@ -64,8 +78,10 @@
         Raises
         ------
         CodedError
-            OVERLOADED if this instance has too much to do; nothing was run.
+            OVERLOADED if this instance has too much to do, SHUTTING_DOWN if it is
+            about to end; nothing was run.
         """
+        self.require_time_left()
         if not self.limit.try_admit():
             self.refused_count += 1
             detail = (
--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -4,6 +4,7 @@
 import traceback
 from collections.abc import Callable
 from datetime import timedelta
+from enum import IntEnum
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -21,6 +22,7 @@
 from .line_buffer import LineBuffer
 from .receive_budget import ReceiveBudget
 
+_ABORT_REASON = "the instance is shutting down"
 RECEIVE_BYTES = 4096  # several statements of typical size
 # Callers wait this long for the answer to their CONNECT.
 FIRST_ANSWER_TIMEOUT = timedelta(seconds=2)
@@ -35,6 +37,18 @@
 )
 
 
+class ServingPhase(IntEnum):
+    """How far the stop of an instance has come."""
+
+    SERVING = 0
+    # Sessions end after an answer outside a transaction.
+    CLOSING = 1
+    # Transactions are rolled back after an answer.
+    ENDING = 2
+    # Sessions end.
+    ENDED = 3
+
+
 class CallerServer:
     """Serves the sessions of callers until the instance stops.
 
@@ -54,6 +68,8 @@
     ----------
     budget : ReceiveBudget
         Limit on the memory for messages of all callers.
+    phase : ServingPhase
+        How far the stop of the instance has come.
     """
 
     __slots__ = (
@@ -64,6 +80,7 @@
         "_open_session",
         "_session_keys",
         "budget",
+        "phase",
     )
 
     def __init__(
@@ -76,6 +93,7 @@
         self._directory = directory
         self._caller_limit = caller_limit
         self.budget = ReceiveBudget()
+        self.phase = ServingPhase.SERVING
         self._open_session = open_session
         self._log = log
         self._session_keys = itertools.count(1)
@@ -153,31 +171,39 @@
 
     def close_after_answers(self) -> None:
         """Close each session after its next answer outside a transaction."""
-        for connection in self._connections:
-            connection.closes_after_answer = True
+        self.phase = ServingPhase.CLOSING
+
+    async def end_transactions(self) -> None:
+        """Roll transactions back, those with a running statement after its answer."""
+        self.phase = ServingPhase.ENDING
+        async with anyio.create_task_group() as tasks:
+            for connection in list(self._connections):
+                tasks.start_soon(connection.abort, _ABORT_REASON)
 
     def close_idle_sessions(self) -> None:
         """Close the sessions without a running statement or open transaction."""
         for connection in list(self._connections):
             connection.close_when_idle()
 
-    async def abort_transactions(self) -> None:
-        """Roll back the transactions in which no statement is running."""
+    def interrupt_statements(self) -> None:
+        """Answer the running statements with what is known, and end all sessions."""
+        self.phase = ServingPhase.ENDED
         for connection in list(self._connections):
-            await connection.abort("shutting down")
+            connection.interrupt()
 
 
 class _CallerConnection:
     """Connection of one caller and its session."""
 
     __slots__ = (
+        "_is_sending",
         "_lines",
         "_receive_scope",
+        "_scope",
         "_sender",
         "_server",
         "_session",
         "_stream",
-        "closes_after_answer",
         "key",
     )
 
@@ -188,7 +214,8 @@
         self._server = server
         self._session: CallerSession | None = None
         self._receive_scope: anyio.CancelScope | None = None
-        self.closes_after_answer = False
+        self._scope = anyio.CancelScope()
+        self._is_sending = False
         self.key = key
 
     @property
@@ -204,9 +231,15 @@
 
     @property
     def _can_close(self) -> bool:
-        """Whether closing the session would not roll back a healthy transaction."""
+        """Whether closing the session loses no healthy transaction and no answer."""
+        if self._session is None or self._session.has_untold_abort:
+            return False
         return self._transaction_state is not TransactionState.OPEN
 
+    @property
+    def _closes_after_answer(self) -> bool:
+        return self._server.phase >= ServingPhase.CLOSING
+
     async def refuse(self, error: CodedError) -> None:
         """Send the error after the caller's first message has arrived."""
         # Closing with unread data resets the connection, and the error is lost.
@@ -217,20 +250,32 @@
     async def run(self) -> None:
         """Answer the caller's messages in order."""
         try:
-            if not await self._start_session():
-                return
-            while await self._answer_next_message():
-                pass
+            with self._scope:
+                if not await self._start_session():
+                    return
+                while await self._answer_next_message():
+                    pass
         except CodedError as error:
             await self._send_error(error)
             raise
+        if self._session is not None and self._session.interrupted_reply is not None:
+            await self._send_reply(self._session.interrupted_reply)
 
     async def _send_error(self, error: CodedError) -> None:
         await self._sender.send(codec.encode_error(error.code, error.text))
 
+    async def _send_reply(self, reply: Reply) -> None:
+        self._is_sending = True
+        await self._sender.send(codec.encode_reply(reply))
+        self._is_sending = False
+
+    def interrupt(self) -> None:
+        """End the session; a running statement is answered with what is known."""
+        if not self._is_sending:
+            self._scope.cancel()
+
     def close_when_idle(self) -> None:
-        """Close the session once no statement runs and no transaction is open."""
-        self.closes_after_answer = True
+        """Close the session unless a statement runs or a transaction is open."""
         if self._receive_scope is not None and self._can_close:
             self._receive_scope.cancel()
 
@@ -255,6 +300,8 @@
             raise CodedError(
                 ResultCode.MALFORMED_FRAME, "the first message must be CONNECT"
             )
+        if self._server.phase >= ServingPhase.ENDING:
+            raise CodedError(ResultCode.SHUTTING_DOWN)
         self._session = await self._server.open_session(self.key, message)
         await self._sender.send(codec.encode_ready(TransactionState.IDLE))
         return True
@@ -265,9 +312,12 @@
             return False
         if not isinstance(message, codec.Query):
             raise CodedError(ResultCode.MALFORMED_FRAME, "the session is already open")
-        reply = await self._run_query(message)
-        await self._sender.send(codec.encode_reply(reply))
-        return self.is_in_transaction or not self.closes_after_answer
+        await self._send_reply(await self._run_query(message))
+        if self._server.phase is ServingPhase.ENDED:
+            return False
+        if self._server.phase is ServingPhase.ENDING:
+            await self._session.abort(_ABORT_REASON)
+        return self.is_in_transaction or not self._closes_after_answer
 
     async def _run_query(self, query: codec.Query) -> Reply:
         try:
@@ -310,7 +360,7 @@
                 self._receive_scope = None
                 return data
             self._receive_scope = None
-            if self.closes_after_answer and self._can_close:
+            if self._closes_after_answer and self._can_close:
                 return None
             if self._session is not None:
                 await self._session.abort("idle for too long")
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -36,6 +36,7 @@
 # connection without traffic is detected as lost before this time.
 REQUEST_TIMEOUT_S = 15.0
 _MILLISECOND = timedelta(milliseconds=1)
+_ENDING = "the holder is shutting down"
 AnswerFollower = Callable[[messages.Follow], Awaitable[messages.Followed]]
 
 
@@ -50,9 +51,20 @@
         Answers a request for the changes of the store's tables.
     admission : Admission
         Refuses statements that this instance has no processor time for.
+
+    Attributes
+    ----------
+    is_ending : bool
+        Whether the instance ends soon, and sends nothing new to a database.
     """
 
-    __slots__ = ("_admission", "_answer_follower", "_directory", "_sessions")
+    __slots__ = (
+        "_admission",
+        "_answer_follower",
+        "_directory",
+        "_sessions",
+        "is_ending",
+    )
 
     def __init__(
         self,
@@ -64,17 +76,29 @@
         self._answer_follower = answer_follower
         self._admission = admission
         self._sessions: set[_ChannelSession] = set()
+        self.is_ending = False
 
     @property
     def has_work(self) -> bool:
         """Whether connections are lent, or statements run, for other instances."""
         return any(session.has_work for session in self._sessions)
 
+    async def end_transactions(self) -> None:
+        """Take on nothing new; roll transactions back, if need be after an answer."""
+        self.is_ending = True
+        async with anyio.create_task_group() as tasks:
+            for session in list(self._sessions):
+                tasks.start_soon(session.end_transaction)
+
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve one channel until it is closed or fails."""
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
         session = _ChannelSession(
-            Channel(stream), self._directory, self._answer_follower, self._admission
+            Channel(stream),
+            self._directory,
+            self._answer_follower,
+            self._admission,
+            lambda: self.is_ending,
         )
         self._sessions.add(session)
         try:
@@ -97,6 +121,9 @@
         "_channel",
         "_charge",
         "_directory",
+        "_is_ending",
+        "_is_responding",
+        "_is_rolled_back",
         "_is_running",
         "_link",
         "_served",
@@ -108,12 +135,17 @@
         directory: Directory,
         answer_follower: AnswerFollower,
         admission: Admission,
+        is_ending: Callable[[], bool],
     ):
         self._admission = admission
         self._answer_follower = answer_follower
+        self._is_ending = is_ending
         self._channel = channel
         self._directory = directory
         self._charge: Any = None
+        self._is_responding = False
+        # Whether the borrower's transaction was rolled back between two statements.
+        self._is_rolled_back = False
         self._is_running = False
         self._link: Link | None = None
         self._served: ServedDatabase | None = None
@@ -128,13 +160,29 @@
         while True:
             request = messages.decode_request(await self._channel.receive())
             if isinstance(request, messages.Return):
+                self._is_rolled_back = False
                 await self._return_link(request.is_broken)
                 continue
+            self._is_responding = True
             try:
                 response = await self._respond(request)
             except CodedError as error:
                 response = messages.to_refused(error)
             await self._channel.send(response)
+            self._is_responding = False
+            if self._is_ending():
+                await self.end_transaction()
+
+    async def end_transaction(self) -> None:
+        """Roll back the borrower's transaction unless a statement of it runs."""
+        link = self._link
+        if self._is_responding or link is None or link.state is TransactionState.IDLE:
+            return
+        self._is_rolled_back = True
+        self._directory.log.decision(
+            "transaction aborted", database=self._served.database_id, reason=_ENDING
+        )
+        await self._return_link(is_broken=False)
 
     async def aclose(self) -> None:
         """Roll back an open transaction and close the channel."""
@@ -142,6 +190,10 @@
         await self._channel.aclose()
 
     async def _respond(self, request: messages.Request) -> messages.Response:
+        if self._is_ending():
+            refusal = self._refuse_new(request)
+            if refusal is not None:
+                return refusal
         match request:
             case messages.Lend():
                 return await self._check_out(request)
@@ -182,6 +234,23 @@
             self._link.is_broken = True
             raise
 
+    def _refuse_new(self, request: messages.Request) -> messages.Response | None:
+        """Refuse what may not be answered in time; None for what may go on."""
+        match request:
+            case messages.Lend() | messages.Run():
+                raise CodedError(ResultCode.PEER_HOLDS_NOTHING, _ENDING)
+            case messages.Rollback() if self._is_rolled_back:
+                return messages.to_answer(Reply())
+            case messages.Execute() if self._is_rolled_back:
+                reply = Reply(error=ResultCode.ROLLED_BACK, detail=_ENDING)
+                return messages.to_answer(reply)
+            case messages.Execute() | messages.Begin():
+                if self._link is None or self._link.state is not TransactionState.IDLE:
+                    return None
+                reply = Reply(error=ResultCode.ENDPOINT_BUSY, detail=_ENDING)
+                return messages.to_answer(reply)
+        return None
+
     async def _check_out(self, request: messages.Lend) -> messages.Response:
         await self._return_link(is_broken=False)
         service = self._directory.services.get(request.service)
--- a/goldcrestpond/root/instance.py
+++ b/goldcrestpond/root/instance.py
@@ -484,7 +484,9 @@
         self._tasks.start_soon(self._stop_serving_in_time)
         await shut_down(
             self.callers,
-            lambda: self._relay_server.has_work,
+            self._relay_server,
+            self._admission,
+            self._leader_monitor,
             self._settings.grace_s,
             self._clock,
             self._log,
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -61,6 +61,11 @@
         Source of jitter.
     log : DecisionLog
         Receives the log lines.
+
+    Attributes
+    ----------
+    interrupted_reply : Reply or None
+        Reply to the statement that was running when the session was cancelled.
     """
 
     __slots__ = (
@@ -80,6 +85,7 @@
         "_stages",
         "_state",
         "_transaction",
+        "interrupted_reply",
     )
 
     def __init__(
@@ -111,6 +117,12 @@
         self._stages = StageTimes(clock)
         self._last_commits: dict[str, LogPosition] = {}
         self._transaction: OpenTransaction | None = None
+        self.interrupted_reply: Reply | None = None
+
+    @property
+    def has_untold_abort(self) -> bool:
+        """Whether the transaction was rolled back and the caller was not told yet."""
+        return self._transaction is not None and bool(self._transaction.abort_reason)
 
     @property
     def transaction_state(self) -> TransactionState:
@@ -136,20 +148,30 @@
         """Run one statement; errors become replies."""
         arrived_at = self._clock.now()
         self._stages = StageTimes(self._clock)
+        transaction = self._transaction
         try:
             reply = await self._run(statement, arrived_at)
         except CodedError as error:
             reply = self._make_error_reply(statement, error, arrived_at)
+        except anyio.get_cancelled_exc_class():
+            if transaction is not None:
+                transaction.has_failed = True
+            error = self._make_interrupted_error(statement, transaction)
+            reply = self._make_error_reply(statement, error, arrived_at)
+            reply.state = self.transaction_state
+            self.interrupted_reply = reply
+            raise
         self._record_metrics(statement, reply, self._clock.now() - arrived_at)
         reply.state = self.transaction_state
         return reply
 
     async def abort(self, reason: str) -> None:
-        """Roll back an open transaction; its next statement fails."""
+        """Roll back an open transaction; its next statement is refused with this."""
         transaction = self._transaction
         if transaction is None or transaction.has_failed:
             return
         transaction.has_failed = True
+        transaction.abort_reason = reason
         self._log.decision(
             "transaction aborted", session=self._caller_key, reason=reason
         )
@@ -171,6 +193,7 @@
             return Reply()
         route = self._directory.route(self._database)
         if statement.kind is StatementKind.BEGIN:
+            self._admission.require_time_left()
             self._identify(route)
             self._begin(route, statement, arrived_at)
             return Reply()
@@ -266,6 +289,9 @@
         if statement.kind is StatementKind.COMMIT:
             self._transaction = None
             return await self._commit(transaction, statement, arrived_at)
+        if transaction.abort_reason:
+            reason, transaction.abort_reason = transaction.abort_reason, ""
+            raise CodedError(ResultCode.ROLLED_BACK, reason)
         if transaction.has_failed:
             raise CodedError(ResultCode.TRANSACTION_FAILED)
         if statement.kind is StatementKind.BEGIN:
@@ -298,7 +324,8 @@
         runner = self._make_runner(transaction)
         if transaction.has_failed:
             await runner.return_link()
-            raise CodedError(ResultCode.ROLLED_BACK, "the transaction had failed")
+            detail = transaction.abort_reason or "the transaction had failed"
+            raise CodedError(ResultCode.ROLLED_BACK, detail)
         try:
             self._identify_in_transaction(transaction)
             # Made after the check, which says for whom the statement runs.
@@ -348,6 +375,20 @@
                 self._stages,
             )
 
+    def _make_interrupted_error(
+        self, statement: Statement, transaction: OpenTransaction | None
+    ) -> CodedError:
+        """Return what is known of a statement that was not waited for any longer."""
+        detail = "the instance ends"
+        is_commit = statement.kind is StatementKind.COMMIT
+        if transaction is None:
+            is_unknown = self._state.is_write(statement)
+            code = ResultCode.ANSWER_INTERRUPTED
+        else:
+            is_unknown = is_commit and transaction.has_written
+            code = ResultCode.ROLLED_BACK
+        return CodedError(ResultCode.OUTCOME_UNKNOWN if is_unknown else code, detail)
+
     def _make_error_reply(
         self, statement: Statement, error: CodedError, arrived_at: timedelta
     ) -> Reply:
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -95,6 +95,8 @@
 
     Attributes
     ----------
+    is_stopping : bool
+        Whether the process ends soon, so that it begins to replace no further leader.
     suspicions_copy : TableCopy
         The table of the suspicions. An instance that suspects a leader also reads the
         table directly, so this copy only informs the instances that don't.
@@ -127,6 +129,7 @@
         "_unended",
         "_written_at",
         "_written_era",
+        "is_stopping",
         "suspicions_copy",
     )
 
@@ -163,6 +166,7 @@
         self._written_era = 0
         self._next_attempt_at: dict[str, timedelta] = {}
         self._running: set[str] = set()
+        self.is_stopping = False
         # Services with an attempt of which something may be left.
         self._unended: set[str] = set()
         self._next_recovery_at: dict[str, timedelta] = {}
@@ -182,6 +186,11 @@
             TABLE, self._replace_suspicions, self._update_suspicions
         )
 
+    @property
+    def is_replacing(self) -> bool:
+        """Whether a leader is being replaced, or what is left of that ended, here."""
+        return bool(self._running)
+
     async def run(self) -> None:
         """Monitor the leaders until cancelled."""
         if self._failover is None:
@@ -209,7 +218,7 @@
         if self._directory.holds(service.name):
             self._prover.check(service)
             self._recorder.check(service)
-        if service.name in self._running or not service.databases:
+        if service.name in self._running or not service.databases or self.is_stopping:
             return
         self._check_unended(service, now)
         if not self._directory.holds(service.name) or service.name in self._running:
--- a/goldcrestpond/serving/open_transaction.py
+++ b/goldcrestpond/serving/open_transaction.py
@@ -28,6 +28,9 @@
         Time at which the transaction began.
     has_failed : bool
         Whether the transaction failed and can only be ended.
+    abort_reason : str
+        Why this process has rolled it back between two statements; empty once the
+        caller was told.
     has_written : bool
         Whether a write was sent in the transaction.
     link : Link or None
@@ -41,6 +44,7 @@
     is_read_only: bool
     began_at: timedelta
     has_failed: bool = False
+    abort_reason: str = ""
     has_written: bool = False
     link: Link | None = None
     served: ServedDatabase | None = None
--- a/goldcrestpond/standin/line_group.py
+++ b/goldcrestpond/standin/line_group.py
@@ -1,6 +1,7 @@
 """Replicated databases behind the line protocol: logs, terms and replication."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -175,6 +176,8 @@
         statement that ran.
     callers : dict of str to str
         Name of who connected, by the id of each request that ran.
+    draw_work_s : callable
+        Returns the time in seconds that the next read or write takes.
     """
 
     def __init__(
@@ -189,6 +192,7 @@
         self.lost_acknowledged: list[LineEntry] = []
         self.executions: list[tuple[str, str, str]] = []
         self.callers: dict[str, str] = {}
+        self.draw_work_s: Callable[[], float] = lambda: 0.0
         self._acknowledged: list[AcknowledgedCommit] = []
         self._change_event = asyncio.Event()
 
--- a/goldcrestpond/standin/line_session.py
+++ b/goldcrestpond/standin/line_session.py
@@ -1,5 +1,6 @@
 """One session at a database that speaks the line protocol."""
 
+import asyncio
 import itertools
 
 from ..group.log_position import LogPosition
@@ -74,6 +75,11 @@
         self._group.executions.append((database_id, request_id, kind))
         self._group.callers[request_id] = self.caller
 
+    async def _work(self) -> None:
+        work_s = self._group.draw_work_s()
+        if work_s:
+            await asyncio.sleep(work_s)
+
     async def _do_begin(self, request_id: str, rest: str) -> list[str]:
         if not rest and not self._is_primary():
             return [f"ERROR READONLY {self._database.database_id}"]
@@ -96,6 +102,7 @@
 
     async def _do_read(self, request_id: str, rest: str) -> list[str]:
         self._record(request_id, "READ")
+        await self._work()
         row = f"ROW {self._database.read(rest)} {sorted(self._values.items())}"
         return [row, *self._make_completion(request_id)]
 
@@ -103,6 +110,7 @@
         if not self._is_primary():
             return [f"ERROR READONLY {self._database.database_id}"]
         self._record(request_id, "WRITE")
+        await self._work()
         item, _, data = rest.partition(" ")
         self._pending_writes.append((item, data))
         if self._status == "I":
--- a/tests/line_world.py
+++ b/tests/line_world.py
@@ -140,6 +140,10 @@
         """Configure organisations by name with their keys; wait until in force."""
         bodies = [make_organisation_body(name, each) for name, each in keys.items()]
         self.configure(organisations=bodies, **more)
+        await self.until_in_force()
+
+    async def until_in_force(self):
+        """Wait until the configuration written last is in force everywhere."""
         with anyio.fail_after(5):
             while any(i.directory.table.version < self.version for i in self.instances):
                 await anyio.sleep(0.01)
--- a/tests/platform/test_instance_stop.py
+++ b/tests/platform/test_instance_stop.py
@@ -10,7 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, StartsWith
 
-from ..line_world import GRACE_S, line_world
+from ..line_world import GRACE_S, LineCaller, line_world
 
 PAUSE_S = 0.005  # longer than a close takes to arrive on loopback
 
@@ -94,6 +94,89 @@
     _run(body)
 
 
+# Failure: a transaction of which a statement runs at half of the grace period goes on
+# with further statements, and is cut without an answer when the process ends.
+def test_transaction_whose_statement_runs_at_half_of_the_grace_period():
+    async def body(world, tasks):
+        world.group.draw_work_s = lambda: GRACE_S * 0.2
+        async with world.caller("aged") as caller:
+            await caller.ask("BEGIN READ")
+            tasks.start_soon(world.instances[0].stop)
+            await anyio.sleep(GRACE_S * 0.4)
+            lines = await caller.ask("READ a")
+            assert_that((lines[0][:4], lines[-1][:7]), Equals(("ROW ", "READY T")))
+            run_count = len(world.group.executions)
+            await anyio.sleep(GRACE_S * 0.1)
+            assert_that((await caller.ask("READ a"))[0], StartsWith("ERROR ABORTED"))
+            assert_that((await caller.ask("ROLLBACK"))[-1], StartsWith("READY I"))
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await caller.ask("READ a")
+        assert_that(len(world.group.executions), Equals(run_count))
+
+    _run(body)
+
+
+# Failure: a caller whose transaction was rolled back by the stop gets a close in place
+# of the answer that nothing of it is kept.
+@pytest.mark.parametrize("text", ["WRITE a 2", "COMMIT"])
+def test_caller_is_told_that_the_stop_has_rolled_its_transaction_back(text):
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            tasks.start_soon(world.instances[0].stop)
+            await anyio.sleep(GRACE_S * 0.6)
+            assert_that((await caller.ask(text))[0], StartsWith("ERROR ABORTED"))
+        assert_that(world.group.databases["d1"].read("a"), Equals("-"))
+
+    _run(body)
+
+
+# Failure: a statement that a database still works on when the process ends is cut.
+@pytest.mark.parametrize(
+    ("opening", "text", "answer"),
+    [
+        ("", "READ a", "ERROR TIMEOUT"),
+        ("", "WRITE a 1", "ERROR INDOUBT"),
+        ("BEGIN READ", "READ a", "ERROR ABORTED"),
+        ("BEGIN", "WRITE a 1", "ERROR ABORTED"),
+    ],
+)
+def test_statement_that_runs_until_the_end_is_answered(opening, text, answer):
+    async def body(world, tasks):
+        world.configure(timeout_ms=10_000, objective_ms=10_000)
+        await world.until_in_force()
+        world.group.draw_work_s = lambda: GRACE_S * 2
+        async with world.caller("own") as caller:
+            if opening:
+                await caller.ask(opening)
+            tasks.start_soon(world.instances[0].stop)
+            await anyio.sleep(GRACE_S * 0.1)
+            with anyio.fail_after(GRACE_S * 0.85):
+                assert_that((await caller.ask(text))[0], StartsWith(answer))
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await caller.ask("READ a")
+
+    _run(body)
+
+
+# Failure: a caller that connects when there may be no time to answer its statements is
+# accepted; they are sent to a database, and cut when the process ends.
+def test_caller_that_connects_in_the_second_half_is_refused():
+    async def body(world, tasks):
+        async with world.caller("own") as caller:
+            await caller.ask("BEGIN")  # keeps the instance from ending
+            tasks.start_soon(world.instances[0].stop)
+            await anyio.sleep(GRACE_S * 0.6)
+            host, port = world.instances[0].caller_address
+            late_caller = LineCaller(await anyio.connect_tcp(host, port))
+            assert_that(await late_caller.connect("own"), StartsWith("ERROR BUSY"))
+            await late_caller.aclose()
+        assert_that(world.group.executions, Equals([]))
+
+    _run(body)
+
+
 def test_idle_session_is_closed_within_the_grace_period():
     async def body(world, tasks):
         async with world.caller("own") as caller:
--- a/tests/serving/test_caller_session.py
+++ b/tests/serving/test_caller_session.py
@@ -217,3 +217,18 @@
     }
     found = {case: anyio.run(run, *case) for case in expected}
     assert_that(found, Equals(expected))
+
+
+# Failure: a statement that arrives when there may be no time to answer it is sent to a
+# database, and cut when the process ends.
+@pytest.mark.parametrize("text", ["READ a", "WRITE a 1", "BEGIN"])
+def test_nothing_begins_once_the_instance_is_about_to_end(text, monkeypatch):
+    async def run():
+        world = World()
+        world.patch(monkeypatch)
+        world.session._admission.is_stopped = True
+        reply = await world.session.run(decode_statement(Query("q1", text)))
+        assert_that(reply.error, Is(ResultCode.SHUTTING_DOWN))
+        assert_that(world.ran, Equals([]))
+
+    anyio.run(run)
