--- a/goldcrestpond/overload/admission.py
+++ b/goldcrestpond/overload/admission.py
@@ -30,6 +30,7 @@
         Statements that were refused.
     is_stopped : bool
         Whether the instance is about to end, so that there may be no time to answer.
+        Nothing new is sent to a database then, for callers here or elsewhere.
     """
 
     __slots__ = ("_clock", "_lag", "is_stopped", "limit", "refused_count")
--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -232,7 +232,7 @@
     @property
     def _can_close(self) -> bool:
         """Whether closing the session loses no healthy transaction and no answer."""
-        if self._session is None or self._session.has_untold_abort:
+        if self._session is None or self._session.has_unreported_abort:
             return False
         return self._transaction_state is not TransactionState.OPEN
 
--- a/goldcrestpond/relay/holders.py
+++ b/goldcrestpond/relay/holders.py
@@ -184,7 +184,7 @@
                 answer = InstanceAnswer(
                     holder.name,
                     messages.to_position(sealed.position),
-                    answered=messages.to_position(sealed.answered),
+                    known_position=messages.to_position(sealed.known_position),
                 )
             except CodedError as error:
                 self._log.decision(
--- a/goldcrestpond/relay/messages.py
+++ b/goldcrestpond/relay/messages.py
@@ -324,13 +324,13 @@
     ----------
     position : tuple of int and int, or None
         The position.
-    answered : tuple of int and int, or None
-        Highest position at which a commit was acknowledged; None if unknown, also from
-        a former release.
+    known_position : tuple of int and int, or None
+        Highest position at which a commit is known to be acknowledged; None if it knows
+        of none, also from a former release.
     """
 
     position: _Position | None
-    answered: _Position | None = None
+    known_position: _Position | None = None
 
 
 class Release(Message, frozen=True):
--- a/goldcrestpond/relay/relay_server.py
+++ b/goldcrestpond/relay/relay_server.py
@@ -50,21 +50,11 @@
     answer_follower : callable
         Answers a request for the changes of the store's tables.
     admission : Admission
-        Refuses statements that this instance has no processor time for.
-
-    Attributes
-    ----------
-    is_ending : bool
-        Whether the instance ends soon, and sends nothing new to a database.
+        Refuses statements that this instance has no processor time for, or no time
+        left to answer.
     """
 
-    __slots__ = (
-        "_admission",
-        "_answer_follower",
-        "_directory",
-        "_sessions",
-        "is_ending",
-    )
+    __slots__ = ("_admission", "_answer_follower", "_directory", "_sessions")
 
     def __init__(
         self,
@@ -76,7 +66,6 @@
         self._answer_follower = answer_follower
         self._admission = admission
         self._sessions: set[_ChannelSession] = set()
-        self.is_ending = False
 
     @property
     def has_work(self) -> bool:
@@ -84,8 +73,10 @@
         return any(session.has_work for session in self._sessions)
 
     async def end_transactions(self) -> None:
-        """Take on nothing new; roll transactions back, if need be after an answer."""
-        self.is_ending = True
+        """Roll transactions back, those with a running statement after its answer.
+
+        To be called once the admission is stopped.
+        """
         async with anyio.create_task_group() as tasks:
             for session in list(self._sessions):
                 tasks.start_soon(session.end_transaction)
@@ -94,11 +85,7 @@
         """Serve one channel until it is closed or fails."""
         set_timeouts(stream.extra(SocketAttribute.raw_socket))
         session = _ChannelSession(
-            Channel(stream),
-            self._directory,
-            self._answer_follower,
-            self._admission,
-            lambda: self.is_ending,
+            Channel(stream), self._directory, self._answer_follower, self._admission
         )
         self._sessions.add(session)
         try:
@@ -121,7 +108,6 @@
         "_channel",
         "_charge",
         "_directory",
-        "_is_ending",
         "_is_responding",
         "_is_rolled_back",
         "_is_running",
@@ -135,11 +121,9 @@
         directory: Directory,
         answer_follower: AnswerFollower,
         admission: Admission,
-        is_ending: Callable[[], bool],
     ):
         self._admission = admission
         self._answer_follower = answer_follower
-        self._is_ending = is_ending
         self._channel = channel
         self._directory = directory
         self._charge: Any = None
@@ -170,7 +154,7 @@
                 response = messages.to_refused(error)
             await self._channel.send(response)
             self._is_responding = False
-            if self._is_ending():
+            if self._admission.is_stopped:
                 await self.end_transaction()
 
     async def end_transaction(self) -> None:
@@ -190,7 +174,7 @@
         await self._channel.aclose()
 
     async def _respond(self, request: messages.Request) -> messages.Response:
-        if self._is_ending():
+        if self._admission.is_stopped:
             refusal = self._refuse_new(request)
             if refusal is not None:
                 return refusal
@@ -399,7 +383,7 @@
             request.service, request.token, request.previous_leader, request.candidate
         )
         position = await service.block_commits(block, limit)
-        return messages.Sealed(position, service.commit_tracker.answered)
+        return messages.Sealed(position, service.commit_tracker.known_acknowledged)
 
     def _require_held(self, service: str) -> None:
         if not self._directory.holds(service):
@@ -442,8 +426,8 @@
             except CodedError as error:
                 if error.code is not ResultCode.NO_PRIMARY:
                     raise
-                # Nothing was sent: as an answer it leaves the connection usable, and
-                # the caller is told so.
+                # Nothing was sent. An error of the channel would say less, and end
+                # the use of the connection.
                 return Reply(error=error.code, detail=error.detail, state=link.state)
         return await execute()
 
--- a/goldcrestpond/root/instance_shutdown.py
+++ b/goldcrestpond/root/instance_shutdown.py
@@ -35,7 +35,7 @@
         """Whether connections are lent, or statements run."""
 
     async def end_transactions(self) -> None:
-        """Take on nothing new; roll transactions back after an answer."""
+        """Roll transactions back, those with a running statement after its answer."""
 
 
 async def shut_down(
--- a/goldcrestpond/serving/caller_session.py
+++ b/goldcrestpond/serving/caller_session.py
@@ -120,8 +120,8 @@
         self.interrupted_reply: Reply | None = None
 
     @property
-    def has_untold_abort(self) -> bool:
-        """Whether the transaction was rolled back and the caller was not told yet."""
+    def has_unreported_abort(self) -> bool:
+        """Whether the transaction was rolled back and the caller does not know yet."""
         return self._transaction is not None and bool(self._transaction.abort_reason)
 
     @property
--- a/goldcrestpond/serving/choose_candidate.py
+++ b/goldcrestpond/serving/choose_candidate.py
@@ -92,8 +92,9 @@
     if not paused:
         return CandidateChoice("", "no replica was read")
     longest = max(report.received for report in paused.values())
-    if acknowledged.answered is not None and longest < acknowledged.answered:
-        detail = f"longest log {longest} lacks {acknowledged.answered}, acknowledged"
+    known = acknowledged.known_position
+    if known is not None and longest < known:
+        detail = f"longest log {longest} lacks {known}, which is acknowledged"
         return CandidateChoice("", detail)
     return _choose_longest(paused, longest, leaving_since)
 
--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -24,10 +24,10 @@
         Upper limit of the acknowledged commits that this process, or an earlier
         process of this instance, has sent; None until this process has verified a
         leader.
-    answered : LogPosition or None
+    known_acknowledged : LogPosition or None
         Highest position at which this process knows a commit to be acknowledged; None
         if it knows of none. The last leader that it has verified has this commit.
-    seal_count : int
+    give_up_count : int
         How often commits in flight were given up: their answers count as unknown.
     """
 
@@ -39,14 +39,14 @@
         "_in_flight",
         "_set_at",
         "acknowledged",
-        "answered",
-        "seal_count",
+        "give_up_count",
+        "known_acknowledged",
     )
 
     def __init__(self) -> None:
         self.acknowledged: LogPosition | None = None
-        self.answered: LogPosition | None = None
-        self.seal_count = 0
+        self.known_acknowledged: LogPosition | None = None
+        self.give_up_count = 0
         self._ended_token = 0
         self._in_flight = 0
         self._blocked_at = timedelta.min
@@ -75,17 +75,17 @@
     def record_answer(self, position: LogPosition) -> None:
         """Record that a commit was acknowledged at a position."""
         self.acknowledged = max(position, self.acknowledged or position)
-        self.answered = max(position, self.answered or position)
+        self.known_acknowledged = max(position, self.known_acknowledged or position)
 
-    def record_answered_elsewhere(self, position: LogPosition | None) -> None:
+    def record_known_acknowledged(self, position: LogPosition | None) -> None:
         """Record at which position another instance has seen a commit acknowledged."""
         if position is not None:
-            self.answered = max(position, self.answered or position)
+            self.known_acknowledged = max(position, self.known_acknowledged or position)
 
     def record_leader_change(self, position: LogPosition) -> None:
         """Record that another database leads; what it lacks is lost already."""
-        if self.answered is not None:
-            self.answered = min(position, self.answered)
+        if self.known_acknowledged is not None:
+            self.known_acknowledged = min(position, self.known_acknowledged)
 
     def record_commit_ended(self) -> None:
         """Record that a commit is no longer in flight, whatever its outcome."""
@@ -118,7 +118,7 @@
 
         While commits are blocked, none is acknowledged from now on.
         """
-        self.seal_count += 1
+        self.give_up_count += 1
 
     def unblock_commits(self, token: int) -> bool:
         """Unblock commits before the block expires, unless its token is higher.
--- a/goldcrestpond/serving/directory.py
+++ b/goldcrestpond/serving/directory.py
@@ -494,12 +494,12 @@
             InstanceAnswer(
                 self._settings.instance,
                 own_position,
-                answered=service.commit_tracker.answered,
+                known_position=service.commit_tracker.known_acknowledged,
             )
         )
         combined = combine_acknowledged(answers)
         # Kept for later attempts, in which another instance may not answer.
-        service.commit_tracker.record_answered_elsewhere(combined.answered)
+        service.commit_tracker.record_known_acknowledged(combined.known_position)
         return combined
 
     def begin_start_block(self) -> None:
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -286,7 +286,7 @@
         for row in sorted(answer.rows, key=_get_era):
             body, service = _decode_body(row), _get_service(row)
             if _get_era(row) > answer.era:
-                continue  # nobody can have claimed in it yet
+                continue  # the store has not been in this era
             if _get_era(row) == answer.era:
                 unended.pop(service, None)  # it has replaced those of earlier eras
             if body is None or body.state not in _UNENDED:
--- a/goldcrestpond/serving/highest_acknowledged.py
+++ b/goldcrestpond/serving/highest_acknowledged.py
@@ -18,14 +18,15 @@
         No commit that it sent is acknowledged above this position; None if unknown.
     has_answered : bool
         Whether it answered, and so sends no more commits.
-    answered : LogPosition or None
-        Highest position at which it has seen a commit acknowledged; None if unknown.
+    known_position : LogPosition or None
+        Highest position at which it knows a commit to be acknowledged; None if it knows
+        of none.
     """
 
     instance: str
     position: LogPosition | None
     has_answered: bool = True
-    answered: LogPosition | None = None
+    known_position: LogPosition | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,15 +42,15 @@
         Instances that did not report a position.
     silent_instances : tuple of str
         Those of them that did not answer, and may send commits.
-    answered : LogPosition or None
-        Highest position at which those that answered have seen a commit acknowledged;
-        None if they know of none.
+    known_position : LogPosition or None
+        Highest position at which those that answered know a commit to be acknowledged;
+        None if they know of none. Unlike ``position`` it is no upper limit.
     """
 
     position: LogPosition | None
     missing_instances: tuple[str, ...] = ()
     silent_instances: tuple[str, ...] = ()
-    answered: LogPosition | None = None
+    known_position: LogPosition | None = None
 
 
 def combine_acknowledged(answers: Iterable[InstanceAnswer]) -> HighestAcknowledged:
@@ -60,7 +61,7 @@
     position = None
     if by_name and not missing:
         position = max(answer.position for answer in by_name.values())
-    known = [each.answered for each in by_name.values() if each.answered is not None]
+    known = [each.known_position for each in by_name.values() if each.known_position]
     return HighestAcknowledged(
         position, tuple(missing), tuple(silent), max(known, default=None)
     )
--- a/goldcrestpond/serving/row_fields.py
+++ b/goldcrestpond/serving/row_fields.py
@@ -13,7 +13,7 @@
 _BANDWIDTH_LIMIT_MBPS = 1e9
 _SPAN_LIMIT_MS = 1e9  # a day is 8.6e7
 _SLOT_LIMIT = 1_000_000  # far more statements than a database runs at once
-NAME_LIMIT_CHARACTERS = 200  # as for keys of the store
+_NAME_LIMIT_CHARACTERS = 200  # as for the keys of the store, in bytes
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_LIMIT)]
 # Milliseconds on a wall clock or on the store's clock.
@@ -26,4 +26,4 @@
 def is_name(text: str) -> bool:
     """Return whether a text can be a name, which is one word on the wire."""
     is_word = text.isprintable() and not any(map(str.isspace, text))
-    return is_word and 0 < len(text) <= NAME_LIMIT_CHARACTERS
+    return is_word and 0 < len(text) <= _NAME_LIMIT_CHARACTERS
--- a/goldcrestpond/serving/service.py
+++ b/goldcrestpond/serving/service.py
@@ -355,12 +355,12 @@
         """
         self._check_commits_allowed()
         self.commit_tracker.record_commit_sent()
-        seal_count = self.commit_tracker.seal_count
+        give_up_count = self.commit_tracker.give_up_count
         try:
             reply = await run()
             if reply.error is not None:
                 return reply
-            if seal_count != self.commit_tracker.seal_count:
+            if give_up_count != self.commit_tracker.give_up_count:
                 detail = f"{self.name}: answered after its leader was to be replaced"
                 raise CodedError(ResultCode.OUTCOME_UNKNOWN, detail)
             if reply.position is not None:
--- a/goldcrestpond/serving/transaction_runner.py
+++ b/goldcrestpond/serving/transaction_runner.py
@@ -180,7 +180,7 @@
         leader_verifier = self._directory.leader_verifier(service.name)
         with self._stages.measure(PROOF):
             if not transaction.is_read_only:
-                # What it writes could not be committed at a leader that is replaced.
+                # A commit at the former leader would be refused.
                 now = self._clock.now()
                 wait = (deadline - now) * LEADERLESS_WAIT_FRACTION
                 await service.wait_unblocked(now + wait)
--- a/goldcrestpond/soak/soak_caller.py
+++ b/goldcrestpond/soak/soak_caller.py
@@ -12,8 +12,8 @@
 
 ANSWER_TIMEOUT_S = 4.0  # several times the timeout of a statement
 PAUSE_S = 0.02
-REPORT_READS_MAX = 12
-REPORT_PAUSE_S = 0.1
+REPORT_READ_COUNT_MAX = 12
+REPORT_PAUSE_MAX_S = 0.1
 # Callers record a commit as acknowledged when its answer arrives, which is later than
 # the commit itself.
 AGE_TOLERANCE = timedelta(milliseconds=50)
@@ -115,12 +115,12 @@
     async def _run_report(self, stream) -> None:
         """Read several times in a transaction, with pauses."""
         await self._run_query(stream, "BEGIN READ")
-        for _ in range(self._rng.randint(1, REPORT_READS_MAX)):
+        for _ in range(self._rng.randint(1, REPORT_READ_COUNT_MAX)):
             lines = await self._run_query(stream, f"READ {self.item}")
             if lines[0].startswith("ERROR"):
                 await self._run_query(stream, "ROLLBACK")
                 return
-            await anyio.sleep(self._rng.random() * REPORT_PAUSE_S)
+            await anyio.sleep(self._rng.random() * REPORT_PAUSE_MAX_S)
         await self._run_query(stream, "COMMIT")
 
     def _get_required_number(self, route: str, own_number: int) -> tuple[int, str]:
--- a/goldcrestpond/soak/soak_plan.py
+++ b/goldcrestpond/soak/soak_plan.py
@@ -32,11 +32,8 @@
 }
 # Faults that may make an instance order a promotion, or that delay it.
 _CAUSES_OF_ORDERS = ("crash_primary", "cut_primary", "delay_orders")
-_RELEASES = (
-    "release_primary",
-    "release_replica",
-    "release_databases",
-)  # their time is that of a drain
+# Their time is that of a drain.
+_RELEASES = ("release_primary", "release_replica", "release_databases")
 # Part of the faults that are timed by a failover call, so that they fall into the time
 # in which a promotion is pending.
 _ORDER_SHARE = 0.4
