Keep what an earlier attempt left until a claim that replaces it has ended it

Cause: `ClaimWriter.claim` wrote over an open claim, and what its owner had left, an order without an answer and paused replicas, was recorded nowhere else. The new claim was closed as ended once its own attempt had ordered nothing; commits were unblocked, the one replica that could be reached was resumed, and the platform carried the first order out over them. Nobody looked: the owner of the first claim leaves all to the one that has replaced it, and the row said that nothing was left.

Change: a claim takes over, in one conditional write, what is left of all rows that it replaces (`Leftovers`): of its own instance, of earlier eras, of a release that recorded less, of rows that can't be read. `FailoverCompletion.finish` is the only place that unblocks commits, resumes replicas and closes a claim; while an order may be pending it has the platform refuse that order first, and where no leader works it leaves the claim open, and commits blocked, for the next attempt. The same was wrong on related paths, which now go there too: log members that were not read, a claim that was not answered, replicas that stay paused under a claim in state `paused`, an attempt whose claim was taken over while it paused replicas, a claim of an earlier era whose end could not be recorded, and a promotion that takes effect after that of the next attempt: where an earlier order may have been accepted just before, commits stay blocked until it can't take effect any more. Nothing is paused under a claim that may have been replaced.

--- a/goldcrestpond/serving/commit_tracker.py
+++ b/goldcrestpond/serving/commit_tracker.py
@@ -4,15 +4,14 @@
 
 from ..group.log_position import LogPosition
 from .commit_block import CommitBlock
-from .failover import LATE_ORDER_LIMIT
-from .failover_claim import CLAIM_USE_LIMIT
+from .leftovers import ORDER_LIFETIME
 
 # Longer than the time for which a claim may be used and that of a promotion together.
 # Whoever replaces the leader renews or ends the block within this time.
 BLOCK_LIFETIME = timedelta(milliseconds=3500)
 # A block that is neither renewed nor ended lasts for as long as an order of its claim
 # may be carried out.
-BLOCK_LIMIT = CLAIM_USE_LIMIT + LATE_ORDER_LIMIT
+BLOCK_LIMIT = ORDER_LIFETIME
 
 
 class CommitTracker:
--- a/goldcrestpond/serving/failover_attempt.py
+++ b/goldcrestpond/serving/failover_attempt.py
@@ -161,14 +161,14 @@
 
     Attributes
     ----------
-    is_ended : bool
-        Whether nothing is left of an attempt that ordered no promotion.
     may_lose_commits : bool
         Whether the attempt was given up because it could lose acknowledged commits.
     candidate_id : str
         The database whose promotion was ordered; empty if none was.
     outcome : OrderOutcome
         What is known of that order.
+    accepted_at : timedelta or None
+        Time at which the platform had accepted it; None if it is not known to have.
     claim : Claim
         The claim, or the one that renewed it.
     """
@@ -191,9 +191,9 @@
         "_requests",
         "_term",
         "_told_to_pause",
+        "accepted_at",
         "candidate_id",
         "claim",
-        "is_ended",
         "may_lose_commits",
         "outcome",
     )
@@ -232,26 +232,21 @@
         self._acknowledged = HighestAcknowledged(None)
         self._has_blocked_commits = False
         self._term = 0
-        self.is_ended = False
         self.may_lose_commits = False
         self.candidate_id = ""
         self.outcome = OrderOutcome.NOT_ORDERED
+        self.accepted_at: timedelta | None = None
 
     async def run(self) -> bool:
         """Replace the leader; return whether a promotion was ordered.
 
-        If none was, replicas receive again and commits are sent again, unless another
-        instance may have claimed the service meanwhile.
+        Replicas stay paused and commits blocked until `end` is called.
         """
-        is_ordered = False
         try:
-            is_ordered = await self._replace()
+            return await self._replace()
         finally:
             with anyio.CancelScope(shield=True):
-                if not is_ordered and self.is_claim_usable():
-                    self.is_ended = await self.end("given up")
                 await self._requests.aclose()
-        return is_ordered
 
     def is_claim_usable(self) -> bool:
         """Return whether no other instance can have claimed the service since."""
@@ -260,8 +255,11 @@
     async def pause_newly_listed(self) -> None:
         """Stop databases from receiving that were listed since the attempt began.
 
-        What they receive may be acknowledged, though the candidate lacks it.
+        What they receive may be acknowledged, though the candidate lacks it. Nobody
+        would resume what is paused under a claim that another instance has replaced.
         """
+        if not self.is_claim_usable():
+            return
         new = [d for d in self._list_databases() if not self._is_known(d)]
         if not new:
             return
@@ -297,7 +295,7 @@
     async def end(self, reason: str) -> bool:
         """Let replicas receive and commits be sent again: no promotion is pending.
 
-        To be called only while the claim can be used, since another instance that has
+        Nothing is undone unless the claim can be used, since another instance that has
         claimed the service relies on the replicas that it has paused.
 
         Returns
@@ -305,6 +303,8 @@
         bool
             Whether no replica is left paused.
         """
+        if not self.is_claim_usable():
+            return False
         is_resumed = await self._resume(reason)
         if self._has_blocked_commits:
             self._has_blocked_commits = False
@@ -475,8 +475,10 @@
         """Block commits until nothing is pending; learn the highest acknowledged."""
         self._has_blocked_commits = True
         claim = self.claim
+        # Also once the candidate leads, an earlier order may replace it.
+        candidate_id = "" if claim.left.may_be_pending else self.candidate_id
         block = CommitBlock(
-            claim.service, claim.token, self._previous.database_id, self.candidate_id
+            claim.service, claim.token, self._previous.database_id, candidate_id
         )
         self._acknowledged = await self._commit_blocker.block_commits(block, max_wait)
         self._log.decision(
@@ -601,6 +603,7 @@
             return False
         if self.outcome is OrderOutcome.NOT_ORDERED:
             self.outcome = OrderOutcome.ACCEPTED
+        self.accepted_at = self._clock.now()
         self._log.decision(
             "promotion accepted",
             service=claim.service,
--- a/goldcrestpond/serving/failover_claim.py
+++ b/goldcrestpond/serving/failover_claim.py
@@ -12,7 +12,7 @@
 from ..errors.decode_errors import DECODE_ERRORS
 from ..errors.result_code import ResultCode
 from .commit_block import CommitBlock
-from .failover import LATE_ORDER_LIMIT
+from .leftovers import CLAIM_USE_LIMIT, NOTHING_LEFT, Leftovers
 from .row_fields import TimeMs
 from .row_store import FeedAnswer, RowConflict, RowPut, RowRevision, RowStore, StoredRow
 from .store_era import StoreEra
@@ -20,8 +20,6 @@
 TABLE = "succession"
 # No other instance claims the service for this time; a promotion takes a second.
 CLAIM_LIFETIME = timedelta(milliseconds=3000)
-# The claim's owner uses it only for this time, so it stops before another may claim.
-CLAIM_USE_LIMIT = timedelta(milliseconds=2200)
 ATTEMPTS_MAX = 3
 # A token has the version in its low bits and the era above them. It stays small enough
 # to be exact in a double.
@@ -50,7 +48,8 @@
     nonce: str
     former: str
     state: str = ClaimState.UNKNOWN
-    # Time on the store's clock since when an order may be pending; 0 if unknown.
+    # Time on the store's clock of the last claim under which an order may be pending; 0
+    # if unknown.
     pending_since_ms: TimeMs = 0.0
 
 
@@ -68,15 +67,19 @@
         Time before the claim was written.
     former : str
         Id of the leader that is replaced.
-    pending_since_ms : float
-        Time on the store's clock since when an order may be pending.
+    claimed_ms : float
+        Upper limit of the store's time at ``claimed_at``.
+    left : Leftovers
+        What may be left of the claims that it has replaced, and of its own attempt
+        once that has ended.
     """
 
     service: str
     revision: RowRevision
     claimed_at: timedelta
     former: str = ""
-    pending_since_ms: float = 0.0
+    claimed_ms: float = 0.0
+    left: Leftovers = NOTHING_LEFT
 
     @property
     def token(self) -> int:
@@ -87,6 +90,11 @@
         """Return whether no other instance can have claimed the service since."""
         return era == self.revision.era and now - self.claimed_at < CLAIM_USE_LIMIT
 
+    def with_order_pending(self) -> "Claim":
+        """Return the claim with a promotion left that was ordered under it."""
+        left = self.left | Leftovers(self.claimed_ms, may_be_paused=False)
+        return replace(self, left=left)
+
 
 @dataclass(frozen=True, slots=True)
 class UnendedClaim:
@@ -96,15 +104,12 @@
     ----------
     block : CommitBlock
         The block of commits that belongs to it.
-    may_be_pending : bool
-        Whether a promotion may be pending. If not, only replicas may be paused.
-    pending_since_ms : float
-        Time on the store's clock since when one may be.
+    left : Leftovers
+        What may be left.
     """
 
     block: CommitBlock
-    may_be_pending: bool
-    pending_since_ms: float
+    left: Leftovers
 
 
 _UNENDED = (ClaimState.OPEN, ClaimState.PAUSED)
@@ -154,14 +159,12 @@
         self._clock = clock
         self._first_seen: dict[str, tuple[int, timedelta]] = {}
 
-    async def claim(
-        self,
-        service: str,
-        previous_leader_id: str,
-        pending_since_ms: float | None = None,
-    ) -> Claim | None:
+    async def claim(self, service: str, previous_leader_id: str) -> Claim | None:
         """Claim a service; return None if another instance holds it or may hold it.
 
+        The claim takes over what may be left of the claims that it replaces, those of
+        earlier eras and of this instance included: nobody else will know of it.
+
         A claim of an earlier era may be lost from the store and still be in use.
         Therefore nothing is claimed until ``CLAIM_LIFETIME`` after an era began.
 
@@ -171,9 +174,6 @@
             The service.
         previous_leader_id : str
             Id of the leader that is replaced; empty if unknown.
-        pending_since_ms : float or None
-            Time on the store's clock since when an order of an earlier claim may be
-            pending; None for now.
 
         Raises
         ------
@@ -182,29 +182,34 @@
         """
         nonces: set[str] = set()
         first_written_at: timedelta | None = None
+        draft: Claim | None = None
         for _ in range(ATTEMPTS_MAX):
+            asked_at = self._clock.now()
             answer = await self._store.read(TABLE)
             if self._is_era_young():
                 return None
             row = _find_claim(answer, service)
             body = _decode_body(row)
-            since_ms = answer.now_ms if pending_since_ms is None else pending_since_ms
             if body is not None and body.nonce in nonces:
-                revision = RowRevision(answer.era, row.version)
-                return Claim(
-                    service, revision, first_written_at, previous_leader_id, since_ms
-                )
+                return replace(draft, revision=RowRevision(answer.era, row.version))
             is_own = body is not None and body.holder == self._instance
             if row is not None and not is_own and self._is_claimed(service, row):
                 return None
             nonce = uuid.uuid4().hex
             nonces.add(nonce)
+            now = self._clock.now()
             # Others count the time from when any of these writes was applied.
-            first_written_at = first_written_at or self._clock.now()
+            first_written_at = first_written_at or now
+            draft = Claim(
+                service,
+                RowRevision(answer.era, 0),
+                first_written_at,
+                previous_leader_id,
+                answer.now_ms + (now - asked_at) / _MILLISECOND,
+                _combine_leftovers(answer, service),
+            )
             try:
-                revision = await self._write(
-                    service, answer, row, nonce, previous_leader_id, since_ms
-                )
+                revision = await self._write(answer, row, nonce, draft)
             except RowConflict as conflict:
                 bodies = [(_decode_body(r), r) for r in conflict.rows]
                 own_rows = [r for b, r in bodies if b is not None and b.nonce in nonces]
@@ -216,9 +221,7 @@
             if revision.era != answer.era:
                 return None
             self._first_seen[service] = (revision.version, first_written_at)
-            return Claim(
-                service, revision, first_written_at, previous_leader_id, since_ms
-            )
+            return replace(draft, revision=revision)
         detail = f"{service}: the claim was not answered"
         raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
 
@@ -231,28 +234,40 @@
             PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written, or
             if it has come back from a copy since.
         """
-        return await self._rewrite(claim, ClaimState.OPEN)
+        written_at = self._clock.now()
+        claimed_ms = claim.claimed_ms + (written_at - claim.claimed_at) / _MILLISECOND
+        return await self._rewrite(
+            replace(claim, claimed_at=written_at, claimed_ms=claimed_ms),
+            ClaimState.OPEN,
+            claimed_ms,
+        )
 
-    async def close(self, claim: Claim, state: ClaimState) -> bool:
-        """Record the end of an attempt; return False if another one has claimed it.
+    async def close(self, claim: Claim) -> bool:
+        """Record what is left of a claim; return False if another one has claimed it.
 
         Raises
         ------
         CodedError
-            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
+            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written, or
+            if it has come back from a copy since.
         """
-        return await self._rewrite(claim, state) is not None
-
-    async def _rewrite(self, claim: Claim, state: ClaimState) -> Claim | None:
+        left = claim.left
+        state = ClaimState.PAUSED if left.may_be_paused else ClaimState.ENDED
+        if left.pending_since_ms is not None:
+            state = ClaimState.OPEN
+        pending_since_ms = left.pending_since_ms or 0.0
+        return await self._rewrite(claim, state, pending_since_ms) is not None
+
+    async def _rewrite(
+        self, claim: Claim, state: ClaimState, pending_since_ms: float
+    ) -> Claim | None:
         if self._era.current != claim.revision.era:
             detail = f"{claim.service}: the claim is of an earlier era of the store"
             raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
         key = claim_key(claim.service, claim.revision.era)
         condition = StoredRow(TABLE, "", key, None, claim.revision.version)
         nonce = uuid.uuid4().hex
-        body = ClaimBody(
-            self._instance, nonce, claim.former, state, claim.pending_since_ms
-        )
+        body = ClaimBody(self._instance, nonce, claim.former, state, pending_since_ms)
         put = RowPut(TABLE, "", key, msgspec.json.encode(body))
         written_at = self._clock.now()
         for _ in range(ATTEMPTS_MAX):
@@ -269,7 +284,7 @@
             if revision.era != claim.revision.era:
                 return None
             self._first_seen[claim.service] = (revision.version, written_at)
-            return replace(claim, revision=revision, claimed_at=written_at)
+            return replace(claim, revision=revision)
         detail = f"{claim.service}: the claim was not answered"
         raise CodedError(ResultCode.PLATFORM_UNAVAILABLE, detail)
 
@@ -293,12 +308,9 @@
                 continue
             self._is_claimed(service, row)  # from now on the claim's time counts
             token = fencing_token(RowRevision(_get_era(row), row.version))
-            pending_for = (answer.now_ms - body.pending_since_ms) * _MILLISECOND
-            is_recent = pending_for < CLAIM_USE_LIMIT + LATE_ORDER_LIMIT
             unended[service] = UnendedClaim(
                 CommitBlock(service, token, body.former),
-                body.state == ClaimState.OPEN and is_recent,
-                body.pending_since_ms,
+                _read_leftovers(row, answer.now_ms),
             )
         return unended
 
@@ -325,27 +337,17 @@
         return now - seen_at < CLAIM_LIFETIME
 
     async def _write(
-        self,
-        service: str,
-        answer: FeedAnswer,
-        row: StoredRow | None,
-        nonce: str,
-        previous_leader_id: str,
-        pending_since_ms: float,
+        self, answer: FeedAnswer, row: StoredRow | None, nonce: str, draft: Claim
     ) -> RowRevision:
-        key = claim_key(service, answer.era)
+        key = claim_key(draft.service, answer.era)
         version = 0 if row is None else row.version
         condition = StoredRow(TABLE, "", key, None, version)
         body = ClaimBody(
-            self._instance,
-            nonce,
-            previous_leader_id,
-            ClaimState.OPEN,
-            pending_since_ms,
+            self._instance, nonce, draft.former, ClaimState.OPEN, draft.claimed_ms
         )
         put = RowPut(TABLE, "", key, msgspec.json.encode(body))
         earlier = [
-            r for r in answer.rows if r.key != key and _get_service(r) == service
+            r for r in answer.rows if r.key != key and _get_service(r) == draft.service
         ]
         return await self._store.write([condition], [put], earlier)
 
@@ -371,3 +373,28 @@
         return msgspec.json.decode(row.value, type=ClaimBody)
     except DECODE_ERRORS:
         return None  # a row that cannot be decoded is not a claim
+
+
+def _read_leftovers(row: StoredRow, now_ms: float) -> Leftovers:
+    """Return what may be left of a row's claim.
+
+    Anything may be left of a claim that can't be read, or whose release records less.
+    """
+    body = _decode_body(row)
+    if body is not None and body.state == ClaimState.ENDED:
+        return NOTHING_LEFT
+    if body is not None and body.state == ClaimState.PAUSED:
+        return Leftovers(may_be_paused=True)
+    is_known = body is not None and body.state == ClaimState.OPEN
+    since_ms = (is_known and body.pending_since_ms) or now_ms
+    return Leftovers(since_ms, may_be_paused=True).at(now_ms)
+
+
+def _combine_leftovers(answer: FeedAnswer, service: str) -> Leftovers:
+    """Return what may be left of a service's claims, those of earlier eras included."""
+    left = NOTHING_LEFT
+    for row in answer.rows:
+        is_present = row.value is not None and _get_era(row) <= answer.era
+        if is_present and _get_service(row) == service:
+            left |= _read_leftovers(row, answer.now_ms)
+    return left
--- a/goldcrestpond/serving/failover_completion.py
+++ b/goldcrestpond/serving/failover_completion.py
@@ -1,6 +1,6 @@
 """Brings a failover to its end: a takeover, or no order that may be carried out."""
 
-from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from datetime import timedelta
 from enum import Enum, auto
 
@@ -14,7 +14,8 @@
 from .directory import Directory
 from .failover import LATE_ORDER_LIMIT, Failover, PromotionRefused
 from .failover_attempt import NO_WAIT, FailoverAttempt, OrderOutcome
-from .failover_claim import Claim, ClaimState, ClaimWriter, token_era
+from .failover_claim import Claim, ClaimWriter, token_era
+from .leftovers import NOTHING_LEFT, Leftovers
 from .service import Service
 from .store_era import StoreEra
 
@@ -29,11 +30,6 @@
 # Commits stay blocked meanwhile, with room for one renewal that gets lost.
 BLOCK_RENEWAL_INTERVAL = BLOCK_LIFETIME / 3
 _MILLISECOND = timedelta(milliseconds=1)
-Watch = Callable[[], Awaitable[None]]
-
-
-async def _watch_nothing() -> None:
-    pass
 
 
 class Takeover(Enum):
@@ -48,11 +44,11 @@
 class FailoverCompletion:
     """Ends attempts of this instance, and those that another one has left open.
 
-    A claim is left open in the store from before its first effect until nothing of it
-    is left: no promotion that may still be carried out, no replica that is paused, no
-    commits that are blocked. Whatever is undone is undone under a claim that can be
-    used, since another instance that has claimed the service relies on what it has
-    paused and blocked itself.
+    A claim is left open in the store from before its first effect until nothing is left
+    of its attempt, or of an earlier one: no promotion that may still be carried out, no
+    replica that is paused, no commits that are blocked. `finish` alone decides this.
+    Whatever is undone is undone under a claim that can be used, since another instance
+    that has claimed the service relies on what it has paused and blocked itself.
 
     Parameters
     ----------
@@ -100,8 +96,45 @@
         self._clock = clock
         self._era = era
         self._log = log
-        # Claims that were ended but not closed, and whether no replica is paused.
-        self._unclosed: dict[str, tuple[Claim, bool]] = {}
+        # Claims whose end the store doesn't know yet.
+        self._unclosed: dict[str, Claim] = {}
+
+    async def claim(
+        self, service: Service, former_id: str, may_be_paused: bool = False
+    ) -> Claim | None:
+        """Claim a service, with what earlier attempts may have left.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+        former_id : str
+            Id of the leader that is replaced; empty if unknown.
+        may_be_paused : bool
+            Whether replicas may be paused of which the store doesn't know.
+
+        Raises
+        ------
+        CodedError
+            PLATFORM_UNAVAILABLE if the store doesn't answer whether it was written.
+        """
+        claim = await self._claims.claim(service.name, former_id)
+        if claim is None:
+            return None
+        if self._has_lost_claim(service):
+            claim = claim.with_order_pending()
+        left = claim.left | Leftovers(may_be_paused=may_be_paused)
+        claim = replace(claim, left=left)
+        self._unclosed.pop(service.name, None)
+        if left != NOTHING_LEFT:
+            self._log.decision(
+                "earlier attempt not ended",
+                service=service.name,
+                token=claim.token,
+                may_be_pending=left.may_be_pending,
+                may_be_paused=left.may_be_paused,
+            )
+        return claim
 
     async def complete(self, service: Service, attempt: FailoverAttempt) -> bool:
         """Wait for the takeover of an attempt, or make sure that none will come.
@@ -109,7 +142,7 @@
         Returns
         -------
         bool
-            Whether nothing is left of it, or another instance has taken it over.
+            Whether nothing is left of it, or of an earlier one.
 
         Raises
         ------
@@ -118,30 +151,77 @@
             claim stays open.
         """
         if attempt.outcome is OrderOutcome.NOT_ORDERED:
-            if not attempt.is_ended:
-                if not attempt.is_claim_usable() and not await self._renew(attempt):
-                    return True
-                attempt.is_ended = await attempt.end("given up")
-            await self._close(attempt.claim, attempt.is_ended)
-            return attempt.is_ended
+            return await self.finish(service, attempt.claim, "given up", attempt)
         takeover = await self._wait_for_takeover(service, attempt)
+        accepted_at = attempt.accepted_at
         if takeover is not Takeover.SEEN and attempt.outcome is OrderOutcome.UNANSWERED:
-            # From now on the candidate's lead proves nothing: a call that makes its
-            # order void may be carried out late, too.
-            if not await self._renew(attempt):
-                return True
-            attempt.candidate_id = ""
-            claim = await self._settle(
-                service, attempt.claim, attempt.pause_newly_listed
-            )
-            if claim is None:
+            # One of its calls may be carried out later.
+            attempt.claim = attempt.claim.with_order_pending()
+            accepted_at = None
+        reason = takeover.name.lower()
+        return await self.finish(service, attempt.claim, reason, attempt, accepted_at)
+
+    async def finish(
+        self,
+        service: Service,
+        claim: Claim,
+        reason: str,
+        attempt: FailoverAttempt | None = None,
+        accepted_at: timedelta | None = None,
+    ) -> bool:
+        """End a claim: undo what is left of its attempt and of those before it.
+
+        Nothing is undone while a promotion may be pending; then the claim is left open,
+        and commits stay blocked.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+        claim : Claim
+            The claim.
+        reason : str
+            Why it ends.
+        attempt : FailoverAttempt or None
+            The attempt that was made under it, if there was one.
+        accepted_at : timedelta or None
+            Time at which the platform had accepted the attempt's order, which made
+            those before it void; None if it is not known to have.
+
+        Returns
+        -------
+        bool
+            Whether nothing is left.
+
+        Raises
+        ------
+        CodedError
+            As for `complete`.
+        """
+        is_inherited = claim.left != NOTHING_LEFT
+        if claim.left.may_be_pending:
+            if accepted_at is None:
+                claim, accepted_at = await self._void_orders(service, claim, attempt)
+            if accepted_at is not None:
+                claim = await self._hold(service, claim, accepted_at, attempt)
+            if claim.left.may_be_pending:
+                await self._close(claim, "order may be pending")
                 return False
-            attempt.claim = claim
-        if not attempt.is_claim_usable() and not await self._renew(attempt):
-            return True
-        is_ended = await attempt.end(takeover.name.lower())
-        await self._close(attempt.claim, is_ended)
-        return is_ended
+        if not claim.is_usable(self._clock.now(), self._era.current):
+            renewed = await self._renew(claim, attempt)
+            if renewed is None:
+                return False
+            claim = renewed
+        is_resumed = True
+        if attempt is not None:
+            is_resumed = await attempt.end(reason)
+        if attempt is None or is_inherited:
+            await self._directory.unblock_commits(service.name, claim.token)
+        if claim.left.may_be_paused:
+            is_resumed &= await self._resume_all(claim, service)
+        left = Leftovers(may_be_paused=not is_resumed)
+        await self._close(replace(claim, left=left), reason)
+        return is_resumed
 
     async def recover(self, service: Service) -> bool:
         """End what is left of an attempt whose owner has not ended it.
@@ -159,50 +239,32 @@
         CodedError
             As for `complete`.
         """
-        if service.name in self._unclosed:
-            claim, is_resumed = self._unclosed[service.name]
-            await self._close(claim, is_resumed)
-            return is_resumed
-        tracker = service.commit_tracker
-        token = tracker.token
+        unclosed = self._unclosed.pop(service.name, None)
+        if unclosed is not None and unclosed.revision.era == self._era.current:
+            await self._close(unclosed, "not recorded before")
+            if unclosed.left == NOTHING_LEFT:
+                return True
+        token = service.commit_tracker.token
         unended = (await self._claims.read_unended()).get(service.name)
-        may_be_pending = unended is not None and unended.may_be_pending
-        if tracker.is_blocked(self._clock.now()):
-            # The store may have lost a claim of an earlier era.
-            may_be_pending |= bool(token) and token_era(token) < self._era.current
-        if not may_be_pending:
+        may_be_pending = unended is not None and unended.left.may_be_pending
+        if may_be_pending or self._has_lost_claim(service):
+            leader_id = await self._verify_leader(service, self._clock.now())
+            if not leader_id:
+                return False
+        else:
             service.unblock_commits(token)
             paused, unread = await self._read_paused(service)
             if not paused:
                 return not unread
-            return await self._resume_left_paused(service)
-        leader_id = await self._verify_leader(service, self._clock.now())
-        if not leader_id:
-            return False
-        claim = await self._claims.claim(
-            service.name, leader_id, unended and unended.pending_since_ms
-        )
-        if claim is None:
-            return False
-        claim = await self._settle(service, claim)
-        if claim is None:
-            return False
-        is_resumed = await self._resume_all(claim, service)
-        await self._directory.unblock_commits(service.name, claim.token)
-        await self._close(claim, is_resumed)
-        return is_resumed
+            leader_id = service.leadership.leader_id
+        claim = await self.claim(service, leader_id, may_be_paused=True)
+        return claim is not None and await self.finish(service, claim, "left open")
 
-    async def _resume_left_paused(self, service: Service) -> bool:
-        claim = await self._claims.claim(service.name, service.leadership.leader_id)
-        if claim is None:
-            return False
-        is_resumed = await self._resume_all(claim, service)
-        await self._close(claim, is_resumed)
-        return is_resumed
-
-    def forget(self, service: str) -> None:
-        """Discard an earlier claim that was not closed: a new one has replaced it."""
-        self._unclosed.pop(service, None)
+    def _has_lost_claim(self, service: Service) -> bool:
+        """Return whether the store may have lost a claim of an earlier era."""
+        tracker = service.commit_tracker
+        is_earlier = 0 < tracker.token and token_era(tracker.token) < self._era.current
+        return is_earlier and tracker.is_blocked(self._clock.now())
 
     async def _wait_for_takeover(
         self, service: Service, attempt: FailoverAttempt
@@ -240,58 +302,82 @@
         )
         return takeover
 
-    async def _settle(
-        self, service: Service, claim: Claim, watch: Watch = _watch_nothing
-    ) -> Claim | None:
+    async def _void_orders(
+        self, service: Service, claim: Claim, attempt: FailoverAttempt | None
+    ) -> tuple[Claim, timedelta | None]:
         """Make the platform refuse all earlier orders; commits are blocked meanwhile.
 
         It refuses a token that is lower than one that it has seen. Naming the present
         leader under a newer one changes nothing else. That call may be carried out late
         as well, so that the next one needs a newer token, and names the leader that is
-        verified then. Once it was accepted, an order that had been accepted before may
-        still take effect.
+        verified then. Nothing is blocked under the first claim's token any more, as a
+        block under it may name a candidate.
 
         Parameters
         ----------
         service : Service
             The service.
         claim : Claim
-            The claim, whose token is newer than that of any earlier order.
-        watch : callable
-            Called again and again meanwhile.
+            The claim, whose token is newer than that of any order of another claim.
+        attempt : FailoverAttempt or None
+            The attempt that was made under it; its replicas stay paused meanwhile.
 
         Returns
         -------
-        Claim or None
-            The claim, renewed; None if no leader works, or if another instance has
-            claimed the service: then its order replaces the earlier ones.
+        claim : Claim
+            The claim, renewed.
+        voided_at : timedelta or None
+            Time since which no earlier order can be accepted; None if no leader works,
+            or if another instance has claimed the service.
         """
+        renewed = await self._renew(claim, attempt)
+        if renewed is None:
+            return claim, None
+        claim = renewed
         verifier = self._directory.leader_verifier(service.name)
         ends_at = self._clock.now() + LATE_ORDER_LIMIT
-        is_accepted = False
-        while not is_accepted and self._clock.now() < ends_at:
+        while self._clock.now() < ends_at:
             await self._block(claim)
-            await watch()
-            asked_at = self._clock.now()
-            leader_id = await self._verify_leader(service, asked_at)
+            await _pause_newly_listed(attempt)
+            leader_id = await self._verify_leader(service, self._clock.now())
             failing_for = verifier.failing_for(self._clock.now())
             if failing_for is not None and failing_for >= LEADERLESS_LIMIT:
-                return None
+                return claim, None
             if not leader_id:
                 continue
-            renewed = await self._claims.renew(claim)
+            renewed = await self._renew(claim, attempt)
             if renewed is None:
-                return None
-            claim = renewed
-            is_accepted = await self._call_for_leader(claim, leader_id)
+                return claim, None
+            claim = renewed.with_order_pending()
+            if await self._call_for_leader(claim, leader_id):
+                break
             ends_at = self._clock.now() + LATE_ORDER_LIMIT
+        return claim, self._clock.now()
+
+    async def _hold(
+        self,
+        service: Service,
+        claim: Claim,
+        voided_at: timedelta,
+        attempt: FailoverAttempt | None,
+    ) -> Claim:
+        """Wait until orders that were accepted before a time have taken effect.
+
+        Returns
+        -------
+        Claim
+            The claim, renewed, with no promotion left; or unchanged, if another
+            instance has claimed the service.
+        """
         await self._block(claim)
-        settled_at = self._clock.now() + PROMOTION_LIMIT
-        while self._clock.now() < settled_at:
-            await watch()
-            verifier.check_now()
+        while self._clock.now() < voided_at + PROMOTION_LIMIT:
+            await _pause_newly_listed(attempt)
+            self._directory.leader_verifier(service.name).check_now()
             await service.wait_change(POLL_INTERVAL)
-        return await self._claims.renew(claim)
+        renewed = await self._renew(claim, attempt)
+        if renewed is None:
+            return claim
+        return replace(renewed, left=replace(claim.left, pending_since_ms=None))
 
     async def _block(self, claim: Claim) -> None:
         block = CommitBlock(claim.service, claim.token, claim.former)
@@ -327,23 +413,33 @@
         )
         return is_accepted
 
-    async def _close(self, claim: Claim, is_resumed: bool) -> None:
-        state = ClaimState.ENDED if is_resumed else ClaimState.PAUSED
-        self._unclosed[claim.service] = (claim, is_resumed)
-        await self._claims.close(claim, state)
+    async def _close(self, claim: Claim, reason: str) -> None:
+        if claim.left != NOTHING_LEFT:
+            self._log.decision(
+                "attempt left open",
+                service=claim.service,
+                token=claim.token,
+                reason=reason,
+                may_be_pending=claim.left.may_be_pending,
+                may_be_paused=claim.left.may_be_paused,
+            )
+        self._unclosed[claim.service] = claim
+        await self._claims.close(claim)
         self._unclosed.pop(claim.service, None)
 
-    async def _renew(self, attempt: FailoverAttempt) -> bool:
-        renewed = await self._claims.renew(attempt.claim)
+    async def _renew(
+        self, claim: Claim, attempt: FailoverAttempt | None
+    ) -> Claim | None:
+        renewed = await self._claims.renew(claim)
         if renewed is None:
             self._log.decision(
                 "claimed by another instance",
-                service=attempt.claim.service,
-                token=attempt.claim.token,
+                service=claim.service,
+                token=claim.token,
             )
-            return False
-        attempt.claim = renewed
-        return True
+        elif attempt is not None:
+            attempt.claim = renewed
+        return renewed
 
     async def _read_paused(self, service: Service) -> tuple[dict[str, int], list[str]]:
         """Return the terms for which replicas are paused, and who was not read."""
@@ -377,8 +473,15 @@
         return not unread and resumed.keys() == paused.keys()
 
 
+async def _pause_newly_listed(attempt: FailoverAttempt | None) -> None:
+    if attempt is not None:
+        await attempt.pause_newly_listed()
+
+
 def _list_databases(service: Service) -> dict[str, Database]:
-    return {i: served.database for i, served in service.databases.items()}
+    """Return the databases that may be paused; one that isn't listed may still run."""
+    unlisted = {d.database_id: d for d in service.recently_unlisted()}
+    return unlisted | {i: served.database for i, served in service.databases.items()}
 
 
 def _find_leader(service: Service, since: timedelta) -> str:
--- a/goldcrestpond/serving/leader_monitor.py
+++ b/goldcrestpond/serving/leader_monitor.py
@@ -22,7 +22,7 @@
     Participants,
     PreviousLeader,
 )
-from .failover_claim import ClaimState, ClaimWriter
+from .failover_claim import ClaimWriter
 from .failover_completion import FailoverCompletion
 from .failover_delay import failover_delay
 from .link import Link
@@ -336,14 +336,14 @@
         databases = _list_databases(service)
         leader_id = service.leadership.presumed_leader_id(databases)
         try:
-            claim = await self._claims.claim(service.name, leader_id)
+            claim = await self._completion.claim(service, leader_id)
             if claim is None:
                 return
-            self._completion.forget(service.name)
             self._unended.add(service.name)
             if not await self._recorder.read(service):
-                await self._claims.close(claim, ClaimState.ENDED)
-                self._unended.discard(service.name)
+                reason = "log members not read"
+                if await self._completion.finish(service, claim, reason):
+                    self._unended.discard(service.name)
                 return
             attempt = FailoverAttempt(
                 claim,
@@ -365,6 +365,8 @@
             if await self._completion.complete(service, attempt):
                 self._unended.discard(service.name)
         except CodedError as error:
+            # A claim that was not answered may have replaced an earlier one.
+            self._unended.add(service.name)
             self._log.decision(
                 "succession failed", service=service.name, detail=error.detail
             )
@@ -424,7 +426,7 @@
     async def _read_claims(self) -> None:
         try:
             for name, claim in (await self._claims.read_unended()).items():
-                if claim.may_be_pending and name not in self._running:
+                if claim.left.may_be_pending and name not in self._running:
                     self._tasks.start_soon(self._block_as_claimed, claim.block)
         except CodedError as error:
             self._log.decision("claims not read", detail=error.detail)
@@ -457,7 +459,7 @@
         unended = unended or {}
         for name, claim in unended.items():
             self._unended.add(name)
-            if claim.may_be_pending:
+            if claim.left.may_be_pending:
                 await self._directory.service(name).block_commits(claim.block, NO_WAIT)
         self._directory.end_start_block()
         if is_read:
--- a/tests/serving/test_failover_attempt.py
+++ b/tests/serving/test_failover_attempt.py
@@ -264,7 +264,14 @@
         StoreEra(clock, ListLog(), Metrics()),
         ListLog(),
     )
-    return anyio.run(attempt.run)
+
+    async def run_and_end():
+        is_ordered = await attempt.run()
+        if not is_ordered:
+            await attempt.end("given up")
+        return is_ordered
+
+    return anyio.run(run_and_end)
 
 
 _worlds = st.fixed_dictionaries(
--- a/tests/serving/test_failover_incident.py
+++ b/tests/serving/test_failover_incident.py
@@ -471,3 +471,32 @@
 
     world = play(script, seed, registry_spacing=REGISTRY_SPACING)
     assert_kept(world)
+
+
+# Failure: a promotion that was not answered is forgotten once another instance takes
+# its claim over and orders nothing: it is carried out over the commits that go on.
+@pytest.mark.parametrize("is_claimant_killed", [False, True])
+def test_promotion_of_a_claim_that_is_taken_over_and_given_up(is_claimant_killed):
+    async def script(world):
+        await anyio.sleep(START_S)
+        if not is_claimant_killed:
+            world.kill("i4", down_s=100)  # it doesn't tell what it saw acknowledged
+        await anyio.sleep(0.3)
+        world.lose_answers(3, late_s=11.0, wait_s=0.9)
+        world.crash("d1")
+        await world.until(lambda: world.events("promotion ordered"))
+        candidate = world.events("promotion ordered")[0]["candidate"]
+        await anyio.sleep(0.6)
+        world.cut([member.name for member in world.members], candidate)
+        if is_claimant_killed:
+            await anyio.sleep(0.2)
+            world.kill(world.claimant(), down_s=3.5)
+        await anyio.sleep(3)
+        world.restore("d1")
+        await anyio.sleep(2)
+        world.heal()
+        await anyio.sleep(END_S)
+
+    world = play(script, seed=0)
+    assert_that(world.events("succession given up") != [], Equals(True), world.story())
+    assert_kept(world)
