Limit the memory for answers that callers have not read

Cause: an answer was encoded as a whole and given to the transport, which copies what the socket doesn't take. An unread answer was kept three times, and nothing limited how many of them waited.

Change: an answer above 16 KiB is sent in parts of 64 KiB, and its rows are let go as they are sent, so that it is kept once. `AnswerBudget` counts what is left of all of them.

--- a/goldcrestpond/platform/caller_server.py
+++ b/goldcrestpond/platform/caller_server.py
@@ -19,11 +19,13 @@
 from ..serving.transaction_state import TransactionState
 from ..settings.socket_timeouts import set_timeouts
 from . import line_codec as codec
+from .answer_budget import FREE_BYTES, AnswerBudget
 from .line_buffer import LineBuffer
 from .receive_budget import ReceiveBudget
 
 _ABORT_REASON = "the instance is shutting down"
 RECEIVE_BYTES = 4096  # several statements of typical size
+SEND_PART_BYTES = 65536  # what the transport keeps of a long answer
 # Callers wait this long for the answer to their CONNECT.
 FIRST_ANSWER_TIMEOUT = timedelta(seconds=2)
 # A short delay is enough: a refused caller usually reconnects to another instance, and
@@ -66,6 +68,8 @@
 
     Attributes
     ----------
+    answer_budget : AnswerBudget
+        Limit on the memory for unread answers of all callers.
     budget : ReceiveBudget
         Limit on the memory for messages of all callers.
     phase : ServingPhase
@@ -79,6 +83,7 @@
         "_log",
         "_open_session",
         "_session_keys",
+        "answer_budget",
         "budget",
         "phase",
     )
@@ -92,6 +97,7 @@
     ):
         self._directory = directory
         self._caller_limit = caller_limit
+        self.answer_budget = AnswerBudget()
         self.budget = ReceiveBudget()
         self.phase = ServingPhase.SERVING
         self._open_session = open_session
@@ -154,6 +160,10 @@
         session.identify()
         return session
 
+    def record_unread(self, key: str, left_bytes: int) -> None:
+        """Record that a caller's answer was given up for those of other callers."""
+        self._log.decision("answer not read", session=key, left_bytes=left_bytes)
+
     def _make_full_error(self) -> CodedError:
         count = len(self._connections)
         self._log.decision("caller refused", callers=count, limit=self._caller_limit)
@@ -266,9 +276,30 @@
 
     async def _send_reply(self, reply: Reply) -> None:
         self._is_sending = True
-        await self._sender.send(codec.encode_reply(reply))
+        size_bytes = 0 if reply.error is not None else sum(map(len, reply.rows))
+        if size_bytes <= FREE_BYTES:
+            await self._sender.send(codec.encode_reply(reply))
+        else:
+            await self._send_long_reply(reply, size_bytes)
         self._is_sending = False
 
+    async def _send_long_reply(self, reply: Reply, size_bytes: int) -> None:
+        """Send a reply in parts, unless it is given up for other callers' replies."""
+        budget, left_bytes = self._server.answer_budget, size_bytes
+        with anyio.CancelScope() as scope:
+            give_up = scope.cancel
+            try:
+                budget.record_left(give_up, left_bytes)
+                for part in codec.encode_reply_parts(reply, SEND_PART_BYTES):
+                    await self._sender.send(part)
+                    left_bytes = max(1, left_bytes - len(part))
+                    budget.record_left(give_up, left_bytes)
+            finally:
+                budget.record_left(give_up, 0)
+        if scope.cancelled_caught:
+            self._server.record_unread(self.key, left_bytes)
+            raise anyio.BrokenResourceError
+
     def interrupt(self) -> None:
         """End the session; a running statement is answered with what is known."""
         if not self._is_sending:
--- a/goldcrestpond/platform/line_codec.py
+++ b/goldcrestpond/platform/line_codec.py
@@ -5,6 +5,7 @@
 Source: the platform's page PROTOCOL, "The wire", "Consumers" and "Databases".
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from ..errors.coded_error import CodedError
@@ -254,11 +255,33 @@
     """Return the complete answer to a caller."""
     if reply.error is not None:
         return encode_error(reply.error, reply.detail) + encode_ready(reply.state)
-    rows = "".join(f"ROW {row}\r\n" for row in reply.rows)
+    rows = "".join(_format_row(row) for row in reply.rows)
     text = f"{rows}COMPLETE {reply.receipt or EMPTY_FIELD}\r\n"
     return text.encode("latin-1") + encode_ready(reply.state)
 
 
+def encode_reply_parts(reply: Reply, part_bytes: int) -> Iterator[bytes]:
+    """Yield the complete answer to a caller in parts of up to ``part_bytes``.
+
+    Rows are removed from the reply as they are encoded, so that an answer that is read
+    slowly is kept once.
+    """
+    rows = reply.rows
+    rows.reverse()
+    data = bytearray()
+    while rows:
+        data += _format_row(rows.pop()).encode("latin-1")
+        while len(data) >= part_bytes:
+            yield bytes(data[:part_bytes])
+            del data[:part_bytes]
+    yield bytes(data)
+    yield encode_reply(reply)
+
+
+def _format_row(row: str) -> str:
+    return f"ROW {row}\r\n"
+
+
 def encode_query(
     request_id: str, text: str, min_position: LogPosition | None = None
 ) -> bytes:
