Accept no connection for a caller whom nobody serves any more

A caller that connects at the very end of an instance's stop was accepted, and its connection closed without an answer; nothing of it was read. The log got a traceback, InvalidStateError in asyncio's `_sock_accept`.

Cause: where `sock_accept` is cancelled while it waits, and a connection arrives in the same turn of the loop, the socket's callback still runs: it accepts the connection and has nobody to give it to.

Change: the listener is waited for by `wait_readable`, whose callback accepts nothing; then `accept` takes a connection at once. The connection stays in the listener's queue, and is refused when that closes.

--- a/goldcrestpond/frames/accept_connections.py
+++ b/goldcrestpond/frames/accept_connections.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketListener, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
 from anyio.streams.stapled import MultiListener
 
 from ..tasks.supervised_tasks import SupervisedTasks
@@ -36,6 +36,9 @@
 
     async def accept_from(socket_listener: SocketListener) -> None:
         while True:
+            # Then accept takes a connection at once. If it is cancelled while it waits,
+            # one that arrives is accepted for nobody.
+            await anyio.wait_readable(socket_listener.extra(SocketAttribute.raw_socket))
             try:
                 stream = await socket_listener.accept()
             except OSError as error:
