--- a/goldcrestpond/platform/answer_budget.py
+++ b/goldcrestpond/platform/answer_budget.py
@@ -3,9 +3,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-# A quarter of the 200 MB of the smallest machine. Answers of up to `FREE_BYTES` are not
-# counted; those of all callers that an instance admits take less together.
-BUDGET_BYTES = 48 << 20
+BUDGET_BYTES = 48 << 20  # a quarter of the 200 MB of the smallest machine
+# Answers of up to this size are not counted; a socket's send buffer takes them.
 FREE_BYTES = 16 << 10
 
 
--- a/goldcrestpond/serving/failover_completion.py
+++ b/goldcrestpond/serving/failover_completion.py
@@ -198,7 +198,7 @@
         CodedError
             As for `complete`.
         """
-        is_inherited = claim.left != NOTHING_LEFT
+        had_leftovers = claim.left != NOTHING_LEFT
         if claim.left.may_be_pending:
             if accepted_at is None:
                 claim, accepted_at = await self._void_orders(service, claim, attempt)
@@ -215,7 +215,7 @@
         is_resumed = True
         if attempt is not None:
             is_resumed = await attempt.end(reason)
-        if attempt is None or is_inherited:
+        if attempt is None or had_leftovers:
             await self._directory.unblock_commits(service.name, claim.token)
         if claim.left.may_be_paused:
             is_resumed &= await self._resume_all(claim, service)
